--- /dev/null
+++ b/cmake/loom.cmake
@@ -0,0 +1,60 @@
+# Helpers that every slice uses: one library a slice, one program a test file.
+
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(LOOM_LIBS REQUIRED talloc tevent libtirpc libmicrohttpd
+  libcurl log4c jansson libxxhash glib-2.0 argtable2)
+pkg_check_modules(LOOM_CUNIT REQUIRED cunit)
+find_package(Threads REQUIRED)
+
+add_library(loom_options INTERFACE)
+target_compile_options(loom_options INTERFACE -Wall -Wextra -Werror -Wshadow
+  -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wundef
+  -Wformat=2 -Wno-unused-parameter -fno-omit-frame-pointer
+  ${LOOM_LIBS_CFLAGS})
+target_include_directories(loom_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
+target_link_libraries(loom_options INTERFACE ${LOOM_LIBS_LDFLAGS}
+  Threads::Threads m)
+if(LOOM_SANITIZE)
+  target_compile_options(loom_options INTERFACE -fsanitize=${LOOM_SANITIZE}
+    -fno-sanitize-recover=all)
+  target_link_options(loom_options INTERFACE -fsanitize=${LOOM_SANITIZE})
+endif()
+
+# loom_add_slice(NAME SOURCES a.c ... USES other ...)
+# Makes the library loom_NAME; USES names the slices it calls.
+function(loom_add_slice name)
+  cmake_parse_arguments(arg "" "" "SOURCES;USES" ${ARGN})
+  add_library(loom_${name} STATIC ${arg_SOURCES})
+  target_include_directories(loom_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(loom_${name} PUBLIC loom_options)
+  foreach(used ${arg_USES})
+    target_link_libraries(loom_${name} PUBLIC loom_${used})
+  endforeach()
+endfunction()
+
+# loom_add_test(NAME USES slice ...)
+# Builds tests/NAME.c with CUnit and runs it from its tests folder under ctest.
+function(loom_add_test name)
+  cmake_parse_arguments(arg "" "" "USES" ${ARGN})
+  add_executable(${name} tests/${name}.c)
+  target_compile_options(${name} PRIVATE ${LOOM_CUNIT_CFLAGS})
+  target_link_libraries(${name} PRIVATE loom_support ${LOOM_CUNIT_LDFLAGS})
+  foreach(used ${arg_USES})
+    target_link_libraries(${name} PRIVATE loom_${used})
+  endforeach()
+  add_test(NAME ${name} COMMAND ${name}
+    WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/tests)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
+
+# loom_add_program(NAME SOURCES a.c ... USES slice ...)
+function(loom_add_program name)
+  cmake_parse_arguments(arg "" "" "SOURCES;USES" ${ARGN})
+  add_executable(${name} ${arg_SOURCES})
+  target_link_libraries(${name} PRIVATE loom_options)
+  foreach(used ${arg_USES})
+    target_link_libraries(${name} PRIVATE loom_${used})
+  endforeach()
+  set_target_properties(${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,172 @@
+/*
+ * JSON-lines log on a log4c category with one stream appender.
+ *
+ * The line is composed by jansson before it reaches log4c, whose layout passes
+ * it on unchanged; log4c contributes levels and the appender.
+ */
+#include "loom/log.h"
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <time.h>
+#include <jansson.h>
+#include <log4c.h>
+#include "loom/error.h"
+
+#define LOG_CATEGORY "loom"
+#define LOG_TIME_SIZE 40
+
+static const char *log_program = "loom";
+static log4c_category_t *log_category;
+
+static const char *format_line(const log4c_layout_t *layout,
+			       const log4c_logging_event_t *event)
+{
+	return event->evt_msg;
+}
+
+static const log4c_layout_type_t log_layout_type = {
+	.name = "loom_json_line",
+	.format = format_line,
+};
+
+static int get_priority(enum log_level level)
+{
+	switch (level) {
+	case LOG_LEVEL_DEBUG:
+		return LOG4C_PRIORITY_DEBUG;
+	case LOG_LEVEL_INFO:
+		return LOG4C_PRIORITY_INFO;
+	case LOG_LEVEL_WARNING:
+		return LOG4C_PRIORITY_WARN;
+	case LOG_LEVEL_ERROR:
+		return LOG4C_PRIORITY_ERROR;
+	}
+	return LOG4C_PRIORITY_ERROR;
+}
+
+static const char *get_level_name(enum log_level level)
+{
+	switch (level) {
+	case LOG_LEVEL_DEBUG:
+		return "debug";
+	case LOG_LEVEL_INFO:
+		return "info";
+	case LOG_LEVEL_WARNING:
+		return "warning";
+	case LOG_LEVEL_ERROR:
+		return "error";
+	}
+	return "error";
+}
+
+static void set_text(json_t *line, const char *name, const char *value)
+{
+	if (value && *value)
+		json_object_set_new(line, name, json_string(value));
+}
+
+static void set_time(json_t *line)
+{
+	char text[LOG_TIME_SIZE];
+	char whole[LOG_TIME_SIZE];
+	struct timespec now;
+	struct tm parts;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &parts);
+	strftime(whole, sizeof(whole), "%Y-%m-%dT%H:%M:%S", &parts);
+	g_snprintf(text, sizeof(text), "%s.%03uZ", whole,
+		   (unsigned int)(now.tv_nsec / 1000000));
+	set_text(line, "time", text);
+}
+
+static json_t *make_line(enum log_level level, const char *module,
+			 const char *step, const char *peer,
+			 const char *message)
+{
+	json_t *line = json_object();
+
+	set_time(line);
+	set_text(line, "level", get_level_name(level));
+	set_text(line, "program", log_program);
+	set_text(line, "module", module);
+	set_text(line, "step", step);
+	set_text(line, "peer", peer);
+	set_text(line, "message", message);
+	return line;
+}
+
+static void write_line(enum log_level level, json_t *line)
+{
+	char *text = json_dumps(line, JSON_COMPACT | JSON_PRESERVE_ORDER);
+
+	if (text)
+		log4c_category_log(log_category, get_priority(level), "%s\n",
+				   text);
+	free(text);
+	json_decref(line);
+}
+
+static bool is_level_open(enum log_level level)
+{
+	return log_category && log4c_category_is_priority_enabled(
+				       log_category, get_priority(level));
+}
+
+void log_open(const char *program, enum log_level level)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	log_program = program;
+	log4c_init();
+	log4c_layout_type_set(&log_layout_type);
+	layout = log4c_layout_get("loom_json_line");
+	log4c_layout_set_type(layout, &log_layout_type);
+	appender = log4c_appender_get("stderr");
+	log4c_appender_set_layout(appender, layout);
+	log_category = log4c_category_get(LOG_CATEGORY);
+	log4c_category_set_appender(log_category, appender);
+	log4c_category_set_additivity(log_category, 0);
+	log4c_category_set_priority(log_category, get_priority(level));
+}
+
+void log_close(void)
+{
+	log_category = NULL;
+	log4c_fini();
+}
+
+void log_write(enum log_level level, const char *module, const char *step,
+	       const char *peer, const char *message, ...)
+{
+	const char *name;
+	json_t *line;
+	va_list fields;
+
+	if (!is_level_open(level))
+		return;
+	line = make_line(level, module, step, peer, message);
+	va_start(fields, message);
+	while ((name = va_arg(fields, const char *)))
+		set_text(line, name, va_arg(fields, const char *));
+	va_end(fields);
+	write_line(level, line);
+}
+
+void log_write_error(enum log_level level, const char *module,
+		     const GError *error)
+{
+	json_t *line;
+
+	if (!is_level_open(level))
+		return;
+	line = make_line(level, module, err_get_step(error),
+			 err_get_peer(error), error->message);
+	if (error->domain == ERR_DOMAIN)
+		set_text(line, "code",
+			 err_get_code_name((enum err_code)error->code));
+	write_line(level, line);
+}
