--- /dev/null
+++ b/include/loom/admission.h
@@ -0,0 +1,93 @@
+/*
+ * Admission at the target's node: the adaptive limit on the one local target,
+ * the short queue before it, its phase, and true refusals. Pure functions of
+ * state, event and time; no I/O. One gate belongs to one thread.
+ */
+#ifndef LOOM_ADMISSION_H
+#define LOOM_ADMISSION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <talloc.h>
+#include "loom/document.h"
+#include "loom/routing.h"
+
+struct adm_gate;
+
+enum adm_refusal {
+	ADM_REFUSAL_NONE,
+	ADM_REFUSAL_NO_TARGET,	  /* no target announced here */
+	ADM_REFUSAL_WRONG_TARGET, /* another service or version is here */
+	ADM_REFUSAL_LEAVING,
+	ADM_REFUSAL_DOMAIN_OUT,
+	ADM_REFUSAL_QUEUE_FULL,
+	ADM_REFUSAL_DEADLINE, /* would not be served before its deadline */
+};
+
+/* Returns the machine-readable reason, such as "queue_full". */
+const char *adm_get_refusal_name(enum adm_refusal refusal);
+
+enum adm_verdict {
+	ADM_VERDICT_RUN,
+	ADM_VERDICT_WAIT,
+	ADM_VERDICT_REFUSE,
+};
+
+/* Returns a new gate without a target, owned by ctx. */
+struct adm_gate *adm_new_gate(TALLOC_CTX *ctx);
+
+/* Sets the document's bounds; they apply from the next decision. */
+void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits);
+
+/* A target announced itself anew: the limit starts at the start value. */
+void adm_announce_target(struct adm_gate *gate, const char *service,
+			 const char *version, uint64_t now_ms);
+
+/* The target drains or is gone: refuse from now on. */
+void adm_drain_target(struct adm_gate *gate);
+
+/* The node's own failure domain was taken out or is in again. */
+void adm_set_domain_out(struct adm_gate *gate, bool is_out);
+
+/* Hint of the target's own health or load endpoint; can only lower. */
+void adm_note_hint(struct adm_gate *gate, uint32_t bearable_calls,
+		   uint64_t now_ms);
+
+/*
+ * Asks for admission of a call. ticket is the caller's handle, returned by
+ * adm_take_ready() when a waiting call may run. On ADM_VERDICT_REFUSE *refusal
+ * is set and the call was not run.
+ */
+enum adm_verdict adm_admit(struct adm_gate *gate, const char *service,
+			   const char *version, void *ticket, uint64_t now_ms,
+			   uint64_t deadline_ms, enum adm_refusal *refusal);
+
+/* Returns the next waiting ticket that may run now, or NULL. */
+void *adm_take_ready(struct adm_gate *gate, uint64_t now_ms);
+
+/* Returns the next waiting ticket whose deadline passed, or NULL. */
+void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms);
+
+/* A waiting call goes away (its caller hung up). */
+void adm_cancel_waiting(struct adm_gate *gate, void *ticket);
+
+enum adm_outcome {
+	ADM_OUTCOME_GOOD,
+	ADM_OUTCOME_ERROR, /* the target answered with 5xx */
+	ADM_OUTCOME_SHED,  /* the target itself said it is overloaded */
+	ADM_OUTCOME_TIMEOUT,
+	ADM_OUTCOME_BROKEN,    /* connection refused or lost */
+	ADM_OUTCOME_CANCELLED, /* no evidence about the target */
+};
+
+/* A running call ended after latency_us. */
+void adm_finish(struct adm_gate *gate, enum adm_outcome outcome,
+		uint32_t latency_us, uint64_t now_ms);
+
+/* Fills load with limit, in-flight count and phase for the answer header. */
+void adm_get_load(const struct adm_gate *gate, struct rt_load *load);
+
+/* Returns how many calls wait. */
+uint32_t adm_get_waiting_count(const struct adm_gate *gate);
+
+#endif
--- /dev/null
+++ b/include/loom/document.h
@@ -0,0 +1,224 @@
+/*
+ * Service documents, the manifest and the immutable snapshot built from them.
+ *
+ * A service document is one JSON object per service. The manifest names, for
+ * every service, the exact document version in force and the step of its move;
+ * its sequence is the one order of configuration. A snapshot is a manifest
+ * together with all the documents that it names, checked against each other.
+ */
+#ifndef LOOM_DOCUMENT_H
+#define LOOM_DOCUMENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <glib.h>
+#include <talloc.h>
+
+#define DOC_SHARE_ALL_PERMILLE 1000U
+
+/* Whether a request of a route may be sent to a target more than once. */
+enum doc_repeat {
+	DOC_REPEAT_SAFE_METHODS, /* GET, HEAD and OPTIONS only */
+	DOC_REPEAT_ALWAYS,
+	DOC_REPEAT_NEVER,
+};
+
+struct doc_route {
+	const char *name;
+	const char *path_prefix;
+	const char *const *methods; /* NULL-terminated; NULL: every method */
+	uint32_t timeout_ms;
+	enum doc_repeat repeat;
+};
+
+/* Bounds of one target of the service. */
+struct doc_limits {
+	uint32_t slots;		     /* calls that run side by side */
+	uint32_t connections;	     /* open connections to the target */
+	uint32_t queue_length;	     /* calls that wait for a slot */
+	uint32_t request_body_bytes; /* largest request body */
+	uint32_t header_bytes;	     /* largest request header */
+};
+
+/* Thresholds by which a new version is judged against the old one. */
+struct doc_judgement {
+	uint32_t error_permille; /* excess of failed calls that is bad */
+	uint32_t latency_factor_permille; /* 1500: half as slow again */
+	uint32_t soak_ms;		  /* watched after the last step */
+};
+
+/* A move of traffic from one version to another. Times are wall clock. */
+struct doc_move {
+	const char *from;
+	const char *to;
+	uint64_t start_ms;
+	uint64_t finish_by_ms;
+	const uint32_t *step_shares_permille; /* rising, last is 1000 */
+	size_t step_count;
+	struct doc_judgement judgement;
+};
+
+struct doc_objective {
+	uint32_t availability_ppm; /* calls that must succeed */
+	uint32_t latency_ms;	   /* bound for the share below */
+	uint32_t latency_ppm;	   /* calls that must be that fast */
+};
+
+struct doc_service {
+	const char *name;
+	uint64_t document_version;   /* object version on the platform */
+	const char *const *versions; /* NULL-terminated */
+	const char *current;	     /* version served without a move */
+	const struct doc_route *routes;
+	size_t route_count;
+	struct doc_limits limits;
+	const struct doc_move *move; /* NULL: none */
+	struct doc_objective objective;
+	const char *const *calls; /* services that it calls; NULL-terminated */
+};
+
+/* One thing that is wrong with a document. */
+struct doc_problem {
+	const char *file;
+	const char *path;    /* place in the document: "routes[1].timeout_ms" */
+	const char *message; /* what was got and what was wanted */
+};
+
+struct doc_problem_list {
+	GPtrArray *problems; /* struct doc_problem */
+};
+
+/* Returns a new, empty list owned by ctx. */
+struct doc_problem_list *doc_new_problem_list(TALLOC_CTX *ctx);
+
+/* Adds a problem; all texts are copied. */
+void doc_add_problem(struct doc_problem_list *list, const char *file,
+		     const char *path, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* Appends one line "file: path: message" a problem to text. */
+void doc_print_problems(const struct doc_problem_list *list, GString *text);
+
+/*
+ * Parses and checks one service document on its own. file names the source in
+ * problems. Returns a new service owned by ctx, or NULL with at least one
+ * problem added to list: all problems are reported, not the first only.
+ */
+struct doc_service *doc_parse_service(TALLOC_CTX *ctx, const char *file,
+				      const char *text, size_t size,
+				      uint64_t document_version,
+				      struct doc_problem_list *list);
+
+/*
+ * Returns the route of the longest matching path prefix that allows the
+ * method (borrowed from service), or NULL.
+ */
+const struct doc_route *doc_find_route(const struct doc_service *service,
+				       const char *method, const char *path);
+
+/* Returns whether a request of that route and method may be repeated. */
+bool doc_is_repeatable(const struct doc_route *route, const char *method);
+
+enum doc_move_state {
+	DOC_MOVE_NONE,
+	DOC_MOVE_WAITING,
+	DOC_MOVE_RUNNING,
+	DOC_MOVE_SOAKING,
+	DOC_MOVE_DONE,
+	DOC_MOVE_TAKEN_BACK,
+};
+
+/* Returns the lower-case name used in JSON, such as "taken_back". */
+const char *doc_get_move_state_name(enum doc_move_state state);
+
+struct doc_manifest_service {
+	const char *name;
+	uint64_t document_version;
+	enum doc_move_state move_state;
+	uint32_t share_permille; /* of move->to; 0 without a move */
+	uint32_t step_index;
+};
+
+struct doc_manifest_domain {
+	const char *name;
+	bool is_out;
+};
+
+struct doc_manifest {
+	uint64_t sequence;
+	const char *write_id; /* unique to the write that made it */
+	struct doc_manifest_service *services; /* ordered by name */
+	size_t service_count;
+	struct doc_manifest_domain *domains; /* ordered by name */
+	size_t domain_count;
+};
+
+/* Returns a new manifest owned by ctx, or NULL with *error set. */
+struct doc_manifest *doc_parse_manifest(TALLOC_CTX *ctx, const char *text,
+					size_t size, GError **error);
+
+/* Returns the manifest as compact JSON, a new text owned by ctx. */
+char *doc_format_manifest(TALLOC_CTX *ctx, const struct doc_manifest *manifest);
+
+/* Returns a new, empty manifest of sequence 0 owned by ctx. */
+struct doc_manifest *doc_new_manifest(TALLOC_CTX *ctx);
+
+/* Returns a new deep copy owned by ctx. */
+struct doc_manifest *doc_copy_manifest(TALLOC_CTX *ctx,
+				       const struct doc_manifest *manifest);
+
+/* Returns the entry of a service or domain (borrowed), or NULL. */
+struct doc_manifest_service *
+doc_find_manifest_service(const struct doc_manifest *manifest,
+			  const char *name);
+struct doc_manifest_domain *
+doc_find_manifest_domain(const struct doc_manifest *manifest, const char *name);
+
+/* Adds the entry when it is new; returns it (borrowed from manifest). */
+struct doc_manifest_service *
+doc_add_manifest_service(struct doc_manifest *manifest, const char *name);
+struct doc_manifest_domain *
+doc_add_manifest_domain(struct doc_manifest *manifest, const char *name);
+
+/* Removes the entry of a service, if there is one. */
+void doc_remove_manifest_service(struct doc_manifest *manifest,
+				 const char *name);
+
+/*
+ * Checks that every service named by a document's "calls" is in services and
+ * that none of them is removed while still named. Adds problems to list;
+ * returns whether there were none.
+ */
+bool doc_check_closure(const struct doc_service *const *services,
+		       size_t service_count, struct doc_problem_list *list);
+
+struct doc_snapshot;
+
+/*
+ * Builds the snapshot of a manifest. services must hold one document of the
+ * exact version for each entry; they are stolen from their talloc owners on
+ * success only. Returns a new snapshot with one reference, or NULL with *error
+ * set when a document is missing, of another version, or the closure is not
+ * whole; nothing is changed then.
+ */
+struct doc_snapshot *doc_build_snapshot(const struct doc_manifest *manifest,
+					struct doc_service **services,
+					size_t service_count, GError **error);
+
+/* References are counted atomically; the last holder frees the snapshot. */
+struct doc_snapshot *doc_ref_snapshot(struct doc_snapshot *snapshot);
+void doc_unref_snapshot(struct doc_snapshot *snapshot);
+
+/* Returns the manifest of a snapshot (borrowed). */
+const struct doc_manifest *
+doc_get_manifest(const struct doc_snapshot *snapshot);
+
+/* Returns a service of a snapshot (borrowed), or NULL. */
+const struct doc_service *doc_find_service(const struct doc_snapshot *snapshot,
+					   const char *name);
+
+/* Returns whether operators have taken the failure domain out. */
+bool doc_is_domain_out(const struct doc_snapshot *snapshot, const char *name);
+
+#endif
--- /dev/null
+++ b/include/loom/platform.h
@@ -0,0 +1,142 @@
+/*
+ * Client of the platform's object API: get, list, conditional put and delete,
+ * watch with resume, and leases. All calls are asynchronous on one tevent loop
+ * over a libcurl multi handle; every callback runs exactly once per call.
+ *
+ * The object API, as the stand-in tests/fakes/fakeplatform serves it:
+ *   GET    /objects/KEY                     200 {key,version,revision,value}
+ *   GET    /objects?prefix=P                200 {revision,objects:[...]}
+ *   PUT    /objects/KEY  If-Match: VERSION  200 {version,revision}, 409
+ *          ("0": only when it is absent)        {version} of the present object
+ *   DELETE /objects/KEY  If-Match: VERSION  200, 404, 409
+ *   GET    /watch?prefix=P&since=R&wait_ms=N
+ *                                           200 {revision,events:[...]}, 410
+ *          an event is {type:"put"|"delete",key,version,revision,value}
+ * 429 is a rate refusal, 503 an outage. Object versions rise by one with each
+ * write of an object; revisions rise by one with each write of the store.
+ */
+#ifndef LOOM_PLATFORM_H
+#define LOOM_PLATFORM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <jansson.h>
+#include <talloc.h>
+#include <tevent.h>
+#include "loom/counter.h"
+#include "loom/timer.h"
+
+struct plat_client;
+struct plat_call;
+struct plat_watch;
+
+struct plat_options {
+	const char *base_url; /* "http://127.0.0.1:9000" */
+	uint32_t timeout_ms;
+	uint32_t calls_per_second; /* token bucket of this process */
+	uint32_t burst_calls;
+	uint64_t seed; /* of the jitter */
+};
+
+/* Fills options with the usual values for that URL (borrowed). */
+void plat_set_default_options(struct plat_options *options,
+			      const char *base_url);
+
+/* Returns a new client owned by ctx, or NULL with *error set. */
+struct plat_client *
+plat_new_client(TALLOC_CTX *ctx, struct tevent_context *events,
+		struct tmr_service *timers, struct cnt_registry *counters,
+		const struct plat_options *options, GError **error);
+
+struct plat_object {
+	const char *key;
+	uint64_t version;
+	uint64_t revision;
+	bool is_deleted; /* in events only */
+	json_t *value;	 /* borrowed */
+};
+
+/* Result of a call; objects live for the length of the callback only. */
+struct plat_result {
+	const GError *error; /* NULL: it succeeded */
+	const struct plat_object *objects;
+	size_t object_count;
+	uint64_t version;  /* of the written or conflicting object */
+	uint64_t revision; /* of the store */
+};
+
+typedef void (*plat_fn)(const struct plat_result *result, void *data);
+
+/*
+ * Reads one object; ERR_NOT_FOUND when it is absent. Retries outages within
+ * timeout_ms. Returns a new call owned by ctx; talloc_free() cancels it.
+ */
+struct plat_call *plat_get_object(TALLOC_CTX *ctx, struct plat_client *client,
+				  const char *key, plat_fn fn, void *data);
+
+/* Reads all objects whose key begins with prefix. */
+struct plat_call *plat_list_objects(TALLOC_CTX *ctx, struct plat_client *client,
+				    const char *prefix, plat_fn fn, void *data);
+
+/*
+ * Writes an object when its present version is expected_version (0: absent).
+ * value must be an object holding a "write_id" unique to this write: when the
+ * answer is lost the client reads the object back and compares the id before
+ * it reports anything. ERR_CONFLICT carries the present version;
+ * ERR_UNKNOWN_OUTCOME means that reading back failed too.
+ */
+struct plat_call *plat_put_object(TALLOC_CTX *ctx, struct plat_client *client,
+				  const char *key, json_t *value,
+				  uint64_t expected_version, plat_fn fn,
+				  void *data);
+
+/* Deletes an object when its present version is expected_version. */
+struct plat_call *plat_delete_object(TALLOC_CTX *ctx,
+				     struct plat_client *client,
+				     const char *key, uint64_t expected_version,
+				     plat_fn fn, void *data);
+
+enum plat_watch_kind {
+	PLAT_WATCH_LISTED,  /* objects is the whole state of the prefix */
+	PLAT_WATCH_CHANGED, /* objects are events, in order */
+	PLAT_WATCH_STALE,   /* the store went back to an older revision */
+	PLAT_WATCH_FAILED,  /* error is set; the watch tries again by itself */
+};
+
+typedef void (*plat_watch_fn)(enum plat_watch_kind kind,
+			      const struct plat_result *result, void *data);
+
+/*
+ * Watches a prefix: lists it, then follows changes from that revision, resumes
+ * after a cut, and lists again when the history is gone. Returns a new watch
+ * owned by ctx; talloc_free() ends it.
+ */
+struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
+				     struct plat_client *client,
+				     const char *prefix, plat_watch_fn fn,
+				     void *data);
+
+struct plat_lease;
+
+typedef void (*plat_lease_fn)(bool is_held, uint64_t fencing_version,
+			      void *data);
+
+/*
+ * Competes for the lease object key for holder. fn is called at each change;
+ * is_held goes false by the local clock before the lease can be taken by
+ * another process, also when the platform is out. fencing_version is the
+ * object version of the lease. Returns a new lease owned by ctx; talloc_free()
+ * gives it up.
+ */
+struct plat_lease *plat_compete_lease(TALLOC_CTX *ctx,
+				      struct plat_client *client,
+				      const char *key, const char *holder,
+				      uint32_t duration_ms, plat_lease_fn fn,
+				      void *data);
+
+/* Returns a new unique write id owned by ctx: holder, time and count. */
+char *plat_make_write_id(TALLOC_CTX *ctx, struct plat_client *client,
+			 const char *holder);
+
+#endif
