--- /dev/null
+++ b/src/http/client_loop.c
@@ -0,0 +1,198 @@
+/*
+ * A curl multi handle driven by tevent.
+ *
+ * Each socket of curl is one tevent_fd, curl's timeout one tevent timer. Every
+ * transfer has one record, found by CURLOPT_PRIVATE.
+ * Invariant: a record lives exactly while its handle is in the multi handle.
+ */
+#include "loom/http.h"
+
+#include <assert.h>
+#include "loom/error.h"
+
+struct transfer {
+	hc_done_fn fn;
+	void *data;
+};
+
+struct hc_loop {
+	struct tevent_context *events;
+	CURLM *multi;
+	struct tevent_timer *timeout;
+};
+
+struct socket_watch {
+	struct hc_loop *loop;
+	curl_socket_t socket;
+	struct tevent_fd *fde;
+};
+
+static struct transfer *get_transfer(CURL *easy)
+{
+	char *private = NULL;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &private);
+	return (struct transfer *)(void *)private;
+}
+
+static void finish_transfer(struct hc_loop *loop, CURL *easy, CURLcode code)
+{
+	struct transfer *transfer = get_transfer(easy);
+	hc_done_fn fn = transfer->fn;
+	void *data = transfer->data;
+
+	hc_remove_transfer(loop, easy);
+	fn(easy, code, data);
+}
+
+static void finish_transfers(struct hc_loop *loop)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(loop->multi, &left))) {
+		if (message->msg == CURLMSG_DONE)
+			finish_transfer(loop, message->easy_handle,
+					message->data.result);
+	}
+}
+
+static void run_socket(struct hc_loop *loop, curl_socket_t socket, int mask)
+{
+	int running;
+
+	curl_multi_socket_action(loop->multi, socket, mask, &running);
+	finish_transfers(loop);
+}
+
+static void handle_timeout(struct tevent_context *events,
+			   struct tevent_timer *timer, struct timeval now,
+			   void *data)
+{
+	struct hc_loop *loop = data;
+
+	loop->timeout = NULL;
+	run_socket(loop, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int set_timeout(CURLM *multi, long wait_ms, void *data)
+{
+	struct hc_loop *loop = data;
+
+	TALLOC_FREE(loop->timeout);
+	if (wait_ms < 0)
+		return 0;
+	loop->timeout = tevent_add_timer(
+		loop->events, loop,
+		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
+					   (uint32_t)(wait_ms % 1000) * 1000),
+		handle_timeout, loop);
+	return 0;
+}
+
+static void handle_socket(struct tevent_context *events, struct tevent_fd *fde,
+			  uint16_t flags, void *data)
+{
+	struct socket_watch *watch = data;
+	int mask = 0;
+
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	run_socket(watch->loop, watch->socket, mask);
+}
+
+static uint16_t get_fd_flags(int what)
+{
+	uint16_t flags = 0;
+
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	return flags;
+}
+
+static int set_socket(CURL *easy, curl_socket_t socket, int what, void *data,
+		      void *socket_data)
+{
+	struct hc_loop *loop = data;
+	struct socket_watch *watch = socket_data;
+
+	if (what == CURL_POLL_REMOVE) {
+		talloc_free(watch);
+		return 0;
+	}
+	if (!watch) {
+		watch = talloc_zero(loop, struct socket_watch);
+		watch->loop = loop;
+		watch->socket = socket;
+		watch->fde = tevent_add_fd(loop->events, watch, socket, 0,
+					   handle_socket, watch);
+		curl_multi_assign(loop->multi, socket, watch);
+	}
+	tevent_fd_set_flags(watch->fde, get_fd_flags(what));
+	return 0;
+}
+
+static int destroy_loop(struct hc_loop *loop)
+{
+	curl_multi_cleanup(loop->multi);
+	return 0;
+}
+
+struct hc_loop *hc_new_loop(TALLOC_CTX *ctx, struct tevent_context *events,
+			    GError **error)
+{
+	struct hc_loop *loop = talloc_zero(ctx, struct hc_loop);
+
+	loop->events = events;
+	loop->multi = curl_multi_init();
+	if (!loop->multi) {
+		err_set(error, ERR_INTERNAL, "open client loop", NULL,
+			"curl_multi_init failed");
+		talloc_free(loop);
+		return NULL;
+	}
+	talloc_set_destructor(loop, destroy_loop);
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+	curl_multi_setopt(loop->multi, CURLMOPT_SOCKETDATA, loop);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERFUNCTION, set_timeout);
+	curl_multi_setopt(loop->multi, CURLMOPT_TIMERDATA, loop);
+	return loop;
+}
+
+CURLM *hc_get_multi(struct hc_loop *loop)
+{
+	return loop->multi;
+}
+
+bool hc_add_transfer(struct hc_loop *loop, CURL *easy, hc_done_fn fn,
+		     void *data, GError **error)
+{
+	struct transfer *transfer = g_new0(struct transfer, 1);
+	CURLMcode code;
+
+	transfer->fn = fn;
+	transfer->data = data;
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+	code = curl_multi_add_handle(loop->multi, easy);
+	if (code == CURLM_OK)
+		return true;
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, NULL);
+	g_free(transfer);
+	err_set(error, ERR_INTERNAL, "start transfer", NULL, "%s",
+		curl_multi_strerror(code));
+	return false;
+}
+
+void hc_remove_transfer(struct hc_loop *loop, CURL *easy)
+{
+	struct transfer *transfer = get_transfer(easy);
+
+	assert(transfer);
+	curl_multi_remove_handle(loop->multi, easy);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, NULL);
+	g_free(transfer);
+}
--- /dev/null
+++ b/src/http/server_loop.c
@@ -0,0 +1,93 @@
+/*
+ * A libmicrohttpd daemon driven by tevent.
+ *
+ * The daemon's epoll descriptor is watched for reading; its timeout is kept by
+ * one tevent timer, and hs_wake() schedules one run for resumed connections.
+ */
+#include "loom/http.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <netinet/in.h>
+#include "loom/error.h"
+
+struct hs_loop {
+	struct tevent_context *events;
+	struct MHD_Daemon *daemon;
+	struct tevent_fd *readable;
+	struct tevent_timer *timeout;
+	struct tevent_immediate *wake;
+};
+
+static void run_daemon(struct hs_loop *loop);
+
+static void handle_timeout(struct tevent_context *events,
+			   struct tevent_timer *timer, struct timeval now,
+			   void *data)
+{
+	struct hs_loop *loop = data;
+
+	loop->timeout = NULL;
+	run_daemon(loop);
+}
+
+static void handle_readable(struct tevent_context *events,
+			    struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	run_daemon(data);
+}
+
+static void handle_wake(struct tevent_context *events,
+			struct tevent_immediate *immediate, void *data)
+{
+	run_daemon(data);
+}
+
+static void run_daemon(struct hs_loop *loop)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms;
+
+	MHD_run(loop->daemon);
+	TALLOC_FREE(loop->timeout);
+	if (MHD_get_timeout(loop->daemon, &wait_ms) != MHD_YES)
+		return;
+	loop->timeout = tevent_add_timer(
+		loop->events, loop,
+		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
+					   (uint32_t)(wait_ms % 1000) * 1000),
+		handle_timeout, loop);
+}
+
+struct hs_loop *hs_attach_daemon(TALLOC_CTX *ctx, struct tevent_context *events,
+				 struct MHD_Daemon *daemon)
+{
+	const union MHD_DaemonInfo *info;
+	struct hs_loop *loop = talloc_zero(ctx, struct hs_loop);
+
+	info = MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	assert(info && info->epoll_fd >= 0);
+	loop->events = events;
+	loop->daemon = daemon;
+	loop->wake = tevent_create_immediate(loop);
+	loop->readable = tevent_add_fd(events, loop, info->epoll_fd,
+				       TEVENT_FD_READ, handle_readable, loop);
+	return loop;
+}
+
+void hs_wake(struct hs_loop *loop)
+{
+	tevent_schedule_immediate(loop->wake, loop->events, handle_wake, loop);
+}
+
+bool hs_parse_address(const char *address, uint16_t port,
+		      struct sockaddr_in *socket_address, GError **error)
+{
+	*socket_address = (struct sockaddr_in){ 0 };
+	socket_address->sin_family = AF_INET;
+	socket_address->sin_port = htons(port);
+	if (inet_pton(AF_INET, address, &socket_address->sin_addr) == 1)
+		return true;
+	err_set(error, ERR_INVALID_ARGUMENT, "parse address", address,
+		"got \"%s\", wanted an IP number such as 127.0.0.1", address);
+	return false;
+}
