--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -14,8 +14,11 @@
 #include <stdint.h>
 #include <glib.h>
 #include <talloc.h>
+#include "loom/problem.h"
 
 #define DOC_SHARE_ALL_PERMILLE 1000U
+/* Largest text of a document or a manifest. */
+#define DOC_TEXT_BYTES_MAX (1024U * 1024U)
 
 /* Whether a request of a route may be sent to a target more than once. */
 enum doc_repeat {
@@ -78,15 +81,10 @@
 	const char *const *calls; /* services that it calls; NULL-terminated */
 };
 
-/* One thing that is wrong with a document. */
-struct doc_problem {
-	const char *file;
-	const char *path;    /* place in the document: "routes[1].timeout_ms" */
-	const char *message; /* what was got and what was wanted */
-};
-
+/* Problems found in documents. */
 struct doc_problem_list {
-	GPtrArray *problems; /* struct doc_problem */
+	GPtrArray *problems; /* struct prob_problem, borrowed from kept */
+	struct prob_list *kept;
 };
 
 /* Returns a new, empty list owned by ctx. */
@@ -132,6 +130,9 @@
 /* Returns the lower-case name used in JSON, such as "taken_back". */
 const char *doc_get_move_state_name(enum doc_move_state state);
 
+/* Parses such a name; returns false when it is unknown. */
+bool doc_parse_move_state(const char *name, enum doc_move_state *state);
+
 struct doc_manifest_service {
 	const char *name;
 	uint64_t document_version;
--- /dev/null
+++ b/src/base/reader.c
@@ -0,0 +1,478 @@
+/*
+ * Typed reading of JSON over jansson.
+ *
+ * A reader holds the object, its path from the outermost one, and the names of
+ * the fields that were asked for. Closing it compares these names with the
+ * fields present. Invariants: the path is "" for the outermost object; an
+ * array item has the path "name[index]"; a field is asked for at least once
+ * before the object is closed, or it is reported as unknown.
+ */
+#include "loom/reader.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* More of a wrong value is not repeated in a problem. */
+#define RD_SHOWN_BYTES_MAX 60U
+/* Difference below which a number counts as a whole count of units. */
+#define RD_UNIT_TOLERANCE 1e-6
+
+struct rd_object {
+	TALLOC_CTX *ctx; /* owner of texts that are read */
+	const json_t *json;
+	const char *file;
+	const char *path;
+	struct prob_list *list;
+	GHashTable *known; /* names asked for */
+};
+
+json_t *rd_parse_text(const char *file, const char *text, size_t size,
+		      size_t max_bytes, struct prob_list *list)
+{
+	json_error_t error;
+	json_t *json;
+
+	if (size > max_bytes) {
+		prob_add_problem(list, file, "",
+				 "got %zu bytes, wanted at most %zu", size,
+				 max_bytes);
+		return NULL;
+	}
+	json = json_loadb(text, size, JSON_REJECT_DUPLICATES, &error);
+	if (!json)
+		prob_add_problem(list, file, "", "line %d, column %d: %s",
+				 error.line, error.column, error.text);
+	return json;
+}
+
+static int destroy_object(struct rd_object *object)
+{
+	g_hash_table_destroy(object->known);
+	return 0;
+}
+
+static struct rd_object *new_object(TALLOC_CTX *owner, TALLOC_CTX *ctx,
+				    const json_t *json, const char *file,
+				    const char *path, struct prob_list *list)
+{
+	struct rd_object *object = talloc_zero(owner, struct rd_object);
+
+	object->ctx = ctx;
+	object->json = json;
+	object->file = talloc_strdup(object, file);
+	object->path = talloc_strdup(object, path);
+	object->list = list;
+	object->known = g_hash_table_new(g_str_hash, g_str_equal);
+	talloc_set_destructor(object, destroy_object);
+	return object;
+}
+
+/* Returns the path of a field, new and owned by object. */
+static char *make_path(struct rd_object *object, const char *name)
+{
+	if (!*name)
+		return talloc_strdup(object, object->path);
+	if (!*object->path)
+		return talloc_strdup(object, name);
+	return talloc_asprintf(object, "%s.%s", object->path, name);
+}
+
+void rd_add_problem(struct rd_object *object, const char *name,
+		    const char *format, ...)
+{
+	char *path = make_path(object, name);
+	va_list arguments;
+
+	va_start(arguments, format);
+	prob_add_problem_va(object->list, object->file, path, format,
+			    arguments);
+	va_end(arguments);
+	talloc_free(path);
+}
+
+/* Returns the JSON of a wrong value cut to a length fit to print; g_free(). */
+static char *format_got(const json_t *json)
+{
+	char *text = json_dumps(json, JSON_ENCODE_ANY | JSON_COMPACT |
+					      JSON_ENSURE_ASCII);
+	char *shown;
+
+	if (!text)
+		return g_strdup("a value that cannot be printed");
+	if (strlen(text) <= RD_SHOWN_BYTES_MAX)
+		shown = g_strdup(text);
+	else
+		shown = g_strdup_printf("%.*s...", (int)RD_SHOWN_BYTES_MAX,
+					text);
+	free(text);
+	return shown;
+}
+
+static void add_mismatch(struct rd_object *object, const char *name,
+			 const json_t *got, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+static void add_mismatch(struct rd_object *object, const char *name,
+			 const json_t *got, const char *format, ...)
+{
+	char *shown = format_got(got);
+	va_list arguments;
+	char *wanted;
+
+	va_start(arguments, format);
+	wanted = g_strdup_vprintf(format, arguments);
+	va_end(arguments);
+	rd_add_problem(object, name, "got %s, wanted %s", shown, wanted);
+	g_free(wanted);
+	g_free(shown);
+}
+
+/* Returns the field (borrowed), or NULL with a problem when it is needed. */
+static const json_t *find_field(struct rd_object *object, const char *name,
+				enum rd_need need)
+{
+	const json_t *json = json_object_get(object->json, name);
+
+	g_hash_table_add(object->known, (gpointer)name);
+	if (!json && need == RD_REQUIRED)
+		rd_add_problem(object, name, "is missing");
+	return json;
+}
+
+static const json_t *find_item(const struct rd_object *object, const char *name,
+			       size_t index)
+{
+	return json_array_get(json_object_get(object->json, name), index);
+}
+
+static char *make_item_name(struct rd_object *object, const char *name,
+			    size_t index)
+{
+	return talloc_asprintf(object, "%s[%zu]", name, index);
+}
+
+struct rd_object *rd_open_object(TALLOC_CTX *ctx, const json_t *json,
+				 const char *file, struct prob_list *list)
+{
+	struct rd_object *object = new_object(ctx, ctx, json, file, "", list);
+
+	if (json_is_object(json))
+		return object;
+	add_mismatch(object, "", json, "an object");
+	talloc_free(object);
+	return NULL;
+}
+
+static struct rd_object *open_child(struct rd_object *object, const char *name,
+				    const json_t *json)
+{
+	struct rd_object *child;
+	char *path;
+
+	if (!json_is_object(json)) {
+		add_mismatch(object, name, json, "an object");
+		return NULL;
+	}
+	path = make_path(object, name);
+	child = new_object(object, object->ctx, json, object->file, path,
+			   object->list);
+	talloc_free(path);
+	return child;
+}
+
+struct rd_object *rd_open_field(struct rd_object *object, const char *name,
+				enum rd_need need)
+{
+	const json_t *json = find_field(object, name, need);
+
+	return json ? open_child(object, name, json) : NULL;
+}
+
+struct rd_object *rd_open_item(struct rd_object *object, const char *name,
+			       size_t index)
+{
+	char *item_name = make_item_name(object, name, index);
+	struct rd_object *child;
+
+	child = open_child(object, item_name, find_item(object, name, index));
+	talloc_free(item_name);
+	return child;
+}
+
+void rd_close_object(struct rd_object *object)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach((json_t *)object->json, name, value)
+	{
+		if (!g_hash_table_contains(object->known, name))
+			rd_add_problem(object, name, "is not a known field");
+	}
+	talloc_free(object);
+}
+
+bool rd_has_field(const struct rd_object *object, const char *name)
+{
+	return json_object_get(object->json, name) != NULL;
+}
+
+bool rd_read_uint64(struct rd_object *object, const char *name,
+		    enum rd_need need, const struct rd_range *range,
+		    uint64_t *value)
+{
+	const json_t *json = find_field(object, name, need);
+	json_int_t got;
+
+	if (!json)
+		return false;
+	got = json_integer_value(json);
+	if (!json_is_integer(json) || got < 0 || (uint64_t)got < range->min ||
+	    (uint64_t)got > range->max) {
+		add_mismatch(object, name, json,
+			     "a whole number from %" PRIu64 " to %" PRIu64,
+			     range->min, range->max);
+		return false;
+	}
+	*value = (uint64_t)got;
+	return true;
+}
+
+bool rd_read_uint32(struct rd_object *object, const char *name,
+		    enum rd_need need, const struct rd_range *range,
+		    uint32_t *value)
+{
+	uint64_t wide;
+
+	assert(range->max <= UINT32_MAX);
+	if (!rd_read_uint64(object, name, need, range, &wide))
+		return false;
+	*value = (uint32_t)wide;
+	return true;
+}
+
+static bool read_decimal(struct rd_object *object, const char *name,
+			 const json_t *json, const struct rd_decimal *decimal,
+			 uint32_t *value)
+{
+	double per_whole = decimal->units_per_whole;
+	double units = json_number_value(json) * per_whole;
+
+	if (!json_is_number(json) || units < decimal->min_units ||
+	    units > decimal->max_units ||
+	    fabs(units - round(units)) > RD_UNIT_TOLERANCE) {
+		add_mismatch(object, name, json,
+			     "a number from %g to %g in steps of %g",
+			     decimal->min_units / per_whole,
+			     decimal->max_units / per_whole, 1 / per_whole);
+		return false;
+	}
+	*value = (uint32_t)lround(units);
+	return true;
+}
+
+bool rd_read_decimal(struct rd_object *object, const char *name,
+		     enum rd_need need, const struct rd_decimal *decimal,
+		     uint32_t *value)
+{
+	const json_t *json = find_field(object, name, need);
+
+	return json && read_decimal(object, name, json, decimal, value);
+}
+
+bool rd_read_bool(struct rd_object *object, const char *name, enum rd_need need,
+		  bool *value)
+{
+	const json_t *json = find_field(object, name, need);
+
+	if (!json)
+		return false;
+	if (!json_is_boolean(json)) {
+		add_mismatch(object, name, json, "true or false");
+		return false;
+	}
+	*value = json_is_true(json);
+	return true;
+}
+
+static bool read_text(struct rd_object *object, const char *name,
+		      const json_t *json, const struct rd_range *range,
+		      const char **value)
+{
+	size_t size = json_string_length(json);
+
+	if (!json_is_string(json) || size < range->min || size > range->max) {
+		add_mismatch(object, name, json,
+			     "a text of %" PRIu64 " to %" PRIu64 " bytes",
+			     range->min, range->max);
+		return false;
+	}
+	*value = talloc_strdup(object->ctx, json_string_value(json));
+	return true;
+}
+
+bool rd_read_text(struct rd_object *object, const char *name, enum rd_need need,
+		  const struct rd_range *range, const char **value)
+{
+	const json_t *json = find_field(object, name, need);
+
+	return json && read_text(object, name, json, range, value);
+}
+
+bool rd_is_label(const char *text)
+{
+	size_t size = strlen(text);
+
+	if (size == 0 || size > RD_LABEL_BYTES_MAX || text[0] == '-' ||
+	    text[size - 1] == '-')
+		return false;
+	for (const char *at = text; *at; at++) {
+		if (!g_ascii_islower(*at) && !g_ascii_isdigit(*at) &&
+		    *at != '-')
+			return false;
+	}
+	return true;
+}
+
+static bool read_label(struct rd_object *object, const char *name,
+		       const json_t *json, const char **value)
+{
+	if (!json_is_string(json) || !rd_is_label(json_string_value(json))) {
+		add_mismatch(object, name, json,
+			     "a name of 1 to %u lower-case letters, digits and "
+			     "inner hyphens",
+			     RD_LABEL_BYTES_MAX);
+		return false;
+	}
+	*value = talloc_strdup(object->ctx, json_string_value(json));
+	return true;
+}
+
+bool rd_read_label(struct rd_object *object, const char *name,
+		   enum rd_need need, const char **value)
+{
+	const json_t *json = find_field(object, name, need);
+
+	return json && read_label(object, name, json, value);
+}
+
+/* Returns whether text is the one accepted form of a UTC time. */
+static bool parse_time(const char *text, uint64_t *value_ms)
+{
+	GDateTime *time = g_date_time_new_from_iso8601(text, NULL);
+	char *whole;
+	bool is_same;
+
+	if (!time)
+		return false;
+	whole = g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ");
+	is_same = g_strcmp0(whole, text) == 0 && g_date_time_to_unix(time) >= 0;
+	if (is_same)
+		*value_ms = (uint64_t)g_date_time_to_unix(time) * 1000;
+	g_free(whole);
+	g_date_time_unref(time);
+	return is_same;
+}
+
+bool rd_read_time(struct rd_object *object, const char *name, enum rd_need need,
+		  uint64_t *value_ms)
+{
+	const json_t *json = find_field(object, name, need);
+
+	if (!json)
+		return false;
+	if (!json_is_string(json) ||
+	    !parse_time(json_string_value(json), value_ms)) {
+		add_mismatch(object, name, json,
+			     "a UTC time such as \"2026-12-04T10:00:00Z\"");
+		return false;
+	}
+	return true;
+}
+
+bool rd_read_array(struct rd_object *object, const char *name,
+		   enum rd_need need, const struct rd_range *count_range,
+		   size_t *count)
+{
+	const json_t *json = find_field(object, name, need);
+	size_t got;
+
+	if (!json)
+		return false;
+	got = json_array_size(json);
+	if (!json_is_array(json) || got < count_range->min ||
+	    got > count_range->max) {
+		add_mismatch(object, name, json,
+			     "an array of %" PRIu64 " to %" PRIu64 " items",
+			     count_range->min, count_range->max);
+		return false;
+	}
+	*count = got;
+	return true;
+}
+
+bool rd_read_text_item(struct rd_object *object, const char *name, size_t index,
+		       const struct rd_range *range, const char **value)
+{
+	char *item_name = make_item_name(object, name, index);
+	bool is_right;
+
+	is_right = read_text(object, item_name, find_item(object, name, index),
+			     range, value);
+	talloc_free(item_name);
+	return is_right;
+}
+
+bool rd_read_decimal_item(struct rd_object *object, const char *name,
+			  size_t index, const struct rd_decimal *decimal,
+			  uint32_t *value)
+{
+	char *item_name = make_item_name(object, name, index);
+	bool is_right;
+
+	is_right = read_decimal(object, item_name,
+				find_item(object, name, index), decimal, value);
+	talloc_free(item_name);
+	return is_right;
+}
+
+static bool read_label_item(struct rd_object *object, const char *name,
+			    size_t index, const char **labels)
+{
+	char *item_name = make_item_name(object, name, index);
+	bool is_right;
+
+	is_right = read_label(object, item_name, find_item(object, name, index),
+			      &labels[index]);
+	for (size_t i = 0; is_right && i < index; i++) {
+		if (g_strcmp0(labels[i], labels[index]) == 0) {
+			rd_add_problem(object, item_name,
+				       "\"%s\" stands twice, first at %s[%zu]",
+				       labels[index], name, i);
+			is_right = false;
+		}
+	}
+	talloc_free(item_name);
+	return is_right;
+}
+
+bool rd_read_labels(struct rd_object *object, const char *name,
+		    enum rd_need need, const struct rd_range *count_range,
+		    const char *const **labels)
+{
+	const char **list;
+	bool is_right = true;
+	size_t count;
+
+	if (!rd_read_array(object, name, need, count_range, &count))
+		return false;
+	list = talloc_zero_array(object->ctx, const char *, count + 1);
+	for (size_t i = 0; i < count; i++)
+		is_right = read_label_item(object, name, i, list) && is_right;
+	if (is_right)
+		*labels = list;
+	return is_right;
+}
--- /dev/null
+++ b/src/document/closure.c
@@ -0,0 +1,38 @@
+/*
+ * Checks across documents: every call names a service that is there.
+ */
+#include <string.h>
+#include "parse.h"
+
+static GHashTable *make_name_set(const struct doc_service *const *services,
+				 size_t service_count)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < service_count; i++)
+		g_hash_table_add(names, (gpointer)services[i]->name);
+	return names;
+}
+
+bool doc_check_closure(const struct doc_service *const *services,
+		       size_t service_count, struct doc_problem_list *list)
+{
+	GHashTable *names = make_name_set(services, service_count);
+	bool is_whole = true;
+
+	for (size_t i = 0; i < service_count; i++) {
+		const char *const *call = services[i]->calls;
+
+		for (; call && *call; call++) {
+			if (g_hash_table_contains(names, *call))
+				continue;
+			doc_add_problem(list, services[i]->name, "calls",
+					"got \"%s\", wanted a service that has "
+					"a document in force",
+					*call);
+			is_whole = false;
+		}
+	}
+	g_hash_table_destroy(names);
+	return is_whole;
+}
--- /dev/null
+++ b/src/document/snapshot.c
@@ -0,0 +1,173 @@
+/*
+ * Snapshot: a copied manifest and the documents that it names.
+ *
+ * Invariants: services[i] is the document of manifest->services[i], of the
+ * exact version; every call names a service of the snapshot. Everything is
+ * checked before the first document is stolen, so a failed build changes
+ * nothing. A snapshot has no talloc parent: its last holder may be any thread.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <string.h>
+#include "loom/document.h"
+#include "loom/error.h"
+
+#define STEP "build snapshot"
+
+struct doc_snapshot {
+	atomic_uint reference_count;
+	struct doc_manifest *manifest;
+	const struct doc_service **services; /* in order of the manifest */
+};
+
+/* Returns the document of that name (borrowed), or NULL. */
+static struct doc_service *find_document(struct doc_service **services,
+					 size_t service_count, const char *name)
+{
+	for (size_t i = 0; i < service_count; i++) {
+		if (strcmp(services[i]->name, name) == 0)
+			return services[i];
+	}
+	return NULL;
+}
+
+static bool check_entry(const struct doc_manifest_service *entry,
+			const struct doc_service *service, GError **error)
+{
+	if (!service) {
+		err_set(error, ERR_NOT_FOUND, STEP, entry->name,
+			"no document of service %s, wanted version %" PRIu64,
+			entry->name, entry->document_version);
+		return false;
+	}
+	if (service->document_version != entry->document_version) {
+		err_set(error, ERR_CONFLICT, STEP, entry->name,
+			"got version %" PRIu64
+			" of service %s, wanted version %" PRIu64,
+			service->document_version, entry->name,
+			entry->document_version);
+		return false;
+	}
+	if (entry->share_permille > DOC_SHARE_ALL_PERMILLE) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got share %u of service %s, wanted at most %u",
+			entry->share_permille, entry->name,
+			DOC_SHARE_ALL_PERMILLE);
+		return false;
+	}
+	if (!service->move &&
+	    (entry->move_state != DOC_MOVE_NONE || entry->share_permille > 0)) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got move %s at share %u of service %s, whose document "
+			"has no move",
+			doc_get_move_state_name(entry->move_state),
+			entry->share_permille, entry->name);
+		return false;
+	}
+	return true;
+}
+
+/* Fills chosen with the document of each entry. */
+static bool choose_documents(const struct doc_manifest *manifest,
+			     struct doc_service **services,
+			     size_t service_count, struct doc_service **chosen,
+			     GError **error)
+{
+	for (size_t i = 0; i < manifest->service_count; i++) {
+		const struct doc_manifest_service *entry =
+			&manifest->services[i];
+
+		chosen[i] = find_document(services, service_count, entry->name);
+		if (!check_entry(entry, chosen[i], error))
+			return false;
+	}
+	return true;
+}
+
+static bool check_calls(struct doc_service **chosen, size_t count,
+			GError **error)
+{
+	struct doc_problem_list *list = doc_new_problem_list(NULL);
+	GString *text = g_string_new(NULL);
+	bool is_whole;
+
+	is_whole = doc_check_closure((const struct doc_service *const *)chosen,
+				     count, list);
+	if (!is_whole) {
+		doc_print_problems(list, text);
+		g_strchomp(text->str);
+		err_set(error, ERR_INVALID_DOCUMENT, STEP, NULL, "%s",
+			text->str);
+	}
+	g_string_free(text, TRUE);
+	talloc_free(list);
+	return is_whole;
+}
+
+struct doc_snapshot *doc_build_snapshot(const struct doc_manifest *manifest,
+					struct doc_service **services,
+					size_t service_count, GError **error)
+{
+	struct doc_snapshot *snapshot = talloc_zero(NULL, struct doc_snapshot);
+	struct doc_service **chosen;
+
+	chosen = talloc_zero_array(snapshot, struct doc_service *,
+				   manifest->service_count);
+	if (!choose_documents(manifest, services, service_count, chosen,
+			      error) ||
+	    !check_calls(chosen, manifest->service_count, error)) {
+		talloc_free(snapshot);
+		return NULL;
+	}
+	atomic_init(&snapshot->reference_count, 1);
+	snapshot->manifest = doc_copy_manifest(snapshot, manifest);
+	for (size_t i = 0; i < manifest->service_count; i++)
+		talloc_steal(snapshot, chosen[i]);
+	snapshot->services = (const struct doc_service **)chosen;
+	return snapshot;
+}
+
+struct doc_snapshot *doc_ref_snapshot(struct doc_snapshot *snapshot)
+{
+	atomic_fetch_add_explicit(&snapshot->reference_count, 1,
+				  memory_order_relaxed);
+	return snapshot;
+}
+
+void doc_unref_snapshot(struct doc_snapshot *snapshot)
+{
+	unsigned int before;
+
+	if (!snapshot)
+		return;
+	before = atomic_fetch_sub_explicit(&snapshot->reference_count, 1,
+					   memory_order_acq_rel);
+	assert(before > 0);
+	if (before == 1)
+		talloc_free(snapshot);
+}
+
+const struct doc_manifest *doc_get_manifest(const struct doc_snapshot *snapshot)
+{
+	return snapshot->manifest;
+}
+
+const struct doc_service *doc_find_service(const struct doc_snapshot *snapshot,
+					   const char *name)
+{
+	const struct doc_manifest_service *entry;
+
+	entry = doc_find_manifest_service(snapshot->manifest, name);
+	if (!entry)
+		return NULL;
+	return snapshot->services[entry - snapshot->manifest->services];
+}
+
+bool doc_is_domain_out(const struct doc_snapshot *snapshot, const char *name)
+{
+	const struct doc_manifest_domain *domain;
+
+	domain = doc_find_manifest_domain(snapshot->manifest, name);
+	return domain && domain->is_out;
+}
