Add the traffic slice: calls from callers through nodes to targets (not wired yet)

Threads with libmicrohttpd and libcurl multi on one tevent loop each; answers and bodies stream through bounded buffers. No program uses it yet; its tests come with the whole path.

--- /dev/null
+++ b/include/loom/traffic.h
@@ -0,0 +1,63 @@
+/*
+ * Traffic: the threads that carry callers' calls to targets.
+ *
+ * Each thread runs one event loop with a libmicrohttpd daemon for callers and a
+ * curl multi handle. The first thread also listens for calls from other nodes
+ * and owns the admission gate of the local target. The control thread hands
+ * over an immutable table and short commands; it never waits for a thread.
+ */
+#ifndef LOOM_TRAFFIC_H
+#define LOOM_TRAFFIC_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <talloc.h>
+#include "loom/counter.h"
+#include "loom/routing.h"
+
+struct tr_service;
+
+struct tr_options {
+	const char *address; /* IP number to listen on */
+	uint16_t call_port;  /* for callers */
+	uint16_t hop_port;   /* for other nodes */
+	uint32_t thread_count;
+	uint32_t connections_max; /* per thread; the longest idle is closed */
+	uint32_t idle_timeout_ms; /* without a whole request line */
+	uint32_t header_timeout_ms; /* from request line to last header */
+	uint32_t header_bytes_max;
+	enum rt_policy policy;
+	uint64_t seed;
+};
+
+/* Fills options with the usual values for that address (borrowed). */
+void tr_set_default_options(struct tr_options *options, const char *address);
+
+/* Starts the threads. Returns a new service owned by ctx, or NULL. */
+struct tr_service *tr_new_service(TALLOC_CTX *ctx,
+				  struct cnt_registry *counters,
+				  const struct tr_options *options,
+				  GError **error);
+
+/* Hands a table to all threads; each takes references of its own. */
+void tr_set_table(struct tr_service *service, struct rt_table *table);
+
+/* The target at address:port serves that version from now on. */
+void tr_announce_target(struct tr_service *service, const char *name,
+			const char *version, const char *address,
+			uint16_t port);
+
+/* The target drains or is gone: refuse its calls from now on. */
+void tr_drain_target(struct tr_service *service);
+
+/* Lowers the limit for a while, from the target's own health or load. */
+void tr_note_hint(struct tr_service *service, uint32_t bearable_calls);
+
+/* Answers carry "Connection: close" from now on. */
+void tr_begin_drain(struct tr_service *service);
+
+/* Returns how many calls are under way in all threads. */
+uint32_t tr_get_call_count(const struct tr_service *service);
+
+#endif
--- /dev/null
+++ b/src/traffic/answer.c
@@ -0,0 +1,234 @@
+/*
+ * The answer on its way from curl to MHD.
+ *
+ * Header lines are collected until the head is whole; then either the answer is
+ * relayed, or it is a refusal that the entry side may follow with another
+ * attempt, whose body is dropped. Body bytes wait in a bounded buffer: a full
+ * buffer pauses the transfer, an empty one suspends the connection.
+ */
+#include <assert.h>
+#include <string.h>
+#include <strings.h>
+#include "call.h"
+
+#define ANSWER_HEADER_BYTES_MAX 65536U
+#define ANSWER_BLOCK_BYTES 32768U
+
+void tr_open_answer(struct tr_answer *answer)
+{
+	*answer = (struct tr_answer){ .content_length = -1 };
+	answer->headers = g_ptr_array_new_with_free_func(g_free);
+	tr_open_buffer(&answer->body, false);
+}
+
+void tr_close_answer(struct tr_answer *answer)
+{
+	if (answer->headers)
+		g_ptr_array_unref(answer->headers);
+	answer->headers = NULL;
+	g_free(answer->connection);
+	g_free(answer->refused);
+	answer->connection = NULL;
+	answer->refused = NULL;
+	tr_close_buffer(&answer->body);
+}
+
+static void begin_head(struct tr_answer *answer, const char *line)
+{
+	const char *status = strchr(line, ' ');
+
+	g_ptr_array_set_size(answer->headers, 0);
+	answer->content_length = -1;
+	answer->status =
+		status ? (uint32_t)g_ascii_strtoull(status + 1, NULL, 10) : 0;
+}
+
+static void note_own_header(struct tr_answer *answer, const char *name,
+			    const char *value)
+{
+	if (strcasecmp(name, TR_HEADER_NOT_RUN) == 0) {
+		answer->is_not_run = strcasecmp(value, "true") == 0;
+	} else if (strcasecmp(name, TR_HEADER_REFUSED) == 0) {
+		g_free(answer->refused);
+		answer->refused = g_strdup(value);
+	} else if (tr_read_load(name, value, &answer->load)) {
+		answer->has_load = true;
+	}
+}
+
+static void note_header(struct tr_answer *answer, const char *name,
+			const char *value)
+{
+	if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
+		answer->content_length = g_ascii_strtoll(value, NULL, 10);
+	if (strcasecmp(name, MHD_HTTP_HEADER_CONNECTION) == 0) {
+		g_free(answer->connection);
+		answer->connection = g_strdup(value);
+	}
+	if (tr_is_internal(name)) {
+		note_own_header(answer, name, value);
+		return;
+	}
+	g_ptr_array_add(answer->headers, g_strdup(name));
+	g_ptr_array_add(answer->headers, g_strdup(value));
+}
+
+static void split_header(struct tr_answer *answer, char *line)
+{
+	char *colon = strchr(line, ':');
+
+	if (!colon)
+		return;
+	*colon = '\0';
+	note_header(answer, g_strstrip(line), g_strstrip(colon + 1));
+}
+
+/* Of the nodes' own headers a target may say only that it shed the call. */
+static void check_target_refusal(struct tr_answer *answer)
+{
+	g_free(answer->refused);
+	answer->refused = NULL;
+	if (answer->status != MHD_HTTP_SERVICE_UNAVAILABLE)
+		answer->is_not_run = false;
+	if (answer->is_not_run)
+		answer->refused = g_strdup("target_shed");
+}
+
+bool tr_is_refused(const struct tr_answer *answer)
+{
+	return answer->is_not_run || answer->refused;
+}
+
+static void finish_head(struct tr_call *call)
+{
+	struct tr_answer *answer = &call->answer;
+
+	/* An interim answer (100 Continue) precedes the final one. */
+	if (answer->status < 200)
+		return;
+	answer->head_us = tr_get_now_us();
+	if (call->role == TR_ROLE_HOP)
+		check_target_refusal(answer);
+	/* The entry side may follow a refusal with another attempt. */
+	else if (tr_is_refused(answer))
+		return;
+	tr_relay_answer(call);
+}
+
+size_t tr_take_answer_header(char *line, size_t size, size_t count, void *data)
+{
+	struct tr_call *call = data;
+	struct tr_answer *answer = &call->answer;
+	size_t length = size * count;
+	char *text;
+
+	answer->header_bytes += length;
+	if (answer->header_bytes > ANSWER_HEADER_BYTES_MAX)
+		return 0;
+	/* Trailers come after the head and are not relayed. */
+	if (answer->head_us)
+		return length;
+	text = g_strstrip(g_strndup(line, length));
+	if (g_str_has_prefix(text, "HTTP/"))
+		begin_head(answer, text);
+	else if (*text == '\0')
+		finish_head(call);
+	else
+		split_header(answer, text);
+	g_free(text);
+	return length;
+}
+
+size_t tr_take_answer_body(char *part, size_t size, size_t count, void *data)
+{
+	struct tr_call *call = data;
+	struct tr_answer *answer = &call->answer;
+
+	/* The body of a refusal that was not relayed. */
+	if (call->stage != TR_STAGE_RELAYING)
+		return size * count;
+	if (tr_get_buffer_size(&answer->body) >= TR_BUFFER_BYTES_MAX) {
+		answer->is_paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	tr_append_buffer(&answer->body, part, size * count, 0);
+	tr_resume_call(call);
+	return size * count;
+}
+
+static ssize_t read_answer(void *data, uint64_t position, char *target,
+			   size_t size)
+{
+	struct tr_call *call = data;
+	struct tr_answer *answer = &call->answer;
+	size_t count = tr_read_buffer(&answer->body, target, size);
+
+	if (answer->is_paused &&
+	    tr_get_buffer_size(&answer->body) < TR_BUFFER_BYTES_MAX / 2)
+		tr_continue_attempt(call);
+	if (count > 0)
+		return (ssize_t)count;
+	if (answer->is_broken)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (answer->is_whole)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	call->is_suspended = true;
+	MHD_suspend_connection(call->mhd);
+	return 0;
+}
+
+static bool has_no_body(const struct tr_call *call)
+{
+	return call->answer.status == MHD_HTTP_NO_CONTENT ||
+	       call->answer.status == MHD_HTTP_NOT_MODIFIED;
+}
+
+static struct MHD_Response *make_response(struct tr_call *call)
+{
+	uint64_t size = MHD_SIZE_UNKNOWN;
+
+	if (has_no_body(call))
+		return MHD_create_response_from_buffer(0, NULL,
+						       MHD_RESPMEM_PERSISTENT);
+	if (call->answer.content_length >= 0)
+		size = (uint64_t)call->answer.content_length;
+	return MHD_create_response_from_callback(size, ANSWER_BLOCK_BYTES,
+						 read_answer, call, NULL);
+}
+
+static void add_headers(struct tr_call *call)
+{
+	const GPtrArray *headers = call->answer.headers;
+	struct rt_load load;
+
+	for (guint i = 0; i + 1 < headers->len; i += 2) {
+		const char *name = headers->pdata[i];
+
+		if (tr_is_forwarded(name, call->answer.connection))
+			MHD_add_response_header(call->reply, name,
+						headers->pdata[i + 1]);
+	}
+	if (call->answer.is_not_run)
+		MHD_add_response_header(call->reply, TR_HEADER_NOT_RUN, "true");
+	if (call->answer.refused)
+		MHD_add_response_header(call->reply, TR_HEADER_REFUSED,
+					call->answer.refused);
+	if (call->thread->is_draining)
+		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	if (call->role != TR_ROLE_HOP)
+		return;
+	adm_get_load(call->thread->gate, &load);
+	tr_add_load(call->reply, &load);
+}
+
+void tr_relay_answer(struct tr_call *call)
+{
+	assert(!call->reply);
+	call->reply = make_response(call);
+	call->reply_status = call->answer.status;
+	add_headers(call);
+	cnt_add(call->thread->service->counters.answers[call->role], 1);
+	call->stage = TR_STAGE_RELAYING;
+	tr_resume_call(call);
+}
--- /dev/null
+++ b/src/traffic/attempt.c
@@ -0,0 +1,148 @@
+/*
+ * One attempt: the curl transfer of a call to another node or to the target.
+ *
+ * Invariant: call->easy is set exactly while the transfer is in a loop.
+ */
+#include <assert.h>
+#include "call.h"
+#include "loom/error.h"
+
+static size_t read_upload(char *target, size_t size, size_t count, void *data)
+{
+	struct tr_call *call = data;
+	struct tr_upload *upload = &call->upload;
+	size_t moved = tr_read_buffer(&upload->buffer, target, size * count);
+
+	if (moved > 0) {
+		tr_resume_call(call);
+		return moved;
+	}
+	if (upload->is_whole)
+		return 0;
+	upload->is_paused = true;
+	return CURL_READFUNC_PAUSE;
+}
+
+/*
+ * curl sends a request a second time by itself when a reused connection turns
+ * out dead. Only the entry side decides on a repetition, and "not run" rests on
+ * this count.
+ */
+static int count_send(void *data, char *remote_ip, char *local_ip,
+		      int remote_port, int local_port)
+{
+	struct tr_call *call = data;
+
+	if (call->send_count > 0) {
+		cnt_add(call->thread->service->counters.repeats_stopped, 1);
+		return CURL_PREREQFUNC_ABORT;
+	}
+	call->send_count++;
+	call->send_total++;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void handle_done(CURL *easy, CURLcode code, void *data)
+{
+	struct tr_call *call = data;
+
+	assert(call->easy == easy);
+	tr_return_handle(call->thread, easy);
+	call->easy = NULL;
+	switch (call->role) {
+	case TR_ROLE_ENTRY:
+		tr_end_entry_attempt(call, code);
+		break;
+	case TR_ROLE_HOP:
+		tr_end_hop_attempt(call, code);
+		break;
+	}
+}
+
+static void set_upload(struct tr_call *call)
+{
+	CURL *easy = call->easy;
+
+	if (!call->upload.has_body) {
+		if (g_strcmp0(call->method, MHD_HTTP_METHOD_POST) == 0 ||
+		    g_strcmp0(call->method, MHD_HTTP_METHOD_PUT) == 0)
+			call->headers = tr_append_header(
+				call->headers, MHD_HTTP_HEADER_CONTENT_LENGTH,
+				"0");
+		return;
+	}
+	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+	curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_upload);
+	curl_easy_setopt(easy, CURLOPT_READDATA, call);
+	if (call->upload.content_length >= 0)
+		curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+				 (curl_off_t)call->upload.content_length);
+	else
+		call->headers = tr_append_header(
+			call->headers, MHD_HTTP_HEADER_TRANSFER_ENCODING,
+			"chunked");
+	call->headers = curl_slist_append(call->headers, "Expect:");
+}
+
+static void set_options(struct tr_call *call, const char *base_url)
+{
+	CURL *easy = call->easy;
+	char *url = g_strconcat(base_url, call->uri, NULL);
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	g_free(url);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	if (g_strcmp0(call->method, MHD_HTTP_METHOD_HEAD) == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	set_upload(call);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, tr_take_answer_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, tr_take_answer_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, count_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+}
+
+void tr_start_attempt(struct tr_call *call, struct hc_loop *loop,
+		      const char *base_url)
+{
+	bool is_started;
+
+	assert(!call->easy);
+	tr_close_answer(&call->answer);
+	tr_open_answer(&call->answer);
+	call->stage = TR_STAGE_SENDING;
+	call->attempt_us = tr_get_now_us();
+	call->attempt_count++;
+	call->send_count = 0;
+	call->upload.is_paused = false;
+	call->easy = tr_take_handle(call->thread);
+	call->loop = loop;
+	set_options(call, base_url);
+	is_started = hc_add_transfer(loop, call->easy, handle_done, call, NULL);
+	assert(is_started);
+	(void)is_started;
+}
+
+void tr_stop_attempt(struct tr_call *call)
+{
+	if (!call->easy)
+		return;
+	hc_remove_transfer(call->loop, call->easy);
+	tr_return_handle(call->thread, call->easy);
+	call->easy = NULL;
+}
+
+void tr_continue_attempt(struct tr_call *call)
+{
+	if (!call->easy || !(call->upload.is_paused || call->answer.is_paused))
+		return;
+	call->upload.is_paused = false;
+	call->answer.is_paused = false;
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+}
--- /dev/null
+++ b/src/traffic/buffer.c
@@ -0,0 +1,63 @@
+/*
+ * Byte queue on a GByteArray. Read bytes are dropped when they make up half of
+ * the array, so that moving bytes costs constant time per byte.
+ */
+#include "buffer.h"
+
+#include <assert.h>
+#include <string.h>
+
+static void drop_read_bytes(struct tr_buffer *buffer)
+{
+	if (buffer->is_kept || buffer->offset * 2 < buffer->bytes->len)
+		return;
+	g_byte_array_remove_range(buffer->bytes, 0, (guint)buffer->offset);
+	buffer->offset = 0;
+}
+
+void tr_open_buffer(struct tr_buffer *buffer, bool is_kept)
+{
+	buffer->bytes = g_byte_array_new();
+	buffer->offset = 0;
+	buffer->is_kept = is_kept;
+}
+
+void tr_close_buffer(struct tr_buffer *buffer)
+{
+	if (buffer->bytes)
+		g_byte_array_unref(buffer->bytes);
+	buffer->bytes = NULL;
+}
+
+void tr_append_buffer(struct tr_buffer *buffer, const void *bytes, size_t size,
+		      size_t kept_max)
+{
+	if (buffer->bytes->len + size > kept_max)
+		buffer->is_kept = false;
+	g_byte_array_append(buffer->bytes, bytes, (guint)size);
+}
+
+size_t tr_read_buffer(struct tr_buffer *buffer, void *target, size_t size)
+{
+	size_t count = tr_get_buffer_size(buffer);
+
+	if (count > size)
+		count = size;
+	if (count == 0)
+		return 0;
+	memcpy(target, buffer->bytes->data + buffer->offset, count);
+	buffer->offset += count;
+	drop_read_bytes(buffer);
+	return count;
+}
+
+size_t tr_get_buffer_size(const struct tr_buffer *buffer)
+{
+	return buffer->bytes->len - buffer->offset;
+}
+
+void tr_rewind_buffer(struct tr_buffer *buffer)
+{
+	assert(buffer->is_kept);
+	buffer->offset = 0;
+}
--- /dev/null
+++ b/src/traffic/entry.c
@@ -0,0 +1,232 @@
+/*
+ * Entry side of a call: service, route, deadline, target, retries.
+ */
+#include <string.h>
+#include <xxhash.h>
+#include "call.h"
+#include "loom/error.h"
+
+/* Returns the service that the Host header names, without a port (new). */
+static char *get_service_name(struct tr_call *call)
+{
+	const char *host = MHD_lookup_connection_value(
+		call->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+
+	if (!host)
+		return g_strdup("");
+	return g_strndup(host, strcspn(host, ":"));
+}
+
+static uint64_t get_split_hash(struct tr_call *call)
+{
+	const char *id = MHD_lookup_connection_value(
+		call->mhd, MHD_HEADER_KIND, TR_HEADER_REQUEST_ID);
+
+	if (id)
+		return XXH3_64bits(id, strlen(id));
+	call->thread->random_state++;
+	return XXH3_64bits(&call->thread->random_state,
+			   sizeof(call->thread->random_state));
+}
+
+/* Every hop passes on what is left of the deadline, never more. */
+static void set_deadline(struct tr_call *call)
+{
+	uint64_t timeout_ms = call->route->timeout_ms;
+	uint64_t given_ms;
+
+	if (tr_read_number(call->mhd, TR_HEADER_DEADLINE, UINT32_MAX,
+			   &given_ms) &&
+	    given_ms < timeout_ms)
+		timeout_ms = given_ms;
+	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
+}
+
+static void make_headers(struct tr_call *call)
+{
+	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
+	uint64_t left_ms =
+		call->deadline_ms > now_ms ? call->deadline_ms - now_ms : 0;
+	struct curl_slist *list = NULL;
+
+	curl_slist_free_all(call->headers);
+	list = tr_append_header(list, MHD_HTTP_HEADER_HOST,
+				call->service->name);
+	list = tr_copy_headers(list, call->mhd);
+	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
+	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth);
+	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->version);
+	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
+	call->headers = list;
+}
+
+static void choose_and_send(struct tr_call *call)
+{
+	struct tr_thread *thread = call->thread;
+	enum rt_refusal refusal = RT_REFUSAL_NONE;
+	char *base_url;
+
+	call->chosen = rt_choose_target(thread->chooser, call->table,
+					&call->request,
+					tmr_get_now_ms(thread->timers),
+					&refusal);
+	if (!call->chosen) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       rt_get_refusal_name(refusal),
+			       !call->is_run_possible);
+		return;
+	}
+	rt_note_start(thread->chooser, call->chosen->address);
+	make_headers(call);
+	base_url = g_strconcat("http://", call->chosen->address, NULL);
+	tr_start_attempt(call, thread->peers, base_url);
+	g_free(base_url);
+}
+
+static bool find_route(struct tr_call *call)
+{
+	struct doc_snapshot *snapshot = rt_get_snapshot(call->table);
+	char *name = get_service_name(call);
+
+	call->service = doc_find_service(snapshot, name);
+	g_free(name);
+	if (!call->service) {
+		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
+			       rt_get_refusal_name(RT_REFUSAL_NO_SERVICE),
+			       true);
+		return false;
+	}
+	call->route = doc_find_route(call->service, call->method, call->uri);
+	if (!call->route) {
+		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
+			       rt_get_refusal_name(RT_REFUSAL_NO_ROUTE), true);
+		return false;
+	}
+	return true;
+}
+
+void tr_route_call(struct tr_call *call)
+{
+	uint64_t depth = 0;
+
+	if (!call->thread->table) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "not_ready",
+			       true);
+		return;
+	}
+	call->table = rt_ref_table(call->thread->table);
+	if (!find_route(call))
+		return;
+	tr_read_number(call->mhd, TR_HEADER_DEPTH, UINT32_MAX, &depth);
+	if (depth > TR_DEPTH_MAX) {
+		tr_refuse_call(call, MHD_HTTP_LOOP_DETECTED, "too_deep", true);
+		return;
+	}
+	if (call->upload.content_length >
+	    (int64_t)call->service->limits.request_body_bytes) {
+		tr_refuse_call(call, MHD_HTTP_CONTENT_TOO_LARGE,
+			       "body_too_large", true);
+		return;
+	}
+	call->depth = (uint32_t)depth;
+	set_deadline(call);
+	call->request.service = call->service;
+	call->request.split_hash = get_split_hash(call);
+	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
+			 tmr_get_now_ms(call->thread->timers));
+	choose_and_send(call);
+}
+
+static bool try_again(struct tr_call *call, enum rt_outcome outcome,
+		      bool is_not_run)
+{
+	struct rt_request *request = &call->request;
+	struct rt_retry retry = {
+		.outcome = outcome,
+		.is_repeatable = doc_is_repeatable(call->route, call->method),
+		.is_not_run = is_not_run,
+		.is_answer_begun = call->reply != NULL,
+		.is_body_kept = call->upload.buffer.is_kept,
+		.attempt_count = call->attempt_count,
+		.depth = call->depth,
+		.now_ms = tmr_get_now_ms(call->thread->timers),
+		.deadline_ms = call->deadline_ms,
+	};
+
+	if (rt_decide_retry(tr_get_budget(call->thread, call->service->name),
+			    &retry) != RT_RETRY_YES)
+		return false;
+	cnt_add(call->thread->service->counters.retries, 1);
+	if (request->tried_count < RT_TRIED_MAX)
+		request->tried[request->tried_count++] = call->chosen->address;
+	tr_rewind_buffer(&call->upload.buffer);
+	choose_and_send(call);
+	return true;
+}
+
+void tr_note_entry_end(struct tr_call *call, enum rt_outcome outcome)
+{
+	struct tr_answer *answer = &call->answer;
+
+	if (!call->chosen)
+		return;
+	rt_note_end(call->thread->chooser, call->chosen->address, outcome,
+		    answer->has_load ? &answer->load : NULL,
+		    tmr_get_now_ms(call->thread->timers));
+}
+
+static void end_refused(struct tr_call *call)
+{
+	const char *reason = call->answer.refused;
+	bool is_not_run = call->answer.is_not_run;
+	enum rt_outcome outcome = is_not_run ? RT_OUTCOME_REFUSED
+					     : RT_OUTCOME_FAILED;
+
+	tr_note_entry_end(call, outcome);
+	/* An earlier attempt may have run although this one did not. */
+	if (!is_not_run)
+		call->is_run_possible = true;
+	if (try_again(call, outcome, is_not_run))
+		return;
+	tr_refuse_call(call, call->answer.status, reason ? reason : "refused",
+		       !call->is_run_possible);
+}
+
+static void end_failed(struct tr_call *call, CURLcode code)
+{
+	bool is_not_run = call->send_count == 0;
+
+	tr_note_entry_end(call, RT_OUTCOME_FAILED);
+	if (!is_not_run)
+		call->is_run_possible = true;
+	if (try_again(call, RT_OUTCOME_FAILED, is_not_run))
+		return;
+	tr_refuse_call(call,
+		       is_not_run ? MHD_HTTP_SERVICE_UNAVAILABLE
+				  : MHD_HTTP_BAD_GATEWAY,
+		       is_not_run ? "target_unreachable" : "connection_lost",
+		       !call->is_run_possible);
+}
+
+void tr_end_entry_attempt(struct tr_call *call, CURLcode code)
+{
+	struct tr_answer *answer = &call->answer;
+	bool is_relayed = call->stage == TR_STAGE_RELAYING;
+
+	if (code == CURLE_OK && !is_relayed && tr_is_refused(answer)) {
+		end_refused(call);
+		return;
+	}
+	if (!is_relayed) {
+		end_failed(call, code);
+		return;
+	}
+	answer->is_whole = code == CURLE_OK;
+	answer->is_broken = code != CURLE_OK;
+	if (answer->is_broken)
+		cnt_add(call->thread->service->counters.broken[call->role], 1);
+	tr_note_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
+						 : RT_OUTCOME_FAILED);
+	call->stage = TR_STAGE_ENDED;
+	tr_resume_call(call);
+}
--- /dev/null
+++ b/src/traffic/headers.c
@@ -0,0 +1,146 @@
+/*
+ * Header filters and the headers of the nodes' own.
+ */
+#include "headers.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+struct copy_state {
+	struct curl_slist *list;
+	const char *connection;
+};
+
+static bool is_listed(const char *name, const char *connection)
+{
+	bool is_found = false;
+	char **tokens;
+
+	if (!connection)
+		return false;
+	tokens = g_strsplit(connection, ",", -1);
+	for (char **token = tokens; *token && !is_found; token++)
+		is_found = strcasecmp(g_strstrip(*token), name) == 0;
+	g_strfreev(tokens);
+	return is_found;
+}
+
+bool tr_is_internal(const char *name)
+{
+	return strncasecmp(name, "Loom-", 5) == 0;
+}
+
+bool tr_is_forwarded(const char *name, const char *connection)
+{
+	/* Host, length and Expect are set anew for the next connection. */
+	static const char *const dropped[] = {
+		"Connection", "Keep-Alive",	   "Proxy-Authenticate",
+		"TE",	      "Proxy-Connection",  "Proxy-Authorization",
+		"Trailer",    "Transfer-Encoding", "Upgrade",
+		"Host",	      "Content-Length",	   "Expect",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
+		if (strcasecmp(name, dropped[i]) == 0)
+			return false;
+	}
+	return !is_listed(name, connection);
+}
+
+struct curl_slist *tr_append_header(struct curl_slist *list, const char *name,
+				    const char *value)
+{
+	char *line;
+
+	/* curl sends a header without a value only in the form "Name;". */
+	if (*value)
+		line = g_strdup_printf("%s: %s", name, value);
+	else
+		line = g_strdup_printf("%s;", name);
+	list = curl_slist_append(list, line);
+	g_free(line);
+	return list;
+}
+
+struct curl_slist *tr_append_number(struct curl_slist *list, const char *name,
+				    uint64_t value)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, value);
+	return tr_append_header(list, name, text);
+}
+
+static enum MHD_Result copy_header(void *data, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct copy_state *state = data;
+
+	if (!tr_is_forwarded(name, state->connection))
+		return MHD_YES;
+	if (tr_is_internal(name) && strcasecmp(name, TR_HEADER_REQUEST_ID) != 0)
+		return MHD_YES;
+	state->list = tr_append_header(state->list, name, value ? value : "");
+	return MHD_YES;
+}
+
+struct curl_slist *tr_copy_headers(struct curl_slist *list,
+				   struct MHD_Connection *connection)
+{
+	struct copy_state state = { .list = list };
+
+	state.connection = MHD_lookup_connection_value(
+		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONNECTION);
+	MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
+				  &state);
+	return state.list;
+}
+
+static bool parse_number(const char *text, uint64_t max, uint64_t *value)
+{
+	return text &&
+	       g_ascii_string_to_unsigned(text, 10, 0, max, value, NULL);
+}
+
+bool tr_read_number(struct MHD_Connection *connection, const char *name,
+		    uint64_t max, uint64_t *value)
+{
+	return parse_number(MHD_lookup_connection_value(
+				    connection, MHD_HEADER_KIND, name),
+			    max, value);
+}
+
+bool tr_read_load(const char *name, const char *value, struct rt_load *load)
+{
+	uint64_t number;
+
+	if (strcasecmp(name, TR_HEADER_PHASE) == 0)
+		return rt_parse_phase(value, &load->phase);
+	if (!parse_number(value, UINT32_MAX, &number))
+		return false;
+	if (strcasecmp(name, TR_HEADER_LIMIT) == 0)
+		load->limit = (uint32_t)number;
+	else if (strcasecmp(name, TR_HEADER_IN_FLIGHT) == 0)
+		load->in_flight = (uint32_t)number;
+	else
+		return false;
+	return true;
+}
+
+static void add_number(struct MHD_Response *response, const char *name,
+		       uint32_t value)
+{
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%u", value);
+	MHD_add_response_header(response, name, text);
+}
+
+void tr_add_load(struct MHD_Response *response, const struct rt_load *load)
+{
+	add_number(response, TR_HEADER_LIMIT, load->limit);
+	add_number(response, TR_HEADER_IN_FLIGHT, load->in_flight);
+	MHD_add_response_header(response, TR_HEADER_PHASE,
+				rt_get_phase_name(load->phase));
+}
--- /dev/null
+++ b/src/traffic/reply.c
@@ -0,0 +1,47 @@
+/*
+ * Replies that the node gives in place of a target: refusals and failures.
+ */
+#include <assert.h>
+#include <string.h>
+#include <jansson.h>
+#include "call.h"
+
+static void add_load(struct tr_call *call)
+{
+	struct rt_load load;
+
+	if (call->role != TR_ROLE_HOP)
+		return;
+	adm_get_load(call->thread->gate, &load);
+	tr_add_load(call->reply, &load);
+}
+
+void tr_refuse_call(struct tr_call *call, uint32_t status, const char *reason,
+		    bool is_not_run)
+{
+	json_t *object;
+	char *body;
+
+	assert(!call->reply);
+	assert(!is_not_run || !call->is_run_possible);
+	object = json_pack("{s:s,s:b}", "error", reason, "not_run",
+				   (int)is_not_run);
+
+	body = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	call->reply = MHD_create_response_from_buffer(strlen(body), body,
+						      MHD_RESPMEM_MUST_FREE);
+	call->reply_status = status;
+	MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONTENT_TYPE,
+				"application/json");
+	MHD_add_response_header(call->reply, TR_HEADER_REFUSED, reason);
+	if (is_not_run)
+		MHD_add_response_header(call->reply, TR_HEADER_NOT_RUN, "true");
+	if (call->thread->is_draining)
+		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
+					"close");
+	add_load(call);
+	cnt_add(call->thread->service->counters.refusals[call->role], 1);
+	call->stage = TR_STAGE_ENDED;
+	tr_resume_call(call);
+}
--- /dev/null
+++ b/src/traffic/service.c
@@ -0,0 +1,174 @@
+/*
+ * Public side of the traffic slice, called by the control thread only.
+ */
+#include <assert.h>
+#include "loom/error.h"
+#include "thread.h"
+
+#define CONNECTIONS_MAX 4096U
+#define IDLE_TIMEOUT_MS 60000U
+#define HEADER_TIMEOUT_MS 10000U
+#define HEADER_BYTES_MAX 16384U
+
+static struct cnt_counter *get_counter(struct cnt_registry *registry,
+				       const char *name, const char *labels,
+				       const char *help)
+{
+	return cnt_get_counter(registry, CNT_KIND_COUNTER, name, labels, help);
+}
+
+static void open_counters(struct tr_counters *counters,
+			  struct cnt_registry *registry)
+{
+	static const char *const labels[] = { "side=\"entry\"",
+					      "side=\"hop\"" };
+
+	for (int role = TR_ROLE_ENTRY; role <= TR_ROLE_HOP; role++) {
+		const char *label = labels[role];
+
+		counters->calls[role] =
+			get_counter(registry, "loom_calls_total", label,
+				    "Calls taken in.");
+		counters->answers[role] =
+			get_counter(registry, "loom_answers_total", label,
+				    "Answers relayed.");
+		counters->refusals[role] =
+			get_counter(registry, "loom_refusals_total", label,
+				    "Calls refused or failed by the node.");
+		counters->broken[role] =
+			get_counter(registry, "loom_broken_answers_total",
+				    label, "Answers that broke off.");
+		counters->cancelled[role] =
+			get_counter(registry, "loom_cancelled_total", label,
+				    "Calls whose caller hung up.");
+	}
+	counters->retries = get_counter(registry, "loom_retries_total", NULL,
+					"Attempts after the first.");
+	counters->repeats_stopped =
+		get_counter(registry, "loom_repeats_stopped_total", NULL,
+			    "Second sends by the HTTP library stopped.");
+	counters->connections_closed =
+		get_counter(registry, "loom_connections_closed_total", NULL,
+			    "Slow or idle connections closed.");
+}
+
+static int destroy_service(struct tr_service *service)
+{
+	for (uint32_t i = 0; i < service->options.thread_count; i++) {
+		struct tr_thread *thread = &service->threads[i];
+		struct tr_command *command;
+
+		if (!thread->is_running)
+			continue;
+		command = g_new0(struct tr_command, 1);
+		command->kind = TR_COMMAND_STOP;
+		tr_send_command(thread, command);
+	}
+	for (uint32_t i = 0; i < service->options.thread_count; i++)
+		tr_join_thread(&service->threads[i]);
+	return 0;
+}
+
+void tr_set_default_options(struct tr_options *options, const char *address)
+{
+	*options = (struct tr_options){
+		.address = address,
+		.thread_count = 1,
+		.connections_max = CONNECTIONS_MAX,
+		.idle_timeout_ms = IDLE_TIMEOUT_MS,
+		.header_timeout_ms = HEADER_TIMEOUT_MS,
+		.header_bytes_max = HEADER_BYTES_MAX,
+		.policy = RT_POLICY_TWO_CHOICES,
+	};
+}
+
+struct tr_service *tr_new_service(TALLOC_CTX *ctx,
+				  struct cnt_registry *counters,
+				  const struct tr_options *options,
+				  GError **error)
+{
+	struct tr_service *service = talloc_zero(ctx, struct tr_service);
+
+	assert(options->thread_count > 0);
+	service->options = *options;
+	service->options.address = talloc_strdup(service, options->address);
+	service->threads = talloc_zero_array(service, struct tr_thread,
+					     options->thread_count);
+	open_counters(&service->counters, counters);
+	talloc_set_destructor(service, destroy_service);
+	for (uint32_t i = 0; i < options->thread_count; i++) {
+		struct tr_thread *thread = &service->threads[i];
+
+		thread->service = service;
+		thread->index = i;
+		if (!tr_start_thread(thread, error)) {
+			talloc_free(service);
+			return NULL;
+		}
+	}
+	return service;
+}
+
+void tr_set_table(struct tr_service *service, struct rt_table *table)
+{
+	for (uint32_t i = 0; i < service->options.thread_count; i++) {
+		struct tr_thread *thread = &service->threads[i];
+		struct rt_table *unseen = atomic_exchange(
+			&thread->incoming, rt_ref_table(table));
+
+		if (unseen)
+			rt_unref_table(unseen);
+		tr_wake_thread(thread);
+	}
+}
+
+static void send_to_first(struct tr_service *service,
+			  const struct tr_command *command)
+{
+	tr_send_command(&service->threads[0],
+			g_memdup2(command, sizeof(*command)));
+}
+
+void tr_announce_target(struct tr_service *service, const char *name,
+			const char *version, const char *address, uint16_t port)
+{
+	struct tr_command command = { .kind = TR_COMMAND_ANNOUNCE };
+
+	command.announce.service = g_strdup(name);
+	command.announce.version = g_strdup(version);
+	command.announce.url = g_strdup_printf("http://%s:%u", address, port);
+	send_to_first(service, &command);
+}
+
+void tr_drain_target(struct tr_service *service)
+{
+	struct tr_command command = { .kind = TR_COMMAND_DRAIN_TARGET };
+
+	send_to_first(service, &command);
+}
+
+void tr_note_hint(struct tr_service *service, uint32_t bearable_calls)
+{
+	struct tr_command command = { .kind = TR_COMMAND_HINT,
+				      .bearable_calls = bearable_calls };
+
+	send_to_first(service, &command);
+}
+
+void tr_begin_drain(struct tr_service *service)
+{
+	struct tr_command command = { .kind = TR_COMMAND_BEGIN_DRAIN };
+
+	for (uint32_t i = 0; i < service->options.thread_count; i++)
+		tr_send_command(&service->threads[i],
+				g_memdup2(&command, sizeof(command)));
+}
+
+uint32_t tr_get_call_count(const struct tr_service *service)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < service->options.thread_count; i++)
+		count += atomic_load(&service->threads[i].call_count);
+	return count;
+}
--- /dev/null
+++ b/src/traffic/thread.h
@@ -0,0 +1,122 @@
+/*
+ * Internals of the traffic slice: one thread, its listeners and its commands.
+ */
+#ifndef TR_THREAD_H
+#define TR_THREAD_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <microhttpd.h>
+#include <tevent.h>
+#include "loom/admission.h"
+#include "loom/http.h"
+#include "loom/timer.h"
+#include "loom/traffic.h"
+
+struct tr_call;
+struct tr_connection;
+
+/* Which side of the mesh a call came in on. */
+enum tr_role {
+	TR_ROLE_ENTRY, /* from a caller */
+	TR_ROLE_HOP,   /* from another node, for the local target */
+};
+
+struct tr_listener {
+	struct tr_thread *thread;
+	enum tr_role role;
+	struct MHD_Daemon *daemon;
+	struct hs_loop *loop;
+};
+
+/* Counters that the threads add to. */
+struct tr_counters {
+	struct cnt_counter *calls[2]; /* by enum tr_role */
+	struct cnt_counter *answers[2];
+	struct cnt_counter *refusals[2];
+	struct cnt_counter *broken[2];
+	struct cnt_counter *cancelled[2];
+	struct cnt_counter *retries;
+	struct cnt_counter *repeats_stopped;
+	struct cnt_counter *connections_closed;
+};
+
+enum tr_command_kind {
+	TR_COMMAND_ANNOUNCE,
+	TR_COMMAND_DRAIN_TARGET,
+	TR_COMMAND_HINT,
+	TR_COMMAND_BEGIN_DRAIN,
+	TR_COMMAND_STOP,
+};
+
+/* A command of the control thread, freed by the thread that takes it. */
+struct tr_command {
+	enum tr_command_kind kind;
+	union {
+		struct {
+			char *service;
+			char *version;
+			char *url; /* "http://127.0.1.1:9001" */
+		} announce;
+		uint32_t bearable_calls;
+	};
+};
+
+struct tr_thread {
+	struct tr_service *service;
+	uint32_t index;
+	pthread_t handle;
+	bool is_running;
+	struct tevent_context *events;
+	struct tmr_service *timers;
+	struct tr_listener entry;
+	struct tr_listener hop; /* first thread only */
+	struct hc_loop *peers;	/* connections to other nodes */
+	struct hc_loop *target; /* connections to the local target */
+	GQueue free_handles;	/* CURL, ready for reuse */
+	struct rt_chooser *chooser;
+	GHashTable *budgets; /* service name to struct rt_budget */
+	struct rt_table *table;
+	_Atomic(struct rt_table *) incoming; /* swapped in by control */
+	struct adm_gate *gate;
+	char *target_url;
+	GAsyncQueue *commands;
+	int wake_fd;
+	int hangup_fd; /* epoll set of the callers' sockets */
+	GQueue connections; /* struct tr_connection, longest idle first */
+	bool is_draining;
+	bool is_stopped;
+	uint64_t random_state;
+	_Atomic uint32_t call_count;
+};
+
+struct tr_service {
+	struct tr_options options;
+	struct tr_counters counters;
+	struct tr_thread *threads;
+};
+
+/* Opens listeners and loops of a thread and starts it. */
+bool tr_start_thread(struct tr_thread *thread, GError **error);
+
+/* Hands a command to a thread (stolen) and wakes it. */
+void tr_send_command(struct tr_thread *thread, struct tr_command *command);
+
+/* Wakes a thread, so that it looks at its commands and table. */
+void tr_wake_thread(struct tr_thread *thread);
+
+/* Waits for the end of a stopped thread and frees what it held. */
+void tr_join_thread(struct tr_thread *thread);
+
+/* Returns a curl handle (stolen from the pool or new). */
+CURL *tr_take_handle(struct tr_thread *thread);
+
+/* Gives a handle back to the pool. */
+void tr_return_handle(struct tr_thread *thread, CURL *easy);
+
+/* Returns the retry budget of a service (borrowed). */
+struct rt_budget *tr_get_budget(struct tr_thread *thread, const char *service);
+
+#endif
