Add first version of routing and admission

Cause: traffic threads need the two decisions of a call: the entry side chooses version, target and retry; the target's node admits, queues or refuses.

Tables are immutable and reference-counted; the chooser grades the targets of a version and lets the policy choose within the best grade. The gate joins an adaptive limit and a queue bounded by length and by deadline.

adm_get_waiting_refusal() is new: it names the reason for the tickets that adm_take_expired() gives out, as a gate that closes gives out all of them.

Conclusion: simple, to be deepened; the interfaces can be linked against.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -65,9 +65,16 @@
 /* Returns the next waiting ticket that may run now, or NULL. */
 void *adm_take_ready(struct adm_gate *gate, uint64_t now_ms);
 
-/* Returns the next waiting ticket whose deadline passed, or NULL. */
+/*
+ * Returns the next waiting ticket that is refused now, or NULL: its deadline
+ * passed or, under lasting overload, cannot be met any more; or the gate
+ * closed, and then every waiting ticket is returned in turn. None of them ran.
+ */
 void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms);
 
+/* Returns the reason for the tickets that adm_take_expired() gives out. */
+enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate);
+
 /* A waiting call goes away (its caller hung up). */
 void adm_cancel_waiting(struct adm_gate *gate, void *ticket);
 
--- /dev/null
+++ b/src/admission/gate.c
@@ -0,0 +1,270 @@
+/*
+ * Gate before the one target of this node.
+ *
+ * The gate joins the limit, the queue and the state of the target. A call runs
+ * at once when no other waits and the limit has room, waits while the queue
+ * has room and its deadline can be met, and is refused otherwise.
+ *
+ * Invariants: in_flight counts the calls given out to run and not finished,
+ * those of an earlier instance of the target included; the gate is closed
+ * while there is no target, it leaves, or its failure domain is out.
+ */
+#include "loom/admission.h"
+
+#include <assert.h>
+#include <string.h>
+#include "limit.h"
+#include "queue.h"
+
+#define LATENCY_SHIFT 3 /* an answer moves the mean latency by an eighth */
+
+struct adm_gate {
+	char *service; /* NULL: no target yet */
+	char *version;
+	bool is_leaving;
+	bool is_domain_out;
+	uint32_t queue_length;
+	uint32_t in_flight;
+	uint32_t latency_us; /* moving mean; 0: no answer yet */
+	uint64_t now_ms;     /* time of the last event */
+	struct adm_limit limit;
+	struct adm_queue queue;
+};
+
+static int destroy_gate(struct adm_gate *gate)
+{
+	adm_clear_queue(&gate->queue);
+	return 0;
+}
+
+static enum adm_refusal get_closed_refusal(const struct adm_gate *gate)
+{
+	if (!gate->service)
+		return ADM_REFUSAL_NO_TARGET;
+	if (gate->is_leaving)
+		return ADM_REFUSAL_LEAVING;
+	if (gate->is_domain_out)
+		return ADM_REFUSAL_DOMAIN_OUT;
+	return ADM_REFUSAL_NONE;
+}
+
+static uint32_t get_service_ms(const struct adm_gate *gate)
+{
+	return gate->latency_us / 1000;
+}
+
+/* Estimates when a call that joins the queue now would be answered. */
+static uint64_t estimate_end_ms(const struct adm_gate *gate, uint64_t now_ms)
+{
+	uint64_t ahead = adm_get_queue_length(&gate->queue) + 1U;
+	uint64_t limit = adm_get_limit(&gate->limit, now_ms);
+	uint64_t wait_us = ahead * gate->latency_us / limit;
+
+	return now_ms + (wait_us + gate->latency_us) / 1000;
+}
+
+static enum adm_refusal check_wait(const struct adm_gate *gate, uint64_t now_ms,
+				   uint64_t deadline_ms)
+{
+	if (adm_get_queue_length(&gate->queue) >= gate->queue_length)
+		return ADM_REFUSAL_QUEUE_FULL;
+	if (estimate_end_ms(gate, now_ms) >= deadline_ms)
+		return ADM_REFUSAL_DEADLINE;
+	return ADM_REFUSAL_NONE;
+}
+
+static enum adm_refusal check_open(const struct adm_gate *gate,
+				   const char *service, const char *version,
+				   uint64_t now_ms, uint64_t deadline_ms)
+{
+	enum adm_refusal refusal = get_closed_refusal(gate);
+
+	if (refusal != ADM_REFUSAL_NONE)
+		return refusal;
+	if (strcmp(gate->service, service) != 0 ||
+	    strcmp(gate->version, version) != 0)
+		return ADM_REFUSAL_WRONG_TARGET;
+	if (now_ms >= deadline_ms)
+		return ADM_REFUSAL_DEADLINE;
+	return ADM_REFUSAL_NONE;
+}
+
+static bool has_room(const struct adm_gate *gate, uint64_t now_ms)
+{
+	return gate->in_flight < adm_get_limit(&gate->limit, now_ms);
+}
+
+static void note_service_time(struct adm_gate *gate, uint32_t latency_us)
+{
+	int64_t change = (int64_t)latency_us - gate->latency_us;
+
+	if (gate->latency_us == 0)
+		gate->latency_us = latency_us;
+	else
+		gate->latency_us += change / (1 << LATENCY_SHIFT);
+}
+
+const char *adm_get_refusal_name(enum adm_refusal refusal)
+{
+	switch (refusal) {
+	case ADM_REFUSAL_NONE:
+		return "none";
+	case ADM_REFUSAL_NO_TARGET:
+		return "no_target";
+	case ADM_REFUSAL_WRONG_TARGET:
+		return "wrong_target";
+	case ADM_REFUSAL_LEAVING:
+		return "leaving";
+	case ADM_REFUSAL_DOMAIN_OUT:
+		return "domain_out";
+	case ADM_REFUSAL_QUEUE_FULL:
+		return "queue_full";
+	case ADM_REFUSAL_DEADLINE:
+		return "deadline";
+	}
+	return "unknown";
+}
+
+struct adm_gate *adm_new_gate(TALLOC_CTX *ctx)
+{
+	struct adm_gate *gate = talloc_zero(ctx, struct adm_gate);
+
+	adm_init_queue(&gate->queue);
+	talloc_set_destructor(gate, destroy_gate);
+	adm_set_limit_slots(&gate->limit, 1);
+	adm_start_limit(&gate->limit, 0);
+	return gate;
+}
+
+void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
+{
+	gate->queue_length = limits->queue_length;
+	adm_set_limit_slots(&gate->limit, limits->slots);
+}
+
+void adm_announce_target(struct adm_gate *gate, const char *service,
+			 const char *version, uint64_t now_ms)
+{
+	char *old_service = gate->service;
+	char *old_version = gate->version;
+
+	gate->now_ms = now_ms;
+	/* What waits for another service or version must not run on this one.
+	 */
+	if (old_service && (strcmp(old_service, service) != 0 ||
+			    strcmp(old_version, version) != 0))
+		adm_expire_queue(&gate->queue);
+	gate->service = talloc_strdup(gate, service);
+	gate->version = talloc_strdup(gate, version);
+	gate->is_leaving = false;
+	gate->latency_us = 0;
+	adm_start_limit(&gate->limit, now_ms);
+	talloc_free(old_service);
+	talloc_free(old_version);
+}
+
+void adm_drain_target(struct adm_gate *gate)
+{
+	gate->is_leaving = true;
+}
+
+void adm_set_domain_out(struct adm_gate *gate, bool is_out)
+{
+	gate->is_domain_out = is_out;
+}
+
+void adm_note_hint(struct adm_gate *gate, uint32_t bearable_calls,
+		   uint64_t now_ms)
+{
+	gate->now_ms = now_ms;
+	adm_note_limit_hint(&gate->limit, bearable_calls, now_ms);
+}
+
+enum adm_verdict adm_admit(struct adm_gate *gate, const char *service,
+			   const char *version, void *ticket, uint64_t now_ms,
+			   uint64_t deadline_ms, enum adm_refusal *refusal)
+{
+	gate->now_ms = now_ms;
+	*refusal = check_open(gate, service, version, now_ms, deadline_ms);
+	if (*refusal != ADM_REFUSAL_NONE)
+		return ADM_VERDICT_REFUSE;
+	if (adm_get_queue_length(&gate->queue) == 0 && has_room(gate, now_ms)) {
+		gate->in_flight++;
+		return ADM_VERDICT_RUN;
+	}
+	*refusal = check_wait(gate, now_ms, deadline_ms);
+	if (*refusal != ADM_REFUSAL_NONE)
+		return ADM_VERDICT_REFUSE;
+	adm_push_waiting(&gate->queue, ticket, now_ms, deadline_ms);
+	return ADM_VERDICT_WAIT;
+}
+
+void *adm_take_ready(struct adm_gate *gate, uint64_t now_ms)
+{
+	void *ticket;
+
+	gate->now_ms = now_ms;
+	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE ||
+	    !has_room(gate, now_ms))
+		return NULL;
+	ticket = adm_take_waiting(&gate->queue, now_ms, get_service_ms(gate));
+	if (ticket)
+		gate->in_flight++;
+	return ticket;
+}
+
+void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms)
+{
+	gate->now_ms = now_ms;
+	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
+		return adm_take_oldest(&gate->queue);
+	return adm_take_hopeless(&gate->queue, now_ms, get_service_ms(gate));
+}
+
+enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate)
+{
+	enum adm_refusal refusal = get_closed_refusal(gate);
+
+	return refusal == ADM_REFUSAL_NONE ? ADM_REFUSAL_DEADLINE : refusal;
+}
+
+void adm_cancel_waiting(struct adm_gate *gate, void *ticket)
+{
+	adm_remove_waiting(&gate->queue, ticket);
+}
+
+void adm_finish(struct adm_gate *gate, enum adm_outcome outcome,
+		uint32_t latency_us, uint64_t now_ms)
+{
+	struct adm_evidence evidence = {
+		.outcome = outcome,
+		.latency_us = latency_us,
+		.started_ms = now_ms - MIN(now_ms, latency_us / 1000),
+		.now_ms = now_ms,
+		.is_limit_used = !has_room(gate, now_ms),
+	};
+
+	assert(gate->in_flight > 0);
+	gate->now_ms = now_ms;
+	gate->in_flight--;
+	adm_note_limit(&gate->limit, &evidence);
+	if (outcome == ADM_OUTCOME_GOOD)
+		note_service_time(gate, latency_us);
+}
+
+void adm_get_load(const struct adm_gate *gate, struct rt_load *load)
+{
+	load->limit = adm_get_limit(&gate->limit, gate->now_ms);
+	load->in_flight = gate->in_flight + adm_get_queue_length(&gate->queue);
+	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
+		load->phase = RT_PHASE_LEAVING;
+	else if (gate->limit.is_starting)
+		load->phase = RT_PHASE_STARTING;
+	else
+		load->phase = RT_PHASE_SERVING;
+}
+
+uint32_t adm_get_waiting_count(const struct adm_gate *gate)
+{
+	return adm_get_queue_length(&gate->queue);
+}
--- /dev/null
+++ b/src/admission/limit.h
@@ -0,0 +1,54 @@
+/*
+ * Adaptive limit of the calls that run side by side on one target.
+ */
+#ifndef LOOM_ADMISSION_LIMIT_H
+#define LOOM_ADMISSION_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include "loom/admission.h"
+
+/* One finished call, as evidence about the target. */
+struct adm_evidence {
+	enum adm_outcome outcome;
+	uint32_t latency_us;
+	uint64_t started_ms;
+	uint64_t now_ms;
+	bool is_limit_used; /* all of the limit was in use when it ended */
+};
+
+struct adm_limit {
+	uint32_t slots;
+	uint32_t value;	       /* never above slots */
+	uint32_t ceiling;      /* growth is slow from here on */
+	bool is_starting;      /* has not reached its serving share yet */
+	uint32_t good_count;   /* good answers at this value */
+	uint64_t raised_ms;    /* last rise or start */
+	uint64_t reduced_ms;   /* last reduction: older calls are stale */
+	uint32_t shed_history; /* one bit an answer, newest lowest */
+	uint32_t hint;
+	uint64_t hint_until_ms; /* 0: no hint */
+	double floor_log2;	/* learned, of the latency in us */
+	bool is_floor_known;
+	double window_log2_sum;
+	uint32_t window_count;
+};
+
+/* Starts anew for a target of which nothing is known. */
+void adm_start_limit(struct adm_limit *limit, uint64_t now_ms);
+
+/* Sets the slots of the target, at least 1. */
+void adm_set_limit_slots(struct adm_limit *limit, uint32_t slots);
+
+/* Notes how much the target says it bears. */
+void adm_note_limit_hint(struct adm_limit *limit, uint32_t bearable_calls,
+			 uint64_t now_ms);
+
+/* Notes a finished call. */
+void adm_note_limit(struct adm_limit *limit,
+		    const struct adm_evidence *evidence);
+
+/* Returns the limit in force, at least 1. */
+uint32_t adm_get_limit(const struct adm_limit *limit, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/admission/queue.h
@@ -0,0 +1,50 @@
+/*
+ * Calls that wait for a slot of the target.
+ */
+#ifndef LOOM_ADMISSION_QUEUE_H
+#define LOOM_ADMISSION_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <talloc.h>
+
+struct adm_queue {
+	GQueue waiting;		/* struct adm_waiting, oldest first */
+	uint64_t busy_since_ms; /* it has not been empty since */
+};
+
+/* Initializes an empty queue that lives in the memory of ctx. */
+void adm_init_queue(struct adm_queue *queue);
+
+/* Drops all waiting calls. */
+void adm_clear_queue(struct adm_queue *queue);
+
+/* Appends a call. */
+void adm_push_waiting(struct adm_queue *queue, void *ticket, uint64_t now_ms,
+		      uint64_t deadline_ms);
+
+/*
+ * Removes and returns the ticket to run next, or NULL. service_ms is the
+ * estimated time that a call takes once it runs.
+ */
+void *adm_take_waiting(struct adm_queue *queue, uint64_t now_ms,
+		       uint32_t service_ms);
+
+/* Removes and returns a ticket that cannot be served in time, or NULL. */
+void *adm_take_hopeless(struct adm_queue *queue, uint64_t now_ms,
+			uint32_t service_ms);
+
+/* Makes every waiting call one that cannot be served in time. */
+void adm_expire_queue(struct adm_queue *queue);
+
+/* Removes and returns the oldest ticket, or NULL. */
+void *adm_take_oldest(struct adm_queue *queue);
+
+/* Removes a ticket; returns whether it was there. */
+bool adm_remove_waiting(struct adm_queue *queue, const void *ticket);
+
+/* Returns how many calls wait. */
+uint32_t adm_get_queue_length(const struct adm_queue *queue);
+
+#endif
--- /dev/null
+++ b/src/admission/tests/test_admission.c
@@ -0,0 +1,183 @@
+/*
+ * Tests of the gate, its limit and its queue.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include "loom/admission.h"
+#include "script.h"
+
+struct gate_state {
+	struct adm_gate *gate;
+	uint64_t now_ms;
+	uint32_t deadline_ms; /* allowed from arrival */
+	uintptr_t last_ticket;
+};
+
+static uint32_t parse_number(const char *text)
+{
+	return (uint32_t)strtoul(text, NULL, 10);
+}
+
+static enum adm_outcome parse_outcome(const char *name)
+{
+	static const char *const names[] = { "good",	"error",  "shed",
+					     "timeout", "broken", "cancelled" };
+	int i = 0;
+
+	while (strcmp(names[i], name) != 0)
+		i++;
+	return (enum adm_outcome)i;
+}
+
+static void print_load(const struct gate_state *state, GString *output)
+{
+	struct rt_load load;
+
+	adm_get_load(state->gate, &load);
+	g_string_append_printf(output, "limit %u in_flight %u waiting %u %s\n",
+			       load.limit, load.in_flight,
+			       adm_get_waiting_count(state->gate),
+			       rt_get_phase_name(load.phase));
+}
+
+static void admit(struct gate_state *state, const char *version,
+		  GString *output)
+{
+	uintptr_t ticket = ++state->last_ticket;
+	enum adm_refusal refusal;
+
+	switch (adm_admit(state->gate, "orders", version, (void *)ticket,
+			  state->now_ms, state->now_ms + state->deadline_ms,
+			  &refusal)) {
+	case ADM_VERDICT_RUN:
+		g_string_append_printf(output, "%" PRIuPTR " runs\n", ticket);
+		break;
+	case ADM_VERDICT_WAIT:
+		g_string_append_printf(output, "%" PRIuPTR " waits\n", ticket);
+		break;
+	case ADM_VERDICT_REFUSE:
+		g_string_append_printf(output, "%" PRIuPTR " refused %s\n",
+				       ticket, adm_get_refusal_name(refusal));
+		break;
+	}
+}
+
+static void print_tickets(struct gate_state *state, GString *output)
+{
+	void *ticket;
+
+	while ((ticket = adm_take_expired(state->gate, state->now_ms)))
+		g_string_append_printf(
+			output, "%" PRIuPTR " refused %s\n", (uintptr_t)ticket,
+			adm_get_refusal_name(
+				adm_get_waiting_refusal(state->gate)));
+	while ((ticket = adm_take_ready(state->gate, state->now_ms)))
+		g_string_append_printf(output, "%" PRIuPTR " runs\n",
+				       (uintptr_t)ticket);
+}
+
+/* Fills the limit and finishes one call, count times, each latency_ms. */
+static void use(struct gate_state *state, enum adm_outcome outcome,
+		uint32_t count, uint32_t latency_ms)
+{
+	enum adm_refusal refusal;
+	struct rt_load load;
+
+	for (uint32_t i = 0; i < count; i++) {
+		adm_get_load(state->gate, &load);
+		for (uint32_t j = load.in_flight; j < load.limit; j++)
+			adm_admit(state->gate, "orders", "v1", NULL,
+				  state->now_ms, UINT64_MAX, &refusal);
+		state->now_ms += latency_ms;
+		adm_finish(state->gate, outcome, latency_ms * 1000,
+			   state->now_ms);
+	}
+}
+
+static bool run_traffic_step(int word_count, char **words, GString *output,
+			     struct gate_state *state)
+{
+	if (strcmp(words[0], "admit") == 0) {
+		admit(state, word_count > 1 ? words[1] : "v1", output);
+	} else if (strcmp(words[0], "finish") == 0) {
+		adm_finish(state->gate, parse_outcome(words[1]),
+			   parse_number(words[2]) * 1000, state->now_ms);
+	} else if (strcmp(words[0], "use") == 0) {
+		use(state, parse_outcome(words[1]), parse_number(words[2]),
+		    parse_number(words[3]));
+		print_load(state, output);
+	} else if (strcmp(words[0], "take") == 0) {
+		print_tickets(state, output);
+	} else if (strcmp(words[0], "cancel") == 0) {
+		adm_cancel_waiting(state->gate,
+				   (void *)(uintptr_t)parse_number(words[1]));
+	} else if (strcmp(words[0], "load") == 0) {
+		print_load(state, output);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static bool run_gate_step(int word_count, char **words, GString *output,
+			  void *data)
+{
+	struct gate_state *state = data;
+	struct doc_limits limits = { 0 };
+
+	if (strcmp(words[0], "limits") == 0) {
+		limits.slots = parse_number(words[1]);
+		limits.queue_length = parse_number(words[2]);
+		adm_set_limits(state->gate, &limits);
+	} else if (strcmp(words[0], "announce") == 0) {
+		adm_announce_target(state->gate, words[1], words[2],
+				    state->now_ms);
+	} else if (strcmp(words[0], "drain") == 0) {
+		adm_drain_target(state->gate);
+	} else if (strcmp(words[0], "domain") == 0) {
+		adm_set_domain_out(state->gate, strcmp(words[1], "out") == 0);
+	} else if (strcmp(words[0], "hint") == 0) {
+		adm_note_hint(state->gate, parse_number(words[1]),
+			      state->now_ms);
+	} else if (strcmp(words[0], "at") == 0) {
+		state->now_ms = parse_number(words[1]);
+	} else if (strcmp(words[0], "after") == 0) {
+		state->now_ms += parse_number(words[1]);
+	} else if (strcmp(words[0], "deadline") == 0) {
+		state->deadline_ms = parse_number(words[1]);
+	} else {
+		return run_traffic_step(word_count, words, output, state);
+	}
+	return true;
+}
+
+static void run_gate_script(const char *name)
+{
+	struct gate_state state = { .deadline_ms = 1000 };
+
+	state.gate = adm_new_gate(NULL);
+	scr_run(name, run_gate_step, &state);
+	talloc_free(state.gate);
+}
+
+static void test_gate(void)
+{
+	run_gate_script("gate");
+}
+
+static void test_limit(void)
+{
+	run_gate_script("limit");
+}
+
+static const CU_TestInfo tests[] = {
+	{ "gate follows its script", test_gate },
+	{ "limit follows its script", test_limit },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("admission", tests);
+}
--- /dev/null
+++ b/src/routing/chooser.c
@@ -0,0 +1,329 @@
+/*
+ * Choice of a target.
+ *
+ * A choice goes over the entries of the group of the chosen version. Each
+ * entry is graded: unusable ones are never chosen, ready ones are chosen from
+ * the nearest tier that has any, busy ones when no tier has a ready one, and
+ * one that failed lately only when there is nothing else. Among candidates of
+ * one grade the policy decides.
+ *
+ * Invariant: cursors has one element for each group of the table last synced.
+ */
+#include "loom/routing.h"
+
+#include <assert.h>
+#include <string.h>
+#include "memory.h"
+#include "version_split.h"
+
+enum rt_grade {
+	GRADE_UNUSABLE,
+	GRADE_OUT,   /* unusable only since its failure domain is out */
+	GRADE_ASIDE, /* failed lately */
+	GRADE_BUSY,  /* at its limit or refused lately */
+	GRADE_READY,
+};
+
+/* Entries of one grade that the policy may choose from. */
+struct rt_candidates {
+	const struct rt_group *group;
+	uint32_t *indices; /* within the group */
+	uint32_t *limits;
+	uint32_t count;
+	uint64_t limit_sum;
+};
+
+struct rt_chooser {
+	enum rt_policy policy;
+	uint64_t random;
+	struct rt_memory_set *memories;
+	uint32_t *cursors; /* of round robin, one for each group */
+	struct rt_candidates candidates;
+	enum rt_grade *grades; /* of the entries of the group */
+};
+
+/* splitmix64: a short generator that is even enough for choices. */
+static uint64_t draw(struct rt_chooser *chooser, uint64_t bound)
+{
+	uint64_t value = chooser->random += UINT64_C(0x9e3779b97f4a7c15);
+
+	value = (value ^ (value >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	value = (value ^ (value >> 27)) * UINT64_C(0x94d049bb133111eb);
+	value ^= value >> 31;
+	return value % bound;
+}
+
+static bool is_tried(const struct rt_request *request, const char *address)
+{
+	for (uint32_t i = 0; i < request->tried_count; i++) {
+		if (strcmp(request->tried[i], address) == 0)
+			return true;
+	}
+	return false;
+}
+
+static enum rt_grade grade_by_load(const struct rt_memory *memory,
+				   uint64_t now_ms)
+{
+	uint32_t limit = rt_get_memory_limit(memory, now_ms);
+
+	if (now_ms < memory->aside_until_ms)
+		return GRADE_ASIDE;
+	if (now_ms < memory->refused_until_ms)
+		return GRADE_BUSY;
+	return rt_get_memory_load(memory, now_ms) >= limit ? GRADE_BUSY
+							   : GRADE_READY;
+}
+
+static enum rt_grade grade_entry(const struct rt_chooser *chooser,
+				 const struct rt_entry *entry,
+				 const struct rt_memory *memory,
+				 const struct rt_request *request,
+				 uint64_t now_ms)
+{
+	enum rt_phase phase = rt_get_memory_phase(memory, now_ms);
+
+	if (phase == RT_PHASE_LEAVING ||
+	    is_tried(request, entry->target.address))
+		return GRADE_UNUSABLE;
+	if (entry->is_domain_out)
+		return GRADE_OUT;
+	/* The baselines know nothing of load. */
+	if (chooser->policy != RT_POLICY_TWO_CHOICES)
+		return GRADE_READY;
+	if (phase == RT_PHASE_STARTING &&
+	    memory->here >= rt_get_memory_limit(memory, now_ms))
+		return GRADE_UNUSABLE;
+	return grade_by_load(memory, now_ms);
+}
+
+static const struct rt_memory *get_member(const struct rt_chooser *chooser,
+					  const struct rt_group *group,
+					  uint32_t index)
+{
+	return chooser->memories->by_entry[group->first + index];
+}
+
+static enum rt_grade grade_group(struct rt_chooser *chooser,
+				 const struct rt_table *table,
+				 const struct rt_group *group,
+				 const struct rt_request *request,
+				 uint64_t now_ms)
+{
+	enum rt_grade best = GRADE_UNUSABLE;
+
+	for (uint32_t i = 0; i < group->count; i++) {
+		chooser->grades[i] = grade_entry(
+			chooser, &table->entries[group->first + i],
+			get_member(chooser, group, i), request, now_ms);
+		best = MAX(best, chooser->grades[i]);
+	}
+	return best;
+}
+
+/* Takes the entries of a grade: of all tiers, or of the nearest that has it. */
+static void collect(struct rt_chooser *chooser, const struct rt_table *table,
+		    const struct rt_group *group, enum rt_grade grade,
+		    uint64_t now_ms)
+{
+	struct rt_candidates *candidates = &chooser->candidates;
+	uint32_t tier = UINT32_MAX;
+
+	candidates->group = group;
+	candidates->count = 0;
+	candidates->limit_sum = 0;
+	for (uint32_t i = 0; i < group->count; i++) {
+		uint32_t limit;
+
+		if (chooser->grades[i] != grade)
+			continue;
+		if (tier == UINT32_MAX && grade == GRADE_READY)
+			tier = table->entries[group->first + i].tier;
+		if (table->entries[group->first + i].tier > tier)
+			break;
+		limit = rt_get_memory_limit(get_member(chooser, group, i),
+					    now_ms);
+		candidates->indices[candidates->count] = i;
+		candidates->limits[candidates->count++] = limit;
+		candidates->limit_sum += limit;
+	}
+}
+
+/* Draws a candidate by its limit, other than the one at place except. */
+static uint32_t draw_by_limit(struct rt_chooser *chooser, uint32_t except)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	uint64_t sum = candidates->limit_sum;
+	uint64_t value;
+	uint32_t place = 0;
+
+	if (except < candidates->count)
+		sum -= candidates->limits[except];
+	value = draw(chooser, sum);
+	for (;; place++) {
+		assert(place < candidates->count);
+		if (place == except)
+			continue;
+		if (value < candidates->limits[place])
+			return place;
+		value -= candidates->limits[place];
+	}
+}
+
+static uint32_t pick_two_choices(struct rt_chooser *chooser, uint64_t now_ms)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	uint32_t places[2];
+	uint64_t loads[2];
+
+	if (candidates->count == 1)
+		return 0;
+	places[0] = draw_by_limit(chooser, UINT32_MAX);
+	places[1] = draw_by_limit(chooser, places[0]);
+	for (int i = 0; i < 2; i++)
+		loads[i] = rt_get_memory_load(
+			get_member(chooser, candidates->group,
+				   candidates->indices[places[i]]),
+			now_ms);
+	/* Compared as shares of the limits, without dividing. */
+	if (loads[1] * candidates->limits[places[0]] <
+	    loads[0] * candidates->limits[places[1]])
+		return places[1];
+	return places[0];
+}
+
+static uint32_t pick_soonest(const struct rt_chooser *chooser)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	uint64_t soonest_ms = UINT64_MAX;
+	uint32_t place = 0;
+
+	for (uint32_t i = 0; i < candidates->count; i++) {
+		const struct rt_memory *memory = get_member(
+			chooser, candidates->group, candidates->indices[i]);
+
+		if (memory->aside_until_ms < soonest_ms) {
+			soonest_ms = memory->aside_until_ms;
+			place = i;
+		}
+	}
+	return place;
+}
+
+static uint32_t pick_by_policy(struct rt_chooser *chooser,
+			       const struct rt_table *table, uint64_t now_ms)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	uint32_t *cursor;
+
+	switch (chooser->policy) {
+	case RT_POLICY_TWO_CHOICES:
+		return pick_two_choices(chooser, now_ms);
+	case RT_POLICY_ROUND_ROBIN:
+		cursor = &chooser->cursors[candidates->group - table->groups];
+		return (*cursor)++ % candidates->count;
+	case RT_POLICY_RANDOM:
+		return (uint32_t)draw(chooser, candidates->count);
+	}
+	return 0;
+}
+
+static const struct rt_target *
+choose_in_version(struct rt_chooser *chooser, const struct rt_table *table,
+		  const struct rt_request *request, const char *version,
+		  uint64_t now_ms, enum rt_refusal *refusal)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	const struct rt_group *group;
+	enum rt_grade grade;
+	uint32_t place;
+
+	*refusal = RT_REFUSAL_NO_TARGET;
+	group = rt_find_group(table, request->service->name, version);
+	if (!group)
+		return NULL;
+	grade = grade_group(chooser, table, group, request, now_ms);
+	if (grade == GRADE_OUT)
+		*refusal = RT_REFUSAL_DOMAINS_OUT;
+	if (grade <= GRADE_OUT)
+		return NULL;
+	collect(chooser, table, group, grade, now_ms);
+	place = grade == GRADE_ASIDE ? pick_soonest(chooser)
+				     : pick_by_policy(chooser, table, now_ms);
+	*refusal = RT_REFUSAL_NONE;
+	return &table->entries[group->first + candidates->indices[place]]
+			.target;
+}
+
+static void sync_table(struct rt_chooser *chooser, const struct rt_table *table)
+{
+	struct rt_candidates *candidates = &chooser->candidates;
+	size_t largest = 1;
+
+	if (!rt_sync_memory_set(chooser->memories, table))
+		return;
+	for (size_t i = 0; i < table->group_count; i++)
+		largest = MAX(largest, table->groups[i].count);
+	talloc_free(chooser->cursors);
+	chooser->cursors =
+		talloc_zero_array(chooser, uint32_t, table->group_count);
+	talloc_free(chooser->grades);
+	chooser->grades = talloc_array(chooser, enum rt_grade, largest);
+	talloc_free(candidates->indices);
+	candidates->indices = talloc_array(chooser, uint32_t, largest);
+	talloc_free(candidates->limits);
+	candidates->limits = talloc_array(chooser, uint32_t, largest);
+}
+
+struct rt_chooser *rt_new_chooser(TALLOC_CTX *ctx, enum rt_policy policy,
+				  uint64_t seed)
+{
+	struct rt_chooser *chooser = talloc_zero(ctx, struct rt_chooser);
+
+	chooser->policy = policy;
+	chooser->random = seed;
+	chooser->memories = rt_new_memory_set(chooser);
+	return chooser;
+}
+
+const struct rt_target *rt_choose_target(struct rt_chooser *chooser,
+					 const struct rt_table *table,
+					 const struct rt_request *request,
+					 uint64_t now_ms,
+					 enum rt_refusal *refusal)
+{
+	const struct rt_target *target;
+	const char *version;
+
+	assert(request->tried_count <= RT_TRIED_MAX);
+	if (!request->service) {
+		*refusal = RT_REFUSAL_NO_SERVICE;
+		return NULL;
+	}
+	sync_table(chooser, table);
+	version = rt_choose_version(table, request);
+	target = choose_in_version(chooser, table, request, version, now_ms,
+				   refusal);
+	version = rt_get_other_version(request->service, version);
+	if (!target && version)
+		target = choose_in_version(chooser, table, request, version,
+					   now_ms, refusal);
+	return target;
+}
+
+void rt_note_start(struct rt_chooser *chooser, const char *address)
+{
+	rt_get_memory(chooser->memories, address)->here++;
+}
+
+void rt_note_end(struct rt_chooser *chooser, const char *address,
+		 enum rt_outcome outcome, const struct rt_load *load,
+		 uint64_t now_ms)
+{
+	struct rt_memory *memory = rt_get_memory(chooser->memories, address);
+
+	assert(memory->here > 0);
+	memory->here--;
+	rt_note_memory(memory, outcome, load, now_ms);
+	rt_release_memory(chooser->memories, memory);
+}
--- /dev/null
+++ b/src/routing/names.c
@@ -0,0 +1,69 @@
+/*
+ * Names of the routing enumerations, as they stand in headers, logs and
+ * counters.
+ */
+#include "loom/routing.h"
+
+#include <string.h>
+
+const char *rt_get_phase_name(enum rt_phase phase)
+{
+	switch (phase) {
+	case RT_PHASE_STARTING:
+		return "starting";
+	case RT_PHASE_SERVING:
+		return "serving";
+	case RT_PHASE_LEAVING:
+		return "leaving";
+	}
+	return "unknown";
+}
+
+bool rt_parse_phase(const char *name, enum rt_phase *phase)
+{
+	for (int i = RT_PHASE_STARTING; i <= RT_PHASE_LEAVING; i++) {
+		if (strcmp(name, rt_get_phase_name((enum rt_phase)i)) == 0) {
+			*phase = (enum rt_phase)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+const char *rt_get_refusal_name(enum rt_refusal refusal)
+{
+	switch (refusal) {
+	case RT_REFUSAL_NONE:
+		return "none";
+	case RT_REFUSAL_NO_SERVICE:
+		return "no_service";
+	case RT_REFUSAL_NO_ROUTE:
+		return "no_route";
+	case RT_REFUSAL_NO_TARGET:
+		return "no_target";
+	case RT_REFUSAL_DOMAINS_OUT:
+		return "domains_out";
+	}
+	return "unknown";
+}
+
+const char *rt_get_retry_name(enum rt_retry_verdict verdict)
+{
+	switch (verdict) {
+	case RT_RETRY_YES:
+		return "yes";
+	case RT_RETRY_NOT_REPEATABLE:
+		return "not_repeatable";
+	case RT_RETRY_ANSWER_BEGUN:
+		return "answer_begun";
+	case RT_RETRY_BODY_LOST:
+		return "body_lost";
+	case RT_RETRY_TOO_MANY:
+		return "too_many";
+	case RT_RETRY_DEADLINE:
+		return "deadline";
+	case RT_RETRY_BUDGET:
+		return "budget";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/src/routing/retry.c
@@ -0,0 +1,116 @@
+/*
+ * Retry budget and the decision whether an attempt is followed by another.
+ *
+ * The budget counts first attempts and retries in a ring of slices of time;
+ * the sums over the ring are the recent past. A retry is granted while the
+ * retries of the recent past stay within a share of the first attempts plus a
+ * constant.
+ *
+ * Invariant: the slice of an instant is instant / SLICE_MS % SLICE_COUNT, and
+ * slices between the last event and now are cleared before they are used.
+ */
+#include "loom/routing.h"
+
+#include <assert.h>
+#include <glib.h>
+
+#define SLICE_MS 1000U
+#define SLICE_COUNT 10U
+#define BUDGET_SHARE_PERMILLE 100U
+#define BUDGET_FLOOR 3U
+#define ATTEMPT_MAX 3U
+
+struct rt_slice {
+	uint32_t first_attempts;
+	uint32_t retries; /* of any kind */
+	uint32_t repeats; /* of those, after the call may have run */
+};
+
+struct rt_budget {
+	struct rt_slice slices[SLICE_COUNT];
+	uint64_t slice_number; /* of the last event */
+};
+
+static struct rt_slice *get_slice(struct rt_budget *budget, uint64_t now_ms)
+{
+	uint64_t number = now_ms / SLICE_MS;
+
+	if (number > budget->slice_number + SLICE_COUNT)
+		budget->slice_number = number - SLICE_COUNT;
+	while (budget->slice_number < number) {
+		budget->slice_number++;
+		budget->slices[budget->slice_number % SLICE_COUNT] =
+			(struct rt_slice){ 0 };
+	}
+	return &budget->slices[budget->slice_number % SLICE_COUNT];
+}
+
+/*
+ * A repeat runs the whole tree of calls below it again, so its share falls
+ * with the depth: the product over all levels stays bounded. A call that was
+ * not run repeats nothing below it and has the full share at each level.
+ */
+static uint32_t get_repeat_share_permille(uint32_t depth)
+{
+	return BUDGET_SHARE_PERMILLE / (depth + 1);
+}
+
+static bool is_within(uint32_t spent, uint32_t first_attempts,
+		      uint32_t share_permille)
+{
+	uint64_t earned = (uint64_t)first_attempts * share_permille / 1000;
+
+	return spent < earned + BUDGET_FLOOR;
+}
+
+static bool spend(struct rt_budget *budget, const struct rt_retry *retry)
+{
+	struct rt_slice *slice = get_slice(budget, retry->now_ms);
+	struct rt_slice sum = { 0 };
+
+	for (uint32_t i = 0; i < SLICE_COUNT; i++) {
+		sum.first_attempts += budget->slices[i].first_attempts;
+		sum.retries += budget->slices[i].retries;
+		sum.repeats += budget->slices[i].repeats;
+	}
+	if (!is_within(sum.retries, sum.first_attempts, BUDGET_SHARE_PERMILLE))
+		return false;
+	if (!retry->is_not_run &&
+	    !is_within(sum.repeats, sum.first_attempts,
+		       get_repeat_share_permille(retry->depth)))
+		return false;
+	slice->retries++;
+	if (!retry->is_not_run)
+		slice->repeats++;
+	return true;
+}
+
+struct rt_budget *rt_new_budget(TALLOC_CTX *ctx)
+{
+	return talloc_zero(ctx, struct rt_budget);
+}
+
+void rt_credit_budget(struct rt_budget *budget, uint64_t now_ms)
+{
+	get_slice(budget, now_ms)->first_attempts++;
+}
+
+enum rt_retry_verdict rt_decide_retry(struct rt_budget *budget,
+				      const struct rt_retry *retry)
+{
+	assert(retry->attempt_count > 0);
+	/* Trying again is for calls that got no answer and still have a caller.
+	 */
+	if (retry->is_answer_begun || retry->outcome == RT_OUTCOME_ANSWERED ||
+	    retry->outcome == RT_OUTCOME_CANCELLED)
+		return RT_RETRY_ANSWER_BEGUN;
+	if (!retry->is_not_run && !retry->is_repeatable)
+		return RT_RETRY_NOT_REPEATABLE;
+	if (!retry->is_body_kept)
+		return RT_RETRY_BODY_LOST;
+	if (retry->attempt_count >= ATTEMPT_MAX)
+		return RT_RETRY_TOO_MANY;
+	if (retry->now_ms >= retry->deadline_ms)
+		return RT_RETRY_DEADLINE;
+	return spend(budget, retry) ? RT_RETRY_YES : RT_RETRY_BUDGET;
+}
--- /dev/null
+++ b/src/routing/table.c
@@ -0,0 +1,175 @@
+/*
+ * Immutable routing table.
+ *
+ * Entries stand in one array ordered by service, version, own failure domain
+ * first, distance and address; a group is a run of entries of one service and
+ * version, a tier a run of one distance within a group. Groups are ordered and
+ * found by binary search.
+ *
+ * Invariants: nothing but the reference count changes after rt_new_table(); a
+ * table is the root of its own talloc hierarchy, so that its last holder may
+ * free it on any thread.
+ */
+#include "table.h"
+
+#include <assert.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+static _Atomic uint64_t last_serial;
+
+static int compare_versions(const char *service_a, const char *version_a,
+			    const char *service_b, const char *version_b)
+{
+	int order = strcmp(service_a, service_b);
+
+	return order ? order : strcmp(version_a, version_b);
+}
+
+static int compare_numbers(uint32_t a, uint32_t b)
+{
+	return (a > b) - (a < b);
+}
+
+/* The tier holds 0 for the own failure domain and 1 for others here. */
+static int compare_entries(const void *left, const void *right)
+{
+	const struct rt_entry *a = left;
+	const struct rt_entry *b = right;
+	int order = compare_versions(a->target.service, a->target.version,
+				     b->target.service, b->target.version);
+
+	if (order == 0)
+		order = compare_numbers(a->tier, b->tier);
+	if (order == 0 && a->tier > 0)
+		order = compare_numbers(a->target.distance_us,
+					b->target.distance_us);
+	if (order == 0)
+		order = strcmp(a->target.address, b->target.address);
+	return order;
+}
+
+static int compare_groups(const void *left, const void *right)
+{
+	const struct rt_group *a = left;
+	const struct rt_group *b = right;
+
+	return compare_versions(a->service, a->version, b->service, b->version);
+}
+
+static void copy_target(struct rt_table *table, struct rt_entry *entry,
+			const struct rt_target *target)
+{
+	entry->target = *target;
+	entry->target.address = talloc_strdup(table->entries, target->address);
+	entry->target.failure_domain =
+		talloc_strdup(table->entries, target->failure_domain);
+	entry->target.service = talloc_strdup(table->entries, target->service);
+	entry->target.version = talloc_strdup(table->entries, target->version);
+	entry->is_domain_out =
+		doc_is_domain_out(table->snapshot, target->failure_domain);
+	entry->tier =
+		strcmp(target->failure_domain, table->own_domain) == 0 ? 0 : 1;
+}
+
+static bool is_same_version(const struct rt_entry *a, const struct rt_entry *b)
+{
+	return compare_versions(a->target.service, a->target.version,
+				b->target.service, b->target.version) == 0;
+}
+
+static void number_tier(struct rt_entry *entry, const struct rt_entry *previous)
+{
+	bool is_nearer = entry->tier == 0;
+
+	if (is_nearer)
+		return;
+	if (previous->tier > 0 &&
+	    previous->target.distance_us == entry->target.distance_us)
+		entry->tier = previous->tier;
+	else
+		entry->tier = previous->tier + 1;
+}
+
+static void build_groups(struct rt_table *table)
+{
+	struct rt_group *group = NULL;
+
+	table->groups =
+		talloc_array(table, struct rt_group, table->entry_count);
+	for (size_t i = 0; i < table->entry_count; i++) {
+		struct rt_entry *entry = &table->entries[i];
+
+		if (group && is_same_version(entry - 1, entry)) {
+			number_tier(entry, entry - 1);
+			group->count++;
+			continue;
+		}
+		group = &table->groups[table->group_count++];
+		group->service = entry->target.service;
+		group->version = entry->target.version;
+		group->first = i;
+		group->count = 1;
+	}
+}
+
+const struct rt_group *rt_find_group(const struct rt_table *table,
+				     const char *service, const char *version)
+{
+	struct rt_group key = { .service = service, .version = version };
+
+	if (table->group_count == 0)
+		return NULL;
+	return bsearch(&key, table->groups, table->group_count, sizeof(key),
+		       compare_groups);
+}
+
+struct rt_table *rt_new_table(struct doc_snapshot *snapshot,
+			      const struct rt_target *targets,
+			      size_t target_count, const char *own_domain)
+{
+	struct rt_table *table = talloc_zero(NULL, struct rt_table);
+
+	assert(snapshot && own_domain);
+	assert(targets || target_count == 0);
+	table->references = 1;
+	table->serial = atomic_fetch_add(&last_serial, 1) + 1;
+	table->snapshot = doc_ref_snapshot(snapshot);
+	table->own_domain = talloc_strdup(table, own_domain);
+	table->entries =
+		talloc_zero_array(table, struct rt_entry, target_count);
+	table->entry_count = target_count;
+	for (size_t i = 0; i < target_count; i++)
+		copy_target(table, &table->entries[i], &targets[i]);
+	if (target_count > 0)
+		qsort(table->entries, target_count, sizeof(*table->entries),
+		      compare_entries);
+	build_groups(table);
+	return table;
+}
+
+struct rt_table *rt_ref_table(struct rt_table *table)
+{
+	atomic_fetch_add(&table->references, 1);
+	return table;
+}
+
+void rt_unref_table(struct rt_table *table)
+{
+	uint32_t left;
+
+	if (!table)
+		return;
+	left = atomic_fetch_sub(&table->references, 1) - 1;
+	assert(left != UINT32_MAX);
+	if (left > 0)
+		return;
+	doc_unref_snapshot(table->snapshot);
+	talloc_free(table);
+}
+
+struct doc_snapshot *rt_get_snapshot(const struct rt_table *table)
+{
+	return table->snapshot;
+}
--- /dev/null
+++ b/src/routing/table.h
@@ -0,0 +1,39 @@
+/*
+ * Inside of the routing table, for the other files of this slice.
+ */
+#ifndef LOOM_ROUTING_TABLE_H
+#define LOOM_ROUTING_TABLE_H
+
+#include "loom/routing.h"
+
+/* A target with what the table derives from it. */
+struct rt_entry {
+	struct rt_target target;
+	bool is_domain_out;
+	uint32_t tier; /* 0: own failure domain; rises with the distance */
+};
+
+/* The targets of one version of one service. */
+struct rt_group {
+	const char *service; /* borrowed from the first entry */
+	const char *version; /* borrowed from the first entry */
+	size_t first;	     /* index of the first entry */
+	size_t count;
+};
+
+struct rt_table {
+	_Atomic uint32_t references;
+	uint64_t serial; /* unique in the process */
+	struct doc_snapshot *snapshot;
+	const char *own_domain;
+	struct rt_entry *entries;
+	size_t entry_count;
+	struct rt_group *groups; /* ordered by service and version */
+	size_t group_count;
+};
+
+/* Returns the group of a version (borrowed), or NULL. */
+const struct rt_group *rt_find_group(const struct rt_table *table,
+				     const char *service, const char *version);
+
+#endif
