Add membership: SWIM state machine on ONC RPC datagrams

Cause: nodes need to know which others live and which target each of them announces, without a list on the platform.

Ruled out for now: acknowledgements as RPC replies; an ACK has to carry records and a digest like every other call, so it is a one-way call with the xid of the ping.

The fault cases are not tested yet.

--- a/include/loom/membership.h
+++ b/include/loom/membership.h
@@ -28,7 +28,7 @@
 /* What a node tells the others about itself. */
 struct mem_self {
 	const char *address;  /* IP number; the same for all its ports */
-	uint16_t gossip_port; /* UDP */
+	uint16_t gossip_port; /* UDP; 0 in options: the kernel chooses */
 	uint16_t hop_port;    /* calls from other nodes */
 	uint16_t admin_port;  /* HTTP: manifest and documents for peers */
 	const char *failure_domain;
@@ -93,4 +93,7 @@
 size_t mem_list_members(struct mem_service *service,
 			const struct mem_member **members);
 
+/* Returns the UDP port in use, also when the kernel chose it. */
+uint16_t mem_get_gossip_port(const struct mem_service *service);
+
 #endif
--- /dev/null
+++ b/src/membership/machine.c
@@ -0,0 +1,472 @@
+/*
+ * State machine of membership.
+ *
+ * Each probe period one member, taken round-robin from a shuffled list, is
+ * pinged; when it does not answer in time, a few others are asked to ping it;
+ * when the period ends without an answer it is suspect, and dead when the
+ * suspicion ends without a refutation. Updates ride on every message and are
+ * pushed to a few members on each tick; digests on every message show what a
+ * push missed. Invariant: at most one probe is in progress, and its member may
+ * have gone from the table meanwhile.
+ */
+#include "machine.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include "merge.h"
+#include "send.h"
+#include "loom/error.h"
+
+/* Peers that are asked to probe a member that did not answer. */
+#define INDIRECT_COUNT 3U
+
+/* Seeds contacted at a time while no member is known. */
+#define SEED_COUNT 3U
+
+/* Periods between contacts of seeds, and between probes of dead members. */
+#define SEED_PERIODS 15U
+#define DEAD_PROBE_PERIODS 3U
+
+static int destroy_machine(struct mem_machine *machine)
+{
+	g_rand_free(machine->random);
+	g_ptr_array_free(machine->seeds, TRUE);
+	g_ptr_array_free(machine->probe_order, TRUE);
+	return 0;
+}
+
+static void begin_step(struct mem_machine *machine, uint64_t now_ms)
+{
+	TALLOC_FREE(machine->step);
+	machine->step = talloc_zero(machine, struct mem_step);
+	mem_set_step_time(machine, now_ms);
+}
+
+static void send_ping(struct mem_machine *machine, uint32_t xid,
+		      const char *address, uint16_t port)
+{
+	struct mem_entry *entry = mem_find_entry(machine->table, address);
+	struct mem_entry *about[2] = { 0 };
+
+	/*
+	 * A member that we do not hold alive is told so, to refute it, and
+	 * told about us, since it may hold the same of us.
+	 */
+	if (!entry || entry->member.state != MEM_STATE_ALIVE) {
+		about[0] = entry;
+		about[1] = mem_get_self(machine->table);
+	} else if (entry->is_doubted) {
+		about[0] = entry;
+	}
+	mem_add_send(machine, MEM_PING, xid, address, port, about, 2);
+}
+
+static void fill_probe_order(struct mem_machine *machine)
+{
+	const GPtrArray *entries = machine->table->entries;
+	GPtrArray *order = machine->probe_order;
+
+	for (guint i = 1; i < entries->len; i++) {
+		const struct mem_entry *entry = g_ptr_array_index(entries, i);
+
+		if (mem_is_live(entry->member.state))
+			g_ptr_array_add(order,
+					g_strdup(entry->member.self.address));
+	}
+	for (guint i = order->len; i > 1; i--) {
+		guint j =
+			(guint)g_rand_int_range(machine->random, 0, (gint32)i);
+		gpointer swapped = order->pdata[i - 1];
+
+		order->pdata[i - 1] = order->pdata[j];
+		order->pdata[j] = swapped;
+	}
+}
+
+static struct mem_entry *find_doubted(const struct mem_machine *machine)
+{
+	const GPtrArray *entries = machine->table->entries;
+
+	for (guint i = 1; i < entries->len; i++) {
+		struct mem_entry *entry = g_ptr_array_index(entries, i);
+
+		if (entry->is_doubted)
+			return entry;
+	}
+	return NULL;
+}
+
+/* Returns the member to probe next (borrowed), or NULL. */
+static struct mem_entry *choose_probe(struct mem_machine *machine)
+{
+	GPtrArray *order = machine->probe_order;
+	struct mem_entry *entry = find_doubted(machine);
+
+	if (entry)
+		return entry;
+	if (order->len == 0)
+		fill_probe_order(machine);
+	while (order->len > 0) {
+		entry = mem_find_entry(machine->table,
+				       order->pdata[order->len - 1]);
+		g_ptr_array_set_size(order, (gint)order->len - 1);
+		if (entry && mem_is_live(entry->member.state))
+			return entry;
+	}
+	return NULL;
+}
+
+static void start_probe(struct mem_machine *machine)
+{
+	struct mem_entry *entry = choose_probe(machine);
+	struct mem_probe *probe = &machine->probe;
+
+	if (!entry)
+		return;
+	probe->address = talloc_strdup(machine, entry->member.self.address);
+	probe->xid = g_rand_int(machine->random);
+	probe->timeout_at_ms = machine->now_ms + machine->probe_timeout_ms;
+	probe->is_indirect = false;
+	send_ping(machine, probe->xid, probe->address,
+		  entry->member.self.gossip_port);
+	entry->is_doubted = false;
+}
+
+static void end_probe(struct mem_machine *machine)
+{
+	struct mem_entry *entry;
+
+	if (!machine->probe.address)
+		return;
+	entry = mem_find_entry(machine->table, machine->probe.address);
+	TALLOC_FREE(machine->probe.address);
+	if (!entry || entry->member.state != MEM_STATE_ALIVE)
+		return;
+	mem_set_verdict(machine, entry, MEM_STATE_SUSPECT);
+	send_ping(machine, 0, entry->member.self.address,
+		  entry->member.self.gossip_port);
+}
+
+static void ask_peers(struct mem_machine *machine)
+{
+	struct mem_entry *peers[INDIRECT_COUNT];
+	struct mem_entry *entry;
+	uint32_t count;
+
+	machine->probe.is_indirect = true;
+	entry = mem_find_entry(machine->table, machine->probe.address);
+	if (!entry)
+		return;
+	count = mem_choose_peers(machine, INDIRECT_COUNT, entry, peers);
+	for (uint32_t i = 0; i < count; i++) {
+		const struct mem_self *self = &peers[i]->member.self;
+		struct mem_send *send;
+
+		send = mem_add_send(machine, MEM_INDIRECT, machine->probe.xid,
+				    self->address, self->gossip_port, NULL, 0);
+		send->message.subject.address = machine->probe.address;
+		send->message.subject.gossip_port =
+			entry->member.self.gossip_port;
+	}
+}
+
+static void run_probe(struct mem_machine *machine)
+{
+	if (machine->probe.address && !machine->probe.is_indirect &&
+	    machine->now_ms >= machine->probe.timeout_at_ms)
+		ask_peers(machine);
+	if (machine->now_ms < machine->next_probe_ms)
+		return;
+	machine->next_probe_ms = machine->now_ms + machine->probe_period_ms;
+	end_probe(machine);
+	start_probe(machine);
+}
+
+static void contact_seeds(struct mem_machine *machine)
+{
+	const GPtrArray *seeds = machine->seeds;
+	bool is_alone = machine->table->live_count == 1;
+	uint32_t wanted = is_alone ? SEED_COUNT : 1;
+	guint start;
+
+	if (machine->now_ms < machine->next_seed_ms || seeds->len == 0)
+		return;
+	machine->next_seed_ms =
+		machine->now_ms +
+		(is_alone ? 1 : SEED_PERIODS) * machine->probe_period_ms;
+	start = (guint)g_rand_int_range(machine->random, 0, (gint32)seeds->len);
+	for (guint i = 0; i < seeds->len && wanted > 0; i++) {
+		const struct mem_endpoint *seed =
+			seeds->pdata[(start + i) % seeds->len];
+		struct mem_entry *entry =
+			mem_find_entry(machine->table, seed->address);
+
+		if (entry && mem_is_live(entry->member.state))
+			continue;
+		send_ping(machine, 0, seed->address, seed->port);
+		wanted--;
+	}
+}
+
+static void probe_dead(struct mem_machine *machine)
+{
+	const GPtrArray *entries = machine->table->entries;
+	guint start;
+
+	if (machine->now_ms < machine->next_dead_probe_ms)
+		return;
+	machine->next_dead_probe_ms =
+		machine->now_ms + DEAD_PROBE_PERIODS * machine->probe_period_ms;
+	start = (guint)g_rand_int_range(machine->random, 0,
+					(gint32)entries->len);
+	for (guint i = 0; i < entries->len; i++) {
+		const struct mem_entry *entry =
+			entries->pdata[(start + i) % entries->len];
+		const struct mem_self *self = &entry->member.self;
+
+		if (entry->member.state != MEM_STATE_DEAD)
+			continue;
+		send_ping(machine, 0, self->address, self->gossip_port);
+		return;
+	}
+}
+
+/*
+ * After a pause nothing that was waited for is overdue: answers may wait in
+ * the socket. Suspicions start anew and the probe is forgotten.
+ */
+static void forgive_pause(struct mem_machine *machine)
+{
+	const GPtrArray *entries = machine->table->entries;
+
+	TALLOC_FREE(machine->probe.address);
+	for (guint i = 1; i < entries->len; i++) {
+		struct mem_entry *entry = g_ptr_array_index(entries, i);
+
+		if (entry->member.state == MEM_STATE_SUSPECT)
+			entry->state_until_ms =
+				machine->now_ms + machine->suspicion_ms;
+	}
+}
+
+static void note_sender(struct mem_machine *machine, const char *address,
+			const mem_wire_update *update)
+{
+	struct mem_entry *entry = mem_find_entry(machine->table, address);
+	struct mem_step *step = machine->step;
+
+	if (entry &&
+	    update->manifest_sequence > entry->member.manifest_sequence)
+		entry->member.manifest_sequence = update->manifest_sequence;
+	if (update->manifest_sequence <= machine->sequence)
+		return;
+	step->newer_sequence = update->manifest_sequence;
+	step->newer_peer =
+		talloc_asprintf(step, "%s:%u", address, update->admin_port);
+}
+
+/* Returns the entry of a sender that has to learn it (borrowed), or NULL. */
+static struct mem_entry *find_correction(const struct mem_machine *machine,
+					 const char *address,
+					 const mem_wire_update *update)
+{
+	struct mem_entry *entry = mem_find_entry(machine->table, address);
+
+	if (!entry || entry == mem_get_self(machine->table))
+		return NULL;
+	if (entry->member.state != MEM_STATE_ALIVE)
+		return entry;
+	for (u_int i = 0; i < update->records.records_len; i++) {
+		const mem_wire_record *record = &update->records.records_val[i];
+
+		if (strcmp(record->address, address) != 0)
+			continue;
+		/* A restarted node that does not know its past. */
+		if (record->incarnation <= entry->member.incarnation)
+			return entry;
+	}
+	return NULL;
+}
+
+static void relay_probe(struct mem_machine *machine, const char *address,
+			uint16_t port, const struct mem_message *message)
+{
+	struct mem_relay *relay;
+
+	relay = &machine->relays[machine->relay_next++ % MEM_RELAY_COUNT];
+	g_strlcpy(relay->address, address, sizeof(relay->address));
+	relay->port = port;
+	relay->asked_xid = message->xid;
+	relay->probe_xid = g_rand_int(machine->random);
+	send_ping(machine, relay->probe_xid, message->subject.address,
+		  (uint16_t)message->subject.gossip_port);
+}
+
+static void handle_ack(struct mem_machine *machine, uint32_t xid)
+{
+	if (machine->probe.address && machine->probe.xid == xid) {
+		TALLOC_FREE(machine->probe.address);
+		return;
+	}
+	for (uint32_t i = 0; i < MEM_RELAY_COUNT; i++) {
+		struct mem_relay *relay = &machine->relays[i];
+
+		if (relay->port == 0 || relay->probe_xid != xid)
+			continue;
+		mem_add_send(machine, MEM_ACK, relay->asked_xid, relay->address,
+			     relay->port, NULL, 0);
+		relay->port = 0;
+		return;
+	}
+}
+
+static void answer_message(struct mem_machine *machine, const char *address,
+			   uint16_t port, const struct mem_message *message)
+{
+	struct mem_entry *about[2];
+
+	about[0] = find_correction(machine, address, &message->update);
+	about[1] = about[0] ? mem_get_self(machine->table) : NULL;
+	switch (message->procedure) {
+	case MEM_PING:
+		mem_add_send(machine, MEM_ACK, message->xid, address, port,
+			     about, 2);
+		return;
+	case MEM_ACK:
+		handle_ack(machine, message->xid);
+		break;
+	case MEM_INDIRECT:
+		relay_probe(machine, address, port, message);
+		break;
+	case MEM_PULL:
+		mem_send_pages(machine, address, port, &message->buckets);
+		break;
+	default:
+		break;
+	}
+	if (about[0])
+		mem_add_send(machine, MEM_GOSSIP, 0, address, port, about, 2);
+}
+
+struct mem_machine *mem_new_machine(TALLOC_CTX *ctx,
+				    const struct mem_options *options,
+				    uint64_t now_ms)
+{
+	struct mem_machine *machine = talloc_zero(ctx, struct mem_machine);
+	guint32 seed[2] = { (guint32)options->seed,
+			    (guint32)(options->seed >> 32) };
+
+	machine->probe_period_ms = options->probe_period_ms;
+	machine->probe_timeout_ms = options->probe_timeout_ms;
+	machine->suspicion_ms = options->suspicion_ms;
+	machine->random = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
+	machine->seeds = g_ptr_array_new();
+	machine->probe_order = g_ptr_array_new_with_free_func(g_free);
+	talloc_set_destructor(machine, destroy_machine);
+	machine->table = mem_new_table(machine, &options->self);
+	machine->now_ms = now_ms;
+	machine->last_tick_ms = now_ms;
+	machine->next_probe_ms =
+		now_ms + (uint64_t)g_rand_int_range(
+				 machine->random, 0,
+				 (gint32)options->probe_period_ms + 1);
+	return machine;
+}
+
+bool mem_add_machine_seed(struct mem_machine *machine, const char *seed,
+			  GError **error)
+{
+	struct mem_endpoint *endpoint;
+	const char *colon = strrchr(seed, ':');
+	struct in6_addr parsed;
+	guint64 port = 0;
+	char *address;
+
+	address = colon ? talloc_strndup(machine, seed, (size_t)(colon - seed))
+			: talloc_strdup(machine, seed);
+	if (!colon ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &port,
+					NULL) ||
+	    (inet_pton(AF_INET, address, &parsed) != 1 &&
+	     inet_pton(AF_INET6, address, &parsed) != 1)) {
+		err_set(error, ERR_INVALID_ARGUMENT, "add seed", seed,
+			"got \"%s\", wanted \"IP:port\"", seed);
+		talloc_free(address);
+		return false;
+	}
+	endpoint = talloc_zero(machine, struct mem_endpoint);
+	endpoint->address = talloc_steal(endpoint, address);
+	endpoint->port = (uint16_t)port;
+	g_ptr_array_add(machine->seeds, endpoint);
+	return true;
+}
+
+const struct mem_step *mem_step_tick(struct mem_machine *machine,
+				     uint64_t now_ms)
+{
+	begin_step(machine, now_ms);
+	if (now_ms > machine->last_tick_ms + machine->probe_period_ms)
+		forgive_pause(machine);
+	machine->last_tick_ms = now_ms;
+	mem_expire_entries(machine);
+	run_probe(machine);
+	contact_seeds(machine);
+	probe_dead(machine);
+	mem_push_gossip(machine);
+	return machine->step;
+}
+
+const struct mem_step *mem_step_message(struct mem_machine *machine,
+					const char *address, uint16_t port,
+					const struct mem_message *message,
+					uint64_t now_ms)
+{
+	begin_step(machine, now_ms);
+	mem_apply_records(machine, message);
+	note_sender(machine, address, &message->update);
+	answer_message(machine, address, port, message);
+	mem_consider_pull(machine, address, port, &message->update);
+	return machine->step;
+}
+
+const struct mem_step *mem_step_announce(struct mem_machine *machine,
+					 const char *service,
+					 const char *version,
+					 enum rt_phase phase, uint64_t now_ms)
+{
+	const struct mem_member *member = &mem_get_self(machine->table)->member;
+	struct mem_self self = member->self;
+
+	begin_step(machine, now_ms);
+	self.service = service;
+	self.version = version;
+	self.phase = phase;
+	mem_publish_self(machine, &self, member->state, 0);
+	mem_push_gossip(machine);
+	return machine->step;
+}
+
+const struct mem_step *mem_step_sequence(struct mem_machine *machine,
+					 uint64_t sequence, uint64_t now_ms)
+{
+	begin_step(machine, now_ms);
+	if (sequence <= machine->sequence)
+		return machine->step;
+	machine->sequence = sequence;
+	mem_get_self(machine->table)->member.manifest_sequence = sequence;
+	mem_set_hint(machine);
+	mem_push_gossip(machine);
+	return machine->step;
+}
+
+const struct mem_step *mem_step_leave(struct mem_machine *machine,
+				      uint64_t now_ms)
+{
+	struct mem_self self = mem_get_self(machine->table)->member.self;
+
+	begin_step(machine, now_ms);
+	self.phase = RT_PHASE_LEAVING;
+	mem_publish_self(machine, &self, MEM_STATE_LEFT, 0);
+	mem_push_gossip(machine);
+	return machine->step;
+}
--- /dev/null
+++ b/src/membership/send.c
@@ -0,0 +1,249 @@
+/*
+ * Messages that a step sends.
+ *
+ * Every message carries the digest and piggybacks updates. Gossip and pages are
+ * paid from one credit of bytes, so that a herd of updates cannot exceed the
+ * control budget of a node; probes are few and go without.
+ */
+#include "send.h"
+
+#include <string.h>
+
+/* Bytes a second that gossip and pages may take, and their burst. */
+#define CREDIT_BYTES_PER_S 6000
+#define CREDIT_BURST_BYTES 12000
+
+/* Members that one push goes to. */
+#define GOSSIP_FANOUT 3U
+
+/* Datagrams that answer one pull. */
+#define PAGE_LIMIT 6U
+
+/* A pull is worth its bytes once updates in flight have settled ... */
+#define PULL_SETTLED_PERIODS 2U
+/* ... or after this long, and never more often than twice a period. */
+#define PULL_LATEST_PERIODS 5U
+
+/* Sends of one update: SEND_FACTOR * log2(members). */
+#define SEND_FACTOR 3U
+
+static uint32_t get_send_limit(const struct mem_machine *machine)
+{
+	uint32_t count = machine->table->live_count;
+	uint32_t limit = SEND_FACTOR * (g_bit_storage(count) + 1);
+
+	return MIN(limit, MEM_SEND_LIMIT);
+}
+
+static void fill_digest(const struct mem_machine *machine,
+			mem_wire_update *update)
+{
+	const struct mem_table *table = machine->table;
+
+	update->manifest_sequence = machine->sequence;
+	update->table_hash = table->live_hash;
+	update->live_count = table->live_count;
+	update->admin_port = mem_get_self(table)->member.self.admin_port;
+}
+
+static struct mem_send *add_empty_send(struct mem_machine *machine,
+				       uint32_t procedure, uint32_t xid,
+				       const char *address, uint16_t port)
+{
+	struct mem_step *step = machine->step;
+	struct mem_send *send;
+
+	step->sends = talloc_realloc(step, step->sends, struct mem_send,
+				     step->send_count + 1);
+	send = &step->sends[step->send_count++];
+	memset(send, 0, sizeof(*send));
+	send->address = talloc_strdup(step, address);
+	send->port = port;
+	send->message.procedure = procedure;
+	send->message.xid = xid;
+	fill_digest(machine, &send->message.update);
+	send->message.update.records.records_val =
+		talloc_array(step, mem_wire_record, MEM_RECORD_LIMIT);
+	return send;
+}
+
+/* Returns the encoded size of a message. */
+static size_t get_send_size(const struct mem_send *send)
+{
+	const mem_wire_update *update = &send->message.update;
+	size_t size = mem_get_empty_size(send->message.procedure);
+
+	for (u_int i = 0; i < update->records.records_len; i++)
+		size += mem_get_record_size(&update->records.records_val[i]);
+	return size;
+}
+
+static void add_record(struct mem_send *send, const struct mem_entry *entry)
+{
+	mem_wire_update *update = &send->message.update;
+
+	mem_fill_record(
+		entry,
+		&update->records.records_val[update->records.records_len++]);
+}
+
+static void add_updates(struct mem_machine *machine, struct mem_send *send)
+{
+	mem_wire_update *update = &send->message.update;
+	u_int count = update->records.records_len;
+
+	update->records.records_len += mem_take_updates(
+		machine->table, &update->records.records_val[count],
+		MEM_RECORD_LIMIT - count,
+		MEM_DATAGRAM_SIZE - get_send_size(send),
+		get_send_limit(machine));
+}
+
+static void refill_credit(struct mem_machine *machine, uint64_t elapsed_ms)
+{
+	machine->credit_bytes +=
+		(int64_t)MIN(elapsed_ms, 10000) * CREDIT_BYTES_PER_S / 1000;
+	machine->credit_bytes = MIN(machine->credit_bytes, CREDIT_BURST_BYTES);
+}
+
+void mem_set_step_time(struct mem_machine *machine, uint64_t now_ms)
+{
+	if (now_ms <= machine->now_ms)
+		return;
+	refill_credit(machine, now_ms - machine->now_ms);
+	machine->now_ms = now_ms;
+}
+
+struct mem_send *mem_add_send(struct mem_machine *machine, uint32_t procedure,
+			      uint32_t xid, const char *address, uint16_t port,
+			      struct mem_entry *const *about,
+			      size_t about_count)
+{
+	struct mem_send *send;
+
+	send = add_empty_send(machine, procedure, xid, address, port);
+	for (size_t i = 0; i < about_count; i++)
+		if (about[i])
+			add_record(send, about[i]);
+	add_updates(machine, send);
+	return send;
+}
+
+uint32_t mem_choose_peers(struct mem_machine *machine, uint32_t count,
+			  const struct mem_entry *except,
+			  struct mem_entry **peers)
+{
+	const GPtrArray *entries = machine->table->entries;
+	uint32_t seen = 0;
+
+	/* Reservoir sampling; entry 0 is the local node. */
+	for (guint i = 1; i < entries->len; i++) {
+		struct mem_entry *entry = g_ptr_array_index(entries, i);
+		uint32_t place;
+
+		if (entry == except || !mem_is_live(entry->member.state))
+			continue;
+		place = seen++;
+		if (place >= count)
+			place = (uint32_t)g_rand_int_range(machine->random, 0,
+							   (gint32)seen);
+		if (place < count)
+			peers[place] = entry;
+	}
+	return MIN(seen, count);
+}
+
+void mem_set_hint(struct mem_machine *machine)
+{
+	machine->hint_count = get_send_limit(machine);
+}
+
+void mem_push_gossip(struct mem_machine *machine)
+{
+	struct mem_entry *peers[GOSSIP_FANOUT];
+	uint32_t count;
+
+	count = mem_choose_peers(machine, GOSSIP_FANOUT, NULL, peers);
+	for (uint32_t i = 0; i < count; i++) {
+		const struct mem_self *self = &peers[i]->member.self;
+		struct mem_send *send;
+
+		if (machine->credit_bytes <= 0)
+			return;
+		if (machine->table->queued_count == 0 &&
+		    machine->hint_count == 0)
+			return;
+		if (machine->hint_count > 0)
+			machine->hint_count--;
+		send = mem_add_send(machine, MEM_GOSSIP, 0, self->address,
+				    self->gossip_port, NULL, 0);
+		machine->credit_bytes -= (int64_t)get_send_size(send);
+	}
+}
+
+void mem_consider_pull(struct mem_machine *machine, const char *address,
+		       uint16_t port, const mem_wire_update *update)
+{
+	const struct mem_table *table = machine->table;
+	uint32_t period_ms = machine->probe_period_ms;
+	bool is_far_behind;
+	bool is_settled;
+	bool is_late;
+	struct mem_send *send;
+
+	if (update->table_hash == table->live_hash ||
+	    machine->now_ms < machine->next_pull_ms)
+		return;
+	is_far_behind =
+		update->live_count > table->live_count + table->live_count / 8;
+	is_settled = machine->now_ms >=
+		     machine->settled_ms + PULL_SETTLED_PERIODS * period_ms;
+	is_late = machine->now_ms >=
+		  machine->last_pull_ms + PULL_LATEST_PERIODS * period_ms;
+	if (!is_far_behind && !is_settled && !is_late)
+		return;
+	machine->last_pull_ms = machine->now_ms;
+	machine->next_pull_ms = machine->now_ms + period_ms / 2;
+	send = mem_add_send(machine, MEM_PULL, 0, address, port, NULL, 0);
+	memcpy(send->message.buckets.hashes, table->bucket_hashes,
+	       sizeof(table->bucket_hashes));
+}
+
+void mem_send_pages(struct mem_machine *machine, const char *address,
+		    uint16_t port, const mem_wire_buckets *buckets)
+{
+	const struct mem_table *table = machine->table;
+	guint count = table->entries->len;
+	guint start =
+		(guint)g_rand_int_range(machine->random, 0, (gint32)count);
+	struct mem_send *send = NULL;
+	uint32_t pages = 0;
+	size_t left = 0;
+
+	/* A random start gives a puller that loses pages the others next. */
+	for (guint i = 0; i < count && machine->credit_bytes > 0; i++) {
+		struct mem_entry *entry =
+			g_ptr_array_index(table->entries, (start + i) % count);
+		mem_wire_record record;
+		size_t size;
+
+		if (buckets->hashes[entry->bucket] ==
+		    table->bucket_hashes[entry->bucket])
+			continue;
+		mem_fill_record(entry, &record);
+		size = mem_get_record_size(&record);
+		if (size > left) {
+			if (pages++ == PAGE_LIMIT)
+				return;
+			send = add_empty_send(machine, MEM_PAGE, 0, address,
+					      port);
+			left = MEM_DATAGRAM_SIZE - get_send_size(send);
+			machine->credit_bytes -= (int64_t)MEM_DATAGRAM_SIZE;
+		}
+		left -= size;
+		if (send->message.update.records.records_len ==
+		    MEM_RECORD_LIMIT)
+			return;
+		add_record(send, entry);
+	}
+}
