Add fold, difference and scripted tests of documents

The fold is a pure function over the current manifest and the proposals.

A missing field now says what was wanted. Ruled out: judging removals before documents, since a document that is rejected later would then have kept a removal from taking effect or the other way round; documents are judged with removals still in force.

--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -13,12 +13,15 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <glib.h>
+#include <jansson.h>
 #include <talloc.h>
 #include "loom/problem.h"
 
 #define DOC_SHARE_ALL_PERMILLE 1000U
 /* Largest text of a document or a manifest. */
 #define DOC_TEXT_BYTES_MAX (1024U * 1024U)
+/* Services of a manifest, which then stays below DOC_TEXT_BYTES_MAX. */
+#define DOC_SERVICES_MAX 5000U
 
 /* Whether a request of a route may be sent to a target more than once. */
 enum doc_repeat {
@@ -109,8 +112,9 @@
 				      struct doc_problem_list *list);
 
 /*
- * Returns the route of the longest matching path prefix that allows the
- * method (borrowed from service), or NULL.
+ * Returns the route of the longest path prefix on segment borders that allows
+ * the method (borrowed from service), or NULL. Escapes in path are decoded and
+ * its query is passed over; a path with a segment "." or ".." has no route.
  */
 const struct doc_route *doc_find_route(const struct doc_service *service,
 				       const char *method, const char *path);
@@ -187,13 +191,80 @@
 				 const char *name);
 
 /*
- * Checks that every service named by a document's "calls" is in services and
- * that none of them is removed while still named. Adds problems to list;
- * returns whether there were none.
+ * Checks that every service named by a document's "calls" is in services.
+ * Adds problems to list; returns whether there were none.
  */
 bool doc_check_closure(const struct doc_service *const *services,
 		       size_t service_count, struct doc_problem_list *list);
 
+/*
+ * Returns the names of the services that call the service of that name: it may
+ * be removed when there are none. A new NULL-terminated array owned by ctx; the
+ * names are borrowed from services.
+ */
+const char **doc_find_callers(TALLOC_CTX *ctx,
+			      const struct doc_service *const *services,
+			      size_t service_count, const char *name);
+
+/* What a source of documents holds for one service. */
+struct doc_proposal {
+	const char *name; /* service, as the key of the object names it */
+	bool is_removal;  /* the object is gone; the fields below are unused */
+	uint64_t document_version;
+	const struct doc_service *service;	 /* NULL: it did not parse */
+	const struct doc_problem_list *problems; /* of the parse, or NULL */
+};
+
+enum doc_verdict_kind {
+	DOC_VERDICT_UNCHANGED,
+	DOC_VERDICT_ACCEPTED,
+	DOC_VERDICT_REMOVED,
+	DOC_VERDICT_REJECTED, /* the version in force, if any, stays */
+};
+
+/* Returns the lower-case name used in JSON, such as "accepted". */
+const char *doc_get_verdict_name(enum doc_verdict_kind kind);
+
+struct doc_verdict {
+	const char *name;
+	uint64_t document_version; /* the one proposed */
+	enum doc_verdict_kind kind;
+	struct doc_problem_list *problems; /* why it is rejected */
+};
+
+struct doc_fold {
+	struct doc_manifest *manifest; /* next; equal to current if unchanged */
+	bool is_changed;
+	struct doc_verdict *verdicts; /* one a proposal, in that order */
+	size_t verdict_count;
+};
+
+/*
+ * Folds proposed documents into the next manifest. services are the documents
+ * of the current manifest, at least one of the exact version for each entry.
+ * A document that does not parse, is older than the one in force or calls a
+ * service that would be absent is rejected, and so is the removal of a service
+ * that is still called; documents that call each other enter together. An
+ * accepted document starts its move anew. When anything changed the sequence
+ * rises by one and the caller sets a new write_id. Returns a new fold owned by
+ * ctx, or NULL with *error set when a document in force is missing.
+ */
+struct doc_fold *doc_fold_documents(TALLOC_CTX *ctx,
+				    const struct doc_manifest *current,
+				    const struct doc_service *const *services,
+				    size_t service_count,
+				    const struct doc_proposal *proposals,
+				    size_t proposal_count, GError **error);
+
+/*
+ * Returns the difference of two documents, one line a field: its path, the old
+ * and the new value. Items that carry a "name" are compared by name. before
+ * may be NULL for a new document. A new text owned by ctx, "" when the
+ * documents are equal.
+ */
+char *doc_format_difference(TALLOC_CTX *ctx, const json_t *before,
+			    const json_t *after);
+
 struct doc_snapshot;
 
 /*
--- a/src/base/reader.c
+++ b/src/base/reader.c
@@ -97,7 +97,8 @@
 static char *format_got(const json_t *json)
 {
 	char *text = json_dumps(json, JSON_ENCODE_ANY | JSON_COMPACT |
-					      JSON_ENSURE_ASCII);
+					      JSON_ENSURE_ASCII |
+					      JSON_REAL_PRECISION(15));
 	char *shown;
 
 	if (!text)
@@ -115,31 +116,38 @@
 			 const json_t *got, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* Adds the problem of a field that is wrong, or absent when got is NULL. */
 static void add_mismatch(struct rd_object *object, const char *name,
 			 const json_t *got, const char *format, ...)
 {
-	char *shown = format_got(got);
 	va_list arguments;
 	char *wanted;
+	char *shown;
 
 	va_start(arguments, format);
 	wanted = g_strdup_vprintf(format, arguments);
 	va_end(arguments);
-	rd_add_problem(object, name, "got %s, wanted %s", shown, wanted);
+	if (got) {
+		shown = format_got(got);
+		rd_add_problem(object, name, "got %s, wanted %s", shown,
+			       wanted);
+		g_free(shown);
+	} else {
+		rd_add_problem(object, name, "is missing, wanted %s", wanted);
+	}
 	g_free(wanted);
-	g_free(shown);
 }
 
-/* Returns the field (borrowed), or NULL with a problem when it is needed. */
-static const json_t *find_field(struct rd_object *object, const char *name,
-				enum rd_need need)
+/*
+ * Notes that a field is known and stores it (borrowed), NULL when it is absent.
+ * Returns false when there is nothing to read: it is absent and optional.
+ */
+static bool find_field(struct rd_object *object, const char *name,
+		       enum rd_need need, const json_t **json)
 {
-	const json_t *json = json_object_get(object->json, name);
-
+	*json = json_object_get(object->json, name);
 	g_hash_table_add(object->known, (gpointer)name);
-	if (!json && need == RD_REQUIRED)
-		rd_add_problem(object, name, "is missing");
-	return json;
+	return *json || need == RD_REQUIRED;
 }
 
 static const json_t *find_item(const struct rd_object *object, const char *name,
@@ -186,9 +194,11 @@
 struct rd_object *rd_open_field(struct rd_object *object, const char *name,
 				enum rd_need need)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	return json ? open_child(object, name, json) : NULL;
+	if (!find_field(object, name, need, &json))
+		return NULL;
+	return open_child(object, name, json);
 }
 
 struct rd_object *rd_open_item(struct rd_object *object, const char *name,
@@ -224,10 +234,10 @@
 		    enum rd_need need, const struct rd_range *range,
 		    uint64_t *value)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 	json_int_t got;
 
-	if (!json)
+	if (!find_field(object, name, need, &json))
 		return false;
 	got = json_integer_value(json);
 	if (!json_is_integer(json) || got < 0 || (uint64_t)got < range->min ||
@@ -278,17 +288,18 @@
 		     enum rd_need need, const struct rd_decimal *decimal,
 		     uint32_t *value)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	return json && read_decimal(object, name, json, decimal, value);
+	return find_field(object, name, need, &json) &&
+	       read_decimal(object, name, json, decimal, value);
 }
 
 bool rd_read_bool(struct rd_object *object, const char *name, enum rd_need need,
 		  bool *value)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	if (!json)
+	if (!find_field(object, name, need, &json))
 		return false;
 	if (!json_is_boolean(json)) {
 		add_mismatch(object, name, json, "true or false");
@@ -317,9 +328,10 @@
 bool rd_read_text(struct rd_object *object, const char *name, enum rd_need need,
 		  const struct rd_range *range, const char **value)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	return json && read_text(object, name, json, range, value);
+	return find_field(object, name, need, &json) &&
+	       read_text(object, name, json, range, value);
 }
 
 bool rd_is_label(const char *text)
@@ -354,9 +366,10 @@
 bool rd_read_label(struct rd_object *object, const char *name,
 		   enum rd_need need, const char **value)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	return json && read_label(object, name, json, value);
+	return find_field(object, name, need, &json) &&
+	       read_label(object, name, json, value);
 }
 
 /* Returns whether text is the one accepted form of a UTC time. */
@@ -380,9 +393,9 @@
 bool rd_read_time(struct rd_object *object, const char *name, enum rd_need need,
 		  uint64_t *value_ms)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 
-	if (!json)
+	if (!find_field(object, name, need, &json))
 		return false;
 	if (!json_is_string(json) ||
 	    !parse_time(json_string_value(json), value_ms)) {
@@ -397,10 +410,10 @@
 		   enum rd_need need, const struct rd_range *count_range,
 		   size_t *count)
 {
-	const json_t *json = find_field(object, name, need);
+	const json_t *json;
 	size_t got;
 
-	if (!json)
+	if (!find_field(object, name, need, &json))
 		return false;
 	got = json_array_size(json);
 	if (!json_is_array(json) || got < count_range->min ||
--- a/src/document/closure.c
+++ b/src/document/closure.c
@@ -36,3 +36,18 @@
 	g_hash_table_destroy(names);
 	return is_whole;
 }
+
+const char **doc_find_callers(TALLOC_CTX *ctx,
+			      const struct doc_service *const *services,
+			      size_t service_count, const char *name)
+{
+	const char **callers;
+	size_t count = 0;
+
+	callers = talloc_zero_array(ctx, const char *, service_count + 1);
+	for (size_t i = 0; i < service_count; i++) {
+		if (doc_list_holds(services[i]->calls, name))
+			callers[count++] = services[i]->name;
+	}
+	return callers;
+}
--- /dev/null
+++ b/src/document/fold.c
@@ -0,0 +1,350 @@
+/*
+ * Folding of proposed documents into the next manifest.
+ *
+ * Three passes over one verdict a proposal. The first judges each proposal by
+ * itself. The second rejects accepted documents that call a service which is
+ * neither in force nor accepted, again and again until none is left; removals
+ * count as in force here. The third rejects removals of services that are
+ * still called, again until none is left. Since a rejected document falls back
+ * to the one in force, whose calls are all in force, and the third pass only
+ * adds services, the result is closed when the current manifest is.
+ *
+ * Invariant: effective maps each service of the next manifest to its document;
+ * a service whose removal stands is not in it during the third pass.
+ */
+#include <assert.h>
+#include <inttypes.h>
+#include <string.h>
+#include "loom/error.h"
+#include "parse.h"
+
+#define STEP "fold documents"
+
+struct fold_state {
+	const struct doc_manifest *current;
+	const struct doc_proposal *proposals;
+	struct doc_verdict *verdicts;
+	size_t count;
+	GHashTable *effective; /* name to const struct doc_service */
+	GHashTable *in_force;  /* the same for the current manifest */
+};
+
+static const char *const verdict_names[] = {
+	[DOC_VERDICT_UNCHANGED] = "unchanged",
+	[DOC_VERDICT_ACCEPTED] = "accepted",
+	[DOC_VERDICT_REMOVED] = "removed",
+	[DOC_VERDICT_REJECTED] = "rejected",
+};
+
+const char *doc_get_verdict_name(enum doc_verdict_kind kind)
+{
+	assert((size_t)kind < G_N_ELEMENTS(verdict_names));
+	return verdict_names[kind];
+}
+
+static void reject(struct doc_verdict *verdict, const char *path,
+		   const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+
+static void reject(struct doc_verdict *verdict, const char *path,
+		   const char *format, ...)
+{
+	va_list arguments;
+
+	verdict->kind = DOC_VERDICT_REJECTED;
+	va_start(arguments, format);
+	prob_add_problem_va(verdict->problems->kept, verdict->name, path,
+			    format, arguments);
+	va_end(arguments);
+}
+
+/* Copies the problems of the parse into the verdict. */
+static void reject_unparsed(struct doc_verdict *verdict,
+			    const struct doc_problem_list *problems)
+{
+	verdict->kind = DOC_VERDICT_REJECTED;
+	for (guint i = 0; problems && i < problems->problems->len; i++) {
+		const struct prob_problem *problem =
+			problems->problems->pdata[i];
+
+		doc_add_problem(verdict->problems, problem->file, problem->path,
+				"%s", problem->message);
+	}
+}
+
+static bool is_named_before(const struct fold_state *state, size_t index)
+{
+	for (size_t i = 0; i < index; i++) {
+		if (strcmp(state->proposals[i].name,
+			   state->proposals[index].name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_full(const struct fold_state *state)
+{
+	return g_hash_table_size(state->effective) >= DOC_SERVICES_MAX;
+}
+
+/* Judges one document by itself; it is accepted unless something is wrong. */
+static void judge_document(const struct fold_state *state,
+			   const struct doc_proposal *proposal,
+			   const struct doc_manifest_service *entry,
+			   struct doc_verdict *verdict)
+{
+	if (entry && proposal->document_version < entry->document_version)
+		reject(verdict, "",
+		       "got version %" PRIu64
+		       ", wanted one above version "
+		       "%" PRIu64 " in force",
+		       proposal->document_version, entry->document_version);
+	else if (!proposal->service)
+		reject_unparsed(verdict, proposal->problems);
+	else if (strcmp(proposal->service->name, proposal->name) != 0)
+		reject(verdict, "service",
+		       "got \"%s\", wanted \"%s\", the name of the object",
+		       proposal->service->name, proposal->name);
+	else if (!entry && is_full(state))
+		reject(verdict, "",
+		       "got one service more, wanted at most %u in force",
+		       DOC_SERVICES_MAX);
+	else
+		verdict->kind = DOC_VERDICT_ACCEPTED;
+}
+
+static void judge_proposal(const struct fold_state *state, size_t index)
+{
+	const struct doc_proposal *proposal = &state->proposals[index];
+	struct doc_verdict *verdict = &state->verdicts[index];
+	const struct doc_manifest_service *entry;
+
+	entry = doc_find_manifest_service(state->current, proposal->name);
+	if (is_named_before(state, index))
+		reject(verdict, "", "is proposed twice, wanted once");
+	else if (proposal->is_removal)
+		verdict->kind =
+			entry ? DOC_VERDICT_REMOVED : DOC_VERDICT_UNCHANGED;
+	else if (entry && proposal->document_version == entry->document_version)
+		verdict->kind = DOC_VERDICT_UNCHANGED;
+	else
+		judge_document(state, proposal, entry, verdict);
+	if (verdict->kind == DOC_VERDICT_ACCEPTED)
+		g_hash_table_insert(state->effective, (gpointer)verdict->name,
+				    (gpointer)proposal->service);
+}
+
+/* Puts the document in force, if there is one, back in its place. */
+static void fall_back(const struct fold_state *state, const char *name)
+{
+	gpointer service = g_hash_table_lookup(state->in_force, name);
+
+	if (service)
+		g_hash_table_insert(state->effective, (gpointer)name, service);
+	else
+		g_hash_table_remove(state->effective, name);
+}
+
+/* Returns whether an accepted document had to be rejected. */
+static bool reject_open_calls(const struct fold_state *state, size_t index)
+{
+	struct doc_verdict *verdict = &state->verdicts[index];
+	const char *const *call;
+
+	if (verdict->kind != DOC_VERDICT_ACCEPTED)
+		return false;
+	for (call = state->proposals[index].service->calls; *call; call++) {
+		if (!g_hash_table_contains(state->effective, *call))
+			reject(verdict, "calls",
+			       "got \"%s\", wanted a service that is in force "
+			       "or accepted together with this one",
+			       *call);
+	}
+	if (verdict->kind == DOC_VERDICT_ACCEPTED)
+		return false;
+	fall_back(state, verdict->name);
+	return true;
+}
+
+static gint compare_texts(gconstpointer left, gconstpointer right)
+{
+	return strcmp(*(const char *const *)left, *(const char *const *)right);
+}
+
+/* Returns the callers of a service in order, NULL for none; g_free(). */
+static char *format_callers(const struct fold_state *state, const char *name)
+{
+	GPtrArray *callers = g_ptr_array_new();
+	GHashTableIter iter;
+	char *text = NULL;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, state->effective);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct doc_service *service = value;
+
+		if (doc_list_holds(service->calls, name))
+			g_ptr_array_add(callers, (gpointer)service->name);
+	}
+	g_ptr_array_sort(callers, compare_texts);
+	g_ptr_array_add(callers, NULL);
+	if (callers->len > 1)
+		text = g_strjoinv(", ", (char **)callers->pdata);
+	g_ptr_array_free(callers, TRUE);
+	return text;
+}
+
+/* Returns whether a removal had to be rejected. */
+static bool reject_called_removal(const struct fold_state *state, size_t index)
+{
+	struct doc_verdict *verdict = &state->verdicts[index];
+	char *callers;
+
+	if (verdict->kind != DOC_VERDICT_REMOVED)
+		return false;
+	callers = format_callers(state, verdict->name);
+	if (!callers)
+		return false;
+	reject(verdict, "",
+	       "got a removal while %s calls it, wanted no caller left",
+	       callers);
+	g_free(callers);
+	fall_back(state, verdict->name);
+	return true;
+}
+
+static void take_out_removed(const struct fold_state *state)
+{
+	for (size_t i = 0; i < state->count; i++) {
+		if (state->verdicts[i].kind == DOC_VERDICT_REMOVED)
+			g_hash_table_remove(state->effective,
+					    state->verdicts[i].name);
+	}
+}
+
+/* Calls check on each verdict until none is rejected any more. */
+static void repeat_check(const struct fold_state *state,
+			 bool (*check)(const struct fold_state *, size_t))
+{
+	bool is_changed = true;
+
+	while (is_changed) {
+		is_changed = false;
+		for (size_t i = 0; i < state->count; i++)
+			is_changed = check(state, i) || is_changed;
+	}
+}
+
+static bool index_in_force(struct fold_state *state,
+			   const struct doc_service *const *services,
+			   size_t service_count, GError **error)
+{
+	for (size_t i = 0; i < service_count; i++) {
+		const struct doc_service *service = services[i];
+		const struct doc_manifest_service *entry;
+
+		entry = doc_find_manifest_service(state->current,
+						  service->name);
+		if (!entry ||
+		    entry->document_version != service->document_version)
+			continue;
+		g_hash_table_insert(state->in_force, (gpointer)service->name,
+				    (gpointer)service);
+		g_hash_table_insert(state->effective, (gpointer)service->name,
+				    (gpointer)service);
+	}
+	for (size_t i = 0; i < state->current->service_count; i++) {
+		const struct doc_manifest_service *entry =
+			&state->current->services[i];
+
+		if (g_hash_table_contains(state->in_force, entry->name))
+			continue;
+		err_set(error, ERR_NOT_FOUND, STEP, entry->name,
+			"no document of service %s, wanted version %" PRIu64,
+			entry->name, entry->document_version);
+		return false;
+	}
+	return true;
+}
+
+/* Writes one verdict into the next manifest. */
+static void apply_verdict(struct doc_fold *fold,
+			  const struct doc_verdict *verdict,
+			  const struct doc_proposal *proposal)
+{
+	struct doc_manifest_service *entry;
+
+	switch (verdict->kind) {
+	case DOC_VERDICT_UNCHANGED:
+	case DOC_VERDICT_REJECTED:
+		return;
+	case DOC_VERDICT_REMOVED:
+		doc_remove_manifest_service(fold->manifest, verdict->name);
+		break;
+	case DOC_VERDICT_ACCEPTED:
+		entry = doc_add_manifest_service(fold->manifest, verdict->name);
+		entry->document_version = verdict->document_version;
+		entry->move_state = proposal->service->move ? DOC_MOVE_WAITING
+							    : DOC_MOVE_NONE;
+		entry->share_permille = 0;
+		entry->step_index = 0;
+		break;
+	}
+	fold->is_changed = true;
+}
+
+static struct doc_fold *new_fold(TALLOC_CTX *ctx,
+				 const struct fold_state *state)
+{
+	struct doc_fold *fold = talloc_zero(ctx, struct doc_fold);
+
+	fold->manifest = doc_copy_manifest(fold, state->current);
+	fold->verdicts =
+		talloc_zero_array(fold, struct doc_verdict, state->count);
+	fold->verdict_count = state->count;
+	for (size_t i = 0; i < state->count; i++) {
+		const struct doc_proposal *proposal = &state->proposals[i];
+		struct doc_verdict *verdict = &fold->verdicts[i];
+
+		verdict->name = talloc_strdup(fold, proposal->name);
+		verdict->document_version =
+			proposal->is_removal ? 0 : proposal->document_version;
+		verdict->problems = doc_new_problem_list(fold);
+	}
+	return fold;
+}
+
+struct doc_fold *doc_fold_documents(TALLOC_CTX *ctx,
+				    const struct doc_manifest *current,
+				    const struct doc_service *const *services,
+				    size_t service_count,
+				    const struct doc_proposal *proposals,
+				    size_t proposal_count, GError **error)
+{
+	struct fold_state state = {
+		.current = current,
+		.proposals = proposals,
+		.count = proposal_count,
+		.effective = g_hash_table_new(g_str_hash, g_str_equal),
+		.in_force = g_hash_table_new(g_str_hash, g_str_equal),
+	};
+	struct doc_fold *fold = NULL;
+
+	if (!index_in_force(&state, services, service_count, error))
+		goto done;
+	fold = new_fold(ctx, &state);
+	state.verdicts = fold->verdicts;
+	for (size_t i = 0; i < proposal_count; i++)
+		judge_proposal(&state, i);
+	repeat_check(&state, reject_open_calls);
+	take_out_removed(&state);
+	repeat_check(&state, reject_called_removal);
+	for (size_t i = 0; i < proposal_count; i++)
+		apply_verdict(fold, &fold->verdicts[i], &proposals[i]);
+	if (fold->is_changed)
+		fold->manifest->sequence++;
+done:
+	g_hash_table_destroy(state.in_force);
+	g_hash_table_destroy(state.effective);
+	return fold;
+}
--- a/src/document/manifest_json.c
+++ b/src/document/manifest_json.c
@@ -9,7 +9,6 @@
 #include "loom/reader.h"
 
 #define WRITE_ID_BYTES_MAX 200U
-#define SERVICES_MAX 10000U
 #define DOMAINS_MAX 1000U
 #define STEP_INDEX_MAX 31U
 #define STEP "parse manifest"
@@ -17,7 +16,7 @@
 static const struct rd_range sequence_range = { 0, INT64_MAX };
 static const struct rd_range version_range = { 1, INT64_MAX };
 static const struct rd_range write_id_range = { 0, WRITE_ID_BYTES_MAX };
-static const struct rd_range services_range = { 0, SERVICES_MAX };
+static const struct rd_range services_range = { 0, DOC_SERVICES_MAX };
 static const struct rd_range domains_range = { 0, DOMAINS_MAX };
 static const struct rd_range share_range = { 0, DOC_SHARE_ALL_PERMILLE };
 static const struct rd_range step_range = { 0, STEP_INDEX_MAX };
--- a/src/document/snapshot.c
+++ b/src/document/snapshot.c
@@ -21,17 +21,6 @@
 	const struct doc_service **services; /* in order of the manifest */
 };
 
-/* Returns the document of that name (borrowed), or NULL. */
-static struct doc_service *find_document(struct doc_service **services,
-					 size_t service_count, const char *name)
-{
-	for (size_t i = 0; i < service_count; i++) {
-		if (strcmp(services[i]->name, name) == 0)
-			return services[i];
-	}
-	return NULL;
-}
-
 static bool check_entry(const struct doc_manifest_service *entry,
 			const struct doc_service *service, GError **error)
 {
@@ -68,17 +57,28 @@
 	return true;
 }
 
+/* Returns the documents by name; the last of a name wins. */
+static GHashTable *index_documents(struct doc_service **services,
+				   size_t service_count)
+{
+	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < service_count; i++)
+		g_hash_table_insert(by_name, (gpointer)services[i]->name,
+				    services[i]);
+	return by_name;
+}
+
 /* Fills chosen with the document of each entry. */
 static bool choose_documents(const struct doc_manifest *manifest,
-			     struct doc_service **services,
-			     size_t service_count, struct doc_service **chosen,
+			     GHashTable *by_name, struct doc_service **chosen,
 			     GError **error)
 {
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *entry =
 			&manifest->services[i];
 
-		chosen[i] = find_document(services, service_count, entry->name);
+		chosen[i] = g_hash_table_lookup(by_name, entry->name);
 		if (!check_entry(entry, chosen[i], error))
 			return false;
 	}
@@ -110,21 +110,23 @@
 					size_t service_count, GError **error)
 {
 	struct doc_snapshot *snapshot = talloc_zero(NULL, struct doc_snapshot);
+	GHashTable *by_name = index_documents(services, service_count);
+	size_t count = manifest->service_count;
 	struct doc_service **chosen;
 
-	chosen = talloc_zero_array(snapshot, struct doc_service *,
-				   manifest->service_count);
-	if (!choose_documents(manifest, services, service_count, chosen,
-			      error) ||
-	    !check_calls(chosen, manifest->service_count, error)) {
-		talloc_free(snapshot);
-		return NULL;
+	chosen = talloc_zero_array(snapshot, struct doc_service *, count);
+	if (!choose_documents(manifest, by_name, chosen, error) ||
+	    !check_calls(chosen, count, error)) {
+		TALLOC_FREE(snapshot);
+		goto done;
 	}
 	atomic_init(&snapshot->reference_count, 1);
 	snapshot->manifest = doc_copy_manifest(snapshot, manifest);
-	for (size_t i = 0; i < manifest->service_count; i++)
+	for (size_t i = 0; i < count; i++)
 		talloc_steal(snapshot, chosen[i]);
 	snapshot->services = (const struct doc_service **)chosen;
+done:
+	g_hash_table_destroy(by_name);
 	return snapshot;
 }
 
--- /dev/null
+++ b/src/document/tests/test_fold.c
@@ -0,0 +1,274 @@
+/*
+ * Tests of the fold of proposed documents and of the build of a snapshot.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "loom/document.h"
+#include "loom/error.h"
+#include "script.h"
+
+#define PROPOSALS_MAX 16U
+
+struct fold_test {
+	struct doc_manifest *manifest;
+	GPtrArray *documents; /* struct doc_service, owned by the test */
+	GPtrArray *proposed;  /* struct doc_proposal */
+	struct doc_snapshot *snapshot;
+};
+
+static const char move_text[] =
+	",\"move\":{\"from\":\"v1\",\"to\":\"v2\","
+	"\"start\":\"2026-12-04T10:00:00Z\","
+	"\"finish_by\":\"2026-12-04T11:00:00Z\",\"steps_percent\":[1,100]}";
+
+/* Returns the text of a document; options are "calls=a,b", "move", "bad". */
+static char *make_text(const char *name, char **options)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text,
+			"{\"service\":\"%s\",\"versions\":[\"v1\",\"v2\"],"
+			"\"current\":\"v1\",\"routes\":[{\"name\":\"all\","
+			"\"path\":\"/\",\"timeout_ms\":500}]",
+			name);
+	for (; *options; options++) {
+		if (g_str_has_prefix(*options, "calls=")) {
+			char **calls = g_strsplit(*options + 6, ",", -1);
+			char *joined = g_strjoinv("\",\"", calls);
+
+			g_string_append_printf(text, ",\"calls\":[\"%s\"]",
+					       joined);
+			g_free(joined);
+			g_strfreev(calls);
+		} else if (strcmp(*options, "move") == 0) {
+			g_string_append(text, move_text);
+		} else {
+			g_string_append(text, ",\"bad\":1");
+		}
+	}
+	g_string_append(text, "}");
+	return g_string_free(text, FALSE);
+}
+
+static struct doc_service *parse_text(struct fold_test *test, const char *name,
+				      const char *version, char **options,
+				      struct doc_problem_list *list)
+{
+	char *text = make_text(name, options);
+	struct doc_service *service;
+
+	service = doc_parse_service(test->manifest, name, text, strlen(text),
+				    strtoull(version, NULL, 10), list);
+	g_free(text);
+	if (service) {
+		talloc_steal(test, service);
+		g_ptr_array_add(test->documents, service);
+	}
+	return service;
+}
+
+static struct doc_proposal *add_proposal(struct fold_test *test,
+					 const char *name)
+{
+	struct doc_proposal *proposal = talloc_zero(test, struct doc_proposal);
+
+	proposal->name = talloc_strdup(proposal, name);
+	g_ptr_array_add(test->proposed, proposal);
+	return proposal;
+}
+
+/* "put KEY VERSION [OPTION...]"; the option "as=NAME" names another service. */
+static void put_document(struct fold_test *test, char **words)
+{
+	struct doc_proposal *proposal = add_proposal(test, words[1]);
+	struct doc_problem_list *list = doc_new_problem_list(proposal);
+	const char *name = words[1];
+	char **options = words + 3;
+
+	if (*options && g_str_has_prefix(*options, "as=")) {
+		name = *options + 3;
+		options++;
+	}
+	proposal->document_version = strtoull(words[2], NULL, 10);
+	proposal->service = parse_text(test, name, words[2], options, list);
+	proposal->problems = list;
+}
+
+static void set_entry(struct doc_manifest *manifest, char **words)
+{
+	struct doc_manifest_service *entry;
+
+	entry = doc_add_manifest_service(manifest, words[1]);
+	entry->document_version = strtoull(words[2], NULL, 10);
+	if (!words[3])
+		return;
+	CU_ASSERT_TRUE(doc_parse_move_state(words[3], &entry->move_state));
+	entry->share_permille = (uint32_t)strtoul(words[4], NULL, 10);
+	entry->step_index = 1;
+}
+
+static void print_verdicts(const struct doc_fold *fold, GString *output)
+{
+	for (size_t i = 0; i < fold->verdict_count; i++) {
+		const struct doc_verdict *verdict = &fold->verdicts[i];
+
+		g_string_append_printf(output, "%s %s\n", verdict->name,
+				       doc_get_verdict_name(verdict->kind));
+		doc_print_problems(verdict->problems, output);
+	}
+}
+
+static void print_manifest(const struct doc_manifest *manifest, GString *output)
+{
+	g_string_append_printf(
+		output, "sequence %u:", (unsigned int)manifest->sequence);
+	for (size_t i = 0; i < manifest->service_count; i++) {
+		const struct doc_manifest_service *entry =
+			&manifest->services[i];
+
+		g_string_append_printf(output, " %s@%u", entry->name,
+				       (unsigned int)entry->document_version);
+		if (entry->move_state != DOC_MOVE_NONE)
+			g_string_append_printf(
+				output, "(%s %u %u)",
+				doc_get_move_state_name(entry->move_state),
+				entry->share_permille, entry->step_index);
+	}
+	g_string_append_c(output, '\n');
+}
+
+static struct doc_fold *make_fold(struct fold_test *test, GError **error)
+{
+	struct doc_proposal proposals[PROPOSALS_MAX];
+	guint count = test->proposed->len;
+
+	for (guint i = 0; i < count; i++)
+		proposals[i] = *(struct doc_proposal *)test->proposed->pdata[i];
+	return doc_fold_documents(
+		test, test->manifest,
+		(const struct doc_service *const *)test->documents->pdata,
+		test->documents->len, proposals, count, error);
+}
+
+/* Folds what is proposed, prints the verdicts and takes the next manifest. */
+static void fold_proposed(struct fold_test *test, GString *output)
+{
+	GError *error = NULL;
+	struct doc_fold *fold;
+
+	fold = make_fold(test, &error);
+	g_ptr_array_set_size(test->proposed, 0);
+	if (!fold) {
+		g_string_append_printf(output, "%s\n", error->message);
+		g_error_free(error);
+		return;
+	}
+	print_verdicts(fold, output);
+	CU_ASSERT_EQUAL(fold->is_changed,
+			fold->manifest->sequence != test->manifest->sequence);
+	talloc_free(test->manifest);
+	test->manifest = talloc_steal(test, fold->manifest);
+	print_manifest(test->manifest, output);
+	talloc_free(fold);
+}
+
+/* Builds a snapshot; a failed build must leave all documents where they are. */
+static void build_snapshot(struct fold_test *test, GString *output)
+{
+	struct doc_snapshot *snapshot;
+	GError *error = NULL;
+
+	snapshot = doc_build_snapshot(
+		test->manifest, (struct doc_service **)test->documents->pdata,
+		test->documents->len, &error);
+	if (snapshot) {
+		doc_unref_snapshot(test->snapshot);
+		test->snapshot = snapshot;
+		g_ptr_array_set_size(test->documents, 0);
+	} else {
+		g_string_append_printf(output, "%s\n", error->message);
+		g_error_free(error);
+	}
+	for (guint i = 0; i < test->documents->len; i++)
+		CU_ASSERT_PTR_EQUAL(talloc_parent(test->documents->pdata[i]),
+				    test);
+	g_string_append(output, "in force: ");
+	if (test->snapshot)
+		print_manifest(doc_get_manifest(test->snapshot), output);
+	else
+		g_string_append(output, "nothing\n");
+}
+
+static void forget_document(struct fold_test *test, const char *name)
+{
+	for (guint i = test->documents->len; i-- > 0;) {
+		const struct doc_service *service = test->documents->pdata[i];
+
+		if (strcmp(service->name, name) == 0)
+			g_ptr_array_remove_index(test->documents, i);
+	}
+}
+
+static bool run_step(int word_count, char **words, GString *output, void *data)
+{
+	struct fold_test *test = data;
+	const char *step = words[0];
+
+	if (strcmp(step, "put") == 0)
+		put_document(test, words);
+	else if (strcmp(step, "remove") == 0)
+		add_proposal(test, words[1])->is_removal = true;
+	else if (strcmp(step, "fold") == 0)
+		fold_proposed(test, output);
+	else if (strcmp(step, "document") == 0)
+		parse_text(test, words[1], words[2], words + 3,
+			   doc_new_problem_list(test));
+	else if (strcmp(step, "forget") == 0)
+		forget_document(test, words[1]);
+	else if (strcmp(step, "entry") == 0)
+		set_entry(test->manifest, words);
+	else if (strcmp(step, "drop") == 0)
+		doc_remove_manifest_service(test->manifest, words[1]);
+	else if (strcmp(step, "sequence") == 0)
+		test->manifest->sequence = strtoull(words[1], NULL, 10);
+	else if (strcmp(step, "build") == 0)
+		build_snapshot(test, output);
+	else
+		return false;
+	return true;
+}
+
+static void run_fold_script(const char *name)
+{
+	struct fold_test *test = talloc_zero(NULL, struct fold_test);
+
+	test->manifest = doc_new_manifest(test);
+	test->documents = g_ptr_array_new();
+	test->proposed = g_ptr_array_new();
+	scr_run(name, run_step, test);
+	doc_unref_snapshot(test->snapshot);
+	g_ptr_array_free(test->documents, TRUE);
+	g_ptr_array_free(test->proposed, TRUE);
+	talloc_free(test);
+}
+
+static void test_fold(void)
+{
+	run_fold_script("fold");
+}
+
+static void test_snapshot(void)
+{
+	run_fold_script("snapshot");
+}
+
+static const CU_TestInfo tests[] = {
+	{ "fold keeps the manifest closed", test_fold },
+	{ "snapshot is built whole or not at all", test_snapshot },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("fold", tests);
+}
