--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -20,19 +20,20 @@
 
 struct tr_options {
 	const char *address; /* IP number to listen on */
-	uint16_t call_port;  /* for callers */
-	uint16_t hop_port;   /* for other nodes */
+	const char *failure_domain;
+	uint16_t call_port; /* for callers */
+	uint16_t hop_port;  /* for other nodes */
 	uint32_t thread_count;
-	uint32_t connections_max; /* per thread; the longest idle is closed */
-	uint32_t idle_timeout_ms; /* without a whole request line */
+	uint32_t connections_max;   /* per thread; the longest idle is closed */
+	uint32_t idle_timeout_ms;   /* without a whole request line */
 	uint32_t header_timeout_ms; /* from request line to last header */
 	uint32_t header_bytes_max;
 	enum rt_policy policy;
 	uint64_t seed;
 };
 
-/* Fills options with the usual values for that address (borrowed). */
-void tr_set_default_options(struct tr_options *options, const char *address);
+/* Fills options with the usual values; texts and ports stay unset. */
+void tr_set_default_options(struct tr_options *options);
 
 /* Starts the threads. Returns a new service owned by ctx, or NULL. */
 struct tr_service *tr_new_service(TALLOC_CTX *ctx,
--- /dev/null
+++ b/src/spread/store.h
@@ -0,0 +1,41 @@
+/*
+ * Documents and the snapshot in force on this node.
+ */
+#ifndef SPR_STORE_H
+#define SPR_STORE_H
+
+#include <jansson.h>
+#include "loom/document.h"
+
+struct spr_store;
+
+/* Returns a new, empty store owned by ctx. */
+struct spr_store *spr_new_store(TALLOC_CTX *ctx);
+
+/*
+ * Takes the accepted copy of a document. Returns false with *error set when it
+ * does not parse.
+ */
+bool spr_add_document(struct spr_store *store, const char *name,
+		      uint64_t document_version, const json_t *document,
+		      GError **error);
+
+/* Returns whether the store has that version of a document. */
+bool spr_has_document(const struct spr_store *store, const char *name,
+		      uint64_t document_version);
+
+/*
+ * Puts a manifest in force when it is newer and all its documents are there:
+ * the whole of it or nothing. Returns whether it is in force now; *error is set
+ * when it is newer and cannot be built.
+ */
+bool spr_adopt_manifest(struct spr_store *store,
+			const struct doc_manifest *manifest, GError **error);
+
+/* Returns the snapshot in force (borrowed), or NULL. */
+struct doc_snapshot *spr_get_store_snapshot(const struct spr_store *store);
+
+/* Returns the sequence in force, 0 before the first. */
+uint64_t spr_get_sequence(const struct spr_store *store);
+
+#endif
--- /dev/null
+++ b/src/spread/writer.h
@@ -0,0 +1,22 @@
+/*
+ * Writer: the lease holder that checks documents and writes the manifest.
+ */
+#ifndef SPR_WRITER_H
+#define SPR_WRITER_H
+
+#include "loom/platform.h"
+#include "source.h"
+#include "store.h"
+
+struct spr_writer;
+
+/* Competes for the lease. Returns a new writer owned by ctx. */
+struct spr_writer *spr_new_writer(TALLOC_CTX *ctx, struct plat_client *platform,
+				  struct spr_store *store,
+				  struct spr_source *source,
+				  const char *holder);
+
+/* Looks whether there is something to write: after a change in the store. */
+void spr_run_writer(struct spr_writer *writer);
+
+#endif
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -125,8 +125,7 @@
 
 	call->upload.content_length = -1;
 	if (length)
-		call->upload.content_length =
-			g_ascii_strtoll(length, NULL, 10);
+		call->upload.content_length = g_ascii_strtoll(length, NULL, 10);
 	call->upload.has_body = encoding || call->upload.content_length > 0;
 	call->upload.is_whole = !call->upload.has_body;
 }
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -68,16 +68,16 @@
 	uint64_t deadline_ms;
 	struct tmr_subscription *deadline;
 
-	CURL *easy; /* the running attempt, or NULL */
+	CURL *easy;	      /* the running attempt, or NULL */
 	struct hc_loop *loop; /* that the attempt runs on */
 	struct curl_slist *headers;
 	const struct rt_target *chosen; /* entry: borrowed from table */
 	uint64_t attempt_us;
 	uint32_t attempt_count;
-	uint32_t send_count; /* of this attempt */
-	uint32_t send_total; /* of all attempts */
+	uint32_t send_count;  /* of this attempt */
+	uint32_t send_total;  /* of all attempts */
 	bool is_run_possible; /* an attempt was sent and not refused */
-	bool is_held; /* hop: occupies a slot of the gate */
+	bool is_held;	      /* hop: occupies a slot of the gate */
 	struct tr_answer answer;
 
 	struct MHD_Response *reply; /* to queue, or queued */
--- a/src/traffic/connection.c
+++ b/src/traffic/connection.c
@@ -50,8 +50,8 @@
 	if (connection->call)
 		return false;
 	if (connection->request_ms)
-		return now_ms >= connection->request_ms +
-					 options->header_timeout_ms;
+		return now_ms >=
+		       connection->request_ms + options->header_timeout_ms;
 	return now_ms >= connection->active_ms + options->idle_timeout_ms;
 }
 
@@ -115,9 +115,9 @@
 				     .data.ptr = connection };
 
 	connection->thread = thread;
-	connection->socket = MHD_get_connection_info(
-				     mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
-				     ->connect_fd;
+	connection->socket =
+		MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd;
 	connection->active_ms = tmr_get_now_ms(thread->timers);
 	if (thread->connections.length >=
 	    thread->service->options.connections_max)
--- a/src/traffic/connection.h
+++ b/src/traffic/connection.h
@@ -11,8 +11,8 @@
 	struct tr_thread *thread;
 	int socket;
 	GList *link;
-	uint64_t active_ms; /* accepted, or the last call ended */
-	uint64_t request_ms; /* request line read; 0: none under way */
+	uint64_t active_ms;   /* accepted, or the last call ended */
+	uint64_t request_ms;  /* request line read; 0: none under way */
 	struct tr_call *call; /* NULL between calls */
 	bool is_hung_up;
 };
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -19,8 +19,8 @@
 
 static uint64_t get_split_hash(struct tr_call *call)
 {
-	const char *id = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, TR_HEADER_REQUEST_ID);
+	const char *id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
+						     TR_HEADER_REQUEST_ID);
 
 	if (id)
 		return XXH3_64bits(id, strlen(id));
@@ -66,10 +66,9 @@
 	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	char *base_url;
 
-	call->chosen = rt_choose_target(thread->chooser, call->table,
-					&call->request,
-					tmr_get_now_ms(thread->timers),
-					&refusal);
+	call->chosen =
+		rt_choose_target(thread->chooser, call->table, &call->request,
+				 tmr_get_now_ms(thread->timers), &refusal);
 	if (!call->chosen) {
 		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
 			       rt_get_refusal_name(refusal),
@@ -179,8 +178,8 @@
 {
 	const char *reason = call->answer.refused;
 	bool is_not_run = call->answer.is_not_run;
-	enum rt_outcome outcome = is_not_run ? RT_OUTCOME_REFUSED
-					     : RT_OUTCOME_FAILED;
+	enum rt_outcome outcome =
+		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
 
 	tr_note_entry_end(call, outcome);
 	/* An earlier attempt may have run although this one did not. */
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -106,9 +106,9 @@
 bool tr_read_number(struct MHD_Connection *connection, const char *name,
 		    uint64_t max, uint64_t *value)
 {
-	return parse_number(MHD_lookup_connection_value(
-				    connection, MHD_HEADER_KIND, name),
-			    max, value);
+	return parse_number(
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name),
+		max, value);
 }
 
 bool tr_read_load(const char *name, const char *value, struct rt_load *load)
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -85,8 +85,8 @@
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome)
 {
 	struct tr_thread *thread = call->thread;
-	uint64_t end_us = call->answer.head_us ? call->answer.head_us
-					       : tr_get_now_us();
+	uint64_t end_us =
+		call->answer.head_us ? call->answer.head_us : tr_get_now_us();
 
 	if (!call->is_held)
 		return;
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -25,7 +25,7 @@
 	assert(!call->reply);
 	assert(!is_not_run || !call->is_run_possible);
 	object = json_pack("{s:s,s:b}", "error", reason, "not_run",
-				   (int)is_not_run);
+			   (int)is_not_run);
 
 	body = json_dumps(object, JSON_COMPACT);
 	json_decref(object);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -26,9 +26,8 @@
 	for (int role = TR_ROLE_ENTRY; role <= TR_ROLE_HOP; role++) {
 		const char *label = labels[role];
 
-		counters->calls[role] =
-			get_counter(registry, "loom_calls_total", label,
-				    "Calls taken in.");
+		counters->calls[role] = get_counter(
+			registry, "loom_calls_total", label, "Calls taken in.");
 		counters->answers[role] =
 			get_counter(registry, "loom_answers_total", label,
 				    "Answers relayed.");
@@ -69,10 +68,9 @@
 	return 0;
 }
 
-void tr_set_default_options(struct tr_options *options, const char *address)
+void tr_set_default_options(struct tr_options *options)
 {
 	*options = (struct tr_options){
-		.address = address,
 		.thread_count = 1,
 		.connections_max = CONNECTIONS_MAX,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
@@ -92,6 +90,8 @@
 	assert(options->thread_count > 0);
 	service->options = *options;
 	service->options.address = talloc_strdup(service, options->address);
+	service->options.failure_domain =
+		talloc_strdup(service, options->failure_domain);
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
@@ -113,8 +113,8 @@
 {
 	for (uint32_t i = 0; i < service->options.thread_count; i++) {
 		struct tr_thread *thread = &service->threads[i];
-		struct rt_table *unseen = atomic_exchange(
-			&thread->incoming, rt_ref_table(table));
+		struct rt_table *unseen =
+			atomic_exchange(&thread->incoming, rt_ref_table(table));
 
 		if (unseen)
 			rt_unref_table(unseen);
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -3,7 +3,8 @@
  *
  * All talloc memory of a thread hangs below its own event context, which no
  * other thread touches between start and join. A new table arrives by exchange
- * of the pointer `incoming`: whoever takes a table out of it owns the reference.
+ * of the pointer `incoming`: whoever takes a table out of it owns the
+ * reference.
  */
 #include "thread.h"
 
@@ -22,6 +23,23 @@
 /* Room beside the request headers for MHD's own use and the answer's head. */
 #define MHD_POOL_EXTRA_BYTES 16384U
 
+/* The bounds of the local target stand in its service's document. */
+static void set_target_limits(struct tr_thread *thread)
+{
+	const struct doc_service *service;
+
+	if (!thread->table || !thread->target_service)
+		return;
+	service = doc_find_service(rt_get_snapshot(thread->table),
+				   thread->target_service);
+	if (!service)
+		return;
+	adm_set_limits(thread->gate, &service->limits);
+	curl_multi_setopt(hc_get_multi(thread->target),
+			  CURLMOPT_MAX_TOTAL_CONNECTIONS,
+			  (long)service->limits.connections);
+}
+
 static void take_table(struct tr_thread *thread)
 {
 	struct rt_table *table = atomic_exchange(&thread->incoming, NULL);
@@ -31,30 +49,24 @@
 	if (thread->table)
 		rt_unref_table(thread->table);
 	thread->table = table;
-	if (thread->gate)
-		adm_set_domain_out(thread->gate,
-				   rt_is_own_domain_out(table));
+	adm_set_domain_out(
+		thread->gate,
+		doc_is_domain_out(rt_get_snapshot(table),
+				  thread->service->options.failure_domain));
+	set_target_limits(thread);
 }
 
 static void announce_target(struct tr_thread *thread,
 			    const struct tr_command *command)
 {
-	uint64_t now_ms = tmr_get_now_ms(thread->timers);
-	const struct doc_service *service = NULL;
-
 	g_free(thread->target_url);
+	g_free(thread->target_service);
 	thread->target_url = g_strdup(command->announce.url);
-	if (thread->table)
-		service = doc_find_service(rt_get_snapshot(thread->table),
-					   command->announce.service);
-	if (service) {
-		adm_set_limits(thread->gate, &service->limits);
-		curl_multi_setopt(hc_get_multi(thread->target),
-				  CURLMOPT_MAX_TOTAL_CONNECTIONS,
-				  (long)service->limits.connections);
-	}
+	thread->target_service = g_strdup(command->announce.service);
+	set_target_limits(thread);
 	adm_announce_target(thread->gate, command->announce.service,
-			    command->announce.version, now_ms);
+			    command->announce.version,
+			    tmr_get_now_ms(thread->timers));
 }
 
 static void run_command(struct tr_thread *thread,
@@ -172,8 +184,8 @@
 	thread->chooser = rt_new_chooser(thread->events, options->policy,
 					 thread->random_state);
 	thread->gate = adm_new_gate(thread->events);
-	thread->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						NULL);
+	thread->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->commands = g_async_queue_new();
 	g_queue_init(&thread->free_handles);
 	thread->hangup_fd = -1;
@@ -268,6 +280,7 @@
 		rt_unref_table(thread->table);
 	TALLOC_FREE(thread->events);
 	g_free(thread->target_url);
+	g_free(thread->target_service);
 	close(thread->wake_fd);
 }
 
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -81,10 +81,11 @@
 	struct rt_table *table;
 	_Atomic(struct rt_table *) incoming; /* swapped in by control */
 	struct adm_gate *gate;
+	char *target_service;
 	char *target_url;
 	GAsyncQueue *commands;
 	int wake_fd;
-	int hangup_fd; /* epoll set of the callers' sockets */
+	int hangup_fd;	    /* epoll set of the callers' sockets */
 	GQueue connections; /* struct tr_connection, longest idle first */
 	bool is_draining;
 	bool is_stopped;
