Add the platform's stand-in and a first client of the object API

The stand-in keeps objects, versions, revisions and a bounded history, and sets faults over HTTP. The client gets, lists, writes and watches; it does not yet resolve writes whose answer is lost, and knows no leases.

The versions of a key never repeat, deletion included: a version that starts again at 1 would let a conditional write of before the deletion succeed.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -54,6 +54,7 @@
 	uint64_t version;
 	uint64_t revision;
 	bool is_deleted; /* in events only */
+	bool is_older;	 /* than a version of it that this client saw before */
 	json_t *value;	 /* borrowed */
 };
 
--- /dev/null
+++ b/src/platform/answer.h
@@ -0,0 +1,42 @@
+/*
+ * Answers of the object API, parsed and checked.
+ */
+#ifndef LOOM_PLATFORM_ANSWER_H
+#define LOOM_PLATFORM_ANSWER_H
+
+#include "loom/http.h"
+#include "loom/platform.h"
+
+/* What one try of a call came to. */
+enum plat_outcome {
+	PLAT_DONE,
+	PLAT_ABSENT,
+	PLAT_CONFLICT,
+	PLAT_HISTORY_GONE,
+	PLAT_REJECTED, /* the request itself is wrong */
+	PLAT_REFUSED,  /* by the rate limit: it had no effect */
+	PLAT_NOT_SENT,
+	PLAT_LOST, /* whether it had an effect is not known */
+	PLAT_OUTCOME_COUNT,
+};
+
+struct plat_answer {
+	enum plat_outcome outcome;
+	struct plat_object *objects;
+	size_t object_count;
+	uint64_t version;
+	uint64_t revision;
+	json_t *root;
+};
+
+/* Returns the label of an outcome for the counters. */
+const char *plat_get_outcome_name(enum plat_outcome outcome);
+
+/*
+ * Returns a new answer owned by ctx. A body that is not of the object API's
+ * form counts as a lost answer.
+ */
+struct plat_answer *plat_parse_answer(TALLOC_CTX *ctx,
+				      const struct hc_answer *http);
+
+#endif
--- /dev/null
+++ b/src/platform/client.c
@@ -0,0 +1,379 @@
+/*
+ * Queue of tries: each takes a token of this process and a place in flight.
+ * Waiting watches take a token but no place, or they would hold back the rest.
+ *
+ * Invariants: a call is in the queue exactly while is_queued is set; in_flight
+ * counts the calls, watches aside, whose request is set; a finished call has
+ * neither, and its fn runs once, from a timer.
+ */
+#include "client.h"
+
+#include <assert.h>
+#include <string.h>
+#include "loom/error.h"
+
+#define PLAT_TIMEOUT_MS 10000U
+#define PLAT_CALLS_PER_SECOND 10U
+#define PLAT_BURST_CALLS 20U
+#define PLAT_IN_FLIGHT_MAX 8U
+#define PLAT_TRIES_PER_TIMEOUT 3U
+#define PLAT_ANSWER_BYTES_MAX (16U * 1024 * 1024)
+
+struct plat_client {
+	struct tmr_service *timers;
+	struct cnt_registry *counters;
+	struct plat_options options;
+	struct hc_loop *http;
+	GRand *random;
+	struct plat_bucket bucket;
+	GQueue calls; /* struct plat_call, all that live */
+	GQueue queue; /* those that wait for a token or a place */
+	uint32_t in_flight;
+	struct tmr_subscription *pump_timer;
+	struct cnt_counter *waiting_watches;
+	uint64_t write_count;
+};
+
+static const char *const kind_names[PLAT_CALL_KIND_COUNT] = {
+	"get", "list", "put", "delete", "watch",
+};
+
+static void pump(struct plat_client *client);
+
+static void count_try(struct plat_client *client, enum plat_call_kind kind,
+		      enum plat_outcome outcome)
+{
+	char *labels = talloc_asprintf(client, "kind=\"%s\",result=\"%s\"",
+				       kind_names[kind],
+				       plat_get_outcome_name(outcome));
+
+	cnt_add(plat_get_counter(client, CNT_KIND_COUNTER, "calls_total",
+				 labels, "Tries of calls to the platform."),
+		1);
+	talloc_free(labels);
+}
+
+static void leave_flight(struct plat_call *call)
+{
+	call->request = NULL;
+	if (call->kind == PLAT_CALL_WATCH)
+		cnt_add(call->client->waiting_watches, -1);
+	else
+		call->client->in_flight--;
+}
+
+/* Takes a call out of the queue and out of flight. */
+static void stop_try(struct plat_call *call)
+{
+	TALLOC_FREE(call->wait);
+	if (call->is_queued) {
+		g_queue_remove(&call->client->queue, call);
+		call->is_queued = false;
+	}
+	if (call->request) {
+		talloc_free(call->request);
+		leave_flight(call);
+	}
+}
+
+static void handle_answer(const struct hc_answer *http, void *data)
+{
+	struct plat_call *call = data;
+	struct plat_client *client = call->client;
+	struct plat_answer *answer = plat_parse_answer(call, http);
+
+	leave_flight(call);
+	count_try(client, call->kind, answer->outcome);
+	call->try_fn(call, answer);
+	pump(client);
+}
+
+static void send_try(struct plat_call *call)
+{
+	struct plat_client *client = call->client;
+	const char *headers[] = { call->if_match,
+				  "Content-Type: application/json", NULL };
+	bool is_put = strcmp(call->method, "PUT") == 0;
+	bool is_write = strcmp(call->method, "GET") != 0;
+	char *url = talloc_asprintf(call, "%s%s", client->options.base_url,
+				    call->path);
+	struct hc_options options = {
+		.method = call->method,
+		.url = url,
+		.headers = is_write ? headers : headers + 1,
+		.body = is_put ? call->body : NULL,
+		.body_size = is_put ? strlen(call->body) : 0,
+		.timeout_ms = call->try_timeout_ms,
+		.answer_bytes_max = PLAT_ANSWER_BYTES_MAX,
+	};
+
+	call->request =
+		hc_send(client, client->http, &options, handle_answer, call);
+	if (call->kind == PLAT_CALL_WATCH)
+		cnt_add(client->waiting_watches, 1);
+	else
+		client->in_flight++;
+	talloc_free(url);
+}
+
+static void handle_pump(uint64_t now_ms, void *data)
+{
+	struct plat_client *client = data;
+
+	client->pump_timer = NULL;
+	pump(client);
+}
+
+static void pump(struct plat_client *client)
+{
+	struct plat_call *call;
+	uint32_t wait_ms;
+
+	while ((call = g_queue_peek_head(&client->queue)) &&
+	       client->in_flight < PLAT_IN_FLIGHT_MAX) {
+		wait_ms = plat_take_token(&client->bucket,
+					  tmr_get_now_ms(client->timers));
+		if (wait_ms > 0) {
+			TALLOC_FREE(client->pump_timer);
+			client->pump_timer = tmr_subscribe_once(
+				client, client->timers, wait_ms, handle_pump,
+				client);
+			return;
+		}
+		g_queue_pop_head(&client->queue);
+		call->is_queued = false;
+		send_try(call);
+	}
+}
+
+static void handle_wait(uint64_t now_ms, void *data)
+{
+	struct plat_call *call = data;
+
+	call->wait = NULL;
+	call->is_queued = true;
+	g_queue_push_tail(&call->client->queue, call);
+	pump(call->client);
+}
+
+static int destroy_call(struct plat_call *call)
+{
+	if (call->is_freed)
+		*call->is_freed = true;
+	if (call->client) {
+		stop_try(call);
+		g_queue_remove(&call->client->calls, call);
+	}
+	g_clear_error(&call->error);
+	json_decref(call->value);
+	return 0;
+}
+
+static void deliver(uint64_t now_ms, void *data)
+{
+	struct plat_call *call = data;
+	bool is_freed = false;
+
+	call->wait = NULL;
+	call->is_freed = &is_freed;
+	call->fn(&call->result, call->data);
+	if (is_freed)
+		return;
+	call->is_freed = NULL;
+	talloc_free(call);
+}
+
+static void handle_expiry(uint64_t now_ms, void *data)
+{
+	struct plat_call *call = data;
+	struct plat_answer *answer = talloc_zero(call, struct plat_answer);
+
+	call->expiry = NULL;
+	call->is_expired = true;
+	stop_try(call);
+	answer->outcome = PLAT_LOST;
+	call->try_fn(call, answer);
+	pump(call->client);
+}
+
+static int destroy_client(struct plat_client *client)
+{
+	struct plat_call *call;
+
+	/* Calls have owners of their own and may outlive the client. */
+	while ((call = g_queue_pop_head(&client->calls))) {
+		stop_try(call);
+		TALLOC_FREE(call->expiry);
+		call->client = NULL;
+	}
+	g_rand_free(client->random);
+	return 0;
+}
+
+static bool check_options(const struct plat_options *options, GError **error)
+{
+	static const char step[] = "open platform client";
+
+	if (!g_str_has_prefix(options->base_url, "http://")) {
+		err_set(error, ERR_INVALID_ARGUMENT, step, options->base_url,
+			"got URL \"%s\", wanted http://ADDRESS:PORT",
+			options->base_url);
+		return false;
+	}
+	if (options->timeout_ms < PLAT_TRIES_PER_TIMEOUT ||
+	    options->calls_per_second == 0 || options->burst_calls == 0) {
+		err_set(error, ERR_INVALID_ARGUMENT, step, options->base_url,
+			"got timeout %u ms, %u calls/s, burst %u; wanted at "
+			"least %u, 1 and 1",
+			options->timeout_ms, options->calls_per_second,
+			options->burst_calls, PLAT_TRIES_PER_TIMEOUT);
+		return false;
+	}
+	return true;
+}
+
+void plat_set_default_options(struct plat_options *options,
+			      const char *base_url)
+{
+	*options = (struct plat_options){
+		.base_url = base_url,
+		.timeout_ms = PLAT_TIMEOUT_MS,
+		.calls_per_second = PLAT_CALLS_PER_SECOND,
+		.burst_calls = PLAT_BURST_CALLS,
+		.seed = 1,
+	};
+}
+
+struct plat_client *
+plat_new_client(TALLOC_CTX *ctx, struct tevent_context *events,
+		struct tmr_service *timers, struct cnt_registry *counters,
+		const struct plat_options *options, GError **error)
+{
+	struct plat_client *client;
+	guint32 seed[2];
+
+	if (!check_options(options, error))
+		return NULL;
+	client = talloc_zero(ctx, struct plat_client);
+	client->timers = timers;
+	client->counters = counters;
+	client->options = *options;
+	client->options.base_url = talloc_strdup(client, options->base_url);
+	client->http = hc_new_loop(client, events, error);
+	if (!client->http) {
+		talloc_free(client);
+		return NULL;
+	}
+	seed[0] = (guint32)options->seed;
+	seed[1] = (guint32)(options->seed >> 32);
+	client->random = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
+	g_queue_init(&client->calls);
+	g_queue_init(&client->queue);
+	plat_start_bucket(&client->bucket, options->calls_per_second,
+			  options->burst_calls, tmr_get_now_ms(timers));
+	client->waiting_watches =
+		plat_get_counter(client, CNT_KIND_GAUGE, "waiting_watches",
+				 NULL, "Watches that wait at the platform.");
+	talloc_set_destructor(client, destroy_client);
+	return client;
+}
+
+struct plat_call *plat_new_call(TALLOC_CTX *ctx, struct plat_client *client,
+				enum plat_call_kind kind, const char *key,
+				char *path, plat_try_fn try_fn, plat_fn fn,
+				void *data)
+{
+	struct plat_call *call = talloc_zero(ctx, struct plat_call);
+
+	call->client = client;
+	call->kind = kind;
+	call->key = talloc_strdup(call, key);
+	call->path = talloc_steal(call, path);
+	call->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
+	call->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
+	call->try_timeout_ms =
+		client->options.timeout_ms / PLAT_TRIES_PER_TIMEOUT;
+	call->try_fn = try_fn;
+	call->fn = fn;
+	call->data = data;
+	g_queue_push_tail(&client->calls, call);
+	talloc_set_destructor(call, destroy_call);
+	call->expiry = tmr_subscribe_once(call, client->timers,
+					  client->options.timeout_ms,
+					  handle_expiry, call);
+	return call;
+}
+
+void plat_extend_call(struct plat_call *call, uint32_t extra_ms)
+{
+	struct plat_client *client = call->client;
+
+	talloc_free(call->expiry);
+	call->try_timeout_ms += extra_ms;
+	call->expiry = tmr_subscribe_once(call, client->timers,
+					  client->options.timeout_ms + extra_ms,
+					  handle_expiry, call);
+}
+
+void plat_queue_try(struct plat_call *call, const char *method,
+		    uint32_t delay_ms)
+{
+	assert(!call->wait && !call->is_queued && !call->request);
+	call->method = method;
+	call->wait = tmr_subscribe_once(call, call->client->timers, delay_ms,
+					handle_wait, call);
+}
+
+void plat_queue_retry(struct plat_call *call, const char *method)
+{
+	plat_queue_try(
+		call, method,
+		plat_choose_backoff_ms(&call->backoff, call->client->random));
+}
+
+void plat_finish_call(struct plat_call *call, GError *error)
+{
+	assert(!call->request && !call->is_queued && !call->error);
+	TALLOC_FREE(call->expiry);
+	TALLOC_FREE(call->wait);
+	call->error = error;
+	call->result.error = error;
+	call->wait = tmr_subscribe_once(call, call->client->timers, 0, deliver,
+					call);
+}
+
+GRand *plat_get_random(struct plat_client *client)
+{
+	return client->random;
+}
+
+struct tmr_service *plat_get_timers(struct plat_client *client)
+{
+	return client->timers;
+}
+
+const struct plat_options *plat_get_options(const struct plat_client *client)
+{
+	return &client->options;
+}
+
+struct cnt_counter *plat_get_counter(struct plat_client *client,
+				     enum cnt_kind kind, const char *name,
+				     const char *labels, const char *help)
+{
+	char *whole = talloc_asprintf(client, "loom_platform_%s", name);
+	struct cnt_counter *counter =
+		cnt_get_counter(client->counters, kind, whole, labels, help);
+
+	talloc_free(whole);
+	return counter;
+}
+
+char *plat_make_write_id(TALLOC_CTX *ctx, struct plat_client *client,
+			 const char *holder)
+{
+	return talloc_asprintf(
+		ctx, "%s-%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT "-%08x",
+		holder, tmr_get_wall_ms(client->timers), ++client->write_count,
+		g_rand_int(client->random));
+}
--- /dev/null
+++ b/src/platform/client.h
@@ -0,0 +1,100 @@
+/*
+ * Inside of the platform client: calls, and the tries that they are made of.
+ *
+ * A call asks for one try after another by plat_queue_try(). Tries wait for a
+ * token and for a place among those in flight. The answer goes to the call's
+ * handler, which asks for a further try or finishes the call.
+ */
+#ifndef LOOM_PLATFORM_CLIENT_H
+#define LOOM_PLATFORM_CLIENT_H
+
+#include "answer.h"
+#include "backoff.h"
+#include "bucket.h"
+#include "loom/http.h"
+#include "loom/platform.h"
+
+#define PLAT_BACKOFF_BASE_MS 50U
+#define PLAT_BACKOFF_CAP_MS 8000U
+
+enum plat_call_kind {
+	PLAT_CALL_GET,
+	PLAT_CALL_LIST,
+	PLAT_CALL_PUT,
+	PLAT_CALL_DELETE,
+	PLAT_CALL_WATCH,
+	PLAT_CALL_KIND_COUNT,
+};
+
+struct plat_call;
+
+/* Handles the answer to a try; borrowed for the length of the call. */
+typedef void (*plat_try_fn)(struct plat_call *call, struct plat_answer *answer);
+
+struct plat_call {
+	struct plat_client *client;
+	enum plat_call_kind kind;
+	const char *key; /* or the prefix */
+	char *path;	 /* of the request, with its query */
+	char *body;	 /* NULL: none */
+	json_t *value;	 /* of a put */
+	char *if_match;	 /* of a write */
+	struct plat_backoff backoff;
+	uint32_t try_timeout_ms;
+	plat_try_fn try_fn;
+	plat_fn fn;
+	void *data;
+
+	const char *method;	    /* of the try in progress */
+	struct hc_request *request; /* NULL: none in flight */
+	struct tmr_subscription *wait;
+	struct tmr_subscription *expiry;
+	bool is_queued;
+	bool is_expired; /* the time limit is over: no further try */
+	bool *is_freed;	 /* set while fn runs */
+
+	GError *error;
+	struct plat_result result;
+};
+
+/* Returns a new call owned by ctx; path (stolen) is that of its requests. */
+struct plat_call *plat_new_call(TALLOC_CTX *ctx, struct plat_client *client,
+				enum plat_call_kind kind, const char *key,
+				char *path, plat_try_fn try_fn, plat_fn fn,
+				void *data);
+
+/* Moves the time limits of a new call out by extra_ms. */
+void plat_extend_call(struct plat_call *call, uint32_t extra_ms);
+
+/* Queues one try after delay_ms with the method "GET", "PUT" or "DELETE". */
+void plat_queue_try(struct plat_call *call, const char *method,
+		    uint32_t delay_ms);
+
+/* Queues a further try after the call's backoff. */
+void plat_queue_retry(struct plat_call *call, const char *method);
+
+/*
+ * Finishes a call with call->result; fn runs from the loop. error is stolen and
+ * may be NULL.
+ */
+void plat_finish_call(struct plat_call *call, GError *error);
+
+/* Returns the client's random numbers, timers and options (borrowed). */
+GRand *plat_get_random(struct plat_client *client);
+struct tmr_service *plat_get_timers(struct plat_client *client);
+const struct plat_options *plat_get_options(const struct plat_client *client);
+
+/* Returns the counter loom_platform_NAME (borrowed). */
+struct cnt_counter *plat_get_counter(struct plat_client *client,
+				     enum cnt_kind kind, const char *name,
+				     const char *labels, const char *help);
+
+/*
+ * Waits once for changes after revision, at most wait_ms. There is one try;
+ * ERR_GONE when the history does not reach so far.
+ */
+struct plat_call *plat_poll_events(TALLOC_CTX *ctx, struct plat_client *client,
+				   const char *prefix, uint64_t revision,
+				   uint32_t wait_ms, plat_fn fn, void *data);
+
+#endif
--- /dev/null
+++ b/src/platform/tests/wiring.h
@@ -0,0 +1,75 @@
+/*
+ * One loop with the platform's stand-in and a client of it, for tests.
+ */
+#ifndef LOOM_PLATFORM_TESTS_WIRING_H
+#define LOOM_PLATFORM_TESTS_WIRING_H
+
+#include "loom/error.h"
+#include "loom/platform.h"
+#include "object_api.h"
+#include "object_store.h"
+#include "script.h"
+
+#define WIRING_TURNS_MAX 100000
+#define WIRING_TIMEOUT_MS 600U
+
+struct wiring {
+	struct tevent_context *events;
+	struct tmr_service *timers;
+	struct cnt_registry *counters;
+	struct api_server *server;
+	struct plat_client *client;
+};
+
+static struct plat_client *wiring_new_client(struct wiring *wiring,
+					     uint64_t seed)
+{
+	struct plat_options options;
+	char *url = talloc_asprintf(wiring, "http://127.0.0.1:%u",
+				    api_get_port(wiring->server));
+
+	plat_set_default_options(&options, url);
+	options.timeout_ms = WIRING_TIMEOUT_MS;
+	options.calls_per_second = 1000;
+	options.burst_calls = 1000;
+	options.seed = seed;
+	return plat_new_client(wiring, wiring->events, wiring->timers,
+			       wiring->counters, &options, NULL);
+}
+
+static struct wiring *wiring_open(void)
+{
+	struct wiring *wiring = talloc_zero(NULL, struct wiring);
+	struct api_options options;
+
+	api_set_default_options(&options);
+	wiring->events = tevent_context_init(wiring);
+	wiring->timers = tmr_new(wiring, wiring->events);
+	wiring->counters = cnt_new_registry(wiring);
+	wiring->server = api_new_server(wiring, wiring->events, wiring->timers,
+					&options, NULL);
+	wiring->client = wiring_new_client(wiring, 1);
+	return wiring;
+}
+
+static void wiring_close(struct wiring *wiring)
+{
+	TALLOC_FREE(wiring->client);
+	TALLOC_FREE(wiring->server);
+	talloc_free(wiring);
+}
+
+/* Runs the loop until *is_done; the bound keeps a fault from hanging it. */
+static void wiring_run_until(struct wiring *wiring, const bool *is_done)
+{
+	for (int i = 0; i < WIRING_TURNS_MAX && !*is_done; i++)
+		tevent_loop_once(wiring->events);
+	CU_ASSERT_TRUE(*is_done);
+}
+
+static void wiring_set_faults(struct wiring *wiring, const char *text)
+{
+	CU_ASSERT_TRUE(api_set_faults(wiring->server, text, NULL));
+}
+
+#endif
--- /dev/null
+++ b/src/platform/watch.c
@@ -0,0 +1,120 @@
+/*
+ * Watch of a prefix: one list, then one poll after the other.
+ *
+ * A failed poll resumes from the last revision after a backoff; a history that
+ * is gone leads to a new list. The first list waits for a random time, so that
+ * nodes that start together do not list together.
+ *
+ * Invariant: exactly one of call and timer is set.
+ */
+#include "client.h"
+
+#include <assert.h>
+#include "loom/error.h"
+
+#define WATCH_WAIT_MS 30000U
+#define WATCH_START_JITTER_MS 500U
+
+struct plat_watch {
+	struct plat_client *client;
+	char *prefix;
+	plat_watch_fn fn;
+	void *data;
+	struct plat_call *call;
+	struct tmr_subscription *timer;
+	struct plat_backoff backoff;
+	uint64_t revision;
+	bool is_listed; /* revision is that of a list or of later events */
+};
+
+static void start_call(struct plat_watch *watch);
+
+static void handle_timer(uint64_t now_ms, void *data)
+{
+	struct plat_watch *watch = data;
+
+	watch->timer = NULL;
+	start_call(watch);
+}
+
+static void wait_for(struct plat_watch *watch, uint32_t delay_ms)
+{
+	assert(!watch->timer);
+	watch->timer = tmr_subscribe_once(watch, plat_get_timers(watch->client),
+					  delay_ms, handle_timer, watch);
+}
+
+static void handle_failure(struct plat_watch *watch,
+			   const struct plat_result *result)
+{
+	uint32_t wait_ms = plat_choose_backoff_ms(
+		&watch->backoff, plat_get_random(watch->client));
+
+	if (g_error_matches(result->error, ERR_DOMAIN, ERR_GONE))
+		watch->is_listed = false;
+	wait_for(watch, wait_ms);
+	watch->fn(PLAT_WATCH_FAILED, result, watch->data);
+}
+
+static void handle_list(const struct plat_result *result, void *data)
+{
+	struct plat_watch *watch = data;
+
+	watch->call = NULL;
+	if (result->error) {
+		handle_failure(watch, result);
+		return;
+	}
+	plat_reset_backoff(&watch->backoff);
+	watch->revision = result->revision;
+	watch->is_listed = true;
+	wait_for(watch, 0);
+	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
+}
+
+static void handle_events(const struct plat_result *result, void *data)
+{
+	struct plat_watch *watch = data;
+
+	watch->call = NULL;
+	if (result->error) {
+		handle_failure(watch, result);
+		return;
+	}
+	plat_reset_backoff(&watch->backoff);
+	watch->revision = result->revision;
+	wait_for(watch, 0);
+	if (result->object_count > 0)
+		watch->fn(PLAT_WATCH_CHANGED, result, watch->data);
+}
+
+static void start_call(struct plat_watch *watch)
+{
+	assert(!watch->call);
+	if (watch->is_listed)
+		watch->call = plat_poll_events(
+			watch, watch->client, watch->prefix, watch->revision,
+			WATCH_WAIT_MS, handle_events, watch);
+	else
+		watch->call =
+			plat_list_objects(watch, watch->client, watch->prefix,
+					  handle_list, watch);
+}
+
+struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
+				     struct plat_client *client,
+				     const char *prefix, plat_watch_fn fn,
+				     void *data)
+{
+	struct plat_watch *watch = talloc_zero(ctx, struct plat_watch);
+
+	watch->client = client;
+	watch->prefix = talloc_strdup(watch, prefix);
+	watch->fn = fn;
+	watch->data = data;
+	watch->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
+	watch->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
+	wait_for(watch, (uint32_t)g_rand_int_range(plat_get_random(client), 0,
+						   WATCH_START_JITTER_MS));
+	return watch;
+}
