--- /dev/null
+++ b/src/ctl/context.c
@@ -0,0 +1,118 @@
+/*
+ * Blocking reads and writes for a command-line program.
+ */
+#include "ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+#include <curl/curl.h>
+#include "loom/error.h"
+
+#define CALL_TIMEOUT_MS 10000U
+
+struct pending {
+	struct ctl_object *object;
+	bool is_done;
+};
+
+bool ctl_open_context(struct ctl_context *context, const char *platform_url,
+		      bool is_json)
+{
+	struct plat_options options;
+	GError *error = NULL;
+
+	*context = (struct ctl_context){ 0 };
+	context->ctx = talloc_new(NULL);
+	context->events = tevent_context_init(context->ctx);
+	context->timers = tmr_new(context->ctx, context->events);
+	context->platform_url = platform_url;
+	context->is_json = is_json;
+	if (!platform_url)
+		return true;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	plat_set_default_options(&options, platform_url);
+	options.timeout_ms = CALL_TIMEOUT_MS;
+	options.seed = (uint64_t)getpid();
+	context->platform = plat_new_client(
+		context->ctx, context->events, context->timers,
+		cnt_new_registry(context->ctx), &options, &error);
+	if (context->platform)
+		return true;
+	ctl_print_error(error);
+	g_clear_error(&error);
+	return false;
+}
+
+void ctl_close_context(struct ctl_context *context)
+{
+	TALLOC_FREE(context->ctx);
+	if (context->platform_url)
+		curl_global_cleanup();
+}
+
+void ctl_clear_object(struct ctl_object *object)
+{
+	g_clear_error(&object->error);
+	json_decref(object->value);
+	object->value = NULL;
+}
+
+static void take_result(const struct plat_result *result, void *data)
+{
+	struct pending *pending = data;
+	struct ctl_object *object = pending->object;
+
+	pending->is_done = true;
+	object->version = result->version;
+	if (result->error)
+		object->error = g_error_copy(result->error);
+	if (result->object_count == 0)
+		return;
+	object->version = result->objects[0].version;
+	object->value = json_incref(result->objects[0].value);
+}
+
+static void wait_for(struct ctl_context *context, struct pending *pending)
+{
+	while (!pending->is_done)
+		tevent_loop_once(context->events);
+}
+
+void ctl_read_object(struct ctl_context *context, const char *key,
+		     struct ctl_object *object)
+{
+	struct pending pending = { .object = object };
+
+	*object = (struct ctl_object){ 0 };
+	plat_get_object(context->ctx, context->platform, key, take_result,
+			&pending);
+	wait_for(context, &pending);
+}
+
+void ctl_write_object(struct ctl_context *context, const char *key,
+		      json_t *value, uint64_t expected_version,
+		      struct ctl_object *object)
+{
+	struct pending pending = { .object = object };
+	char *write_id =
+		plat_make_write_id(context->ctx, context->platform, "loomctl");
+
+	*object = (struct ctl_object){ 0 };
+	json_object_set_new(value, "write_id", json_string(write_id));
+	plat_put_object(context->ctx, context->platform, key, value,
+			expected_version, take_result, &pending);
+	wait_for(context, &pending);
+}
+
+enum ctl_exit ctl_print_error(const GError *error)
+{
+	fprintf(stderr, "loomctl: %s%s%s: %s\n", err_get_step(error),
+		*err_get_peer(error) ? " " : "", err_get_peer(error),
+		error->message);
+	if (g_error_matches(error, ERR_DOMAIN, ERR_CONFLICT))
+		return CTL_EXIT_CONFLICT;
+	if (g_error_matches(error, ERR_DOMAIN, ERR_NOT_FOUND))
+		return CTL_EXIT_NOT_FOUND;
+	return CTL_EXIT_FAILED;
+}
--- /dev/null
+++ b/src/node/internal.h
@@ -0,0 +1,72 @@
+/*
+ * State of a node, shared by the files of this slice.
+ */
+#ifndef ND_INTERNAL_H
+#define ND_INTERNAL_H
+
+#include "loom/counter.h"
+#include "loom/http.h"
+#include "loom/membership.h"
+#include "loom/platform.h"
+#include "loom/spread.h"
+#include "loom/timer.h"
+#include "loom/traffic.h"
+#include "node.h"
+
+enum nd_phase {
+	ND_PHASE_SERVING,
+	ND_PHASE_DRAINING, /* answers go out, no new work is asked for */
+	ND_PHASE_ENDED,
+};
+
+/* The one target of this vm, as it announced itself. */
+struct nd_target {
+	char *service; /* NULL: none yet */
+	char *version;
+	char *instance; /* differs after each start of the target */
+	uint16_t port;
+	enum rt_phase phase;
+	uint64_t heard_ms; /* last announcement */
+	bool is_lost;	   /* announcements stopped */
+};
+
+/* One announcement of a target; texts are borrowed. */
+struct nd_announcement {
+	const char *service;
+	const char *version;
+	const char *instance;
+	uint16_t port;
+	enum rt_phase phase;
+};
+
+struct nd_node {
+	const struct nd_settings *settings;
+	struct tevent_context *events;
+	struct tmr_service *timers;
+	struct cnt_registry *counters;
+	struct plat_client *platform;
+	struct mem_service *members;
+	struct spr_service *spread;
+	struct tr_service *traffic;
+	struct web_server *admin;
+	struct nd_target target;
+	enum nd_phase phase;
+	uint64_t drain_start_ms;
+	struct tmr_subscription *drain_poll;
+	int exit_code;
+};
+
+/* admin.c: answers a request to the administration port. */
+void nd_handle_admin(struct web_request *request, void *data);
+
+/* shutdown.c: subscribes to SIGTERM and SIGINT. */
+void nd_watch_signals(struct nd_node *node);
+
+/* target.c: takes an announcement; it is also the target's heartbeat. */
+void nd_take_announcement(struct nd_node *node,
+			  const struct nd_announcement *announcement);
+
+/* target.c: watches that announcements go on. */
+void nd_watch_target(struct nd_node *node);
+
+#endif
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,212 @@
+/*
+ * Wiring of the control thread: snapshot and members go into the table that
+ * the traffic threads use, announcements of the target into both.
+ */
+#include "node.h"
+
+#include <string.h>
+#include "internal.h"
+#include "loom/error.h"
+#include "loom/log.h"
+
+#define ADMIN_BODY_BYTES_MAX (4U * 1024U * 1024U)
+
+static uint32_t get_distance_us(const struct nd_node *node, const char *domain)
+{
+	const struct nd_settings *settings = node->settings;
+
+	if (strcmp(settings->failure_domain, domain) == 0)
+		return 0;
+	for (size_t i = 0; i < settings->distance_count; i++) {
+		if (strcmp(settings->distances[i].failure_domain, domain) == 0)
+			return settings->distances[i].round_trip_us;
+	}
+	/* An unknown failure domain is farther than every known one. */
+	return UINT32_MAX;
+}
+
+static bool is_usable(const struct mem_member *member)
+{
+	return member->self.service && *member->self.service &&
+	       (member->state == MEM_STATE_ALIVE ||
+		member->state == MEM_STATE_SUSPECT);
+}
+
+static size_t list_targets(struct nd_node *node, TALLOC_CTX *ctx,
+			   struct rt_target **targets)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+	size_t used = 0;
+
+	*targets = talloc_zero_array(ctx, struct rt_target, count + 1);
+	for (size_t i = 0; i < count; i++) {
+		const struct mem_self *self = &members[i].self;
+		struct rt_target *target = &(*targets)[used];
+
+		if (!is_usable(&members[i]))
+			continue;
+		target->address = talloc_asprintf(ctx, "%s:%u", self->address,
+						  self->hop_port);
+		target->failure_domain = self->failure_domain;
+		target->service = self->service;
+		target->version = self->version;
+		target->phase = self->phase;
+		target->distance_us =
+			get_distance_us(node, self->failure_domain);
+		used++;
+	}
+	return used;
+}
+
+static void update_table(struct nd_node *node)
+{
+	struct doc_snapshot *snapshot;
+	struct rt_target *targets;
+	struct rt_table *table;
+	TALLOC_CTX *scratch;
+	size_t count;
+
+	if (!node->spread || !node->members)
+		return;
+	snapshot = spr_get_snapshot(node->spread);
+	if (!snapshot)
+		return;
+	scratch = talloc_new(NULL);
+	count = list_targets(node, scratch, &targets);
+	table = rt_new_table(snapshot, targets, count,
+			     node->settings->failure_domain);
+	tr_set_table(node->traffic, table);
+	rt_unref_table(table);
+	talloc_free(scratch);
+}
+
+static void handle_members(void *data)
+{
+	update_table(data);
+}
+
+static void handle_snapshot(struct doc_snapshot *snapshot, void *data)
+{
+	struct nd_node *node = data;
+	uint64_t sequence = doc_get_manifest(snapshot)->sequence;
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, sequence);
+	log_write(LOG_LEVEL_INFO, "node", "adopt manifest", NULL,
+		  "manifest in force", "sequence", text, NULL);
+	mem_set_manifest_sequence(node->members, sequence);
+	update_table(node);
+}
+
+static bool open_platform(struct nd_node *node, GError **error)
+{
+	struct plat_options options;
+
+	plat_set_default_options(&options, node->settings->platform_url);
+	options.seed = g_str_hash(node->settings->address);
+	node->platform = plat_new_client(node, node->events, node->timers,
+					 node->counters, &options, error);
+	return node->platform != NULL;
+}
+
+static bool open_traffic(struct nd_node *node, GError **error)
+{
+	const struct nd_settings *settings = node->settings;
+	struct tr_options options;
+
+	tr_set_default_options(&options);
+	options.address = settings->address;
+	options.failure_domain = settings->failure_domain;
+	options.call_port = settings->call_port;
+	options.hop_port = settings->hop_port;
+	options.thread_count = settings->traffic_threads;
+	options.connections_max = settings->connections;
+	options.idle_timeout_ms = settings->idle_timeout_ms;
+	options.header_timeout_ms = settings->header_timeout_ms;
+	options.seed = g_str_hash(settings->address);
+	node->traffic = tr_new_service(node, node->counters, &options, error);
+	return node->traffic != NULL;
+}
+
+static bool open_members(struct nd_node *node, GError **error)
+{
+	const struct nd_settings *settings = node->settings;
+	struct mem_options options;
+
+	mem_set_default_options(&options);
+	options.self = (struct mem_self){
+		.address = settings->address,
+		.gossip_port = settings->gossip_port,
+		.hop_port = settings->hop_port,
+		.admin_port = settings->admin_port,
+		.failure_domain = settings->failure_domain,
+		.service = "",
+		.version = "",
+		.phase = RT_PHASE_SERVING,
+	};
+	options.seeds = settings->seeds;
+	options.seed = g_str_hash(settings->address);
+	options.on_change = handle_members;
+	options.data = node;
+	node->members = mem_new_service(node, node->events, node->timers,
+					node->counters, &options, error);
+	return node->members != NULL;
+}
+
+static bool open_admin(struct nd_node *node, GError **error)
+{
+	struct web_options options = {
+		.address = node->settings->address,
+		.port = node->settings->admin_port,
+		.body_bytes_max = ADMIN_BODY_BYTES_MAX,
+		.fn = nd_handle_admin,
+		.data = node,
+	};
+
+	node->admin = web_new_server(node, node->events, &options, error);
+	return node->admin != NULL;
+}
+
+static void open_spread(struct nd_node *node)
+{
+	struct spr_options options = {
+		.timers = node->timers,
+		.platform = node->platform,
+		.holder = node->settings->address,
+		.fn = handle_snapshot,
+		.data = node,
+	};
+
+	node->spread = spr_new_service(node, &options);
+}
+
+struct nd_node *nd_new_node(TALLOC_CTX *ctx, struct tevent_context *events,
+			    const struct nd_settings *settings, GError **error)
+{
+	struct nd_node *node = talloc_zero(ctx, struct nd_node);
+
+	node->settings = settings;
+	node->events = events;
+	node->timers = tmr_new(node, events);
+	node->counters = cnt_new_registry(node);
+	if (!open_platform(node, error) || !open_traffic(node, error) ||
+	    !open_members(node, error) || !open_admin(node, error)) {
+		talloc_free(node);
+		return NULL;
+	}
+	open_spread(node);
+	nd_watch_target(node);
+	nd_watch_signals(node);
+	return node;
+}
+
+int nd_run_node(struct nd_node *node)
+{
+	log_write(LOG_LEVEL_INFO, "node", "start", node->settings->address,
+		  "node is up", "failure_domain",
+		  node->settings->failure_domain, NULL);
+	while (node->phase != ND_PHASE_ENDED)
+		tevent_loop_once(node->events);
+	return node->exit_code;
+}
--- /dev/null
+++ b/src/node/settings.h
@@ -0,0 +1,51 @@
+/*
+ * Settings of loomnode: one JSON object.
+ */
+#ifndef ND_SETTINGS_H
+#define ND_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <talloc.h>
+#include "loom/log.h"
+#include "loom/problem.h"
+
+/* Configured round trip from the node's own failure domain to another. */
+struct nd_distance {
+	const char *failure_domain;
+	uint32_t round_trip_us;
+};
+
+struct nd_settings {
+	const char *address; /* IP number of this vm */
+	const char *failure_domain;
+	uint16_t call_port;
+	uint16_t hop_port;
+	uint16_t admin_port;
+	uint16_t gossip_port;
+	const char *platform_url;
+	const char *const *seeds; /* "ADDRESS:PORT"; NULL-terminated */
+	const struct nd_distance *distances;
+	size_t distance_count;
+	uint32_t traffic_threads;
+	uint32_t connections;
+	uint32_t idle_timeout_ms;
+	uint32_t header_timeout_ms;
+	uint32_t drain_linger_ms;
+	uint32_t shutdown_limit_ms;
+	enum log_level log_level;
+};
+
+/*
+ * Parses and checks settings; file names the source in problems. Returns new
+ * settings owned by ctx, or NULL with every problem added to list.
+ */
+struct nd_settings *nd_parse_settings(TALLOC_CTX *ctx, const char *file,
+				      const char *text, size_t size,
+				      struct prob_list *list);
+
+/* Reads the file and parses it, as above. */
+struct nd_settings *nd_read_settings(TALLOC_CTX *ctx, const char *file,
+				     struct prob_list *list);
+
+#endif
--- /dev/null
+++ b/src/node/shutdown.c
@@ -0,0 +1,75 @@
+/*
+ * Graceful shutdown: on SIGTERM the node says goodbye to its peers, refuses new
+ * work for its target, answers with "Connection: close", and ends when no call
+ * is under way and the linger has passed. A second signal, or the limit in the
+ * settings, ends it at once and logs how many calls that cut.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include "internal.h"
+#include "loom/log.h"
+
+#define DRAIN_POLL_MS 50U
+
+static void end_node(struct nd_node *node)
+{
+	uint32_t cut_count = tr_get_call_count(node->traffic);
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%u", cut_count);
+	log_write(cut_count ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, "node",
+		  "shut down", NULL, "node ends", "calls_cut", text, NULL);
+	node->exit_code = cut_count ? EXIT_FAILURE : EXIT_SUCCESS;
+	node->phase = ND_PHASE_ENDED;
+}
+
+static void poll_drain(uint64_t now_ms, void *data)
+{
+	struct nd_node *node = data;
+	uint64_t elapsed_ms =
+		tmr_get_now_ms(node->timers) - node->drain_start_ms;
+	bool is_idle = tr_get_call_count(node->traffic) == 0;
+
+	if (is_idle && elapsed_ms >= node->settings->drain_linger_ms)
+		end_node(node);
+	else if (elapsed_ms >= node->settings->shutdown_limit_ms)
+		end_node(node);
+}
+
+static void begin_drain(struct nd_node *node)
+{
+	log_write(LOG_LEVEL_INFO, "node", "shut down", NULL, "drain begins",
+		  NULL);
+	node->phase = ND_PHASE_DRAINING;
+	node->drain_start_ms = tmr_get_now_ms(node->timers);
+	mem_leave(node->members);
+	tr_drain_target(node->traffic);
+	tr_begin_drain(node->traffic);
+	node->drain_poll = tmr_subscribe_every(node, node->timers,
+					       DRAIN_POLL_MS, poll_drain, node);
+}
+
+static void handle_signal(struct tevent_context *events,
+			  struct tevent_signal *signal, int number, int count,
+			  void *info, void *data)
+{
+	struct nd_node *node = data;
+
+	switch (node->phase) {
+	case ND_PHASE_SERVING:
+		begin_drain(node);
+		break;
+	case ND_PHASE_DRAINING:
+		end_node(node);
+		break;
+	case ND_PHASE_ENDED:
+		break;
+	}
+}
+
+void nd_watch_signals(struct nd_node *node)
+{
+	signal(SIGPIPE, SIG_IGN);
+	tevent_add_signal(node->events, node, SIGTERM, 0, handle_signal, node);
+	tevent_add_signal(node->events, node, SIGINT, 0, handle_signal, node);
+}
--- /dev/null
+++ b/src/node/target.c
@@ -0,0 +1,85 @@
+/*
+ * The local target: announcements, their heartbeat, and what follows.
+ *
+ * A target announces itself every second or so. The same instance in the same
+ * phase is a heartbeat only; another instance is a fresh start, whose admission
+ * begins anew. When the announcements stop, the target counts as gone.
+ */
+#include <string.h>
+#include "internal.h"
+#include "loom/log.h"
+
+#define HEARTBEAT_TIMEOUT_MS 6000U
+#define HEARTBEAT_CHECK_MS 500U
+
+static bool is_same(const struct nd_target *target,
+		    const struct nd_announcement *announcement)
+{
+	return target->service && !target->is_lost &&
+	       strcmp(target->service, announcement->service) == 0 &&
+	       strcmp(target->version, announcement->version) == 0 &&
+	       strcmp(target->instance, announcement->instance) == 0 &&
+	       target->port == announcement->port &&
+	       target->phase == announcement->phase;
+}
+
+static void store_target(struct nd_node *node,
+			 const struct nd_announcement *announcement)
+{
+	struct nd_target *target = &node->target;
+
+	talloc_free(target->service);
+	talloc_free(target->version);
+	talloc_free(target->instance);
+	target->service = talloc_strdup(node, announcement->service);
+	target->version = talloc_strdup(node, announcement->version);
+	target->instance = talloc_strdup(node, announcement->instance);
+	target->port = announcement->port;
+	target->phase = announcement->phase;
+	target->is_lost = false;
+}
+
+void nd_take_announcement(struct nd_node *node,
+			  const struct nd_announcement *announcement)
+{
+	struct nd_target *target = &node->target;
+
+	target->heard_ms = tmr_get_now_ms(node->timers);
+	/* A node that leaves takes no target in any more. */
+	if (is_same(target, announcement) || node->phase != ND_PHASE_SERVING)
+		return;
+	store_target(node, announcement);
+	log_write(LOG_LEVEL_INFO, "node", "take announcement", NULL,
+		  "target announced", "service", target->service, "version",
+		  target->version, "phase", rt_get_phase_name(target->phase),
+		  NULL);
+	if (target->phase == RT_PHASE_LEAVING)
+		tr_drain_target(node->traffic);
+	else
+		tr_announce_target(node->traffic, target->service,
+				   target->version, node->settings->address,
+				   target->port);
+	mem_announce_target(node->members, target->service, target->version,
+			    target->phase);
+}
+
+static void check_heartbeat(uint64_t now_ms, void *data)
+{
+	struct nd_node *node = data;
+	struct nd_target *target = &node->target;
+
+	if (!target->service || target->is_lost ||
+	    now_ms < target->heard_ms + HEARTBEAT_TIMEOUT_MS)
+		return;
+	target->is_lost = true;
+	log_write(LOG_LEVEL_WARNING, "node", "check heartbeat", NULL,
+		  "target is gone", "service", target->service, NULL);
+	tr_drain_target(node->traffic);
+	mem_announce_target(node->members, "", "", RT_PHASE_LEAVING);
+}
+
+void nd_watch_target(struct nd_node *node)
+{
+	tmr_subscribe_every(node, node->timers, HEARTBEAT_CHECK_MS,
+			    check_heartbeat, node);
+}
