Resolve lost writes, recognise stale reads, and compete for leases

Decisions are apart from the wiring: resolution.c for a write whose answer was lost, lease_state.c for a competitor, floors.c for versions already seen.

A write that is not known to have failed is read back before it is repeated or reported; a version two above the expected one may hide our own write, and is reported as unknown rather than as a conflict. Holders measure from before they send, competitors from when they first see a version; no wall clocks.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -71,7 +71,10 @@
 
 /*
  * Reads one object; ERR_NOT_FOUND when it is absent. Retries outages within
- * timeout_ms. Returns a new call owned by ctx; talloc_free() cancels it.
+ * timeout_ms, and reads that are older than what this client saw before; when
+ * they stay so, ERR_GONE says that the store was restored to an older state,
+ * and the next read accepts it. Returns a new call owned by ctx; talloc_free()
+ * cancels it.
  */
 struct plat_call *plat_get_object(TALLOC_CTX *ctx, struct plat_client *client,
 				  const char *key, plat_fn fn, void *data);
@@ -111,7 +114,7 @@
 /*
  * Watches a prefix: lists it, then follows changes from that revision, resumes
  * after a cut, and lists again when the history is gone. Returns a new watch
- * owned by ctx; talloc_free() ends it.
+ * owned by ctx, to be freed before its client; talloc_free() ends it.
  */
 struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
 				     struct plat_client *client,
@@ -120,6 +123,8 @@
 
 struct plat_lease;
 
+#define PLAT_LEASE_DURATION_MS_MIN 30U
+
 typedef void (*plat_lease_fn)(bool is_held, uint64_t fencing_version,
 			      void *data);
 
@@ -127,8 +132,10 @@
  * Competes for the lease object key for holder. fn is called at each change;
  * is_held goes false by the local clock before the lease can be taken by
  * another process, also when the platform is out. fencing_version is the
- * object version of the lease. Returns a new lease owned by ctx; talloc_free()
- * gives it up.
+ * object version with which the present tenure began, and rises from tenure to
+ * tenure. holder must be unique to the process; duration_ms is at least
+ * PLAT_LEASE_DURATION_MS_MIN. Returns a new lease owned by ctx, to be freed
+ * before its client; talloc_free() gives it up.
  */
 struct plat_lease *plat_compete_lease(TALLOC_CTX *ctx,
 				      struct plat_client *client,
@@ -136,6 +143,16 @@
 				      uint32_t duration_ms, plat_lease_fn fn,
 				      void *data);
 
+/*
+ * Returns whether the lease is held at this moment. A holder asks before each
+ * act of its duty: after a pause of the process this is up to date, while fn
+ * has not yet been called.
+ */
+bool plat_is_lease_held(const struct plat_lease *lease);
+
+/* Returns the fencing version of the present tenure; 0 when it is not held. */
+uint64_t plat_get_lease_fencing(const struct plat_lease *lease);
+
 /* Returns a new unique write id owned by ctx: holder, time and count. */
 char *plat_make_write_id(TALLOC_CTX *ctx, struct plat_client *client,
 			 const char *holder);
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -25,6 +25,7 @@
 	struct plat_options options;
 	struct hc_loop *http;
 	GRand *random;
+	struct plat_floors *floors;
 	struct plat_bucket bucket;
 	GQueue calls; /* struct plat_call, all that live */
 	GQueue queue; /* those that wait for a token or a place */
@@ -85,6 +86,8 @@
 	leave_flight(call);
 	count_try(client, call->kind, answer->outcome);
 	call->try_fn(call, answer);
+	if (answer != call->stale && answer != call->kept)
+		talloc_free(answer);
 	pump(client);
 }
 
@@ -165,7 +168,6 @@
 		g_queue_remove(&call->client->calls, call);
 	}
 	g_clear_error(&call->error);
-	json_decref(call->value);
 	return 0;
 }
 
@@ -190,6 +192,7 @@
 
 	call->expiry = NULL;
 	call->is_expired = true;
+	call->is_cut = call->request != NULL;
 	stop_try(call);
 	answer->outcome = PLAT_LOST;
 	call->try_fn(call, answer);
@@ -267,6 +270,7 @@
 	seed[0] = (guint32)options->seed;
 	seed[1] = (guint32)(options->seed >> 32);
 	client->random = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
+	client->floors = plat_new_floors(client);
 	g_queue_init(&client->calls);
 	g_queue_init(&client->queue);
 	plat_start_bucket(&client->bucket, options->calls_per_second,
@@ -291,28 +295,21 @@
 	call->path = talloc_steal(call, path);
 	call->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
 	call->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
-	call->try_timeout_ms =
-		client->options.timeout_ms / PLAT_TRIES_PER_TIMEOUT;
 	call->try_fn = try_fn;
 	call->fn = fn;
 	call->data = data;
 	g_queue_push_tail(&client->calls, call);
 	talloc_set_destructor(call, destroy_call);
-	call->expiry = tmr_subscribe_once(call, client->timers,
-					  client->options.timeout_ms,
-					  handle_expiry, call);
+	plat_set_time_limit(call, client->options.timeout_ms);
 	return call;
 }
 
-void plat_extend_call(struct plat_call *call, uint32_t extra_ms)
+void plat_set_time_limit(struct plat_call *call, uint32_t timeout_ms)
 {
-	struct plat_client *client = call->client;
-
 	talloc_free(call->expiry);
-	call->try_timeout_ms += extra_ms;
-	call->expiry = tmr_subscribe_once(call, client->timers,
-					  client->options.timeout_ms + extra_ms,
-					  handle_expiry, call);
+	call->try_timeout_ms = MAX(1, timeout_ms / PLAT_TRIES_PER_TIMEOUT);
+	call->expiry = tmr_subscribe_once(call, call->client->timers,
+					  timeout_ms, handle_expiry, call);
 }
 
 void plat_queue_try(struct plat_call *call, const char *method,
@@ -357,6 +354,11 @@
 	return &client->options;
 }
 
+struct plat_floors *plat_get_floors(struct plat_client *client)
+{
+	return client->floors;
+}
+
 struct cnt_counter *plat_get_counter(struct plat_client *client,
 				     enum cnt_kind kind, const char *name,
 				     const char *labels, const char *help)
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -11,8 +11,10 @@
 #include "answer.h"
 #include "backoff.h"
 #include "bucket.h"
+#include "floors.h"
 #include "loom/http.h"
 #include "loom/platform.h"
+#include "resolution.h"
 
 #define PLAT_BACKOFF_BASE_MS 50U
 #define PLAT_BACKOFF_CAP_MS 8000U
@@ -37,13 +39,16 @@
 	const char *key; /* or the prefix */
 	char *path;	 /* of the request, with its query */
 	char *body;	 /* NULL: none */
-	json_t *value;	 /* of a put */
+	char *write_id;	 /* of a put */
 	char *if_match;	 /* of a write */
 	struct plat_backoff backoff;
 	uint32_t try_timeout_ms;
 	plat_try_fn try_fn;
 	plat_fn fn;
 	void *data;
+	struct plat_resolution resolution; /* of a write */
+	struct plat_answer *stale;	   /* the last stale answer, or NULL */
+	struct plat_answer *kept;	   /* whose objects the result holds */
 
 	const char *method;	    /* of the try in progress */
 	struct hc_request *request; /* NULL: none in flight */
@@ -51,6 +56,7 @@
 	struct tmr_subscription *expiry;
 	bool is_queued;
 	bool is_expired; /* the time limit is over: no further try */
+	bool is_cut;	 /* a try was in flight when it was over */
 	bool *is_freed;	 /* set while fn runs */
 
 	GError *error;
@@ -63,8 +69,8 @@
 				char *path, plat_try_fn try_fn, plat_fn fn,
 				void *data);
 
-/* Moves the time limits of a new call out by extra_ms. */
-void plat_extend_call(struct plat_call *call, uint32_t extra_ms);
+/* Sets the time limit over all tries of a new call. */
+void plat_set_time_limit(struct plat_call *call, uint32_t timeout_ms);
 
 /* Queues one try after delay_ms with the method "GET", "PUT" or "DELETE". */
 void plat_queue_try(struct plat_call *call, const char *method,
@@ -84,6 +90,9 @@
 struct tmr_service *plat_get_timers(struct plat_client *client);
 const struct plat_options *plat_get_options(const struct plat_client *client);
 
+/* Returns the versions that this client has seen (borrowed). */
+struct plat_floors *plat_get_floors(struct plat_client *client);
+
 /* Returns the counter loom_platform_NAME (borrowed). */
 struct cnt_counter *plat_get_counter(struct plat_client *client,
 				     enum cnt_kind kind, const char *name,
--- /dev/null
+++ b/src/platform/lease.c
@@ -0,0 +1,255 @@
+/*
+ * Competitor for a lease: carries out the plan of lease_state.c.
+ *
+ * The object's value is {write_id, holder, duration_ms}; holder is "" after the
+ * lease was given up. The object is never deleted, so that its version, which
+ * fences the holders' work, never starts again.
+ *
+ * Invariant: call is set while a read or write is in progress, otherwise timer.
+ */
+#include "client.h"
+
+#include <assert.h>
+#include <string.h>
+#include "lease_state.h"
+#include "loom/error.h"
+
+#define LEASE_CALL_PART 3U /* of the duration: time limit of a call */
+
+struct plat_lease {
+	struct plat_client *client;
+	char *key;
+	char *holder;
+	plat_lease_fn fn;
+	void *data;
+	struct plat_lease_state state;
+	struct plat_lease_plan plan;
+	char *write_id; /* of the last write */
+	struct plat_call *call;
+	struct tmr_subscription *timer;
+	struct tmr_subscription *end_timer;
+	bool is_told_held;
+	uint64_t told_version;
+	bool *is_freed; /* set while fn runs */
+};
+
+static uint64_t get_now_ms(const struct plat_lease *lease)
+{
+	return tmr_get_now_ms(plat_get_timers(lease->client));
+}
+
+/* Tells the owner of a change. Returns false when fn freed the lease. */
+static bool tell_change(struct plat_lease *lease)
+{
+	bool is_held = plat_is_held_at(&lease->state, get_now_ms(lease));
+	uint64_t version = is_held ? lease->state.fencing_version : 0;
+	bool is_freed = false;
+
+	if (is_held == lease->is_told_held && version == lease->told_version)
+		return true;
+	lease->is_told_held = is_held;
+	lease->told_version = version;
+	lease->is_freed = &is_freed;
+	lease->fn(is_held, version, lease->data);
+	if (!is_freed)
+		lease->is_freed = NULL;
+	return !is_freed;
+}
+
+static void handle_end(uint64_t now_ms, void *data)
+{
+	struct plat_lease *lease = data;
+
+	lease->end_timer = NULL;
+	tell_change(lease);
+}
+
+static void set_end_timer(struct plat_lease *lease, uint64_t now_ms)
+{
+	TALLOC_FREE(lease->end_timer);
+	if (!plat_is_held_at(&lease->state, now_ms))
+		return;
+	lease->end_timer = tmr_subscribe_once(
+		lease, plat_get_timers(lease->client),
+		(uint32_t)(lease->state.valid_until_ms - now_ms), handle_end,
+		lease);
+}
+
+static void carry_out_plan(uint64_t now_ms, void *data);
+
+/* After each event: plans the next step and tells of a change. */
+static void go_on(struct plat_lease *lease)
+{
+	uint64_t now_ms = get_now_ms(lease);
+
+	lease->plan = plat_plan_lease(&lease->state, now_ms,
+				      plat_get_random(lease->client));
+	set_end_timer(lease, now_ms);
+	lease->timer =
+		tmr_subscribe_once(lease, plat_get_timers(lease->client),
+				   lease->plan.delay_ms, carry_out_plan, lease);
+	tell_change(lease);
+}
+
+static const char *get_text(const json_t *value, const char *name)
+{
+	const char *text = json_string_value(json_object_get(value, name));
+
+	return text ? text : "";
+}
+
+static void read_view(const struct plat_lease *lease,
+		      const struct plat_object *object,
+		      struct plat_lease_view *view)
+{
+	const json_t *duration = json_object_get(object->value, "duration_ms");
+
+	view->version = object->version;
+	view->is_free = *get_text(object->value, "holder") == '\0';
+	view->is_own =
+		lease->write_id && strcmp(get_text(object->value, "write_id"),
+					  lease->write_id) == 0;
+	view->duration_ms = (uint32_t)CLAMP(json_integer_value(duration), 0,
+					    (json_int_t)G_MAXINT32);
+}
+
+static void handle_read(const struct plat_result *result, void *data)
+{
+	struct plat_lease *lease = data;
+	struct plat_lease_view view = { .is_free = true };
+
+	lease->call = NULL;
+	if (!result->error)
+		read_view(lease, &result->objects[0], &view);
+	if (!result->error ||
+	    g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND))
+		plat_note_lease_read(&lease->state, &view, get_now_ms(lease));
+	else
+		plat_note_lease_failure(&lease->state, false);
+	go_on(lease);
+}
+
+static void handle_written(const struct plat_result *result, void *data)
+{
+	struct plat_lease *lease = data;
+	uint64_t now_ms = get_now_ms(lease);
+
+	lease->call = NULL;
+	if (!result->error)
+		plat_note_lease_written(&lease->state, result->version, now_ms);
+	else if (g_error_matches(result->error, ERR_DOMAIN, ERR_CONFLICT))
+		plat_note_lease_conflict(&lease->state, result->version,
+					 now_ms);
+	else
+		plat_note_lease_failure(&lease->state,
+					g_error_matches(result->error,
+							ERR_DOMAIN,
+							ERR_UNKNOWN_OUTCOME));
+	go_on(lease);
+}
+
+static json_t *make_value(const struct plat_lease *lease, const char *holder)
+{
+	return json_pack("{s:s, s:s, s:I}", "write_id", lease->write_id,
+			 "holder", holder, "duration_ms",
+			 (json_int_t)lease->state.duration_ms);
+}
+
+static void new_write_id(struct plat_lease *lease)
+{
+	talloc_free(lease->write_id);
+	lease->write_id =
+		plat_make_write_id(lease, lease->client, lease->holder);
+}
+
+static void send_write(struct plat_lease *lease)
+{
+	json_t *value;
+
+	new_write_id(lease);
+	value = make_value(lease, lease->holder);
+	/* Validity counts from here, before the first try is sent. */
+	plat_note_lease_sent(&lease->state, get_now_ms(lease));
+	lease->call = plat_put_object(lease, lease->client, lease->key, value,
+				      lease->plan.expected_version,
+				      handle_written, lease);
+	json_decref(value);
+}
+
+static void carry_out_plan(uint64_t now_ms, void *data)
+{
+	struct plat_lease *lease = data;
+
+	assert(!lease->call);
+	lease->timer = NULL;
+	switch (lease->plan.action) {
+	case PLAT_LEASE_WRITE:
+		send_write(lease);
+		break;
+	case PLAT_LEASE_READ:
+		lease->call = plat_get_object(lease, lease->client, lease->key,
+					      handle_read, lease);
+		break;
+	}
+	plat_set_time_limit(lease->call,
+			    lease->state.duration_ms / LEASE_CALL_PART);
+}
+
+static void ignore_result(const struct plat_result *result, void *data)
+{
+}
+
+/* Gives the lease up by one write, which outlives it; nobody waits for it. */
+static int destroy_lease(struct plat_lease *lease)
+{
+	json_t *value;
+
+	if (lease->is_freed)
+		*lease->is_freed = true;
+	if (!plat_is_held_at(&lease->state, get_now_ms(lease)))
+		return 0;
+	new_write_id(lease);
+	value = make_value(lease, "");
+	plat_put_object(lease->client, lease->client, lease->key, value,
+			lease->state.version, ignore_result, NULL);
+	json_decref(value);
+	return 0;
+}
+
+struct plat_lease *plat_compete_lease(TALLOC_CTX *ctx,
+				      struct plat_client *client,
+				      const char *key, const char *holder,
+				      uint32_t duration_ms, plat_lease_fn fn,
+				      void *data)
+{
+	struct plat_lease *lease = talloc_zero(ctx, struct plat_lease);
+
+	assert(*holder != '\0');
+	assert(duration_ms >= PLAT_LEASE_DURATION_MS_MIN);
+	lease->client = client;
+	lease->key = talloc_strdup(lease, key);
+	lease->holder = talloc_strdup(lease, holder);
+	lease->fn = fn;
+	lease->data = data;
+	plat_start_lease(&lease->state, duration_ms);
+	talloc_set_destructor(lease, destroy_lease);
+	lease->plan.action = PLAT_LEASE_READ;
+	/* Competitors that start together do not read together. */
+	lease->timer = tmr_subscribe_once(
+		lease, plat_get_timers(client),
+		(uint32_t)g_rand_int_range(
+			plat_get_random(client), 0,
+			(gint32)(duration_ms / LEASE_CALL_PART)),
+		carry_out_plan, lease);
+	return lease;
+}
+
+bool plat_is_lease_held(const struct plat_lease *lease)
+{
+	return plat_is_held_at(&lease->state, get_now_ms(lease));
+}
+
+uint64_t plat_get_lease_fencing(const struct plat_lease *lease)
+{
+	return plat_is_lease_held(lease) ? lease->state.fencing_version : 0;
+}
--- a/src/platform/objects.c
+++ b/src/platform/objects.c
@@ -7,6 +7,9 @@
 #include <string.h>
 #include "loom/error.h"
 
+/* Under this key the floors hold the store's own revision. */
+#define PLAT_STORE_KEY ""
+
 static const char *get_step(const struct plat_call *call)
 {
 	switch (call->kind) {
@@ -64,8 +67,9 @@
 }
 
 static void finish_with_answer(struct plat_call *call,
-			       const struct plat_answer *answer)
+			       struct plat_answer *answer)
 {
+	call->kept = answer;
 	call->result.objects = answer->objects;
 	call->result.object_count = answer->object_count;
 	call->result.version = answer->version;
@@ -73,17 +77,75 @@
 	plat_finish_call(call, NULL);
 }
 
+/* Notes all versions of an answer; returns whether none was too old. */
+static bool note_versions(struct plat_call *call, struct plat_answer *answer)
+{
+	struct plat_floors *floors = plat_get_floors(call->client);
+	bool is_fresh =
+		plat_note_version(floors, PLAT_STORE_KEY, answer->revision);
+
+	/* An object's own revision says nothing of the store's present one. */
+	if (call->kind != PLAT_CALL_LIST && call->kind != PLAT_CALL_WATCH)
+		is_fresh = true;
+	for (size_t i = 0; i < answer->object_count; i++) {
+		struct plat_object *object = &answer->objects[i];
+
+		if (!plat_note_version(floors, object->key, object->version))
+			is_fresh = false;
+		object->is_older =
+			plat_is_older(floors, object->key, object->version);
+		if (object->is_deleted)
+			plat_drop_floor(floors, object->key);
+	}
+	return is_fresh;
+}
+
+static void reset_floors(struct plat_call *call,
+			 const struct plat_answer *answer)
+{
+	struct plat_floors *floors = plat_get_floors(call->client);
+
+	plat_reset_floor(floors, PLAT_STORE_KEY);
+	for (size_t i = 0; i < answer->object_count; i++)
+		plat_reset_floor(floors, answer->objects[i].key);
+}
+
+static void retry_stale(struct plat_call *call, struct plat_answer *answer)
+{
+	cnt_add(plat_get_counter(call->client, CNT_KIND_COUNTER,
+				 "stale_reads_total", NULL,
+				 "Reads older than one seen before."),
+		1);
+	talloc_free(call->stale);
+	call->stale = answer;
+	plat_queue_retry(call, "GET");
+}
+
+static void expire_read(struct plat_call *call)
+{
+	if (!call->stale) {
+		fail_call(call, ERR_TIMEOUT, "no answer in time");
+		return;
+	}
+	reset_floors(call, call->stale);
+	fail_call(call, ERR_GONE,
+		  "the store stays older than what was seen of it");
+}
+
 static void handle_read(struct plat_call *call, struct plat_answer *answer)
 {
 	switch (answer->outcome) {
 	case PLAT_DONE:
-		finish_with_answer(call, answer);
+		if (note_versions(call, answer))
+			finish_with_answer(call, answer);
+		else
+			retry_stale(call, answer);
 		return;
 	case PLAT_REFUSED:
 	case PLAT_NOT_SENT:
 	case PLAT_LOST:
 		if (call->is_expired)
-			fail_call(call, ERR_TIMEOUT, "no answer in time");
+			expire_read(call);
 		else
 			plat_queue_retry(call, "GET");
 		return;
@@ -94,20 +156,136 @@
 
 static void handle_poll(struct plat_call *call, struct plat_answer *answer)
 {
-	if (answer->outcome == PLAT_DONE)
+	if (answer->outcome == PLAT_DONE) {
+		/* Events may trail what other calls have seen. */
+		note_versions(call, answer);
 		finish_with_answer(call, answer);
-	else
+	} else {
 		fail_with_outcome(call, answer->outcome);
+	}
+}
+
+static const char *get_method(const struct plat_call *call)
+{
+	return call->kind == PLAT_CALL_DELETE ? "DELETE" : "PUT";
+}
+
+static void count_resolution(struct plat_call *call)
+{
+	static const char *const names[] = {
+		[PLAT_WRITE_DONE] = "result=\"done\"",
+		[PLAT_WRITE_CONFLICT] = "result=\"conflict\"",
+		[PLAT_WRITE_UNKNOWN] = "result=\"unknown\"",
+		[PLAT_WRITE_FAILED] = "result=\"failed\"",
+	};
+
+	cnt_add(plat_get_counter(call->client, CNT_KIND_COUNTER,
+				 "write_resolutions_total",
+				 names[call->resolution.result],
+				 "Writes that were resolved by reading back."),
+		1);
+}
+
+/* A write that took effect is the present state, also of a restored store. */
+static void note_written(struct plat_call *call)
+{
+	struct plat_floors *floors = plat_get_floors(call->client);
+
+	if (call->kind == PLAT_CALL_DELETE) {
+		plat_drop_floor(floors, call->key);
+		return;
+	}
+	if (plat_note_version(floors, call->key, call->result.version))
+		return;
+	plat_reset_floor(floors, call->key);
+	plat_note_version(floors, call->key, call->result.version);
+}
+
+static void end_write(struct plat_call *call)
+{
+	const struct plat_resolution *resolution = &call->resolution;
+
+	call->result.version = resolution->version;
+	if (resolution->may_have_effect)
+		count_resolution(call);
+	switch (resolution->result) {
+	case PLAT_WRITE_DONE:
+		note_written(call);
+		plat_finish_call(call, NULL);
+		return;
+	case PLAT_WRITE_CONFLICT:
+		fail_call(call, ERR_CONFLICT, "another version is present");
+		return;
+	case PLAT_WRITE_UNKNOWN:
+		fail_call(call, ERR_UNKNOWN_OUTCOME,
+			  "the answer was lost and reading back was no help");
+		return;
+	case PLAT_WRITE_FAILED:
+		fail_with_outcome(call, resolution->outcome);
+		return;
+	}
+}
+
+static void continue_write(struct plat_call *call)
+{
+	switch (call->resolution.step) {
+	case PLAT_STEP_WRITE:
+		plat_queue_retry(call, get_method(call));
+		return;
+	case PLAT_STEP_READ_BACK:
+		plat_queue_retry(call, "GET");
+		return;
+	case PLAT_STEP_END:
+		end_write(call);
+		return;
+	}
+}
+
+static bool has_write_id(const struct plat_call *call,
+			 const struct plat_object *object)
+{
+	const char *write_id =
+		json_string_value(json_object_get(object->value, "write_id"));
+
+	return write_id && g_strcmp0(write_id, call->write_id) == 0;
+}
+
+static void handle_read_back(struct plat_call *call, struct plat_answer *answer)
+{
+	struct plat_read_back read = { 0 };
+
+	if (answer->outcome == PLAT_DONE) {
+		if (!note_versions(call, answer)) {
+			retry_stale(call, answer);
+			return;
+		}
+		read.is_present = true;
+		read.version = answer->version;
+		read.is_own = has_write_id(call, &answer->objects[0]);
+	} else if (answer->outcome != PLAT_ABSENT) {
+		plat_queue_retry(call, "GET");
+		return;
+	}
+	plat_note_read_back(&call->resolution, &read);
+	continue_write(call);
 }
 
 static void handle_write(struct plat_call *call, struct plat_answer *answer)
 {
-	call->result.version = answer->version;
+	if (call->is_expired) {
+		plat_note_expiry(&call->resolution,
+				 call->is_cut && call->resolution.step ==
+							 PLAT_STEP_WRITE);
+		end_write(call);
+		return;
+	}
+	if (call->resolution.step == PLAT_STEP_READ_BACK) {
+		handle_read_back(call, answer);
+		return;
+	}
 	call->result.revision = answer->revision;
-	if (answer->outcome == PLAT_DONE)
-		plat_finish_call(call, NULL);
-	else
-		fail_with_outcome(call, answer->outcome);
+	plat_note_write(&call->resolution, answer->outcome, answer->version);
+	continue_write(call);
 }
 
 static char *escape(TALLOC_CTX *ctx, const char *text)
@@ -164,6 +342,8 @@
 	call = plat_new_call(ctx, client, kind, key,
 			     make_object_path(client, key), handle_write, fn,
 			     data);
+	plat_start_resolution(&call->resolution, expected_version,
+			      kind == PLAT_CALL_DELETE);
 	call->if_match = talloc_asprintf(call, "If-Match: %" G_GUINT64_FORMAT,
 					 expected_version);
 	return call;
@@ -176,12 +356,20 @@
 {
 	struct plat_call *call = new_write(ctx, client, PLAT_CALL_PUT, key,
 					   expected_version, fn, data);
+	const char *write_id =
+		json_string_value(json_object_get(value, "write_id"));
 	char *body = json_dumps(value, JSON_COMPACT);
 
-	call->value = json_incref(value);
+	if (!write_id) {
+		fail_call(call, ERR_INVALID_ARGUMENT,
+			  "got a value without write_id, wanted a text");
+		goto out;
+	}
+	call->write_id = talloc_strdup(call, write_id);
 	call->body = talloc_strdup(call, body);
-	free(body);
 	plat_queue_try(call, "PUT", 0);
+out:
+	free(body);
 	return call;
 }
 
@@ -211,7 +399,9 @@
 	talloc_free(escaped);
 	call = plat_new_call(ctx, client, PLAT_CALL_WATCH, prefix, path,
 			     handle_poll, fn, data);
-	plat_extend_call(call, wait_ms);
+	plat_set_time_limit(call,
+			    plat_get_options(client)->timeout_ms + wait_ms);
+	call->try_timeout_ms += wait_ms;
 	plat_queue_try(call, "GET", 0);
 	return call;
 }
--- /dev/null
+++ b/src/platform/resolution.c
@@ -0,0 +1,105 @@
+/*
+ * Resolution of a conditional write.
+ *
+ * Invariants: nothing ends as CONFLICT or FAILED while may_have_effect leaves
+ * it open whether this very write is the one that took effect; a write is sent
+ * again only after a certain refusal or after a read that showed the expected
+ * version, when the condition admits at most one of the tries.
+ */
+#include "resolution.h"
+
+#include <assert.h>
+
+static void end(struct plat_resolution *resolution,
+		enum plat_write_result result)
+{
+	resolution->step = PLAT_STEP_END;
+	resolution->result = result;
+}
+
+void plat_start_resolution(struct plat_resolution *resolution,
+			   uint64_t expected_version, bool is_delete)
+{
+	*resolution = (struct plat_resolution){
+		.expected_version = expected_version,
+		.is_delete = is_delete,
+		.step = PLAT_STEP_WRITE,
+	};
+}
+
+/* A refusal in words: it may yet follow an earlier try that took effect. */
+static void note_denial(struct plat_resolution *resolution,
+			enum plat_write_result result)
+{
+	if (resolution->may_have_effect)
+		resolution->step = PLAT_STEP_READ_BACK;
+	else
+		end(resolution, result);
+}
+
+void plat_note_write(struct plat_resolution *resolution,
+		     enum plat_outcome outcome, uint64_t version)
+{
+	assert(resolution->step == PLAT_STEP_WRITE);
+	resolution->outcome = outcome;
+	resolution->version = version;
+	switch (outcome) {
+	case PLAT_DONE:
+		end(resolution, PLAT_WRITE_DONE);
+		return;
+	case PLAT_CONFLICT:
+		note_denial(resolution, PLAT_WRITE_CONFLICT);
+		return;
+	case PLAT_ABSENT:
+	case PLAT_REJECTED:
+	case PLAT_HISTORY_GONE:
+		note_denial(resolution, PLAT_WRITE_FAILED);
+		return;
+	case PLAT_REFUSED:
+	case PLAT_NOT_SENT:
+		resolution->step = resolution->may_have_effect
+					   ? PLAT_STEP_READ_BACK
+					   : PLAT_STEP_WRITE;
+		return;
+	case PLAT_LOST:
+	case PLAT_OUTCOME_COUNT:
+		resolution->may_have_effect = true;
+		resolution->step = PLAT_STEP_READ_BACK;
+		return;
+	}
+}
+
+static bool is_own_effect(const struct plat_resolution *resolution,
+			  const struct plat_read_back *read)
+{
+	if (resolution->is_delete)
+		return !read->is_present;
+	return read->is_present && read->is_own;
+}
+
+void plat_note_read_back(struct plat_resolution *resolution,
+			 const struct plat_read_back *read)
+{
+	uint64_t version = read->is_present ? read->version : 0;
+
+	assert(resolution->step == PLAT_STEP_READ_BACK);
+	resolution->version = version;
+	if (is_own_effect(resolution, read))
+		end(resolution, PLAT_WRITE_DONE);
+	else if (version == resolution->expected_version)
+		resolution->step = PLAT_STEP_WRITE;
+	else if (version == resolution->expected_version + 1)
+		/* The one write on top of the expected version is not ours. */
+		end(resolution, PLAT_WRITE_CONFLICT);
+	else
+		/* Ours may be among the writes before this version. */
+		end(resolution, PLAT_WRITE_UNKNOWN);
+}
+
+void plat_note_expiry(struct plat_resolution *resolution, bool is_write_sent)
+{
+	if (is_write_sent)
+		resolution->may_have_effect = true;
+	end(resolution, resolution->may_have_effect ? PLAT_WRITE_UNKNOWN
+						    : PLAT_WRITE_FAILED);
+}
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -44,16 +44,19 @@
 					  delay_ms, handle_timer, watch);
 }
 
+/* Tells of a failure; talloc_free() of the watch within fn ends it. */
 static void handle_failure(struct plat_watch *watch,
 			   const struct plat_result *result)
 {
-	uint32_t wait_ms = plat_choose_backoff_ms(
-		&watch->backoff, plat_get_random(watch->client));
+	bool is_gone = g_error_matches(result->error, ERR_DOMAIN, ERR_GONE);
+	bool is_stale = is_gone && !watch->is_listed;
 
-	if (g_error_matches(result->error, ERR_DOMAIN, ERR_GONE))
+	if (is_gone)
 		watch->is_listed = false;
-	wait_for(watch, wait_ms);
-	watch->fn(PLAT_WATCH_FAILED, result, watch->data);
+	wait_for(watch, plat_choose_backoff_ms(&watch->backoff,
+					       plat_get_random(watch->client)));
+	watch->fn(is_stale ? PLAT_WATCH_STALE : PLAT_WATCH_FAILED, result,
+		  watch->data);
 }
 
 static void handle_list(const struct plat_result *result, void *data)
@@ -82,6 +85,9 @@
 		return;
 	}
 	plat_reset_backoff(&watch->backoff);
+	/* An older revision is a store that was restored: list to find out. */
+	if (result->revision < watch->revision)
+		watch->is_listed = false;
 	watch->revision = result->revision;
 	wait_for(watch, 0);
 	if (result->object_count > 0)
