--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -77,6 +77,14 @@
 	return problems;
 }
 
+/* A document that is in force already was accepted when it entered. */
+static const char *get_verdict_name(enum doc_verdict_kind kind)
+{
+	if (kind == DOC_VERDICT_UNCHANGED)
+		kind = DOC_VERDICT_ACCEPTED;
+	return doc_get_verdict_name(kind);
+}
+
 static json_t *make_status(const struct doc_verdict *verdict,
 			   const struct doc_manifest *manifest)
 {
@@ -86,7 +94,7 @@
 	return json_pack(
 		"{s:s,s:I,s:s,s:o,s:I,s:s,s:i}", "service", verdict->name,
 		"document_version", (json_int_t)verdict->document_version,
-		"verdict", doc_get_verdict_name(verdict->kind), "problems",
+		"verdict", get_verdict_name(verdict->kind), "problems",
 		make_problems(verdict), "version_in_force",
 		entry ? (json_int_t)entry->document_version : 0, "move",
 		doc_get_move_state_name(entry ? entry->move_state
