Bound what membership sends, and introduce joining nodes

Cause: 128 machines that started at once never found each other: the seeds' answers carried nothing once their credit of bytes was spent, and the debt grew without end.

Now a seed introduces itself and four members whatever its credit, debt is bounded, and a probe is tried again on three ticks before it counts as failed.

--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -20,6 +20,9 @@
 /* Peers that are asked to probe a member that did not answer. */
 #define INDIRECT_COUNT 3U
 
+/* Ticks in one period on which a probe is tried again. */
+#define INDIRECT_ROUNDS 3U
+
 /* Seeds contacted at a time while no member is known. */
 #define SEED_COUNT 3U
 
@@ -27,6 +30,12 @@
 #define SEED_PERIODS 15U
 #define DEAD_PROBE_PERIODS 3U
 
+/* Members that a seed introduces to a node that knows nobody. */
+#define INTRODUCED_COUNT 4U
+
+/* Ticks without any by which this node knows that it was paused. */
+#define PAUSE_TICKS 3U
+
 static int destroy_machine(struct mem_machine *machine)
 {
 	g_rand_free(machine->random);
@@ -126,7 +135,7 @@
 	probe->address = talloc_strdup(machine, entry->member.self.address);
 	probe->xid = g_rand_int(machine->random);
 	probe->timeout_at_ms = machine->now_ms + machine->probe_timeout_ms;
-	probe->is_indirect = false;
+	probe->indirect_count = 0;
 	send_ping(machine, probe->xid, probe->address,
 		  entry->member.self.gossip_port);
 	entry->is_doubted = false;
@@ -147,16 +156,22 @@
 		  entry->member.self.gossip_port);
 }
 
-static void ask_peers(struct mem_machine *machine)
+/*
+ * Pings the member again and asks others to. A loss of datagrams must not look
+ * like a death: each wrong suspicion costs two updates to all members.
+ */
+static void retry_probe(struct mem_machine *machine)
 {
 	struct mem_entry *peers[INDIRECT_COUNT];
 	struct mem_entry *entry;
 	uint32_t count;
 
-	machine->probe.is_indirect = true;
+	machine->probe.indirect_count++;
 	entry = mem_find_entry(machine->table, machine->probe.address);
 	if (!entry)
 		return;
+	send_ping(machine, machine->probe.xid, machine->probe.address,
+		  entry->member.self.gossip_port);
 	count = mem_choose_peers(machine, INDIRECT_COUNT, entry, peers);
 	for (uint32_t i = 0; i < count; i++) {
 		const struct mem_self *self = &peers[i]->member.self;
@@ -172,9 +187,10 @@
 
 static void run_probe(struct mem_machine *machine)
 {
-	if (machine->probe.address && !machine->probe.is_indirect &&
+	if (machine->probe.address &&
+	    machine->probe.indirect_count < INDIRECT_ROUNDS &&
 	    machine->now_ms >= machine->probe.timeout_at_ms)
-		ask_peers(machine);
+		retry_probe(machine);
 	if (machine->now_ms < machine->next_probe_ms)
 		return;
 	machine->next_probe_ms = machine->now_ms + machine->probe_period_ms;
@@ -231,6 +247,12 @@
 	}
 }
 
+/* Returns how late a tick has to be for a pause of this node. */
+static uint32_t get_pause_ms(const struct mem_machine *machine)
+{
+	return PAUSE_TICKS * machine->probe_period_ms / MEM_TICKS_PER_PERIOD;
+}
+
 /*
  * After a pause nothing that was waited for is overdue: answers may wait in
  * the socket. Suspicions start anew and the probe is forgotten.
@@ -274,7 +296,8 @@
 
 	if (!entry || entry == mem_get_self(machine->table))
 		return NULL;
-	if (entry->member.state != MEM_STATE_ALIVE)
+	if (entry->member.state == MEM_STATE_SUSPECT ||
+	    entry->member.state == MEM_STATE_DEAD)
 		return entry;
 	for (u_int i = 0; i < update->records.records_len; i++) {
 		const mem_wire_record *record = &update->records.records_val[i];
@@ -282,7 +305,8 @@
 		if (strcmp(record->address, address) != 0)
 			continue;
 		/* A restarted node that does not know its past. */
-		if (record->incarnation <= entry->member.incarnation)
+		if (record->incarnation <= entry->member.incarnation &&
+		    !mem_is_same_record(record, &entry->member))
 			return entry;
 	}
 	return NULL;
@@ -323,14 +347,19 @@
 static void answer_message(struct mem_machine *machine, const char *address,
 			   uint16_t port, const struct mem_message *message)
 {
-	struct mem_entry *about[2];
+	struct mem_entry *about[2 + INTRODUCED_COUNT] = { 0 };
 
 	about[0] = find_correction(machine, address, &message->update);
 	about[1] = about[0] ? mem_get_self(machine->table) : NULL;
 	switch (message->procedure) {
 	case MEM_PING:
+		if (message->update.live_count <= 1) {
+			about[1] = mem_get_self(machine->table);
+			mem_choose_peers(machine, INTRODUCED_COUNT, NULL,
+					 &about[2]);
+		}
 		mem_add_send(machine, MEM_ACK, message->xid, address, port,
-			     about, 2);
+			     about, G_N_ELEMENTS(about));
 		return;
 	case MEM_ACK:
 		handle_ack(machine, message->xid);
@@ -364,6 +393,7 @@
 	machine->probe_order = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(machine, destroy_machine);
 	machine->table = mem_new_table(machine, &options->self);
+	mem_fill_credit(machine);
 	machine->now_ms = now_ms;
 	machine->last_tick_ms = now_ms;
 	machine->next_probe_ms =
@@ -405,7 +435,7 @@
 				     uint64_t now_ms)
 {
 	begin_step(machine, now_ms);
-	if (now_ms > machine->last_tick_ms + machine->probe_period_ms)
+	if (now_ms > machine->last_tick_ms + get_pause_ms(machine))
 		forgive_pause(machine);
 	machine->last_tick_ms = now_ms;
 	mem_expire_entries(machine);
@@ -465,6 +495,8 @@
 	struct mem_self self = mem_get_self(machine->table)->member.self;
 
 	begin_step(machine, now_ms);
+	if (mem_get_self(machine->table)->member.state == MEM_STATE_LEFT)
+		return machine->step;
 	self.phase = RT_PHASE_LEAVING;
 	mem_publish_self(machine, &self, MEM_STATE_LEFT, 0);
 	mem_push_gossip(machine);
--- a/src/membership/machine.h
+++ b/src/membership/machine.h
@@ -38,7 +38,7 @@
 	char *address; /* owned by the machine; NULL: none */
 	uint32_t xid;
 	uint64_t timeout_at_ms;
-	bool is_indirect; /* peers were asked as well */
+	uint32_t indirect_count; /* times that peers were asked as well */
 };
 
 /* A probe made for another member. */
--- a/src/membership/mem_service.c
+++ b/src/membership/mem_service.c
@@ -8,7 +8,6 @@
 #include "loom/membership.h"
 
 #include <arpa/inet.h>
-#include <assert.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <netdb.h>
@@ -147,8 +146,8 @@
 	size_t size;
 
 	size = mem_encode_message(&send->message, buffer);
-	assert(size > 0);
-	if (!parse_endpoint(send->address, send->port, &storage,
+	if (size == 0 ||
+	    !parse_endpoint(send->address, send->port, &storage,
 			    &storage_size) ||
 	    sendto(service->socket, buffer, size, 0,
 		   (const struct sockaddr *)&storage, storage_size) < 0) {
--- a/src/membership/merge.c
+++ b/src/membership/merge.c
@@ -13,7 +13,10 @@
 
 /* Dead members stay known, and are probed now and then, for this long. */
 #define DEAD_KEPT_MS (2U * 60U * 60U * 1000U)
-#define LEFT_KEPT_MS (60U * 1000U)
+#define LEFT_KEPT_MS (10U * 60U * 1000U)
+
+/* Members beyond this are not taken in: the table stays bounded. */
+#define MEMBER_LIMIT 4096U
 
 static uint64_t get_state_end(const struct mem_machine *machine,
 			      enum mem_state state)
@@ -37,28 +40,13 @@
 	machine->step->is_changed = true;
 }
 
-static bool is_same_record(const mem_wire_record *record,
-			   const struct mem_member *member)
-{
-	const struct mem_self *self = &member->self;
-
-	return record->incarnation == member->incarnation &&
-	       record->state == member->state && record->phase == self->phase &&
-	       record->gossip_port == self->gossip_port &&
-	       record->hop_port == self->hop_port &&
-	       record->admin_port == self->admin_port &&
-	       strcmp(record->failure_domain, self->failure_domain) == 0 &&
-	       strcmp(record->service, self->service) == 0 &&
-	       strcmp(record->target_version, self->version) == 0;
-}
-
 static void apply_self_record(struct mem_machine *machine,
 			      const mem_wire_record *record)
 {
 	const struct mem_member *member = &mem_get_self(machine->table)->member;
 
 	if (record->incarnation < member->incarnation ||
-	    is_same_record(record, member))
+	    mem_is_same_record(record, member))
 		return;
 	machine->statistics.refutations++;
 	mem_publish_self(machine, &member->self, member->state,
@@ -73,11 +61,20 @@
 	return record->state > member->state;
 }
 
-static void apply_record(struct mem_machine *machine,
-			 const mem_wire_record *record, bool is_page)
+/*
+ * Decides whether a death told by a page is doubted. The peer may have been cut
+ * off from a member that we reach, so we ask the member itself.
+ */
+static bool is_doubtful(const mem_wire_record *record,
+			const struct mem_member *member)
+{
+	return record->state == MEM_STATE_DEAD && mem_is_live(member->state) &&
+	       record->incarnation == member->incarnation;
+}
+
+static void set_record(struct mem_machine *machine, struct mem_entry *entry,
+		       const mem_wire_record *record)
 {
-	struct mem_entry *entry;
-	enum mem_state state = record->state;
 	struct mem_self self = {
 		.address = record->address,
 		.gossip_port = (uint16_t)record->gossip_port,
@@ -89,29 +86,66 @@
 		.phase = record->phase,
 	};
 
+	mem_set_entry(machine->table, entry, &self, record->incarnation,
+		      record->state);
+	entry->state_until_ms = get_state_end(machine, record->state);
+	entry->is_doubted = false;
+	note_change(machine);
+}
+
+static void add_member(struct mem_machine *machine,
+		       const mem_wire_record *record, bool is_page)
+{
+	struct mem_entry *entry;
+
+	/* The dead would go round for ever if they were taken in. */
+	if (!mem_is_live(record->state) ||
+	    machine->table->entries->len >= MEMBER_LIMIT)
+		return;
+	entry = mem_add_entry(machine->table, record->address);
+	set_record(machine, entry, record);
+	/* What a fresh node learns from pages is old news to the others. */
+	if (!is_page)
+		mem_queue_entry(machine->table, entry);
+}
+
+static void apply_record(struct mem_machine *machine,
+			 const mem_wire_record *record, bool is_page)
+{
+	struct mem_entry *entry;
+
 	entry = mem_find_entry(machine->table, record->address);
+	if (!entry) {
+		add_member(machine, record, is_page);
+		return;
+	}
 	if (entry == mem_get_self(machine->table)) {
 		apply_self_record(machine, record);
 		return;
 	}
-	if (!entry) {
-		/* The dead would go round for ever if they were taken in. */
-		if (!mem_is_live(state))
-			return;
-		entry = mem_add_entry(machine->table, record->address);
-	} else if (!is_superseding(record, &entry->member)) {
+	if (!is_superseding(record, &entry->member))
 		return;
-	} else if (is_page && state == MEM_STATE_DEAD &&
-		   mem_is_live(entry->member.state) &&
-		   record->incarnation == entry->member.incarnation) {
-		/* The peer may have been cut off from it: see for ourselves. */
+	if (is_page && is_doubtful(record, &entry->member)) {
 		entry->is_doubted = true;
 		return;
 	}
-	mem_set_entry(machine->table, entry, &self, record->incarnation, state);
-	entry->state_until_ms = get_state_end(machine, state);
-	entry->is_doubted = false;
-	note_change(machine);
+	set_record(machine, entry, record);
+	mem_queue_entry(machine->table, entry);
+}
+
+bool mem_is_same_record(const mem_wire_record *record,
+			const struct mem_member *member)
+{
+	const struct mem_self *self = &member->self;
+
+	return record->incarnation == member->incarnation &&
+	       record->state == member->state && record->phase == self->phase &&
+	       record->gossip_port == self->gossip_port &&
+	       record->hop_port == self->hop_port &&
+	       record->admin_port == self->admin_port &&
+	       strcmp(record->failure_domain, self->failure_domain) == 0 &&
+	       strcmp(record->service, self->service) == 0 &&
+	       strcmp(record->target_version, self->version) == 0;
 }
 
 void mem_apply_records(struct mem_machine *machine,
@@ -133,6 +167,7 @@
 		machine->statistics.deaths++;
 	mem_set_entry(machine->table, entry, &entry->member.self,
 		      entry->member.incarnation, state);
+	mem_queue_entry(machine->table, entry);
 	entry->state_until_ms = get_state_end(machine, state);
 	entry->is_doubted = false;
 	note_change(machine);
@@ -146,6 +181,7 @@
 		MAX(entry->member.incarnation, least_incarnation) + 1;
 
 	mem_set_entry(machine->table, entry, self, incarnation, state);
+	mem_queue_entry(machine->table, entry);
 	note_change(machine);
 }
 
--- a/src/membership/merge.h
+++ b/src/membership/merge.h
@@ -6,6 +6,10 @@
 
 #include "machine.h"
 
+/* Returns whether a record says exactly what is held of the member. */
+bool mem_is_same_record(const mem_wire_record *record,
+			const struct mem_member *member);
+
 /* Applies the records of a received message. */
 void mem_apply_records(struct mem_machine *machine,
 		       const struct mem_message *message);
--- a/src/membership/send.c
+++ b/src/membership/send.c
@@ -1,23 +1,33 @@
 /*
  * Messages that a step sends.
  *
- * Every message carries the digest and piggybacks updates. Gossip and pages are
- * paid from one credit of bytes, so that a herd of updates cannot exceed the
- * control budget of a node; probes are few and go without.
+ * Every message carries the digest and piggybacks updates. All bytes are paid
+ * from one credit, so that a herd of updates cannot exceed the control budget
+ * of a node. Without credit, pages and most updates wait; probes and the
+ * freshest updates still go out.
  */
 #include "send.h"
 
 #include <string.h>
 
-/* Bytes a second that gossip and pages may take, and their burst. */
-#define CREDIT_BYTES_PER_S 6000
-#define CREDIT_BURST_BYTES 12000
+/* Bytes a second that a node sends, and their burst. */
+#define CREDIT_BYTES_PER_S 5000
+#define CREDIT_BURST_BYTES 10000
+
+/* Debt that probes and answers can make; it delays updates by its time. */
+#define CREDIT_DEBT_BYTES 2500
+
+/* Updates that a message carries without credit. */
+#define BARE_RECORDS 2U
+
+/* IPv4 and UDP headers of a datagram. */
+#define PACKET_HEADER_SIZE 28U
 
 /* Members that one push goes to. */
 #define GOSSIP_FANOUT 3U
 
 /* Datagrams that answer one pull. */
-#define PAGE_LIMIT 6U
+#define PAGE_LIMIT 4U
 
 /* A pull is worth its bytes once updates in flight have settled ... */
 #define PULL_SETTLED_PERIODS 2U
@@ -30,7 +40,7 @@
 static uint32_t get_send_limit(const struct mem_machine *machine)
 {
 	uint32_t count = machine->table->live_count;
-	uint32_t limit = SEND_FACTOR * (g_bit_storage(count) + 1);
+	uint32_t limit = SEND_FACTOR * g_bit_storage(count);
 
 	return MIN(limit, MEM_SEND_LIMIT);
 }
@@ -78,6 +88,13 @@
 	return size;
 }
 
+static void pay_send(struct mem_machine *machine, const struct mem_send *send)
+{
+	machine->credit_bytes -=
+		(int64_t)(get_send_size(send) + PACKET_HEADER_SIZE);
+	machine->credit_bytes = MAX(machine->credit_bytes, -CREDIT_DEBT_BYTES);
+}
+
 static void add_record(struct mem_send *send, const struct mem_entry *entry)
 {
 	mem_wire_update *update = &send->message.update;
@@ -94,7 +111,8 @@
 
 	update->records.records_len += mem_take_updates(
 		machine->table, &update->records.records_val[count],
-		MEM_RECORD_LIMIT - count,
+		MIN(machine->credit_bytes > 0 ? MEM_RECORD_LIMIT : BARE_RECORDS,
+		    MEM_RECORD_LIMIT - count),
 		MEM_DATAGRAM_SIZE - get_send_size(send),
 		get_send_limit(machine));
 }
@@ -106,6 +124,32 @@
 	machine->credit_bytes = MIN(machine->credit_bytes, CREDIT_BURST_BYTES);
 }
 
+/* Pages under construction; send is borrowed from the step, or NULL. */
+struct pages {
+	const char *address;
+	uint16_t port;
+	struct mem_send *send;
+	size_t left; /* bytes that still fit into it */
+	uint32_t count;
+};
+
+static bool is_full(const struct mem_send *send)
+{
+	return send->message.update.records.records_len == MEM_RECORD_LIMIT;
+}
+
+static void end_page(struct mem_machine *machine, struct pages *pages)
+{
+	if (pages->send)
+		pay_send(machine, pages->send);
+	pages->send = NULL;
+}
+
+void mem_fill_credit(struct mem_machine *machine)
+{
+	machine->credit_bytes = CREDIT_BURST_BYTES;
+}
+
 void mem_set_step_time(struct mem_machine *machine, uint64_t now_ms)
 {
 	if (now_ms <= machine->now_ms)
@@ -126,6 +170,7 @@
 		if (about[i])
 			add_record(send, about[i]);
 	add_updates(machine, send);
+	pay_send(machine, send);
 	return send;
 }
 
@@ -164,20 +209,16 @@
 	uint32_t count;
 
 	count = mem_choose_peers(machine, GOSSIP_FANOUT, NULL, peers);
-	for (uint32_t i = 0; i < count; i++) {
+	for (uint32_t i = 0; i < count && machine->credit_bytes > 0; i++) {
 		const struct mem_self *self = &peers[i]->member.self;
-		struct mem_send *send;
 
-		if (machine->credit_bytes <= 0)
-			return;
 		if (machine->table->queued_count == 0 &&
 		    machine->hint_count == 0)
 			return;
 		if (machine->hint_count > 0)
 			machine->hint_count--;
-		send = mem_add_send(machine, MEM_GOSSIP, 0, self->address,
-				    self->gossip_port, NULL, 0);
-		machine->credit_bytes -= (int64_t)get_send_size(send);
+		mem_add_send(machine, MEM_GOSSIP, 0, self->address,
+			     self->gossip_port, NULL, 0);
 	}
 }
 
@@ -209,41 +250,48 @@
 	       sizeof(table->bucket_hashes));
 }
 
-void mem_send_pages(struct mem_machine *machine, const char *address,
-		    uint16_t port, const mem_wire_buckets *buckets)
+/* Adds all records of a bucket, starting pages where needed. */
+static void add_bucket(struct mem_machine *machine, struct pages *pages,
+		       const GPtrArray *bucket)
 {
-	const struct mem_table *table = machine->table;
-	guint count = table->entries->len;
-	guint start =
-		(guint)g_rand_int_range(machine->random, 0, (gint32)count);
-	struct mem_send *send = NULL;
-	uint32_t pages = 0;
-	size_t left = 0;
-
-	/* A random start gives a puller that loses pages the others next. */
-	for (guint i = 0; i < count && machine->credit_bytes > 0; i++) {
-		struct mem_entry *entry =
-			g_ptr_array_index(table->entries, (start + i) % count);
+	for (guint i = 0; i < bucket->len; i++) {
+		const struct mem_entry *entry = g_ptr_array_index(bucket, i);
 		mem_wire_record record;
 		size_t size;
 
-		if (buckets->hashes[entry->bucket] ==
-		    table->bucket_hashes[entry->bucket])
-			continue;
 		mem_fill_record(entry, &record);
 		size = mem_get_record_size(&record);
-		if (size > left) {
-			if (pages++ == PAGE_LIMIT)
-				return;
-			send = add_empty_send(machine, MEM_PAGE, 0, address,
-					      port);
-			left = MEM_DATAGRAM_SIZE - get_send_size(send);
-			machine->credit_bytes -= (int64_t)MEM_DATAGRAM_SIZE;
+		if (!pages->send || size > pages->left ||
+		    is_full(pages->send)) {
+			end_page(machine, pages);
+			pages->send =
+				add_empty_send(machine, MEM_PAGE, 0,
+					       pages->address, pages->port);
+			pages->left =
+				MEM_DATAGRAM_SIZE - get_send_size(pages->send);
+			pages->count++;
 		}
-		left -= size;
-		if (send->message.update.records.records_len ==
-		    MEM_RECORD_LIMIT)
-			return;
-		add_record(send, entry);
+		pages->left -= size;
+		add_record(pages->send, entry);
+	}
+}
+
+void mem_send_pages(struct mem_machine *machine, const char *address,
+		    uint16_t port, const mem_wire_buckets *buckets)
+{
+	const struct mem_table *table = machine->table;
+	struct pages pages = { .address = address, .port = port };
+	uint32_t start = (uint32_t)g_rand_int_range(machine->random, 0,
+						    MEM_BUCKET_COUNT);
+
+	/* Whole buckets: one that arrives is not asked for again. */
+	for (uint32_t i = 0; i < MEM_BUCKET_COUNT; i++) {
+		uint32_t bucket = (start + i) % MEM_BUCKET_COUNT;
+
+		if (pages.count >= PAGE_LIMIT || machine->credit_bytes <= 0)
+			break;
+		if (buckets->hashes[bucket] != table->bucket_hashes[bucket])
+			add_bucket(machine, &pages, table->buckets[bucket]);
 	}
+	end_page(machine, &pages);
 }
--- a/src/membership/send.h
+++ b/src/membership/send.h
@@ -6,6 +6,9 @@
 
 #include "machine.h"
 
+/* Gives a new machine its first credit of bytes. */
+void mem_fill_credit(struct mem_machine *machine);
+
 /* Moves the machine's time on and refills its credit of bytes. */
 void mem_set_step_time(struct mem_machine *machine, uint64_t now_ms);
 
--- a/src/membership/table.c
+++ b/src/membership/table.c
@@ -19,6 +19,8 @@
 {
 	g_ptr_array_free(table->entries, TRUE);
 	g_hash_table_destroy(table->by_address);
+	for (uint32_t i = 0; i < MEM_BUCKET_COUNT; i++)
+		g_ptr_array_free(table->buckets[i], TRUE);
 	return 0;
 }
 
@@ -53,8 +55,8 @@
 	table->queued_count--;
 }
 
-static void queue_entry(struct mem_table *table, struct mem_entry *entry,
-			uint32_t send_count)
+static void add_to_queue(struct mem_table *table, struct mem_entry *entry,
+			 uint32_t send_count)
 {
 	assert(!entry->is_queued);
 	entry->send_count = send_count;
@@ -84,8 +86,11 @@
 	talloc_set_destructor(table, destroy_table);
 	for (uint32_t i = 0; i < MEM_SEND_LIMIT; i++)
 		g_queue_init(&table->queues[i]);
+	for (uint32_t i = 0; i < MEM_BUCKET_COUNT; i++)
+		table->buckets[i] = g_ptr_array_new();
 	entry = mem_add_entry(table, self->address);
 	mem_set_entry(table, entry, self, 0, MEM_STATE_ALIVE);
+	mem_queue_entry(table, entry);
 	return table;
 }
 
@@ -117,6 +122,7 @@
 	self->service = talloc_strdup(entry, "");
 	self->version = talloc_strdup(entry, "");
 	g_ptr_array_add(table->entries, entry);
+	g_ptr_array_add(table->buckets[entry->bucket], entry);
 	g_hash_table_insert(table->by_address, (char *)(uintptr_t)self->address,
 			    entry);
 	return entry;
@@ -132,6 +138,7 @@
 	unqueue_entry(table, entry);
 	g_hash_table_remove(table->by_address, entry->member.self.address);
 	g_ptr_array_remove(table->entries, entry);
+	g_ptr_array_remove_fast(table->buckets[entry->bucket], entry);
 	talloc_free(entry);
 }
 
@@ -158,8 +165,12 @@
 		toggle_hash(table, entry);
 		table->live_count++;
 	}
+}
+
+void mem_queue_entry(struct mem_table *table, struct mem_entry *entry)
+{
 	unqueue_entry(table, entry);
-	queue_entry(table, entry, 0);
+	add_to_queue(table, entry, 0);
 }
 
 bool mem_is_live(enum mem_state state)
@@ -213,7 +224,7 @@
 		struct mem_entry *entry = link->data;
 
 		if (entry->send_count + 1 < send_limit)
-			queue_entry(table, entry, entry->send_count + 1);
+			add_to_queue(table, entry, entry->send_count + 1);
 	}
 	return taken;
 }
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -33,6 +33,7 @@
 	uint32_t live_count; /* alive and suspect members */
 	uint64_t live_hash;
 	uint32_t bucket_hashes[MEM_BUCKET_COUNT];
+	GPtrArray *buckets[MEM_BUCKET_COUNT]; /* all entries, by address */
 };
 
 /* Returns a new table owned by ctx that holds only the local node. */
@@ -52,13 +53,15 @@
 void mem_drop_entry(struct mem_table *table, struct mem_entry *entry);
 
 /*
- * Replaces what is known of a member; texts are copied. Keeps the hashes true
- * and puts the update at the front of the queue.
+ * Replaces what is known of a member; texts are copied. Keeps the hashes true.
  */
 void mem_set_entry(struct mem_table *table, struct mem_entry *entry,
 		   const struct mem_self *self, uint64_t incarnation,
 		   enum mem_state state);
 
+/* Queues what is known of a member to be sent before older updates. */
+void mem_queue_entry(struct mem_table *table, struct mem_entry *entry);
+
 /* Returns whether the state is alive or suspect. */
 bool mem_is_live(enum mem_state state);
 
--- /dev/null
+++ b/src/membership/tests/bench_membership.c
@@ -0,0 +1,91 @@
+/*
+ * Prints, for meshes of rising size, the bytes and messages that a node sends
+ * in one period, and the time in which an announcement reaches all nodes.
+ *
+ *   bench_membership [LARGEST_SIZE]
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+#include "mesh.h"
+
+#define SETTLE_MS 60000U
+#define MEASURE_MS 20000U
+#define LIMIT_MS 60000U
+
+static uint64_t sum_counts(const struct mesh *mesh, bool is_bytes)
+{
+	uint64_t sum = 0;
+
+	for (uint32_t i = 0; i < mesh->count; i++)
+		sum += is_bytes ? mesh->nodes[i].bytes_out
+				: mesh->nodes[i].messages_out;
+	return sum;
+}
+
+static double get_cpu_us(void)
+{
+	return (double)clock() * 1e6 / CLOCKS_PER_SEC;
+}
+
+static bool is_leaving_known(struct mesh *mesh, const void *data)
+{
+	for (uint32_t i = 0; i < mesh->count; i++) {
+		const struct mem_member *member = mesh_find(mesh, i, 1);
+
+		if (!member || member->self.phase != RT_PHASE_LEAVING)
+			return false;
+	}
+	return true;
+}
+
+static void print_row(uint32_t count, uint32_t loss_permille)
+{
+	struct mesh *mesh = mesh_new(NULL, count, count);
+	double seconds = MEASURE_MS / 1000.0 * count;
+	uint64_t bytes;
+	uint64_t messages;
+	uint32_t join_ms;
+	uint32_t reach_ms;
+	uint64_t reach_bytes;
+	double cpu_us;
+
+	join_ms = mesh_run_until(mesh, mesh_is_whole, NULL, 4 * LIMIT_MS);
+	mesh_run(mesh, SETTLE_MS);
+	mesh->loss_permille = loss_permille;
+	bytes = sum_counts(mesh, true);
+	messages = sum_counts(mesh, false);
+	cpu_us = get_cpu_us();
+	mesh_run(mesh, MEASURE_MS);
+	cpu_us = get_cpu_us() - cpu_us;
+	bytes = sum_counts(mesh, true) - bytes;
+	messages = sum_counts(mesh, false) - messages;
+	reach_bytes = sum_counts(mesh, true);
+	mesh_carry_out(mesh, 1,
+		       mem_step_announce(mesh->nodes[1].machine, "orders", "v1",
+					 RT_PHASE_LEAVING, mesh->now_ms));
+	reach_ms = mesh_run_until(mesh, is_leaving_known, NULL, LIMIT_MS);
+	mesh_run(mesh, 5000);
+	reach_bytes = sum_counts(mesh, true) - reach_bytes;
+	printf("%5u %5u %8u %10.0f %10.2f %8.2f %9u %11.0f\n", count,
+	       loss_permille, join_ms, (double)bytes / seconds,
+	       (double)messages / seconds, cpu_us / (double)messages, reach_ms,
+	       (double)reach_bytes / count);
+	talloc_free(mesh);
+}
+
+int main(int argc, char **argv)
+{
+	uint32_t largest =
+		argc > 1 ? (uint32_t)strtoul(argv[1], NULL, 10) : 128;
+	const uint32_t losses_permille[] = { 0, 100, 300 };
+
+	printf("nodes  loss  join_ms  bytes/s/n  msgs/s/n  us/msg  reach_ms "
+	       "reach_bytes/n\n");
+	for (uint32_t count = 4; count <= MIN(largest, MESH_NODE_MAX);
+	     count *= 2)
+		for (size_t i = 0; i < G_N_ELEMENTS(losses_permille); i++)
+			print_row(count, losses_permille[i]);
+	return EXIT_SUCCESS;
+}
