Keep a herd of starting nodes inside the control budget

Cause: with 128 nodes starting at once a node took 25087 B in the first second, in and out, against a budget of 15 KB/s, because both credits began with a burst. Each credit now gives 2700 B/s; pushes burst by 1000 B, pages by the answer to one pull, and a fresh node has none to give.

test_membership_mesh gains: a missed push is pulled, loss kills nobody, a herd stays in its budget, a partition heals also without its seeds.

Seen failing first: 'herd stays in budget ... peak 25087 B/s mean 4714 B/s FAILED'.

--- a/src/membership/send.c
+++ b/src/membership/send.c
@@ -10,9 +10,12 @@
 
 #include <string.h>
 
-/* Bytes a second that each credit gives, and their burst. */
-#define CREDIT_BYTES_PER_S 3000
-#define CREDIT_BURST_BYTES 6000
+/* Bytes a second that each credit gives. */
+#define CREDIT_BYTES_PER_S 2700
+
+/* Bursts: one push of an update to a few members, the pages of one pull. */
+#define PUSH_BURST_BYTES 1000
+#define PULL_BURST_BYTES (PAGE_LIMIT * MEM_DATAGRAM_SIZE)
 
 /* Debt that probes and answers can make; it delays updates by its time. */
 #define CREDIT_DEBT_BYTES 2500
@@ -138,11 +141,12 @@
 			records[update->records.records_len++] = records[i];
 }
 
-static void refill_credit(int64_t *credit_bytes, uint64_t elapsed_ms)
+static void refill_credit(int64_t *credit_bytes, int64_t burst_bytes,
+			  uint64_t elapsed_ms)
 {
 	*credit_bytes +=
 		(int64_t)MIN(elapsed_ms, 10000) * CREDIT_BYTES_PER_S / 1000;
-	*credit_bytes = MIN(*credit_bytes, CREDIT_BURST_BYTES);
+	*credit_bytes = MIN(*credit_bytes, burst_bytes);
 }
 
 /* Digests in a row that must agree before updates count as known to all. */
@@ -171,16 +175,19 @@
 
 void mem_fill_credit(struct mem_machine *machine)
 {
-	machine->push_credit_bytes = CREDIT_BURST_BYTES;
-	machine->pull_credit_bytes = CREDIT_BURST_BYTES;
+	/* None for pages: a herd that starts at once has little to tell. */
+	machine->push_credit_bytes = PUSH_BURST_BYTES;
+	machine->pull_credit_bytes = 0;
 }
 
 void mem_set_step_time(struct mem_machine *machine, uint64_t now_ms)
 {
 	if (now_ms <= machine->now_ms)
 		return;
-	refill_credit(&machine->push_credit_bytes, now_ms - machine->now_ms);
-	refill_credit(&machine->pull_credit_bytes, now_ms - machine->now_ms);
+	refill_credit(&machine->push_credit_bytes, PUSH_BURST_BYTES,
+		      now_ms - machine->now_ms);
+	refill_credit(&machine->pull_credit_bytes, PULL_BURST_BYTES,
+		      now_ms - machine->now_ms);
 	machine->now_ms = now_ms;
 }
 
--- a/src/membership/tests/bench_membership.c
+++ b/src/membership/tests/bench_membership.c
@@ -1,6 +1,6 @@
 /*
  * Prints, for meshes of rising size, the bytes and messages that a node sends
- * in one period, and the time in which an announcement reaches all nodes.
+ * in one second, and the times in which an announcement and a death reach all.
  *
  *   bench_membership [LARGEST_SIZE [SMALLEST_SIZE]]
  */
@@ -40,6 +40,20 @@
 	return true;
 }
 
+static bool is_death_known(struct mesh *mesh, const void *data)
+{
+	for (uint32_t i = 0; i < mesh->count; i++) {
+		const struct mem_member *member;
+
+		if (!mesh->nodes[i].machine)
+			continue;
+		member = mesh_find(mesh, i, 2);
+		if (member && member->state != MEM_STATE_DEAD)
+			return false;
+	}
+	return true;
+}
+
 static void print_row(uint32_t count, uint32_t loss_permille)
 {
 	struct mesh *mesh = mesh_new(NULL, count, count);
@@ -48,6 +62,7 @@
 	uint64_t messages;
 	uint32_t join_ms;
 	uint32_t reach_ms;
+	uint32_t death_ms;
 	uint64_t reach_bytes;
 	double cpu_us;
 
@@ -68,10 +83,12 @@
 	reach_ms = mesh_run_until(mesh, is_leaving_known, NULL, LIMIT_MS);
 	mesh_run(mesh, 5000);
 	reach_bytes = sum_counts(mesh, true) - reach_bytes;
-	printf("%5u %5u %8u %10.0f %10.2f %8.2f %9u %11.0f\n", count,
+	mesh_stop(mesh, 2);
+	death_ms = mesh_run_until(mesh, is_death_known, NULL, LIMIT_MS);
+	printf("%5u %5u %8u %10.0f %10.2f %8.2f %9u %11.0f %9u\n", count,
 	       loss_permille, join_ms, (double)bytes / seconds,
 	       (double)messages / seconds, cpu_us / (double)messages, reach_ms,
-	       (double)reach_bytes / count);
+	       (double)reach_bytes / count, death_ms);
 	talloc_free(mesh);
 }
 
@@ -83,7 +100,7 @@
 	const uint32_t losses_permille[] = { 0, 100, 300 };
 
 	printf("nodes  loss  join_ms  bytes/s/n  msgs/s/n  us/msg  reach_ms "
-	       "reach_bytes/n\n");
+	       "reach_bytes/n death_ms\n");
 	largest = MIN(largest, MESH_NODE_MAX);
 	for (uint32_t count = smallest; count <= largest; count *= 2)
 		for (size_t i = 0; i < G_N_ELEMENTS(losses_permille); i++)
--- a/src/membership/tests/mesh.c
+++ b/src/membership/tests/mesh.c
@@ -70,6 +70,7 @@
 
 	if (!node->machine)
 		return;
+	node->bytes_in += datagram->size;
 	if (node->is_paused) {
 		g_ptr_array_add(node->waiting,
 				g_memdup2(datagram, sizeof(*datagram)));
--- a/src/membership/tests/mesh.h
+++ b/src/membership/tests/mesh.h
@@ -24,7 +24,8 @@
 	uint64_t newer_sequence;
 	GPtrArray *waiting; /* datagrams for a paused node */
 	uint64_t messages_out;
-	uint64_t bytes_out;
+	uint64_t bytes_out; /* payload, without packet headers */
+	uint64_t bytes_in;
 };
 
 struct mesh {
--- a/src/membership/tests/test_membership_machine.c
+++ b/src/membership/tests/test_membership_machine.c
@@ -246,6 +246,11 @@
 	run_named("doubt");
 }
 
+static void test_seeds(void)
+{
+	run_named("seeds");
+}
+
 static void test_bad_seeds_are_refused(void)
 {
 	const char *const bad[] = { "",
@@ -279,6 +284,7 @@
 		{ "refute", test_refute },
 		{ "pause", test_pause },
 		{ "doubt", test_doubt },
+		{ "seeds", test_seeds },
 		{ "bad seeds are refused", test_bad_seeds_are_refused },
 		CU_TEST_INFO_NULL,
 	};
--- a/src/membership/tests/test_membership_mesh.c
+++ b/src/membership/tests/test_membership_mesh.c
@@ -1,6 +1,7 @@
 /*
  * Many machines in virtual time: leaving, death, restart, pause, partition.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include "mesh.h"
@@ -12,6 +13,9 @@
 /* The bound of the promise on leaving targets. */
 #define LEAVING_LIMIT_MS 5000U
 
+/* The bound on what a node spends on control. */
+#define CONTROL_BUDGET_BYTES_PER_S 15000U
+
 struct expectation {
 	uint32_t subject;
 	enum mem_state state;
@@ -224,32 +228,111 @@
 	return true;
 }
 
+static void check_partition(uint32_t seed, bool has_seeds)
+{
+	struct mesh *mesh = join_mesh(32, seed);
+	uint64_t deaths;
+	uint32_t heal_ms;
+
+	/* The seeds 0 to 2 stand on one side only. */
+	for (uint32_t i = 0; i < mesh->count; i++)
+		mesh->nodes[i].group = i >= mesh->count / 2;
+	mesh_run(mesh, 60000);
+	CU_ASSERT_TRUE(is_split(mesh, NULL));
+	for (uint32_t i = 0; i < 3 && !has_seeds; i++)
+		mesh_stop(mesh, i);
+	mesh_run(mesh, 10000);
+	deaths = sum_deaths(mesh);
+	for (uint32_t i = 0; i < mesh->count; i++)
+		mesh->nodes[i].group = 0;
+	heal_ms = mesh_run_until(mesh, mesh_is_whole, NULL, 30000);
+	printf(" %u", heal_ms);
+	CU_ASSERT_NOT_EQUAL(heal_ms, MESH_NEVER);
+	mesh_run(mesh, 10000);
+	/* What one half held of the other killed nobody in the other.
+	 */
+	CU_ASSERT_EQUAL(sum_deaths(mesh), deaths);
+	talloc_free(mesh);
+}
+
 static void test_partition_heals(void)
+{
+	for (uint32_t seed = 1; seed <= SEED_COUNT; seed++) {
+		check_partition(seed, true);
+		check_partition(seed, false);
+	}
+}
+
+/* A node that misses every push of an update learns it by its digest. */
+static void test_missed_push_is_pulled(void)
 {
 	for (uint32_t seed = 1; seed <= SEED_COUNT; seed++) {
 		struct mesh *mesh = join_mesh(32, seed);
-		uint64_t deaths;
-		uint32_t heal_ms;
+		struct expectation expected = {
+			.subject = 5,
+			.state = MEM_STATE_ALIVE,
+			.phase = RT_PHASE_LEAVING,
+		};
+		uint32_t reach_ms;
 
-		/* The seeds 0 to 2 stand on one side only. */
-		for (uint32_t i = 0; i < mesh->count; i++)
-			mesh->nodes[i].group = i >= mesh->count / 2;
-		mesh_run(mesh, 60000);
-		CU_ASSERT_TRUE(is_split(mesh, NULL));
-		deaths = sum_deaths(mesh);
-		for (uint32_t i = 0; i < mesh->count; i++)
-			mesh->nodes[i].group = 0;
-		heal_ms = mesh_run_until(mesh, mesh_is_whole, NULL, 30000);
-		printf(" %u", heal_ms);
-		CU_ASSERT_NOT_EQUAL(heal_ms, MESH_NEVER);
-		mesh_run(mesh, 10000);
-		/* What one half held of the other killed nobody in the other.
-		 */
-		CU_ASSERT_EQUAL(sum_deaths(mesh), deaths);
+		mesh->nodes[9].group = 1;
+		mesh_carry_out(
+			mesh, 5,
+			mem_step_announce(mesh->nodes[5].machine, "plans", "v2",
+					  RT_PHASE_LEAVING, mesh->now_ms));
+		mesh_run(mesh, 900);
+		for (uint32_t i = 0; i < mesh->count; i++) {
+			struct mem_table *table = mesh->nodes[i].machine->table;
+
+			if (i != 9)
+				mem_unqueue_live(table);
+		}
+		mesh->nodes[9].group = 0;
+		reach_ms = mesh_run_until(mesh, is_held, &expected,
+					  LEAVING_LIMIT_MS);
+		printf(" %u", reach_ms);
+		CU_ASSERT_NOT_EQUAL(reach_ms, MESH_NEVER);
 		talloc_free(mesh);
 	}
 }
 
+/* Loss alone must not look like death. */
+static void test_loss_kills_nobody(void)
+{
+	for (uint32_t seed = 1; seed <= SEED_COUNT; seed++) {
+		struct mesh *mesh = join_mesh(64, seed);
+
+		mesh->loss_permille = 300;
+		mesh_run(mesh, 30000);
+		CU_ASSERT_EQUAL(sum_deaths(mesh), 0);
+		talloc_free(mesh);
+	}
+}
+
+/* Bytes of a node in one second, in and out, while all nodes start at once. */
+static void test_herd_stays_in_budget(void)
+{
+	struct mesh *mesh = mesh_new(NULL, 128, 1);
+	uint64_t total = 0;
+	uint64_t peak = 0;
+
+	for (uint32_t second = 0; second < 20; second++) {
+		uint64_t sum = 0;
+
+		mesh_run(mesh, 1000);
+		for (uint32_t i = 0; i < mesh->count; i++)
+			sum += mesh->nodes[i].bytes_in +
+			       mesh->nodes[i].bytes_out;
+		peak = MAX(peak, (sum - total) / mesh->count);
+		total = sum;
+	}
+	printf(" peak %" PRIu64 " B/s mean %" PRIu64 " B/s ", peak,
+	       total / mesh->count / 20);
+	CU_ASSERT_TRUE(peak <= CONTROL_BUDGET_BYTES_PER_S);
+	CU_ASSERT_TRUE(mesh_is_whole(mesh, NULL));
+	talloc_free(mesh);
+}
+
 static bool is_sequence_known(struct mesh *mesh, const void *data)
 {
 	const uint64_t *sequence = data;
@@ -291,6 +374,9 @@
 		{ "paused forgives", test_paused_forgives },
 		{ "partition heals", test_partition_heals },
 		{ "manifest hint spreads", test_manifest_hint_spreads },
+		{ "missed push is pulled", test_missed_push_is_pulled },
+		{ "loss kills nobody", test_loss_kills_nobody },
+		{ "herd stays in budget", test_herd_stays_in_budget },
 		CU_TEST_INFO_NULL,
 	};
 
