--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -2,12 +2,12 @@
  * State machine of membership.
  *
  * Each probe period one member, taken round-robin from a shuffled list, is
- * pinged; when it does not answer in time, a few others are asked to ping it;
- * when the period ends without an answer it is suspect, and dead when the
- * suspicion ends without a refutation. Updates ride on every message and are
- * pushed to a few members on each tick; digests on every message show what a
- * push missed. Invariant: at most one probe is in progress, and its member may
- * have gone from the table meanwhile.
+ * pinged; while it does not answer in time, it is pinged again and a few others
+ * are asked to ping it; after two periods without an answer it is suspect, and
+ * dead when the suspicion ends without a refutation. Updates ride on every
+ * message and are pushed to a few members on each tick; digests on every
+ * message show what a push missed. Invariant: at most one probe is in progress,
+ * and its member may have gone from the table meanwhile.
  */
 #include "machine.h"
 
@@ -20,12 +20,21 @@
 /* Peers that are asked to probe a member that did not answer. */
 #define INDIRECT_COUNT 3U
 
+/* Periods that a probe lasts when it is not answered. */
+#define PROBE_PERIODS 2U
+
 /* Seeds contacted at a time while no member is known. */
 #define SEED_COUNT 3U
 
 /* Periods between contacts of seeds, and between probes of dead members. */
-#define SEED_PERIODS 15U
-#define DEAD_PROBE_PERIODS 3U
+#define SEED_PERIODS 30U
+#define DEAD_PROBE_PERIODS 6U
+
+/* Members that a seed introduces to a node that knows nobody. */
+#define INTRODUCED_COUNT 4U
+
+/* Ticks without any by which this node knows that it was paused. */
+#define PAUSE_TICKS 3U
 
 static int destroy_machine(struct mem_machine *machine)
 {
@@ -47,6 +56,7 @@
 {
 	struct mem_entry *entry = mem_find_entry(machine->table, address);
 	struct mem_entry *about[2] = { 0 };
+	struct mem_send *send;
 
 	/*
 	 * A member that we do not hold alive is told so, to refute it, and
@@ -58,7 +68,11 @@
 	} else if (entry->is_doubted) {
 		about[0] = entry;
 	}
-	mem_add_send(machine, MEM_PING, xid, address, port, about, 2);
+	send = mem_add_send(machine, MEM_PING, xid, address, port, about, 2);
+	/* Another holds it dead: told so, it refutes for all to hear. */
+	if (entry && entry->is_doubted)
+		send->message.update.records.records_val[0].state =
+			MEM_STATE_DEAD;
 }
 
 static void fill_probe_order(struct mem_machine *machine)
@@ -126,7 +140,8 @@
 	probe->address = talloc_strdup(machine, entry->member.self.address);
 	probe->xid = g_rand_int(machine->random);
 	probe->timeout_at_ms = machine->now_ms + machine->probe_timeout_ms;
-	probe->is_indirect = false;
+	probe->end_ms =
+		machine->now_ms + PROBE_PERIODS * machine->probe_period_ms;
 	send_ping(machine, probe->xid, probe->address,
 		  entry->member.self.gossip_port);
 	entry->is_doubted = false;
@@ -147,16 +162,21 @@
 		  entry->member.self.gossip_port);
 }
 
-static void ask_peers(struct mem_machine *machine)
+/*
+ * Pings the member again and asks others to. A loss of datagrams must not look
+ * like a death: each wrong suspicion costs two updates to all members.
+ */
+static void retry_probe(struct mem_machine *machine)
 {
 	struct mem_entry *peers[INDIRECT_COUNT];
 	struct mem_entry *entry;
 	uint32_t count;
 
-	machine->probe.is_indirect = true;
 	entry = mem_find_entry(machine->table, machine->probe.address);
 	if (!entry)
 		return;
+	send_ping(machine, machine->probe.xid, machine->probe.address,
+		  entry->member.self.gossip_port);
 	count = mem_choose_peers(machine, INDIRECT_COUNT, entry, peers);
 	for (uint32_t i = 0; i < count; i++) {
 		const struct mem_self *self = &peers[i]->member.self;
@@ -172,13 +192,15 @@
 
 static void run_probe(struct mem_machine *machine)
 {
-	if (machine->probe.address && !machine->probe.is_indirect &&
-	    machine->now_ms >= machine->probe.timeout_at_ms)
-		ask_peers(machine);
-	if (machine->now_ms < machine->next_probe_ms)
+	struct mem_probe *probe = &machine->probe;
+
+	if (probe->address && machine->now_ms >= probe->end_ms)
+		end_probe(machine);
+	else if (probe->address && machine->now_ms >= probe->timeout_at_ms)
+		retry_probe(machine);
+	if (probe->address || machine->now_ms < machine->next_probe_ms)
 		return;
 	machine->next_probe_ms = machine->now_ms + machine->probe_period_ms;
-	end_probe(machine);
 	start_probe(machine);
 }
 
@@ -231,6 +253,12 @@
 	}
 }
 
+/* Returns how late a tick has to be for a pause of this node. */
+static uint32_t get_pause_ms(const struct mem_machine *machine)
+{
+	return PAUSE_TICKS * machine->probe_period_ms / MEM_TICKS_PER_PERIOD;
+}
+
 /*
  * After a pause nothing that was waited for is overdue: answers may wait in
  * the socket. Suspicions start anew and the probe is forgotten.
@@ -274,7 +302,8 @@
 
 	if (!entry || entry == mem_get_self(machine->table))
 		return NULL;
-	if (entry->member.state != MEM_STATE_ALIVE)
+	if (entry->member.state == MEM_STATE_SUSPECT ||
+	    entry->member.state == MEM_STATE_DEAD)
 		return entry;
 	for (u_int i = 0; i < update->records.records_len; i++) {
 		const mem_wire_record *record = &update->records.records_val[i];
@@ -282,7 +311,8 @@
 		if (strcmp(record->address, address) != 0)
 			continue;
 		/* A restarted node that does not know its past. */
-		if (record->incarnation <= entry->member.incarnation)
+		if (record->incarnation <= entry->member.incarnation &&
+		    !mem_is_same_record(record, &entry->member))
 			return entry;
 	}
 	return NULL;
@@ -323,14 +353,19 @@
 static void answer_message(struct mem_machine *machine, const char *address,
 			   uint16_t port, const struct mem_message *message)
 {
-	struct mem_entry *about[2];
+	struct mem_entry *about[2 + INTRODUCED_COUNT] = { 0 };
 
 	about[0] = find_correction(machine, address, &message->update);
 	about[1] = about[0] ? mem_get_self(machine->table) : NULL;
 	switch (message->procedure) {
 	case MEM_PING:
+		if (message->update.live_count <= 1) {
+			about[1] = mem_get_self(machine->table);
+			mem_choose_peers(machine, INTRODUCED_COUNT, NULL,
+					 &about[2]);
+		}
 		mem_add_send(machine, MEM_ACK, message->xid, address, port,
-			     about, 2);
+			     about, G_N_ELEMENTS(about));
 		return;
 	case MEM_ACK:
 		handle_ack(machine, message->xid);
@@ -364,6 +399,7 @@
 	machine->probe_order = g_ptr_array_new_with_free_func(g_free);
 	talloc_set_destructor(machine, destroy_machine);
 	machine->table = mem_new_table(machine, &options->self);
+	mem_fill_credit(machine);
 	machine->now_ms = now_ms;
 	machine->last_tick_ms = now_ms;
 	machine->next_probe_ms =
@@ -405,7 +441,7 @@
 				     uint64_t now_ms)
 {
 	begin_step(machine, now_ms);
-	if (now_ms > machine->last_tick_ms + machine->probe_period_ms)
+	if (now_ms > machine->last_tick_ms + get_pause_ms(machine))
 		forgive_pause(machine);
 	machine->last_tick_ms = now_ms;
 	mem_expire_entries(machine);
@@ -425,7 +461,7 @@
 	mem_apply_records(machine, message);
 	note_sender(machine, address, &message->update);
 	answer_message(machine, address, port, message);
-	mem_consider_pull(machine, address, port, &message->update);
+	mem_note_digest(machine, address, port, &message->update);
 	return machine->step;
 }
 
@@ -465,6 +501,8 @@
 	struct mem_self self = mem_get_self(machine->table)->member.self;
 
 	begin_step(machine, now_ms);
+	if (mem_get_self(machine->table)->member.state == MEM_STATE_LEFT)
+		return machine->step;
 	self.phase = RT_PHASE_LEAVING;
 	mem_publish_self(machine, &self, MEM_STATE_LEFT, 0);
 	mem_push_gossip(machine);
