--- a/src/document/snapshot.c
+++ b/src/document/snapshot.c
@@ -21,23 +21,10 @@
 	const struct doc_service **services; /* in order of the manifest */
 };
 
-static bool check_entry(const struct doc_manifest_service *entry,
-			const struct doc_service *service, GError **error)
+/* Checks the state of a move against the move of the document. */
+static bool check_move(const struct doc_manifest_service *entry,
+		       const struct doc_move *move, GError **error)
 {
-	if (!service) {
-		err_set(error, ERR_NOT_FOUND, STEP, entry->name,
-			"no document of service %s, wanted version %" PRIu64,
-			entry->name, entry->document_version);
-		return false;
-	}
-	if (service->document_version != entry->document_version) {
-		err_set(error, ERR_CONFLICT, STEP, entry->name,
-			"got version %" PRIu64
-			" of service %s, wanted version %" PRIu64,
-			service->document_version, entry->name,
-			entry->document_version);
-		return false;
-	}
 	if (entry->share_permille > DOC_SHARE_ALL_PERMILLE) {
 		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
 			"got share %u of service %s, wanted at most %u",
@@ -45,7 +32,7 @@
 			DOC_SHARE_ALL_PERMILLE);
 		return false;
 	}
-	if (!service->move &&
+	if (!move &&
 	    (entry->move_state != DOC_MOVE_NONE || entry->share_permille > 0)) {
 		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
 			"got move %s at share %u of service %s, whose document "
@@ -54,18 +41,54 @@
 			entry->share_permille, entry->name);
 		return false;
 	}
+	if (move && entry->step_index >= move->step_count) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got step %u of service %s, wanted one of its %zu "
+			"steps, counted from 0",
+			entry->step_index, entry->name, move->step_count);
+		return false;
+	}
 	return true;
 }
 
-/* Returns the documents by name; the last of a name wins. */
-static GHashTable *index_documents(struct doc_service **services,
+static bool check_entry(const struct doc_manifest_service *entry,
+			const struct doc_service *service, GError **error)
+{
+	if (!service) {
+		err_set(error, ERR_NOT_FOUND, STEP, entry->name,
+			"no document of service %s, wanted version %" PRIu64,
+			entry->name, entry->document_version);
+		return false;
+	}
+	if (service->document_version != entry->document_version) {
+		err_set(error, ERR_CONFLICT, STEP, entry->name,
+			"got version %" PRIu64
+			" of service %s, wanted version %" PRIu64,
+			service->document_version, entry->name,
+			entry->document_version);
+		return false;
+	}
+	return check_move(entry, service->move, error);
+}
+
+/* Returns the documents by name, of several the one that the manifest names. */
+static GHashTable *index_documents(const struct doc_manifest *manifest,
+				   struct doc_service **services,
 				   size_t service_count)
 {
 	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
 
-	for (size_t i = 0; i < service_count; i++)
-		g_hash_table_insert(by_name, (gpointer)services[i]->name,
-				    services[i]);
+	for (size_t i = 0; i < service_count; i++) {
+		struct doc_service *service = services[i];
+		const struct doc_manifest_service *entry;
+
+		entry = doc_find_manifest_service(manifest, service->name);
+		if ((entry &&
+		     entry->document_version == service->document_version) ||
+		    !g_hash_table_contains(by_name, service->name))
+			g_hash_table_insert(by_name, (gpointer)service->name,
+					    service);
+	}
 	return by_name;
 }
 
@@ -110,7 +133,8 @@
 					size_t service_count, GError **error)
 {
 	struct doc_snapshot *snapshot = talloc_zero(NULL, struct doc_snapshot);
-	GHashTable *by_name = index_documents(services, service_count);
+	GHashTable *by_name =
+		index_documents(manifest, services, service_count);
 	size_t count = manifest->service_count;
 	struct doc_service **chosen;
 
--- a/src/document/tests/test_document.c
+++ b/src/document/tests/test_document.c
@@ -156,6 +156,15 @@
 	talloc_free(text);
 }
 
+/* Parses a text given line by line. */
+static void print_parse_lines(char **lines, GString *output)
+{
+	char *text = g_strjoinv("\n", lines);
+
+	print_parse(text, strlen(text), output);
+	g_free(text);
+}
+
 static bool run_edit_step(int word_count, char **words, GString *output,
 			  void *data)
 {
@@ -171,7 +180,7 @@
 	else if (strcmp(words[0], "differ") == 0)
 		print_difference(state, json, output);
 	else if (strcmp(words[0], "text") == 0)
-		print_parse(words[1], strlen(words[1]), output);
+		print_parse_lines(words + 1, output);
 	else if (strcmp(words[0], "fill") == 0)
 		print_filled(words[1], *words[2], output);
 	else
--- a/src/document/tests/test_fold.c
+++ b/src/document/tests/test_fold.c
@@ -8,6 +8,8 @@
 #include "script.h"
 
 #define PROPOSALS_MAX 16U
+#define THREAD_COUNT 4U
+#define USE_COUNT 10000U
 
 struct fold_test {
 	struct doc_manifest *manifest;
@@ -104,7 +106,8 @@
 		return;
 	CU_ASSERT_TRUE(doc_parse_move_state(words[3], &entry->move_state));
 	entry->share_permille = (uint32_t)strtoul(words[4], NULL, 10);
-	entry->step_index = 1;
+	entry->step_index =
+		words[5] ? (uint32_t)strtoul(words[5], NULL, 10) : 1;
 }
 
 static void print_verdicts(const struct doc_fold *fold, GString *output)
@@ -252,6 +255,41 @@
 	talloc_free(test);
 }
 
+static gpointer use_snapshot(gpointer data)
+{
+	struct doc_snapshot *snapshot = data;
+
+	for (guint i = 0; i < USE_COUNT; i++) {
+		doc_ref_snapshot(snapshot);
+		g_assert(doc_find_service(snapshot, "a"));
+		doc_unref_snapshot(snapshot);
+	}
+	doc_unref_snapshot(snapshot);
+	return NULL;
+}
+
+/* The maker gives its reference up while others still read. */
+static void test_last_holder_frees(void)
+{
+	struct doc_manifest *manifest = doc_new_manifest(NULL);
+	struct doc_service *service = talloc_zero(NULL, struct doc_service);
+	struct doc_snapshot *snapshot;
+	GThread *threads[THREAD_COUNT];
+
+	service->name = "a";
+	service->document_version = 1;
+	doc_add_manifest_service(manifest, "a")->document_version = 1;
+	snapshot = doc_build_snapshot(manifest, &service, 1, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(snapshot);
+	talloc_free(manifest);
+	for (guint i = 0; i < THREAD_COUNT; i++)
+		threads[i] = g_thread_new("reader", use_snapshot,
+					  doc_ref_snapshot(snapshot));
+	doc_unref_snapshot(snapshot);
+	for (guint i = 0; i < THREAD_COUNT; i++)
+		g_thread_join(threads[i]);
+}
+
 static void test_fold(void)
 {
 	run_fold_script("fold");
@@ -265,6 +303,7 @@
 static const CU_TestInfo tests[] = {
 	{ "fold keeps the manifest closed", test_fold },
 	{ "snapshot is built whole or not at all", test_snapshot },
+	{ "last holder frees a snapshot", test_last_holder_frees },
 	CU_TEST_INFO_NULL,
 };
 
