Learn the latency floor in a module of its own, and test the gate

Cause: the first version compared windows of 16 answers with the floor and let the floor rise at each window. A target that turned cold without a word and became only twice as slow stayed under the threshold while the floor climbed past it, so it ran overloaded for good.

Ruled out: a lower threshold for one window, as a mixture of fast and slow routes then looks like a slower target (floor.script holds three mixtures).

--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -241,7 +241,7 @@
 		.latency_us = latency_us,
 		.started_ms = now_ms - MIN(now_ms, latency_us / 1000),
 		.now_ms = now_ms,
-		.is_limit_used = !has_room(gate, now_ms),
+		.in_flight = gate->in_flight,
 	};
 
 	assert(gate->in_flight > 0);
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -3,15 +3,13 @@
  *
  * The limit rises by one after enough good answers that came while all of it
  * was in use, and not before it has stood for a while. It halves when the
- * target sheds, times out or becomes slower than its learned floor, and drops
- * to the start value when it looks cold again: a burst of sheds, or a jump of
- * the latency. Calls that were started before a reduction say nothing about
- * the reduced limit and are passed over.
+ * target sheds, times out, breaks or becomes slower than its learned floor, and
+ * drops to the start value when the target looks cold again: a burst of sheds,
+ * or a jump of the latency. It halves what was in use, not a limit that stood
+ * above it: only the calls that ran were too many.
  *
- * The latency of a window of answers is its geometric mean, which a mixture of
- * fast and slow routes moves little. The floor follows a faster window at once
- * in part, and a slower one by a small step, so that a lasting change of the
- * latency is learned.
+ * Calls that were started before a reduction say nothing about the reduced
+ * limit and are passed over.
  *
  * Invariant: 1 <= value <= slots.
  */
@@ -19,20 +17,13 @@
 
 #include <assert.h>
 #include <glib.h>
-#include <math.h>
 
 #define START_LIMIT 1U
-#define RAISE_GOOD_COUNT 20U
-#define RAISE_WARM_MS 1000U
-#define RAISE_KNOWN_MS 100U
-#define SHED_WINDOW_MASK 0xffU
-#define SHED_BURST_COUNT 3
+#define RAISE_GOOD_COUNT 50U
+#define RAISE_PERIOD_MS 1000U
+#define RAISE_KNOWN_PERIOD_MS 100U /* up to where it bore the load before */
+#define SHED_BURST_COUNT 3	   /* of the answers in shed_history */
 #define HINT_LIFE_MS 5000U
-#define WINDOW_COUNT 16U
-#define SLOW_LOG2 1.3 /* about 2.5 times the floor */
-#define COLD_LOG2 2.0 /* 4 times the floor */
-#define FLOOR_FALL_SHARE 0.25
-#define FLOOR_RISE_LOG2 0.05
 
 static void reduce(struct adm_limit *limit, uint32_t value, uint64_t now_ms)
 {
@@ -40,14 +31,15 @@
 	limit->good_count = 0;
 	limit->reduced_ms = now_ms;
 	limit->raised_ms = now_ms;
-	limit->window_count = 0;
-	limit->window_log2_sum = 0;
+	adm_clear_latest(&limit->latency);
 }
 
-static void halve(struct adm_limit *limit, uint64_t now_ms)
+static void halve(struct adm_limit *limit, const struct adm_evidence *evidence)
 {
-	limit->ceiling = limit->value;
-	reduce(limit, limit->value / 2, now_ms);
+	uint32_t used = MIN(limit->value, evidence->in_flight);
+
+	limit->ceiling = used;
+	reduce(limit, used / 2, evidence->now_ms);
 }
 
 static void turn_cold(struct adm_limit *limit, uint64_t now_ms)
@@ -58,15 +50,16 @@
 	reduce(limit, START_LIMIT, now_ms);
 }
 
-static uint32_t get_raise_ms(const struct adm_limit *limit)
+static uint32_t get_raise_period_ms(const struct adm_limit *limit)
 {
-	return limit->value < limit->ceiling ? RAISE_KNOWN_MS : RAISE_WARM_MS;
+	return limit->value + 1 < limit->ceiling ? RAISE_KNOWN_PERIOD_MS
+						 : RAISE_PERIOD_MS;
 }
 
 static void raise_when_due(struct adm_limit *limit, uint64_t now_ms)
 {
 	if (limit->good_count < RAISE_GOOD_COUNT ||
-	    now_ms < limit->raised_ms + get_raise_ms(limit) ||
+	    now_ms < limit->raised_ms + get_raise_period_ms(limit) ||
 	    limit->value >= limit->slots)
 		return;
 	limit->value++;
@@ -76,68 +69,41 @@
 		limit->is_starting = false;
 }
 
-static void learn_floor(struct adm_limit *limit, double latency_log2)
-{
-	double above = latency_log2 - limit->floor_log2;
-
-	if (!limit->is_floor_known)
-		limit->floor_log2 = latency_log2;
-	else if (above < 0)
-		limit->floor_log2 += above * FLOOR_FALL_SHARE;
-	else
-		limit->floor_log2 += MIN(above, FLOOR_RISE_LOG2);
-	limit->is_floor_known = true;
-}
-
-/* Returns whether the window just ended shows a slower target. */
-static bool note_latency(struct adm_limit *limit, uint32_t latency_us,
-			 uint64_t now_ms)
-{
-	double latency_log2;
-	double above;
-
-	limit->window_log2_sum += log2(MAX(latency_us, 1U));
-	if (++limit->window_count < WINDOW_COUNT)
-		return false;
-	latency_log2 = limit->window_log2_sum / limit->window_count;
-	limit->window_count = 0;
-	limit->window_log2_sum = 0;
-	above = limit->is_floor_known ? latency_log2 - limit->floor_log2 : 0;
-	learn_floor(limit, latency_log2);
-	if (above < SLOW_LOG2)
-		return false;
-	if (above >= COLD_LOG2)
-		turn_cold(limit, now_ms);
-	else
-		halve(limit, now_ms);
-	return true;
-}
-
 static void note_good(struct adm_limit *limit,
 		      const struct adm_evidence *evidence)
 {
 	limit->shed_history <<= 1;
-	if (note_latency(limit, evidence->latency_us, evidence->now_ms))
+	switch (adm_note_latency(&limit->latency, evidence->latency_us,
+				 evidence->now_ms,
+				 limit->value == START_LIMIT)) {
+	case ADM_SLOWNESS_JUMP:
+		turn_cold(limit, evidence->now_ms);
 		return;
-	if (!evidence->is_limit_used)
+	case ADM_SLOWNESS_SLOW:
+		halve(limit, evidence);
+		return;
+	case ADM_SLOWNESS_NONE:
+		break;
+	}
+	if (evidence->in_flight < adm_get_limit(limit, evidence->now_ms))
 		return;
 	limit->good_count++;
 	raise_when_due(limit, evidence->now_ms);
 }
 
-static void note_shed(struct adm_limit *limit, uint64_t now_ms)
+static void note_shed(struct adm_limit *limit,
+		      const struct adm_evidence *evidence)
 {
-	limit->shed_history = limit->shed_history << 1 | 1;
-	if (__builtin_popcount(limit->shed_history & SHED_WINDOW_MASK) >=
-	    SHED_BURST_COUNT)
-		turn_cold(limit, now_ms);
+	limit->shed_history = (uint8_t)(limit->shed_history << 1 | 1);
+	if (__builtin_popcount(limit->shed_history) >= SHED_BURST_COUNT)
+		turn_cold(limit, evidence->now_ms);
 	else
-		halve(limit, now_ms);
+		halve(limit, evidence);
 }
 
 void adm_start_limit(struct adm_limit *limit, uint64_t now_ms)
 {
-	limit->is_floor_known = false;
+	adm_clear_latency(&limit->latency);
 	limit->hint_until_ms = 0;
 	turn_cold(limit, now_ms);
 }
@@ -167,7 +133,7 @@
 	case ADM_OUTCOME_SHED:
 	case ADM_OUTCOME_TIMEOUT:
 	case ADM_OUTCOME_BROKEN:
-		note_shed(limit, evidence->now_ms);
+		note_shed(limit, evidence);
 		break;
 	case ADM_OUTCOME_ERROR:
 	case ADM_OUTCOME_CANCELLED:
--- a/src/admission/limit.h
+++ b/src/admission/limit.h
@@ -6,6 +6,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include "latency.h"
 #include "loom/admission.h"
 
 /* One finished call, as evidence about the target. */
@@ -14,24 +15,21 @@
 	uint32_t latency_us;
 	uint64_t started_ms;
 	uint64_t now_ms;
-	bool is_limit_used; /* all of the limit was in use when it ended */
+	uint32_t in_flight; /* calls on the target when it ended, it included */
 };
 
 struct adm_limit {
 	uint32_t slots;
-	uint32_t value;	       /* never above slots */
-	uint32_t ceiling;      /* growth is slow from here on */
-	bool is_starting;      /* has not reached its serving share yet */
-	uint32_t good_count;   /* good answers at this value */
-	uint64_t raised_ms;    /* last rise or start */
-	uint64_t reduced_ms;   /* last reduction: older calls are stale */
-	uint32_t shed_history; /* one bit an answer, newest lowest */
+	uint32_t value;	      /* never above slots */
+	uint32_t ceiling;     /* growth is slow from here on */
+	bool is_starting;     /* has not reached its serving share yet */
+	uint32_t good_count;  /* good answers at this value */
+	uint64_t raised_ms;   /* last change of value */
+	uint64_t reduced_ms;  /* last reduction: older calls are stale */
+	uint8_t shed_history; /* one bit an answer, newest lowest */
 	uint32_t hint;
 	uint64_t hint_until_ms; /* 0: no hint */
-	double floor_log2;	/* learned, of the latency in us */
-	bool is_floor_known;
-	double window_log2_sum;
-	uint32_t window_count;
+	struct adm_latency latency;
 };
 
 /* Starts anew for a target of which nothing is known. */
--- a/src/admission/tests/test_admission.c
+++ b/src/admission/tests/test_admission.c
@@ -77,22 +77,48 @@
 				       (uintptr_t)ticket);
 }
 
-/* Fills the limit and finishes one call, count times, each latency_ms. */
-static void use(struct gate_state *state, enum adm_outcome outcome,
-		uint32_t count, uint32_t latency_ms)
+/* Lets wanted calls run, finishes one of them after latency_ms. */
+static void use_once(struct gate_state *state, enum adm_outcome outcome,
+		     uint32_t wanted, uint32_t latency_ms)
 {
 	enum adm_refusal refusal;
 	struct rt_load load;
 
+	adm_get_load(state->gate, &load);
+	for (uint32_t i = load.in_flight; i < MIN(load.limit, wanted); i++)
+		adm_admit(state->gate, "orders", "v1", NULL, state->now_ms,
+			  UINT64_MAX, &refusal);
+	state->now_ms += latency_ms;
+	adm_finish(state->gate, outcome, latency_ms * 1000, state->now_ms);
+}
+
+/*
+ * "use OUTCOME COUNT MS": the limit is full whenever a call ends.
+ * "idle OUTCOME COUNT MS": two calls run at most.
+ * "mix COUNT MS MS PERCENT": that share of the calls takes the second time.
+ */
+static void use(struct gate_state *state, char **words, GString *output)
+{
+	bool is_mix = strcmp(words[0], "mix") == 0;
+	bool is_idle = strcmp(words[0], "idle") == 0;
+	uint32_t count = parse_number(words[is_mix ? 1 : 2]);
+	GRand *random = g_rand_new_with_seed(1);
+
 	for (uint32_t i = 0; i < count; i++) {
-		adm_get_load(state->gate, &load);
-		for (uint32_t j = load.in_flight; j < load.limit; j++)
-			adm_admit(state->gate, "orders", "v1", NULL,
-				  state->now_ms, UINT64_MAX, &refusal);
-		state->now_ms += latency_ms;
-		adm_finish(state->gate, outcome, latency_ms * 1000,
-			   state->now_ms);
+		uint32_t percent = (uint32_t)g_rand_int_range(random, 0, 100);
+
+		if (is_mix)
+			use_once(state, ADM_OUTCOME_GOOD, UINT32_MAX,
+				 parse_number(percent < parse_number(words[4])
+						      ? words[3]
+						      : words[2]));
+		else
+			use_once(state, parse_outcome(words[1]),
+				 is_idle ? 2 : UINT32_MAX,
+				 parse_number(words[3]));
 	}
+	g_rand_free(random);
+	print_load(state, output);
 }
 
 static bool run_traffic_step(int word_count, char **words, GString *output,
@@ -103,10 +129,10 @@
 	} else if (strcmp(words[0], "finish") == 0) {
 		adm_finish(state->gate, parse_outcome(words[1]),
 			   parse_number(words[2]) * 1000, state->now_ms);
-	} else if (strcmp(words[0], "use") == 0) {
-		use(state, parse_outcome(words[1]), parse_number(words[2]),
-		    parse_number(words[3]));
-		print_load(state, output);
+	} else if (strcmp(words[0], "use") == 0 ||
+		   strcmp(words[0], "idle") == 0 ||
+		   strcmp(words[0], "mix") == 0) {
+		use(state, words, output);
 	} else if (strcmp(words[0], "take") == 0) {
 		print_tickets(state, output);
 	} else if (strcmp(words[0], "cancel") == 0) {
@@ -171,9 +197,39 @@
 	run_gate_script("limit");
 }
 
+static void test_cold(void)
+{
+	run_gate_script("cold");
+}
+
+static void test_floor(void)
+{
+	run_gate_script("floor");
+}
+
+static void test_hint(void)
+{
+	run_gate_script("hint");
+}
+
+static void test_queue(void)
+{
+	run_gate_script("queue");
+}
+
+static void test_overload(void)
+{
+	run_gate_script("overload");
+}
+
 static const CU_TestInfo tests[] = {
-	{ "gate follows its script", test_gate },
-	{ "limit follows its script", test_limit },
+	{ "gate admits, queues and refuses", test_gate },
+	{ "limit rises with use and halves", test_limit },
+	{ "target that turned cold again", test_cold },
+	{ "latency floor is learned again", test_floor },
+	{ "hints only lower and expire", test_hint },
+	{ "queue is bounded by deadlines", test_queue },
+	{ "lasting overload serves what is in time", test_overload },
 	CU_TEST_INFO_NULL,
 };
 
