Measure the policies of target choice side by side

Cause: two choices should be the policy only if a measurement supports it.

A short run of one size stands under ctest with its expected output.

Ruled out: starting the measurement with all gates at the start value.

--- /dev/null
+++ b/cmake/compare_output.cmake
@@ -0,0 +1,16 @@
+# Runs PROGRAM with ARGUMENTS and compares what it prints with the file EXPECTED.
+# With LOOM_ACCEPT in the environment the file is written anew instead.
+
+separate_arguments(ARGUMENTS)
+execute_process(COMMAND ${PROGRAM} ${ARGUMENTS}
+  OUTPUT_VARIABLE actual RESULT_VARIABLE result)
+if(DEFINED ENV{LOOM_ACCEPT})
+  file(WRITE ${EXPECTED} "${actual}")
+endif()
+file(READ ${EXPECTED} expected)
+if(NOT result EQUAL 0)
+  message(FATAL_ERROR "${PROGRAM} failed (${result}):\n${actual}")
+endif()
+if(NOT actual STREQUAL expected)
+  message(FATAL_ERROR "output differs, wanted:\n${expected}\ngot:\n${actual}")
+endif()
--- /dev/null
+++ b/src/routing/bench/event_queue.h
@@ -0,0 +1,24 @@
+/*
+ * Queue of events in virtual time, for the measurement of policies.
+ */
+#ifndef LOOM_ROUTING_EVENT_QUEUE_H
+#define LOOM_ROUTING_EVENT_QUEUE_H
+
+#include <stdint.h>
+#include <talloc.h>
+
+struct event_queue;
+
+typedef void (*event_fn)(uint64_t now_us, void *data);
+
+/* Returns a new, empty queue owned by ctx. */
+struct event_queue *event_new_queue(TALLOC_CTX *ctx);
+
+/* Calls fn with data at due_us; equal times run in order of insertion. */
+void event_add(struct event_queue *queue, uint64_t due_us, event_fn fn,
+	       void *data);
+
+/* Runs all events, those that are added meanwhile included. */
+void event_run(struct event_queue *queue);
+
+#endif
