--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -192,24 +192,6 @@
 	return places[0];
 }
 
-static uint32_t pick_soonest(const struct rt_chooser *chooser)
-{
-	const struct rt_candidates *candidates = &chooser->candidates;
-	uint64_t soonest_ms = UINT64_MAX;
-	uint32_t place = 0;
-
-	for (uint32_t i = 0; i < candidates->count; i++) {
-		const struct rt_memory *memory = get_member(
-			chooser, candidates->group, candidates->indices[i]);
-
-		if (memory->aside_until_ms < soonest_ms) {
-			soonest_ms = memory->aside_until_ms;
-			place = i;
-		}
-	}
-	return place;
-}
-
 static uint32_t pick_by_policy(struct rt_chooser *chooser,
 			       const struct rt_table *table, uint64_t now_ms)
 {
@@ -248,8 +230,7 @@
 	if (grade <= GRADE_OUT)
 		return NULL;
 	collect(chooser, table, group, grade, now_ms);
-	place = grade == GRADE_ASIDE ? pick_soonest(chooser)
-				     : pick_by_policy(chooser, table, now_ms);
+	place = pick_by_policy(chooser, table, now_ms);
 	*refusal = RT_REFUSAL_NONE;
 	return &table->entries[group->first + candidates->indices[place]]
 			.target;
--- a/src/routing/memory.c
+++ b/src/routing/memory.c
@@ -40,12 +40,17 @@
 	       now_ms < memory->reported_ms + REPORT_LIFE_MS;
 }
 
-static void clear_report(struct rt_memory *memory)
+static void note_reached(struct rt_memory *memory)
 {
-	memory->is_reported = false;
 	memory->failure_count = 0;
 	memory->aside_until_ms = 0;
+}
+
+static void clear_report(struct rt_memory *memory)
+{
+	memory->is_reported = false;
 	memory->refused_until_ms = 0;
+	note_reached(memory);
 }
 
 static gboolean is_gone(gpointer key, gpointer value, gpointer data)
@@ -136,10 +141,10 @@
 		note_report(memory, load, now_ms);
 	switch (outcome) {
 	case RT_OUTCOME_ANSWERED:
-		memory->failure_count = 0;
+		note_reached(memory);
 		break;
 	case RT_OUTCOME_REFUSED:
-		memory->failure_count = 0;
+		note_reached(memory);
 		memory->refused_until_ms = now_ms + REFUSED_MS;
 		break;
 	case RT_OUTCOME_FAILED:
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -4,7 +4,9 @@
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
+#include <xxhash.h>
 #include "fixture.h"
+#include "memory.h"
 #include "script.h"
 
 struct chooser_state {
@@ -171,8 +173,197 @@
 	run_chooser_script("choice");
 }
 
+static void test_health(void)
+{
+	run_chooser_script("health");
+}
+
+static void test_domains(void)
+{
+	run_chooser_script("domains");
+}
+
+static void test_versions(void)
+{
+	run_chooser_script("versions");
+}
+
+static void test_baselines(void)
+{
+	run_chooser_script("baselines");
+}
+
+static bool run_retry_step(int word_count, char **words, GString *output,
+			   void *data)
+{
+	struct rt_budget *budget = data;
+	struct rt_retry retry = {
+		.outcome = RT_OUTCOME_FAILED,
+		.is_repeatable = true,
+		.is_body_kept = true,
+		.attempt_count = 1,
+		.deadline_ms = UINT64_MAX,
+	};
+	uint32_t count = parse_number(words[2]);
+	uint32_t granted = 0;
+	enum rt_retry_verdict verdict = RT_RETRY_YES;
+
+	retry.now_ms = parse_number(words[1]);
+	if (strcmp(words[0], "credit") == 0) {
+		for (uint32_t i = 0; i < count; i++)
+			rt_credit_budget(budget, retry.now_ms);
+		return true;
+	}
+	for (int i = 3; i < word_count; i++) {
+		uint32_t value = parse_number(strpbrk(words[i], "0123456789"));
+
+		if (g_str_has_prefix(words[i], "repeatable="))
+			retry.is_repeatable = value;
+		else if (g_str_has_prefix(words[i], "not_run="))
+			retry.is_not_run = value;
+		else if (g_str_has_prefix(words[i], "begun="))
+			retry.is_answer_begun = value;
+		else if (g_str_has_prefix(words[i], "body="))
+			retry.is_body_kept = value;
+		else if (g_str_has_prefix(words[i], "attempts="))
+			retry.attempt_count = value;
+		else if (g_str_has_prefix(words[i], "depth="))
+			retry.depth = value;
+		else if (g_str_has_prefix(words[i], "deadline="))
+			retry.deadline_ms = value;
+		else if (g_str_has_prefix(words[i], "outcome="))
+			retry.outcome = (enum rt_outcome)value;
+		else
+			return false;
+	}
+	for (uint32_t i = 0; i < count && verdict == RT_RETRY_YES; i++) {
+		verdict = rt_decide_retry(budget, &retry);
+		granted += verdict == RT_RETRY_YES;
+	}
+	g_string_append_printf(output, "granted %u, then %s\n", granted,
+			       rt_get_retry_name(verdict));
+	return true;
+}
+
+static void test_retry(void)
+{
+	struct rt_budget *budget = rt_new_budget(NULL);
+
+	scr_run("retry", run_retry_step, budget);
+	talloc_free(budget);
+}
+
+#define SPLIT_REQUESTS 1000000U
+
+/* Exact over many hashes, and a request of the new version stays there. */
+static void test_split(void)
+{
+	static const uint32_t shares_permille[] = { 0, 1, 50, 250, 500, 1000 };
+	struct fixture *fixture = new_fixture();
+	struct chooser_state state = { .fixture = fixture };
+	uint8_t *is_new = talloc_zero_array(fixture, uint8_t, SPLIT_REQUESTS);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shares_permille); i++) {
+		uint32_t share = shares_permille[i];
+		uint32_t new_count = 0;
+		uint32_t back_count = 0;
+
+		set_move(&state, "running", share);
+		build_table(fixture);
+		for (uint32_t id = 0; id < SPLIT_REQUESTS; id++) {
+			struct rt_request request = {
+				.service = fixture->service,
+				.split_hash = XXH64(&id, sizeof(id), 0),
+			};
+			const char *version =
+				rt_choose_version(fixture->table, &request);
+			bool is_to = strcmp(version, "v2") == 0;
+
+			back_count += is_new[id] && !is_to;
+			is_new[id] = is_to;
+			new_count += is_to;
+		}
+		CU_ASSERT_EQUAL(back_count, 0);
+		CU_ASSERT_TRUE(labs((long)new_count -
+				    (long)share * SPLIT_REQUESTS / 1000) <
+			       SPLIT_REQUESTS / 1000);
+	}
+	free_fixture(fixture);
+}
+
+static void test_memory_is_bounded(void)
+{
+	struct fixture *fixture = new_fixture();
+	struct rt_memory_set *set = rt_new_memory_set(fixture);
+	struct rt_target target = { .failure_domain = "a", .version = "v1" };
+	char address[16];
+
+	for (uint32_t i = 0; i < 1000; i++) {
+		g_snprintf(address, sizeof(address), "t%u", i);
+		target.address = address;
+		add_target(fixture, &target);
+		build_table(fixture);
+		rt_sync_memory_set(set, fixture->table);
+		/* One call is still in flight when its target leaves. */
+		if (i == 500)
+			rt_get_memory(set, address)->here++;
+		drop_target(fixture, address);
+	}
+	CU_ASSERT_EQUAL(g_hash_table_size(set->by_address), 2);
+	rt_get_memory(set, "t500")->here--;
+	rt_release_memory(set, rt_get_memory(set, "t500"));
+	CU_ASSERT_EQUAL(g_hash_table_size(set->by_address), 1);
+	free_fixture(fixture);
+}
+
+static void *hold_table(void *data)
+{
+	struct rt_table *table = data;
+	struct rt_chooser *chooser =
+		rt_new_chooser(NULL, RT_POLICY_TWO_CHOICES, 1);
+	struct rt_request request = { 0 };
+	enum rt_refusal refusal;
+
+	request.service = doc_find_service(rt_get_snapshot(table), "orders");
+	for (uint64_t now_ms = 0; now_ms < 1000; now_ms++) {
+		rt_ref_table(table);
+		rt_choose_target(chooser, table, &request, now_ms, &refusal);
+		rt_unref_table(table);
+	}
+	talloc_free(chooser);
+	rt_unref_table(table);
+	return NULL;
+}
+
+static void test_table_is_freed_by_its_last_holder(void)
+{
+	struct rt_target target = { .address = "t1",
+				    .failure_domain = "a",
+				    .version = "v1" };
+	struct fixture *fixture = new_fixture();
+	pthread_t threads[4];
+
+	add_target(fixture, &target);
+	build_table(fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		pthread_create(&threads[i], NULL, hold_table,
+			       rt_ref_table(fixture->table));
+	free_fixture(fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		pthread_join(threads[i], NULL);
+}
+
 static const CU_TestInfo tests[] = {
-	{ "choice follows its script", test_choice },
+	{ "choice by load, limit and distance", test_choice },
+	{ "phases, failures and refusals", test_health },
+	{ "failure domains taken out", test_domains },
+	{ "versions of a move", test_versions },
+	{ "baseline policies", test_baselines },
+	{ "split is exact and monotone", test_split },
+	{ "retry decisions", test_retry },
+	{ "memory of targets is bounded", test_memory_is_bounded },
+	{ "table is freed by its last holder",
+	  test_table_is_freed_by_its_last_holder },
 	CU_TEST_INFO_NULL,
 };
 
