--- /dev/null
+++ b/src/moves/judge.c
@@ -0,0 +1,227 @@
+/*
+ * Judge of a new version against the old one.
+ *
+ * The judge keeps one track of evidence per route and metric, and one per
+ * metric over all routes. It takes in each slot of a window once, after the
+ * slot has ended and reports have had time to arrive.
+ *
+ * Threshold: the sums of T tests over B slots pass h with a probability of at
+ * most T B exp(-h) when both versions are equal (see test2x2.c), so that
+ * h = log(T B judges / MV_FALSE_ALARMS) bounds the probability that a good
+ * version is ever condemned during its move.
+ */
+#include "loom/moves.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+#include "track.h"
+#include "window.h"
+
+#define MV_FALSE_ALARMS 0.001 /* bound per move, over all judges */
+#define MV_ROUTE_MAX 32U
+#define MV_TRACK_MAX (2U * (MV_ROUTE_MAX + 1U))
+#define MV_ALONE_NATS 9.0      /* evidence that makes a comparison worth it */
+#define MV_GOOD_NATS 4.6       /* evidence for a good version, over all */
+#define MV_GOOD_ROUTE_NATS 2.3 /* the same on one route */
+#define MV_OLD_HIT_NATS 4.6    /* evidence that the old version got worse */
+#define MV_LEANING_PART 3.0
+
+struct mv_judge {
+	char from[MV_NAME_SIZE];
+	char to[MV_NAME_SIZE];
+	struct trk_limits limits;
+	uint64_t slots; /* of the whole move */
+	uint32_t judge_count;
+	bool takes_all;
+	uint64_t next_slot;
+	uint32_t track_count;
+	struct trk_track *tracks[MV_TRACK_MAX];
+};
+
+struct fold {
+	struct mv_judge *judge;
+	uint64_t slot;
+};
+
+static struct trk_track *get_track(struct mv_judge *judge, const char *route,
+				   enum mv_metric metric)
+{
+	struct trk_track *track;
+
+	for (uint32_t i = 0; i < judge->track_count; i++) {
+		track = judge->tracks[i];
+		if (track->metric == metric && strcmp(track->route, route) == 0)
+			return track;
+	}
+	if (judge->track_count == MV_TRACK_MAX)
+		return NULL;
+	track = talloc(judge, struct trk_track);
+	trk_init_track(track, route, metric);
+	judge->tracks[judge->track_count++] = track;
+	return track;
+}
+
+static void add_to_track(struct fold *fold, const char *route,
+			 enum mv_metric metric, const char *address,
+			 const struct mv_counts *counts)
+{
+	struct trk_track *track = get_track(fold->judge, route, metric);
+
+	if (track)
+		trk_add_counts(track, &fold->judge->limits, address, counts,
+			       fold->slot);
+}
+
+static void fold_series(const struct mv_key *key,
+			const struct mv_counts *counts, void *data)
+{
+	struct fold *fold = data;
+	const char *address;
+
+	if (counts->calls == 0)
+		return;
+	if (strcmp(key->version, fold->judge->from) == 0)
+		address = NULL;
+	else if (strcmp(key->version, fold->judge->to) == 0)
+		address = key->target;
+	else
+		return;
+	for (int metric = MV_METRIC_ERRORS; metric <= MV_METRIC_LATENCY;
+	     metric++) {
+		add_to_track(fold, "", (enum mv_metric)metric, address, counts);
+		if (*key->route)
+			add_to_track(fold, key->route, (enum mv_metric)metric,
+				     address, counts);
+	}
+}
+
+static double get_threshold(const struct mv_judge *judge)
+{
+	double tests = (double)judge->track_count * TST_ALTERNATIVES;
+
+	return log(tests * (double)judge->slots * judge->judge_count /
+		   MV_FALSE_ALARMS);
+}
+
+static void note_missing(const struct trk_track *track, double doubt,
+			 struct mv_verdict *verdict)
+{
+	const struct tst_model *model = &track->model;
+	bool is_route = track->route[0] != '\0';
+	double wanted = is_route ? MV_GOOD_ROUTE_NATS : MV_GOOD_NATS;
+	double per_call;
+	uint32_t missing;
+
+	if (track->metric != MV_METRIC_ERRORS || doubt <= -wanted ||
+	    (is_route && track->step_old_calls == 0))
+		return;
+	per_call = model->p_old > 0
+			   ? -log((1 - model->p_new[0]) / (1 - model->p_old))
+			   : 1;
+	missing = (uint32_t)ceil((wanted + doubt) / per_call);
+	if (missing <= verdict->missing_calls)
+		return;
+	verdict->missing_calls = missing;
+	g_strlcpy(verdict->missing_route, track->route,
+		  sizeof(verdict->missing_route));
+}
+
+static void set_kind(const struct mv_judge *judge,
+		     const struct trk_track *worst, double paired, double alone,
+		     struct mv_verdict *verdict)
+{
+	double threshold = get_threshold(judge);
+
+	verdict->is_leaning_bad = paired >= threshold / MV_LEANING_PART ||
+				  alone >= MV_ALONE_NATS / MV_LEANING_PART;
+	if (paired >= threshold)
+		verdict->kind = MV_VERDICT_BAD;
+	else if (alone >= MV_ALONE_NATS)
+		verdict->kind = MV_VERDICT_SUSPECT;
+	else if (verdict->missing_calls > 0 || verdict->new_calls == 0)
+		verdict->kind = MV_VERDICT_SCARCE;
+	else
+		verdict->kind = MV_VERDICT_GOOD;
+	if (worst)
+		trk_get_finding(worst, &verdict->finding);
+}
+
+struct mv_judge *mv_new_judge(TALLOC_CTX *ctx, const struct doc_move *move,
+			      uint32_t judge_count)
+{
+	struct mv_judge *judge = talloc_zero(ctx, struct mv_judge);
+	double factor = move->judgement.latency_factor_permille / 1000.0;
+	double shift = round(log(factor) / log(1.5));
+
+	assert(judge_count > 0);
+	g_strlcpy(judge->from, move->from, sizeof(judge->from));
+	g_strlcpy(judge->to, move->to, sizeof(judge->to));
+	judge->limits.error_excess = move->judgement.error_permille / 1000.0;
+	judge->limits.latency_shift_buckets = shift >= 1 ? (uint32_t)shift : 1;
+	judge->slots = (move->finish_by_ms - move->start_ms) / MV_SLOT_MS + 1;
+	judge->judge_count = judge_count;
+	return judge;
+}
+
+void mv_begin_step(struct mv_judge *judge, uint32_t share_permille,
+		   uint64_t now_ms)
+{
+	bool was_alone = judge->takes_all;
+
+	judge->takes_all = share_permille >= DOC_SHARE_ALL_PERMILLE;
+	for (uint32_t i = 0; i < judge->track_count; i++)
+		trk_begin_step(judge->tracks[i],
+			       was_alone && !judge->takes_all);
+}
+
+void mv_fold_slots(struct mv_judge *judge, const struct mv_window *window,
+		   uint64_t now_ms)
+{
+	uint64_t end_slot = now_ms < MV_SLOT_LAG_MS
+				    ? 0
+				    : mv_get_slot(now_ms - MV_SLOT_LAG_MS);
+	struct fold fold = { .judge = judge };
+
+	if (judge->next_slot + MV_SLOT_COUNT < end_slot)
+		judge->next_slot = end_slot - MV_SLOT_COUNT;
+	for (; judge->next_slot < end_slot; judge->next_slot++) {
+		fold.slot = judge->next_slot;
+		mv_each_series(window, fold.slot, fold_series, &fold);
+		for (uint32_t i = 0; i < judge->track_count; i++)
+			trk_end_slot(judge->tracks[i], fold.slot,
+				     judge->takes_all);
+	}
+}
+
+void mv_get_verdict(const struct mv_judge *judge, struct mv_verdict *verdict)
+{
+	const struct trk_track *worst = NULL;
+	double paired = 0;
+	double alone = 0;
+
+	memset(verdict, 0, sizeof(*verdict));
+	for (uint32_t i = 0; i < judge->track_count; i++) {
+		const struct trk_track *track = judge->tracks[i];
+		struct tst_sums sums;
+		double found;
+
+		if (track->old_evidence >= MV_OLD_HIT_NATS)
+			verdict->is_old_hit = true;
+		if (!track->route[0] && track->metric == MV_METRIC_ERRORS) {
+			verdict->new_calls = track->step_new_calls;
+			verdict->old_calls = track->step_old_calls;
+		}
+		if (!trk_get_sums(track, &sums)) {
+			note_missing(track, sums.doubt, verdict);
+			continue;
+		}
+		note_missing(track, sums.doubt, verdict);
+		found = tst_get_paired(&sums);
+		if (found > paired || (paired == 0 && sums.alone > alone))
+			worst = track;
+		paired = fmax(paired, found);
+		alone = fmax(alone, sums.alone);
+	}
+	set_kind(judge, worst, paired, alone, verdict);
+}
--- /dev/null
+++ b/src/moves/planner.c
@@ -0,0 +1,404 @@
+/*
+ * Planner of the steps of a move.
+ *
+ * A move waits for its start, runs through the steps of its document, soaks at
+ * the last of them and is done; from every one of these phases it can be taken
+ * back, and then stays so until its document changes.
+ *
+ * Time until finish_by, less the soak and a margin, is shared out evenly among
+ * the steps that are left. Half of a step's share is its dwell, during which
+ * badness may show; the other half is there to wait for evidence. When both
+ * halves are over, a step of few calls is left on what evidence there is.
+ *
+ * Invariants: share_permille never exceeds the share of step_index; the share
+ * of the first step is at most MV_FIRST_SHARE_PERMILLE (a document that begins
+ * higher gets a step of that share before its own); step_since_ms is zero
+ * until targets could bear the step's share.
+ */
+#include "planner.h"
+
+#include <assert.h>
+#include <string.h>
+#include "loom/error.h"
+
+#define MV_FIRST_SHARE_PERMILLE 50U
+#define MV_DWELL_MIN_MS 10000U
+#define MV_DWELL_MAX_MS 600000U
+#define MV_FINISH_MARGIN_MS 10000U
+#define MV_RAMP_PERIOD_MS 5000U /* between shares that follow the ramp-up */
+#define MV_RAMP_GAIN_PERMILLE 10U
+#define MV_COMPARE_MS 4000U
+#define MV_COMPARE_CALLS_MIN 3U
+
+static bool has_implied_step(const struct doc_move *move)
+{
+	return move->step_shares_permille[0] > MV_FIRST_SHARE_PERMILLE;
+}
+
+static uint64_t subtract_time(uint64_t a, uint64_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+static uint64_t max_time(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
+static uint32_t min_share(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+uint32_t mv_get_step_count(const struct doc_move *move)
+{
+	return (uint32_t)move->step_count + (has_implied_step(move) ? 1 : 0);
+}
+
+uint32_t mv_get_step_share(const struct doc_move *move, uint32_t index)
+{
+	assert(index < mv_get_step_count(move));
+	if (!has_implied_step(move))
+		return move->step_shares_permille[index];
+	return index == 0 ? MV_FIRST_SHARE_PERMILLE
+			  : move->step_shares_permille[index - 1];
+}
+
+static bool is_last_step(const struct doc_move *move, uint32_t index)
+{
+	return index + 1 == mv_get_step_count(move);
+}
+
+static bool is_ended(const struct mv_state *state)
+{
+	return state->phase == DOC_MOVE_DONE ||
+	       state->phase == DOC_MOVE_TAKEN_BACK;
+}
+
+/* Returns the even share of the time left for a step entered at that time. */
+static uint64_t get_fair_ms(const struct mv_state *state,
+			    const struct doc_move *move, uint32_t ramp_ms,
+			    uint64_t entered_ms)
+{
+	uint32_t steps_left = mv_get_step_count(move) - 1 - state->step_index;
+	uint64_t last_ms = subtract_time(move->finish_by_ms,
+					 (uint64_t)move->judgement.soak_ms +
+						 MV_FINISH_MARGIN_MS + ramp_ms);
+	uint64_t fair_ms;
+
+	assert(steps_left > 0);
+	fair_ms = subtract_time(last_ms, entered_ms) / steps_left;
+	return max_time(fair_ms, MV_DWELL_MIN_MS);
+}
+
+static uint64_t get_dwell_ms(uint64_t fair_ms)
+{
+	uint64_t dwell_ms = max_time(fair_ms / 2, MV_DWELL_MIN_MS);
+
+	return dwell_ms < MV_DWELL_MAX_MS ? dwell_ms : MV_DWELL_MAX_MS;
+}
+
+static uint64_t get_expected_end(const struct mv_state *state,
+				 const struct doc_move *move, uint32_t ramp_ms,
+				 uint64_t now_ms)
+{
+	uint64_t entered_ms = max_time(now_ms, move->start_ms) + ramp_ms;
+	uint32_t last = mv_get_step_count(move) - 1;
+	struct mv_state step = *state;
+
+	if (state->step_since_ms != 0)
+		entered_ms = state->step_since_ms;
+	for (; step.step_index < last; step.step_index++) {
+		uint64_t fair_ms = get_fair_ms(&step, move, 0, entered_ms);
+
+		entered_ms += get_dwell_ms(fair_ms);
+		if (step.step_index == state->step_index)
+			entered_ms = max_time(entered_ms, now_ms);
+	}
+	return max_time(entered_ms + move->judgement.soak_ms, now_ms);
+}
+
+uint64_t mv_get_earliest_end(const struct mv_state *state,
+			     const struct doc_move *move, uint32_t ramp_ms,
+			     uint64_t now_ms)
+{
+	uint32_t steps_left = mv_get_step_count(move) - 1 - state->step_index;
+	uint64_t start_ms = max_time(now_ms, move->start_ms);
+
+	if (state->step_since_ms != 0)
+		start_ms = state->step_since_ms;
+	return max_time(now_ms, start_ms + ramp_ms +
+					(uint64_t)steps_left * MV_DWELL_MIN_MS +
+					move->judgement.soak_ms);
+}
+
+static void set_phase(struct mv_action *action, enum mv_action_kind kind,
+		      enum doc_move_state phase, uint32_t share_permille,
+		      uint64_t now_ms)
+{
+	action->kind = kind;
+	action->state.phase = phase;
+	action->state.share_permille = share_permille;
+	action->state.since_ms = now_ms;
+}
+
+static void take_back(struct mv_action *action, enum mv_reason reason,
+		      const struct mv_finding *finding, uint64_t now_ms)
+{
+	set_phase(action, MV_ACTION_TAKE_BACK, DOC_MOVE_TAKEN_BACK, 0, now_ms);
+	action->state.reason = reason;
+	action->state.compare_since_ms = 0;
+	action->state.expected_end_ms = 0;
+	action->state.missing_calls = 0;
+	if (finding)
+		action->state.finding = *finding;
+}
+
+/* Sets the share of the present step as far as targets bear it. */
+static void set_step_share(struct mv_action *action,
+			   const struct doc_move *move,
+			   const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+	uint32_t wanted = mv_get_step_share(move, state->step_index);
+	uint32_t share = min_share(wanted, evidence->bearable_permille);
+
+	set_phase(action, MV_ACTION_SET_SHARE,
+		  is_last_step(move, state->step_index) ? DOC_MOVE_SOAKING
+							: DOC_MOVE_RUNNING,
+		  share, now_ms);
+	if (share == wanted && state->step_since_ms == 0)
+		state->step_since_ms = now_ms;
+}
+
+static void start_move(struct mv_action *action, const struct doc_move *move,
+		       const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+	uint64_t end_ms =
+		mv_get_earliest_end(state, move, evidence->ramp_ms, now_ms);
+
+	if (end_ms > move->finish_by_ms) {
+		state->reason = MV_REASON_IMPOSSIBLE;
+		state->expected_end_ms = end_ms;
+		return;
+	}
+	state->reason = MV_REASON_NONE;
+	if (now_ms >= move->start_ms && evidence->bearable_permille > 0)
+		set_step_share(action, move, evidence, now_ms);
+}
+
+static bool is_evidence_enough(const struct mv_verdict *verdict,
+			       uint64_t spent_ms, uint64_t fair_ms)
+{
+	if (verdict->kind == MV_VERDICT_GOOD)
+		return true;
+	if (spent_ms < fair_ms || verdict->is_leaning_bad)
+		return false;
+	return verdict->new_calls > 0 || verdict->old_calls == 0;
+}
+
+static void leave_step(struct mv_action *action, const struct doc_move *move,
+		       const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+	uint64_t spent_ms = subtract_time(now_ms, state->step_since_ms);
+	uint64_t fair_ms = get_fair_ms(state, move, evidence->ramp_ms,
+				       state->step_since_ms);
+
+	state->missing_calls = evidence->verdict.missing_calls;
+	memcpy(state->missing_route, evidence->verdict.missing_route,
+	       sizeof(state->missing_route));
+	if (spent_ms < get_dwell_ms(fair_ms) ||
+	    !is_evidence_enough(&evidence->verdict, spent_ms, fair_ms))
+		return;
+	state->step_index++;
+	state->step_since_ms = 0;
+	state->missing_calls = 0;
+	set_step_share(action, move, evidence, now_ms);
+}
+
+/* Follows the targets: up as they get warm, down when they cannot bear it. */
+static bool follow_ramp(struct mv_action *action, const struct doc_move *move,
+			const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+	uint32_t wanted = mv_get_step_share(move, state->step_index);
+	uint32_t share = min_share(wanted, evidence->bearable_permille);
+	bool is_due = now_ms >= state->since_ms + MV_RAMP_PERIOD_MS;
+
+	if (share > state->share_permille &&
+	    (share == wanted ||
+	     share >= state->share_permille + MV_RAMP_GAIN_PERMILLE) &&
+	    is_due) {
+		set_step_share(action, move, evidence, now_ms);
+		return true;
+	}
+	if (share + share / 4 < state->share_permille && is_due) {
+		set_step_share(action, move, evidence, now_ms);
+		return true;
+	}
+	return share < wanted || state->share_permille < wanted;
+}
+
+/*
+ * At the last step there are no old calls to compare with. A suspicion there
+ * cuts the share to that of the first step, so that both versions have calls
+ * at the same time; the comparison then decides.
+ */
+static void begin_compare(struct mv_action *action, const struct doc_move *move,
+			  const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+
+	if (state->compare_count > 0) {
+		take_back(action, MV_REASON_BAD, &evidence->verdict.finding,
+			  now_ms);
+		return;
+	}
+	set_phase(action, MV_ACTION_SET_SHARE, state->phase,
+		  mv_get_step_share(move, 0), now_ms);
+	state->compare_since_ms = now_ms;
+	state->finding = evidence->verdict.finding;
+}
+
+static void end_compare(struct mv_action *action, const struct doc_move *move,
+			const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+	const struct mv_verdict *verdict = &evidence->verdict;
+
+	if (now_ms < state->compare_since_ms + MV_COMPARE_MS)
+		return;
+	if (!verdict->is_old_hit &&
+	    (verdict->is_leaning_bad ||
+	     verdict->new_calls < MV_COMPARE_CALLS_MIN)) {
+		take_back(action, MV_REASON_BAD, NULL, now_ms);
+		return;
+	}
+	if (!verdict->is_old_hit)
+		state->compare_count++;
+	state->compare_since_ms = 0;
+	memset(&state->finding, 0, sizeof(state->finding));
+	set_step_share(action, move, evidence, now_ms);
+}
+
+static void run_step(struct mv_action *action, const struct doc_move *move,
+		     const struct mv_evidence *evidence, uint64_t now_ms)
+{
+	struct mv_state *state = &action->state;
+
+	if (evidence->verdict.kind == MV_VERDICT_BAD) {
+		take_back(action, MV_REASON_BAD, &evidence->verdict.finding,
+			  now_ms);
+		return;
+	}
+	if (state->compare_since_ms != 0) {
+		end_compare(action, move, evidence, now_ms);
+		return;
+	}
+	if (evidence->verdict.kind == MV_VERDICT_SUSPECT) {
+		begin_compare(action, move, evidence, now_ms);
+		return;
+	}
+	if (follow_ramp(action, move, evidence, now_ms))
+		return;
+	if (!is_last_step(move, state->step_index)) {
+		leave_step(action, move, evidence, now_ms);
+		return;
+	}
+	if (now_ms >= state->step_since_ms + move->judgement.soak_ms &&
+	    !evidence->verdict.is_leaning_bad)
+		set_phase(action, MV_ACTION_FINISH, DOC_MOVE_DONE,
+			  DOC_SHARE_ALL_PERMILLE, now_ms);
+}
+
+static bool is_same_move(const struct mv_state *state,
+			 const struct doc_move *move)
+{
+	return strncmp(state->from, move->from, MV_NAME_SIZE - 1) == 0 &&
+	       strncmp(state->to, move->to, MV_NAME_SIZE - 1) == 0;
+}
+
+/*
+ * A changed document continues the same move at the step that its new shares
+ * allow; a move that was taken back, or goes elsewhere, begins anew.
+ */
+static void adopt_document(struct mv_state *state, const struct doc_move *move,
+			   uint64_t document_version, uint64_t now_ms)
+{
+	uint32_t last = mv_get_step_count(move) - 1;
+	uint32_t index = 0;
+
+	if (state->document_version == document_version &&
+	    state->step_index <= last)
+		return;
+	if (!is_same_move(state, move) || state->phase == DOC_MOVE_TAKEN_BACK) {
+		mv_init_state(state, move, document_version, now_ms);
+		return;
+	}
+	state->document_version = document_version;
+	state->step_index = state->phase == DOC_MOVE_WAITING ? 0 : last;
+	if (state->phase != DOC_MOVE_RUNNING)
+		return;
+	while (index + 1 < last &&
+	       mv_get_step_share(move, index + 1) <= state->share_permille)
+		index++;
+	state->step_index = index;
+	state->share_permille = min_share(state->share_permille,
+					  mv_get_step_share(move, index));
+}
+
+void mv_init_state(struct mv_state *state, const struct doc_move *move,
+		   uint64_t document_version, uint64_t now_ms)
+{
+	memset(state, 0, sizeof(*state));
+	state->document_version = document_version;
+	g_strlcpy(state->from, move->from, sizeof(state->from));
+	g_strlcpy(state->to, move->to, sizeof(state->to));
+	state->phase = DOC_MOVE_WAITING;
+	state->since_ms = now_ms;
+}
+
+void mv_next(const struct mv_state *state, const struct doc_move *move,
+	     const struct mv_evidence *evidence, uint64_t now_ms,
+	     struct mv_action *action)
+{
+	assert(move->step_count > 0);
+	action->kind = MV_ACTION_WAIT;
+	action->state = *state;
+	adopt_document(&action->state, move, evidence->document_version,
+		       now_ms);
+	if (is_ended(&action->state))
+		return;
+	if (now_ms >= move->finish_by_ms) {
+		take_back(action, MV_REASON_LATE, NULL, now_ms);
+		return;
+	}
+	if (action->state.phase == DOC_MOVE_WAITING)
+		start_move(action, move, evidence, now_ms);
+	else
+		run_step(action, move, evidence, now_ms);
+	if (!is_ended(&action->state) &&
+	    action->state.reason != MV_REASON_IMPOSSIBLE)
+		action->state.expected_end_ms = get_expected_end(
+			&action->state, move, evidence->ramp_ms, now_ms);
+}
+
+bool mv_take_back(struct mv_state *state, const char *by, uint64_t now_ms,
+		  GError **error)
+{
+	struct mv_action action = { .state = *state };
+
+	if (is_ended(state)) {
+		err_set(error, ERR_CONFLICT, "take back move", by,
+			"the move to %s has ended: it is %s", state->to,
+			state->phase == DOC_MOVE_DONE ? "done"
+						      : "taken back already");
+		return false;
+	}
+	take_back(&action, MV_REASON_OPERATOR, NULL, now_ms);
+	*state = action.state;
+	g_strlcpy(state->by, by, sizeof(state->by));
+	return true;
+}
--- /dev/null
+++ b/src/moves/tests/test_moves_table.c
@@ -0,0 +1,293 @@
+/*
+ * Differential test: the judge and planner against a naive version, over a
+ * table of releases in virtual time.
+ *
+ * The naive version takes the steps at equal times and takes a release back
+ * when more than 5 % of its calls of the last ten seconds failed.
+ */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include "loom/moves.h"
+#include "release.h"
+#include "script.h"
+
+#define SEEDS 200U
+#define START_S 1000
+#define SOAK_S 30U
+#define SPREAD_S 2 /* a share is in force with the second after the next */
+#define NAIVE_WINDOW_S 10U
+#define NAIVE_PERMILLE 50U
+#define EXPOSURE_PERMILLE 50.0 /* bound of promise 4, before badness shows */
+#define ZERO_S 10.0	       /* bound of promise 4, after it shows */
+
+static const uint32_t steps[] = { 50, 100, 250, 500, 1000 };
+
+static const struct rel_kind kinds[] = {
+	{ "good", REL_FAULT_NONE, false, 100, 300, 0, 0, 0, 0, 0.5 },
+	{ "fails_at_once", REL_FAULT_FAILS, true, 100, 300, 0, 0, 0.3, 0, 0.5 },
+	{ "slow_at_once", REL_FAULT_SLOW, true, 100, 300, 0, 0, 3, 0, 0.5 },
+	{ "fails_later", REL_FAULT_FAILS, true, 100, 300, 40, 130, 0.3, 0,
+	  0.5 },
+	{ "slows_later", REL_FAULT_SLOW, true, 100, 300, 40, 130, 3, 0, 0.5 },
+	{ "fails_in_soak", REL_FAULT_FAILS, true, 100, 300, 145, 155, 0.3, 0,
+	  0.5 },
+	{ "fails_under_load", REL_FAULT_FAILS_UNDER_LOAD, true, 100, 300, 0, 0,
+	  0.3, 400, 0.5 },
+	{ "fails_at_full_load", REL_FAULT_FAILS_UNDER_LOAD, true, 100, 300, 0,
+	  0, 0.3, 900, 0.5 },
+	{ "fails_on_one_route", REL_FAULT_FAILS_ON_ROUTE, true, 100, 300, 0, 0,
+	  0.5, 0, 0.5 },
+	{ "one_failing_target", REL_FAULT_BAD_TARGET, false, 100, 300, 0, 0,
+	  0.5, 0, 0.5 },
+	{ "one_slow_target", REL_FAULT_SLOW_TARGET, false, 100, 300, 0, 0, 5, 0,
+	  0.5 },
+	{ "cold_starts", REL_FAULT_COLD, false, 100, 300, 0, 0, 0, 0, 0.5 },
+	{ "common_errors", REL_FAULT_OUTAGE, false, 100, 300, 5, 60, 0, 0,
+	  0.5 },
+	{ "few_calls", REL_FAULT_NONE, false, 1, 300, 0, 0, 0, 0, 0.5 },
+	{ "few_calls_fails", REL_FAULT_FAILS, true, 1, 300, 0, 0, 0.5, 0, 0.5 },
+	{ "noisy_latency", REL_FAULT_NONE, false, 100, 300, 0, 0, 0, 0, 1.5 },
+	{ "short_time", REL_FAULT_NONE, false, 100, 90, 0, 0, 0, 0, 0.5 },
+};
+
+/* Side under test in one run. */
+struct side {
+	bool is_naive;
+	struct doc_move move;
+	struct mv_judge *judge;
+	struct mv_window *window;
+	struct mv_state state;
+	uint32_t calls[NAIVE_WINDOW_S];
+	uint32_t failed[NAIVE_WINDOW_S];
+};
+
+struct run_result {
+	bool is_finished;
+	bool is_taken_back;
+	bool is_shown;
+	double zero_s; /* from shown to no share in force */
+	double exposed_permille;
+	double exposed_since_onset_permille;
+};
+
+/* Results of all seeds of one kind and side. */
+struct row {
+	uint32_t finished;
+	uint32_t taken_back;
+	uint32_t shown;
+	double exposed_max;
+	double exposed_since_onset_max;
+	double zero_s[SEEDS];
+};
+
+static uint32_t get_step_s(const struct side *side)
+{
+	uint64_t length_ms = side->move.finish_by_ms - side->move.start_ms;
+
+	return (uint32_t)(length_ms / 1000 / G_N_ELEMENTS(steps));
+}
+
+static void decide_naive(struct side *side, const struct rel_release *release,
+			 int32_t second)
+{
+	uint32_t index = (uint32_t)(second + START_S) % NAIVE_WINDOW_S;
+	uint32_t step = (uint32_t)(second + 1) / get_step_s(side);
+	uint32_t calls = 0;
+	uint32_t failed = 0;
+
+	side->calls[index] = 0;
+	side->failed[index] = 0;
+	for (uint32_t i = 0; i < REL_ROUTES * REL_TARGETS; i++) {
+		const struct mv_counts *counts =
+			&release->cells[1][i / REL_TARGETS][i % REL_TARGETS];
+
+		side->calls[index] += counts->calls + counts->cold;
+		side->failed[index] += counts->failed + counts->cold;
+	}
+	for (uint32_t i = 0; i < NAIVE_WINDOW_S; i++) {
+		calls += side->calls[i];
+		failed += side->failed[i];
+	}
+	if (failed * 1000 > calls * NAIVE_PERMILLE) {
+		side->state.phase = DOC_MOVE_TAKEN_BACK;
+		side->state.share_permille = 0;
+	} else if (step >= G_N_ELEMENTS(steps)) {
+		side->state.phase = DOC_MOVE_DONE;
+	} else {
+		side->state.share_permille = steps[step];
+	}
+}
+
+static void decide_move(struct side *side, const struct rel_release *release,
+			int32_t second)
+{
+	uint64_t slot = (uint64_t)(second + START_S);
+	uint64_t now_ms = (slot + 1) * MV_SLOT_MS + MV_SLOT_LAG_MS;
+	struct mv_evidence evidence = { .document_version = 1 };
+	struct mv_action action;
+
+	rel_note_cells(release, side->window, slot);
+	mv_fold_slots(side->judge, side->window, now_ms);
+	mv_get_verdict(side->judge, &evidence.verdict);
+	evidence.bearable_permille = rel_get_bearable(release, second);
+	mv_next(&side->state, &side->move, &evidence, now_ms, &action);
+	if (action.state.share_permille != side->state.share_permille)
+		mv_begin_step(side->judge, action.state.share_permille, now_ms);
+	side->state = action.state;
+}
+
+static void begin_side(struct side *side, const struct rel_kind *kind,
+		       bool is_naive)
+{
+	memset(side, 0, sizeof(*side));
+	side->is_naive = is_naive;
+	side->move = (struct doc_move){
+		.from = "v1",
+		.to = "v2",
+		.start_ms = START_S * 1000ULL,
+		.finish_by_ms = (START_S + kind->finish_s) * 1000ULL,
+		.step_shares_permille = steps,
+		.step_count = G_N_ELEMENTS(steps),
+		.judgement = { .error_permille = 20,
+			       .latency_factor_permille = 1500,
+			       .soak_ms = SOAK_S * 1000 },
+	};
+	side->window = mv_new_window(NULL, "orders");
+	side->judge = mv_new_judge(side->window, &side->move, 1);
+	mv_init_state(&side->state, &side->move, 1, 0);
+}
+
+static bool is_over(const struct side *side)
+{
+	return side->state.phase == DOC_MOVE_DONE ||
+	       side->state.phase == DOC_MOVE_TAKEN_BACK;
+}
+
+static double get_permille(uint64_t part, uint64_t all)
+{
+	return all ? 1000.0 * (double)part / (double)all : 0;
+}
+
+static void fill_result(struct run_result *result, const struct side *side,
+			const struct rel_release *release, int32_t second)
+{
+	result->is_finished = side->state.phase == DOC_MOVE_DONE;
+	result->is_taken_back = side->state.phase == DOC_MOVE_TAKEN_BACK;
+	result->is_shown = release->is_shown;
+	result->zero_s = second - release->shown_s;
+	result->exposed_permille =
+		get_permille(release->exposed_calls, release->calls);
+	result->exposed_since_onset_permille =
+		get_permille(release->exposed_calls,
+			     release->calls - release->calls_at_onset);
+}
+
+/* Runs one release until its move is over and the share in force is final. */
+static void run_release(const struct rel_kind *kind, uint32_t seed,
+			bool is_naive, struct run_result *result)
+{
+	struct rel_release release;
+	struct side side;
+	uint32_t decided[SPREAD_S] = { 0 };
+	int32_t second = -(int32_t)REL_BEFORE_S;
+	uint32_t rest_s = SPREAD_S;
+
+	begin_side(&side, kind, is_naive);
+	rel_begin(&release, kind, seed);
+	for (; rest_s > 0; second++) {
+		rel_run_second(&release, second);
+		release.share_permille = decided[0];
+		memmove(decided, decided + 1,
+			sizeof(decided) - sizeof(*decided));
+		if (is_over(&side))
+			rest_s--;
+		else if (is_naive && second >= -1)
+			decide_naive(&side, &release, second);
+		else if (!is_naive)
+			decide_move(&side, &release, second);
+		decided[SPREAD_S - 1] = side.state.share_permille;
+	}
+	fill_result(result, &side, &release, second);
+	rel_end(&release);
+	talloc_free(side.window);
+}
+
+static int compare_doubles(const void *left, const void *right)
+{
+	double a = *(const double *)left;
+	double b = *(const double *)right;
+
+	return (a > b) - (a < b);
+}
+
+static void run_row(const struct rel_kind *kind, bool is_naive, struct row *row)
+{
+	memset(row, 0, sizeof(*row));
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		struct run_result result;
+
+		run_release(kind, seed, is_naive, &result);
+		row->finished += result.is_finished;
+		row->taken_back += result.is_taken_back;
+		row->exposed_max =
+			fmax(row->exposed_max, result.exposed_permille);
+		row->exposed_since_onset_max =
+			fmax(row->exposed_since_onset_max,
+			     result.exposed_since_onset_permille);
+		if (result.is_shown && result.is_taken_back)
+			row->zero_s[row->shown++] = result.zero_s;
+	}
+	qsort(row->zero_s, row->shown, sizeof(*row->zero_s), compare_doubles);
+}
+
+static void print_row(const struct rel_kind *kind, bool is_naive,
+		      const struct row *row, GString *output)
+{
+	g_string_append_printf(output, "%-6s finished %3u taken back %3u",
+			       is_naive ? "naive" : "judge", row->finished,
+			       row->taken_back);
+	if (kind->is_bad && row->shown > 0)
+		g_string_append_printf(
+			output,
+			" | exposed before shown, of all calls %4.1f %%, since"
+			" onset %5.1f %% | shown to zero p50 %4.1f s, max"
+			" %4.1f s (%u runs)",
+			row->exposed_max / 10,
+			row->exposed_since_onset_max / 10,
+			row->zero_s[row->shown / 2],
+			row->zero_s[row->shown - 1], row->shown);
+	g_string_append_c(output, '\n');
+}
+
+static bool run_table_step(int word_count, char **words, GString *output,
+			   void *data)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct row row;
+
+		if (strcmp(kinds[i].name, words[0]) != 0)
+			continue;
+		run_row(&kinds[i], true, &row);
+		print_row(&kinds[i], true, &row, output);
+		run_row(&kinds[i], false, &row);
+		print_row(&kinds[i], false, &row, output);
+		return true;
+	}
+	return false;
+}
+
+static void test_table(void)
+{
+	scr_run("table", run_table_step, NULL);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "releases of the table", test_table },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("moves table", tests);
+}
