--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -183,6 +183,7 @@
 	uint64_t since_ms;	 /* this phase and share */
 	uint64_t step_since_ms;	 /* the step's share was reached; 0: not yet */
 	uint64_t compare_since_ms; /* share cut to compare with old; 0: not */
+	bool is_common;		   /* it found errors of both versions */
 	uint32_t compare_count;	   /* comparisons that found nothing */
 	enum mv_reason reason;
 	struct mv_finding finding; /* of MV_REASON_BAD */
--- a/src/moves/planner.c
+++ b/src/moves/planner.c
@@ -12,7 +12,7 @@
  *
  * Invariants: share_permille never exceeds the share of step_index; the share
  * of the first step is at most MV_FIRST_SHARE_PERMILLE (a document that begins
- * higher gets a step of that share before its own); step_since_ms is zero
+ * above 5 % gets a step of that share before its own); step_since_ms is zero
  * until targets could bear the step's share.
  */
 #include "planner.h"
@@ -21,10 +21,14 @@
 #include <string.h>
 #include "loom/error.h"
 
-#define MV_FIRST_SHARE_PERMILLE 50U
+#define MV_FIRST_STEP_MAX_PERMILLE 50U
+/* Below the promised 5 %, since the calls of a share vary by chance. */
+#define MV_FIRST_SHARE_PERMILLE 40U
 #define MV_DWELL_MIN_MS 10000U
 #define MV_DWELL_MAX_MS 600000U
-#define MV_FINISH_MARGIN_MS 10000U
+#define MV_FINISH_MARGIN_PERMILLE                                              \
+	100U			/* of the time of the move, kept back          \
+				 */
 #define MV_RAMP_PERIOD_MS 5000U /* between shares that follow the ramp-up */
 #define MV_RAMP_GAIN_PERMILLE 10U
 #define MV_COMPARE_MS 4000U
@@ -32,7 +36,7 @@
 
 static bool has_implied_step(const struct doc_move *move)
 {
-	return move->step_shares_permille[0] > MV_FIRST_SHARE_PERMILLE;
+	return move->step_shares_permille[0] > MV_FIRST_STEP_MAX_PERMILLE;
 }
 
 static uint64_t subtract_time(uint64_t a, uint64_t b)
@@ -58,10 +62,11 @@
 uint32_t mv_get_step_share(const struct doc_move *move, uint32_t index)
 {
 	assert(index < mv_get_step_count(move));
-	if (!has_implied_step(move))
-		return move->step_shares_permille[index];
-	return index == 0 ? MV_FIRST_SHARE_PERMILLE
-			  : move->step_shares_permille[index - 1];
+	if (index == 0)
+		return min_share(move->step_shares_permille[0],
+				 MV_FIRST_SHARE_PERMILLE);
+	return move->step_shares_permille[has_implied_step(move) ? index - 1
+								 : index];
 }
 
 static bool is_last_step(const struct doc_move *move, uint32_t index)
@@ -81,9 +86,11 @@
 			    uint64_t entered_ms)
 {
 	uint32_t steps_left = mv_get_step_count(move) - 1 - state->step_index;
-	uint64_t last_ms = subtract_time(move->finish_by_ms,
-					 (uint64_t)move->judgement.soak_ms +
-						 MV_FINISH_MARGIN_MS + ramp_ms);
+	uint64_t margin_ms = (move->finish_by_ms - move->start_ms) *
+			     MV_FINISH_MARGIN_PERMILLE / 1000;
+	uint64_t last_ms =
+		subtract_time(move->finish_by_ms,
+			      margin_ms + move->judgement.soak_ms + ramp_ms);
 	uint64_t fair_ms;
 
 	assert(steps_left > 0);
@@ -268,16 +275,21 @@
 	struct mv_state *state = &action->state;
 	const struct mv_verdict *verdict = &evidence->verdict;
 
+	/* Errors that the old version has too: stay until they are over. */
+	if (verdict->is_old_hit) {
+		state->is_common = true;
+		return;
+	}
 	if (now_ms < state->compare_since_ms + MV_COMPARE_MS)
 		return;
-	if (!verdict->is_old_hit &&
-	    (verdict->is_leaning_bad ||
-	     verdict->new_calls < MV_COMPARE_CALLS_MIN)) {
+	if (verdict->is_leaning_bad ||
+	    verdict->new_calls < MV_COMPARE_CALLS_MIN) {
 		take_back(action, MV_REASON_BAD, NULL, now_ms);
 		return;
 	}
-	if (!verdict->is_old_hit)
+	if (!state->is_common)
 		state->compare_count++;
+	state->is_common = false;
 	state->compare_since_ms = 0;
 	memset(&state->finding, 0, sizeof(state->finding));
 	set_step_share(action, move, evidence, now_ms);
--- a/src/moves/state.c
+++ b/src/moves/state.c
@@ -66,6 +66,15 @@
 	return read_number(reader, name, INT64_MAX);
 }
 
+static bool read_flag(struct reader *reader, const char *name)
+{
+	const json_t *value = json_object_get(reader->object, name);
+
+	if (!json_is_boolean(value))
+		fail_field(reader, name, "true or false");
+	return json_is_true(value);
+}
+
 static void read_text(struct reader *reader, const char *name, char *text)
 {
 	const json_t *value = json_object_get(reader->object, name);
@@ -126,8 +135,8 @@
 json_t *mv_format_state(const struct mv_state *state)
 {
 	return json_pack(
-		"{s: I, s: s, s: s, s: s, s: I, s: I, s: I, s: I, s: I, s: I,"
-		" s: s, s: o, s: s, s: I, s: I, s: s}",
+		"{s: I, s: s, s: s, s: s, s: I, s: I, s: I, s: I, s: I,"
+		" s: b, s: I, s: s, s: o, s: s, s: I, s: I, s: s}",
 		"document_version", (json_int_t)state->document_version, "from",
 		state->from, "to", state->to, "phase",
 		phase_names[state->phase], "step",
@@ -135,8 +144,8 @@
 		(json_int_t)state->share_permille, "since_ms",
 		(json_int_t)state->since_ms, "step_since_ms",
 		(json_int_t)state->step_since_ms, "compare_since_ms",
-		(json_int_t)state->compare_since_ms, "compare_count",
-		(json_int_t)state->compare_count, "reason",
+		(json_int_t)state->compare_since_ms, "common", state->is_common,
+		"compare_count", (json_int_t)state->compare_count, "reason",
 		reason_names[state->reason], "finding",
 		format_finding(&state->finding), "by", state->by,
 		"expected_end_ms", (json_int_t)state->expected_end_ms,
@@ -160,6 +169,7 @@
 	state->since_ms = read_time(&reader, "since_ms");
 	state->step_since_ms = read_time(&reader, "step_since_ms");
 	state->compare_since_ms = read_time(&reader, "compare_since_ms");
+	state->is_common = read_flag(&reader, "common");
 	state->compare_count = read_count(&reader, "compare_count");
 	state->reason = (enum mv_reason)read_name(
 		&reader, "reason", reason_names, G_N_ELEMENTS(reason_names));
--- a/src/moves/track.c
+++ b/src/moves/track.c
@@ -18,13 +18,15 @@
 
 #define BASE_KEEP 0.97	     /* weight that a slot keeps per later slot */
 #define BASE_CALLS_MIN 20.0  /* old calls before anything is tested */
-#define P_MIN 0.0005	     /* least share of bad calls that is assumed */
+#define P_MIN 0.001	     /* least share of bad calls that is assumed */
 #define P_MAX 0.95	     /* largest that is tested for */
 #define LATENCY_EXCESS 0.1   /* least excess of slow calls that is bad */
 #define LATENCY_UPPER 0.25   /* part of old calls above the quantile used */
 #define BLOCK_SLOTS_MAX 60U  /* for which a block stays open */
+#define BLOCK_SLOTS_BUSY 5U  /* the same when old calls are many */
 #define BLOCK_CALLS_BUSY 10U /* of one version, none of the other */
 #define PEER_CALLS_RATIO 10U /* a peer has at least this part of the calls */
+#define OLD_NATS_MAX 10.0    /* bound of the evidence on old calls */
 #define SOLE_CALLS_MIN 10U   /* that a target needs to speak alone */
 
 static double clamp_share(double p)
@@ -180,12 +182,14 @@
 	uint32_t calls = (uint32_t)track->slot_base_calls;
 	uint32_t bad = (uint32_t)track->slot_base_bad;
 	double p_worse = track->model.p_new[0];
+	double ratio;
 
 	if (track->step_p_old <= 0 || track->step_p_old >= p_worse)
 		return;
-	track->old_evidence = fmax(
-		0, track->old_evidence + tst_get_ratio(track->step_p_old,
-						       p_worse, calls, bad));
+	ratio = tst_get_ratio(track->step_p_old, p_worse, calls, bad);
+	/* Bounded, so that the end of an outage is seen soon. */
+	track->old_evidence =
+		fmin(OLD_NATS_MAX, fmax(0, track->old_evidence + ratio));
 }
 
 static struct tst_block get_block(const struct trk_track *track)
@@ -229,6 +233,14 @@
 	return tst_get_paired(sums) > 0 || sums->alone > 0;
 }
 
+/* A comparison rests on its own calls only. */
+static void restart_sums(struct tst_sums *sums, bool is_compare)
+{
+	if (is_compare)
+		memset(sums, 0, sizeof(*sums));
+	sums->doubt = 0;
+}
+
 /* Figures shown to operators begin where the evidence left zero. */
 static void restart_run(struct trk_track *track)
 {
@@ -243,14 +255,18 @@
 }
 
 /*
- * Calls of one block should be of about the same time: once one side has many
- * while the other has none, the block is of no use.
+ * Calls of one block should be of about the same time: once one version has
+ * many calls while the other has none, the block is given up.
  */
 static bool is_block_stale(const struct trk_track *track,
 			   const struct tst_block *block, uint64_t slot)
 {
-	return slot - track->open_since_slot >= BLOCK_SLOTS_MAX ||
-	       block->old_calls + block->new_calls >= BLOCK_CALLS_BUSY;
+	uint64_t age_slots = slot - track->open_since_slot + 1;
+
+	return age_slots >= BLOCK_SLOTS_MAX ||
+	       block->new_calls >= BLOCK_CALLS_BUSY ||
+	       (block->old_calls >= BLOCK_CALLS_BUSY &&
+		age_slots >= BLOCK_SLOTS_BUSY);
 }
 
 static void test_block(struct trk_track *track, uint64_t slot, bool takes_all)
@@ -277,10 +293,10 @@
 /* Returns whether another target than that at index gave enough calls. */
 static bool has_peer(const struct trk_track *track, uint32_t index)
 {
-	uint32_t calls = track->targets[index].step_calls;
+	uint64_t calls = track->targets[index].calls;
 
 	for (uint32_t i = 0; i < track->target_count; i++) {
-		uint64_t peer_calls = track->targets[i].step_calls;
+		uint64_t peer_calls = track->targets[i].calls;
 
 		if (i != index && peer_calls > 0 &&
 		    peer_calls * PEER_CALLS_RATIO >= calls)
@@ -337,7 +353,8 @@
 	target = get_target(track, address);
 	target->pending_calls += calls;
 	target->pending_bad += bad;
-	target->step_calls += calls;
+	target->calls += calls;
+	track->new_calls += calls;
 	track->step_new_calls += calls;
 }
 
@@ -353,29 +370,31 @@
 	close_block(track);
 	track->step_new_calls = 0;
 	track->step_old_calls = 0;
-	track->sums.doubt = 0;
 	track->old_evidence = 0;
 	track->step_p_old = is_compare ? track->model.p_old : 0;
-	for (uint32_t i = 0; i < track->target_count; i++) {
-		track->targets[i].step_calls = 0;
-		track->targets[i].without.doubt = 0;
-	}
+	restart_sums(&track->sums, is_compare);
+	for (uint32_t i = 0; i < track->target_count; i++)
+		restart_sums(&track->targets[i].without, is_compare);
+	if (is_compare)
+		restart_run(track);
 }
 
-bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums)
+bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
+		  struct tst_sums *rest)
 {
 	bool has_peers = false;
 
 	*sums = track->sums;
+	*rest = track->sums;
 	for (uint32_t i = 0; i < track->target_count; i++) {
 		const struct trk_target *target = &track->targets[i];
 
 		if (!has_peer(track, i))
 			continue;
 		has_peers = true;
-		tst_take_lower(sums, &target->without);
+		tst_take_lower(rest, &target->without);
 	}
-	return has_peers || track->step_new_calls >= SOLE_CALLS_MIN;
+	return has_peers || track->new_calls >= SOLE_CALLS_MIN;
 }
 
 void trk_get_finding(const struct trk_track *track, struct mv_finding *finding)
--- a/src/moves/track.h
+++ b/src/moves/track.h
@@ -14,7 +14,7 @@
 	char address[MV_NAME_SIZE];
 	uint32_t pending_calls; /* of the open block */
 	uint32_t pending_bad;
-	uint32_t step_calls;
+	uint32_t calls;	    /* in all */
 	uint32_t run_calls; /* since the evidence was last zero */
 	uint32_t run_bad;
 	struct tst_sums without; /* evidence without this target's calls */
@@ -45,6 +45,7 @@
 	double slot_base_bad;
 	double slot_latency[MV_LATENCY_BUCKETS];
 
+	uint32_t new_calls; /* in all */
 	uint32_t step_new_calls;
 	uint32_t step_old_calls;
 	uint32_t run_old_calls;
@@ -72,14 +73,19 @@
  */
 void trk_end_slot(struct trk_track *track, uint64_t slot, bool takes_all);
 
-/* The share changed: the open block and the counts of the step begin anew. */
+/*
+ * The share changed: the open block and the counts of the step begin anew. The
+ * evidence does so for a comparison only.
+ */
 void trk_begin_step(struct trk_track *track, bool is_compare);
 
 /*
- * Fills sums with the evidence that does not rest on one target alone. Returns
+ * Fills sums with the evidence over all targets, and rest with that which
+ * remains without the target that speaks most against the version. Returns
  * false while a single target gave too few calls to speak for the version.
  */
-bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums);
+bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
+		  struct tst_sums *rest);
 
 /* Fills finding with the figures of the present evidence. */
 void trk_get_finding(const struct trk_track *track, struct mv_finding *finding);
