--- a/src/routing/tests/fixture.h
+++ b/src/routing/tests/fixture.h
@@ -18,7 +18,13 @@
 };
 
 static const char *const fixture_versions[] = { "v1", "v2", NULL };
-static const struct doc_move fixture_move = { .from = "v1", .to = "v2" };
+static const uint32_t fixture_steps_permille[] = { 50, DOC_SHARE_ALL_PERMILLE };
+static const struct doc_move fixture_move = {
+	.from = "v1",
+	.to = "v2",
+	.step_shares_permille = fixture_steps_permille,
+	.step_count = 2,
+};
 
 /* Returns a new fixture without targets, with the move waiting. */
 static struct fixture *new_fixture(void)
