--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -24,10 +24,13 @@
 /* Closes the log and frees what log4c holds. */
 void log_close(void);
 
+/* Ends the pairs of log_write(). */
+#define LOG_END ((const char *)NULL)
+
 /*
  * Writes one line. module is the writing slice; step and peer say what was
  * done to whom and may be NULL. Then follow pairs of strings,
- * name and value, ended by NULL.
+ * name and value, ended by LOG_END.
  */
 void log_write(enum log_level level, const char *module, const char *step,
 	       const char *peer, const char *message, ...)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -94,7 +94,7 @@
 
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, sequence);
 	log_write(LOG_LEVEL_INFO, "node", "adopt manifest", NULL,
-		  "manifest in force", "sequence", text, NULL);
+		  "manifest in force", "sequence", text, LOG_END);
 	mem_set_manifest_sequence(node->members, sequence);
 	update_table(node);
 }
@@ -205,7 +205,7 @@
 {
 	log_write(LOG_LEVEL_INFO, "node", "start", node->settings->address,
 		  "node is up", "failure_domain",
-		  node->settings->failure_domain, NULL);
+		  node->settings->failure_domain, LOG_END);
 	while (node->phase != ND_PHASE_ENDED)
 		tevent_loop_once(node->events);
 	return node->exit_code;
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -18,7 +18,7 @@
 
 	g_snprintf(text, sizeof(text), "%u", cut_count);
 	log_write(cut_count ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, "node",
-		  "shut down", NULL, "node ends", "calls_cut", text, NULL);
+		  "shut down", NULL, "node ends", "calls_cut", text, LOG_END);
 	node->exit_code = cut_count ? EXIT_FAILURE : EXIT_SUCCESS;
 	node->phase = ND_PHASE_ENDED;
 }
@@ -29,17 +29,17 @@
 	uint64_t elapsed_ms =
 		tmr_get_now_ms(node->timers) - node->drain_start_ms;
 	bool is_idle = tr_get_call_count(node->traffic) == 0;
+	bool is_lingered = elapsed_ms >= node->settings->drain_linger_ms;
 
-	if (is_idle && elapsed_ms >= node->settings->drain_linger_ms)
-		end_node(node);
-	else if (elapsed_ms >= node->settings->shutdown_limit_ms)
+	if ((is_idle && is_lingered) ||
+	    elapsed_ms >= node->settings->shutdown_limit_ms)
 		end_node(node);
 }
 
 static void begin_drain(struct nd_node *node)
 {
 	log_write(LOG_LEVEL_INFO, "node", "shut down", NULL, "drain begins",
-		  NULL);
+		  LOG_END);
 	node->phase = ND_PHASE_DRAINING;
 	node->drain_start_ms = tmr_get_now_ms(node->timers);
 	mem_leave(node->members);
--- a/src/node/target.c
+++ b/src/node/target.c
@@ -52,7 +52,7 @@
 	log_write(LOG_LEVEL_INFO, "node", "take announcement", NULL,
 		  "target announced", "service", target->service, "version",
 		  target->version, "phase", rt_get_phase_name(target->phase),
-		  NULL);
+		  LOG_END);
 	if (target->phase == RT_PHASE_LEAVING)
 		tr_drain_target(node->traffic);
 	else
@@ -73,7 +73,7 @@
 		return;
 	target->is_lost = true;
 	log_write(LOG_LEVEL_WARNING, "node", "check heartbeat", NULL,
-		  "target is gone", "service", target->service, NULL);
+		  "target is gone", "service", target->service, LOG_END);
 	tr_drain_target(node->traffic);
 	mem_announce_target(node->members, "", "", RT_PHASE_LEAVING);
 }
--- a/src/platform/lease.c
+++ b/src/platform/lease.c
@@ -30,7 +30,7 @@
 	struct tmr_subscription *end_timer;
 	bool is_told_held;
 	uint64_t told_version;
-	bool *is_freed; /* set while fn runs */
+	bool *was_freed; /* while fn runs, outlives the lease */
 };
 
 static uint64_t get_now_ms(const struct plat_lease *lease)
@@ -43,17 +43,21 @@
 {
 	bool is_held = plat_is_held_at(&lease->state, get_now_ms(lease));
 	uint64_t version = is_held ? lease->state.fencing_version : 0;
-	bool is_freed = false;
+	bool *was_freed;
+	bool is_alive;
 
 	if (is_held == lease->is_told_held && version == lease->told_version)
 		return true;
 	lease->is_told_held = is_held;
 	lease->told_version = version;
-	lease->is_freed = &is_freed;
+	was_freed = talloc_zero(lease->client, bool);
+	lease->was_freed = was_freed;
 	lease->fn(is_held, version, lease->data);
-	if (!is_freed)
-		lease->is_freed = NULL;
-	return !is_freed;
+	is_alive = !*was_freed;
+	talloc_free(was_freed);
+	if (is_alive)
+		lease->was_freed = NULL;
+	return is_alive;
 }
 
 static void handle_end(uint64_t now_ms, void *data)
@@ -204,8 +208,8 @@
 {
 	json_t *value;
 
-	if (lease->is_freed)
-		*lease->is_freed = true;
+	if (lease->was_freed)
+		*lease->was_freed = true;
 	if (!plat_is_held_at(&lease->state, get_now_ms(lease)))
 		return 0;
 	new_write_id(lease);
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -394,7 +394,7 @@
 	struct spr_writer *writer = data;
 
 	log_write(LOG_LEVEL_INFO, "spread", "manifest lease", NULL,
-		  is_held ? "lease taken" : "lease not held", NULL);
+		  is_held ? "lease taken" : "lease not held", LOG_END);
 	TALLOC_FREE(writer->watch);
 	TALLOC_FREE(writer->round);
 	writer->is_listed = false;
