--- a/src/moves/planner.c
+++ b/src/moves/planner.c
@@ -31,7 +31,8 @@
 				 */
 #define MV_RAMP_PERIOD_MS 5000U /* between shares that follow the ramp-up */
 #define MV_RAMP_GAIN_PERMILLE 10U
-#define MV_COMPARE_MS 4000U
+#define MV_COMPARE_MS 3000U
+#define MV_RELAPSE_MS 15000U /* suspect again this soon: taken back */
 #define MV_COMPARE_CALLS_MIN 3U
 
 static bool has_implied_step(const struct doc_move *move)
@@ -258,7 +259,8 @@
 {
 	struct mv_state *state = &action->state;
 
-	if (state->compare_count > 0) {
+	if (state->compare_count > 0 &&
+	    now_ms < state->since_ms + MV_RELAPSE_MS) {
 		take_back(action, MV_REASON_BAD, &evidence->verdict.finding,
 			  now_ms);
 		return;
--- a/src/moves/test2x2.c
+++ b/src/moves/test2x2.c
@@ -12,7 +12,8 @@
  * The logarithms are summed and held at zero from below (CUSUM), so that
  * badness which begins late does not have to make up for good calls before.
  * With b blocks the probability that a sum of equal versions ever reaches h is
- * at most b exp(-h).
+ * at most b exp(-h). A sum that is not held at zero and starts once, with the
+ * step, passes h with a probability of at most exp(-h).
  */
 #include "test2x2.h"
 
@@ -63,6 +64,7 @@
 					     block->old_calls, block->old_bad);
 
 		sums->paired[i] = max_double(0, sums->paired[i] + ratio);
+		sums->fresh[i] += ratio;
 	}
 	add_doubt(sums, model, block);
 }
@@ -79,8 +81,10 @@
 
 void tst_take_lower(struct tst_sums *sums, const struct tst_sums *other)
 {
-	for (uint32_t i = 0; i < TST_ALTERNATIVES; i++)
+	for (uint32_t i = 0; i < TST_ALTERNATIVES; i++) {
 		sums->paired[i] = min_double(sums->paired[i], other->paired[i]);
+		sums->fresh[i] = min_double(sums->fresh[i], other->fresh[i]);
+	}
 	sums->alone = min_double(sums->alone, other->alone);
 	sums->doubt = min_double(sums->doubt, other->doubt);
 }
@@ -93,3 +97,12 @@
 		largest = max_double(largest, sums->paired[i]);
 	return largest;
 }
+
+double tst_get_fresh(const struct tst_sums *sums)
+{
+	double largest = sums->fresh[0];
+
+	for (uint32_t i = 1; i < TST_ALTERNATIVES; i++)
+		largest = max_double(largest, sums->fresh[i]);
+	return largest;
+}
--- a/src/moves/test2x2.h
+++ b/src/moves/test2x2.h
@@ -26,6 +26,7 @@
 /* Evidence in nats. */
 struct tst_sums {
 	double paired[TST_ALTERNATIVES]; /* new is worse than old, same time */
+	double fresh[TST_ALTERNATIVES];	 /* the same since the step began */
 	double alone; /* new is worse than p_old, no old calls at that time */
 	double doubt; /* new is not as good as p_old; negative: it is */
 };
@@ -47,4 +48,7 @@
 /* Returns the largest paired evidence. */
 double tst_get_paired(const struct tst_sums *sums);
 
+/* Returns the largest evidence since the step began; it may be negative. */
+double tst_get_fresh(const struct tst_sums *sums);
+
 #endif
--- a/src/moves/tests/release.c
+++ b/src/moves/tests/release.c
@@ -14,6 +14,7 @@
 #define P_GOOD 0.003 /* share of calls that fail on a good version */
 #define OUTAGE_FAILS 0.4
 #define OUTAGE_S 15
+#define SOAK_ONSET_S 8
 #define OUTAGE_PERIOD_S 50
 #define COLD_S 20 /* after a target starts */
 #define COLD_FAILS 0.3
@@ -48,6 +49,8 @@
 {
 	const struct rel_kind *kind = release->kind;
 
+	if (kind->fault == REL_FAULT_FAILS_IN_SOAK && release->onset_s == 0)
+		return false;
 	return second >= (int32_t)release->onset_s &&
 	       (kind->fault != REL_FAULT_FAILS_UNDER_LOAD ||
 		release->share_permille >= kind->load_permille);
@@ -83,6 +86,7 @@
 	case REL_FAULT_FAILS:
 	case REL_FAULT_SLOW:
 	case REL_FAULT_FAILS_UNDER_LOAD:
+	case REL_FAULT_FAILS_IN_SOAK:
 		return true;
 	case REL_FAULT_FAILS_ON_ROUTE:
 		return route == REL_ROUTES - 1;
@@ -225,6 +229,9 @@
 	uint32_t calls = release->kind->calls_per_s;
 
 	memset(release->cells, 0, sizeof(release->cells));
+	if (release->kind->fault == REL_FAULT_FAILS_IN_SOAK &&
+	    release->onset_s == 0 && release->share_permille == 1000)
+		release->onset_s = (uint32_t)second + SOAK_ONSET_S;
 	/* Few calls: about half of the seconds have one more or less. */
 	calls += (uint32_t)g_rand_int_range(release->random, 0,
 					    2 * (gint32)spread + 1);
--- a/src/moves/track.c
+++ b/src/moves/track.c
@@ -26,7 +26,7 @@
 #define BLOCK_SLOTS_BUSY 5U  /* the same when old calls are many */
 #define BLOCK_CALLS_BUSY 10U /* of one version, none of the other */
 #define PEER_CALLS_RATIO 10U /* a peer has at least this part of the calls */
-#define OLD_NATS_MAX 10.0    /* bound of the evidence on old calls */
+#define OLD_NATS_MAX 12.0    /* bound of the evidence on old calls */
 #define SOLE_CALLS_MIN 10U   /* that a target needs to speak alone */
 
 static double clamp_share(double p)
@@ -181,15 +181,18 @@
 {
 	uint32_t calls = (uint32_t)track->slot_base_calls;
 	uint32_t bad = (uint32_t)track->slot_base_bad;
-	double p_worse = track->model.p_new[0];
-	double ratio;
 
-	if (track->step_p_old <= 0 || track->step_p_old >= p_worse)
-		return;
-	ratio = tst_get_ratio(track->step_p_old, p_worse, calls, bad);
-	/* Bounded, so that the end of an outage is seen soon. */
-	track->old_evidence =
-		fmin(OLD_NATS_MAX, fmax(0, track->old_evidence + ratio));
+	for (uint32_t i = 0; i < TST_ALTERNATIVES; i++) {
+		double p_worse = track->model.p_new[i];
+		double ratio;
+
+		if (track->step_p_old <= 0 || track->step_p_old >= p_worse)
+			continue;
+		ratio = tst_get_ratio(track->step_p_old, p_worse, calls, bad);
+		/* Bounded, so that the end of an outage is seen soon. */
+		track->old_evidence[i] = fmin(
+			OLD_NATS_MAX, fmax(0, track->old_evidence[i] + ratio));
+	}
 }
 
 static struct tst_block get_block(const struct trk_track *track)
@@ -238,6 +241,7 @@
 {
 	if (is_compare)
 		memset(sums, 0, sizeof(*sums));
+	memset(sums->fresh, 0, sizeof(sums->fresh));
 	sums->doubt = 0;
 }
 
@@ -370,7 +374,7 @@
 	close_block(track);
 	track->step_new_calls = 0;
 	track->step_old_calls = 0;
-	track->old_evidence = 0;
+	memset(track->old_evidence, 0, sizeof(track->old_evidence));
 	track->step_p_old = is_compare ? track->model.p_old : 0;
 	restart_sums(&track->sums, is_compare);
 	for (uint32_t i = 0; i < track->target_count; i++)
@@ -379,22 +383,22 @@
 		restart_run(track);
 }
 
-bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
-		  struct tst_sums *rest)
+uint32_t trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
+		      struct tst_sums *rest)
 {
-	bool has_peers = false;
+	uint32_t peers = 0;
 
 	*sums = track->sums;
 	*rest = track->sums;
 	for (uint32_t i = 0; i < track->target_count; i++) {
-		const struct trk_target *target = &track->targets[i];
-
 		if (!has_peer(track, i))
 			continue;
-		has_peers = true;
-		tst_take_lower(rest, &target->without);
+		peers++;
+		tst_take_lower(rest, &track->targets[i].without);
 	}
-	return has_peers || track->new_calls >= SOLE_CALLS_MIN;
+	if (peers == 0)
+		return track->new_calls >= SOLE_CALLS_MIN ? 1 : 0;
+	return peers;
 }
 
 void trk_get_finding(const struct trk_track *track, struct mv_finding *finding)
--- a/src/moves/track.h
+++ b/src/moves/track.h
@@ -31,8 +31,9 @@
 	double base_calls;
 	double base_bad; /* failed */
 	double base_latency[MV_LATENCY_BUCKETS];
-	double step_p_old;   /* share of bad calls when the step began */
-	double old_evidence; /* that the old version got worse since */
+	double step_p_old; /* share of bad calls when the step began */
+	/* Evidence that the old version got worse since. */
+	double old_evidence[TST_ALTERNATIVES];
 
 	/* Open block. */
 	bool is_open;
@@ -81,11 +82,12 @@
 
 /*
  * Fills sums with the evidence over all targets, and rest with that which
- * remains without the target that speaks most against the version. Returns
- * false while a single target gave too few calls to speak for the version.
+ * remains without the target that speaks most against the version. Returns how
+ * many targets the evidence rests on; 0 while a single target gave too few
+ * calls to speak for the version.
  */
-bool trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
-		  struct tst_sums *rest);
+uint32_t trk_get_sums(const struct trk_track *track, struct tst_sums *sums,
+		      struct tst_sums *rest);
 
 /* Fills finding with the figures of the present evidence. */
 void trk_get_finding(const struct trk_track *track, struct mv_finding *finding);
