--- a/src/moves/planner.c
+++ b/src/moves/planner.c
@@ -321,8 +321,7 @@
 		leave_step(action, move, evidence, now_ms);
 		return;
 	}
-	if (now_ms >= state->step_since_ms + move->judgement.soak_ms &&
-	    !evidence->verdict.is_leaning_bad)
+	if (now_ms >= state->step_since_ms + move->judgement.soak_ms)
 		set_phase(action, MV_ACTION_FINISH, DOC_MOVE_DONE,
 			  DOC_SHARE_ALL_PERMILLE, now_ms);
 }
--- a/src/moves/track.c
+++ b/src/moves/track.c
@@ -18,6 +18,7 @@
 
 #define BASE_KEEP 0.97	     /* weight that a slot keeps per later slot */
 #define BASE_CALLS_MIN 20.0  /* old calls before anything is tested */
+#define BASE_ERRORS 2.0	     /* standard errors allowed for */
 #define P_MIN 0.001	     /* least share of bad calls that is assumed */
 #define P_MAX 0.95	     /* largest that is tested for */
 #define LATENCY_EXCESS 0.1   /* least excess of slow calls that is bad */
@@ -209,21 +210,35 @@
 	return block;
 }
 
+/* Without old calls, allows for the error of the share estimated before. */
+static void raise_model(const struct trk_track *track, struct tst_model *model)
+{
+	double error = BASE_ERRORS * sqrt(model->p_old * (1 - model->p_old) /
+					  track->base_calls);
+
+	model->p_old = clamp_share(model->p_old + error);
+	for (uint32_t i = 0; i < TST_ALTERNATIVES; i++)
+		model->p_new[i] = clamp_share(model->p_new[i] + error);
+}
+
 static void add_block(struct trk_track *track, const struct tst_block *block,
 		      bool is_alone)
 {
 	void (*add)(struct tst_sums *, const struct tst_model *,
 		    const struct tst_block *) =
 		is_alone ? tst_add_alone : tst_add_paired;
+	struct tst_model model = track->model;
 
-	add(&track->sums, &track->model, block);
+	if (is_alone)
+		raise_model(track, &model);
+	add(&track->sums, &model, block);
 	for (uint32_t i = 0; i < track->target_count; i++) {
 		struct trk_target *target = &track->targets[i];
 		struct tst_block rest = *block;
 
 		rest.new_calls -= target->pending_calls;
 		rest.new_bad -= target->pending_bad;
-		add(&target->without, &track->model, &rest);
+		add(&target->without, &model, &rest);
 		target->run_calls += target->pending_calls;
 		target->run_bad += target->pending_bad;
 	}
