--- a/src/platform/lease_state.c
+++ b/src/platform/lease_state.c
@@ -72,6 +72,7 @@
 	state->is_own = view->is_own;
 	state->holder_duration_ms = view->duration_ms;
 	state->is_read_fresh = true;
+	state->is_beaten = false;
 	state->is_outcome_unknown = false;
 	if (!view->is_own)
 		end_tenure(state);
@@ -111,12 +112,14 @@
 	state->is_free = false;
 	state->is_own = false;
 	state->is_outcome_unknown = false;
+	state->is_beaten = true;
 	end_tenure(state);
 }
 
 void plat_note_lease_failure(struct plat_lease_state *state, bool is_unknown)
 {
 	state->is_read_fresh = false;
+	state->is_beaten = false;
 	if (is_unknown)
 		state->is_outcome_unknown = true;
 }
@@ -126,7 +129,7 @@
 	return now_ms < state->valid_until_ms;
 }
 
-/* After a read that showed the lease of another. */
+/* After a read or conflict that showed the lease of another. */
 static struct plat_lease_plan plan_wait(const struct plat_lease_state *state,
 					uint64_t now_ms, GRand *random)
 {
@@ -165,6 +168,8 @@
 				plat_choose_backoff_ms(&state->backoff, random);
 		return plan;
 	}
+	if (state->is_beaten)
+		return plan_wait(state, now_ms, random);
 	plan.action = PLAT_LEASE_READ;
 	plan.delay_ms = plat_choose_backoff_ms(&state->backoff, random);
 	return plan;
--- a/src/platform/lease_state.h
+++ b/src/platform/lease_state.h
@@ -35,6 +35,7 @@
 	bool is_own;		     /* version is a write of this competitor */
 	bool is_read_fresh;	     /* the last event was a read */
 	bool is_outcome_unknown;     /* of the last write */
+	bool is_beaten;		     /* the last event was a conflict */
 	uint64_t sent_ms;	     /* before the last write was sent */
 	uint64_t valid_until_ms;     /* 0: never held, or lost */
 	uint64_t fencing_version;    /* of the present tenure */
--- /dev/null
+++ b/src/platform/tests/test_platform_watch.c
@@ -0,0 +1,183 @@
+/*
+ * Watches over loopback. "expect N" runs the loop until N notices came, and
+ * prints them; failures in a row are printed as one.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "wiring.h"
+
+#define HASTY_TIME_MS 300U
+#define HASTY_POLLS_MAX 20
+
+struct fixture {
+	struct wiring *wiring;
+	struct plat_watch *watch;
+	GString *output;
+	int wanted; /* notices still to come */
+	bool is_done;
+	bool has_failed;
+};
+
+static const char *const kind_names[] = {
+	[PLAT_WATCH_LISTED] = "listed",
+	[PLAT_WATCH_CHANGED] = "changed",
+	[PLAT_WATCH_STALE] = "stale",
+};
+
+static void print_notice(enum plat_watch_kind kind,
+			 const struct plat_result *result, void *data)
+{
+	struct fixture *fixture = data;
+
+	if (kind == PLAT_WATCH_FAILED) {
+		if (!fixture->has_failed)
+			g_string_append(fixture->output, "failed\n");
+		fixture->has_failed = true;
+		return;
+	}
+	fixture->has_failed = false;
+	g_string_append(fixture->output, kind_names[kind]);
+	for (size_t i = 0; i < result->object_count; i++)
+		g_string_append_printf(
+			fixture->output, " %s@%" G_GUINT64_FORMAT "%s%s",
+			result->objects[i].key, result->objects[i].version,
+			result->objects[i].is_deleted ? " deleted" : "",
+			result->objects[i].is_older ? " older" : "");
+	g_string_append_c(fixture->output, '\n');
+	fixture->wanted--;
+	fixture->is_done = fixture->wanted == 0;
+}
+
+static void run_until_waiting(struct wiring *wiring)
+{
+	bool is_waiting = false;
+
+	for (int i = 0; i < WIRING_TURNS_MAX && !is_waiting; i++) {
+		json_t *stats = api_make_stats(wiring->server);
+		json_t *count = json_object_get(stats, "waiting_watches");
+
+		is_waiting = json_integer_value(count) > 0;
+		json_decref(stats);
+		if (!is_waiting)
+			tevent_loop_once(wiring->events);
+	}
+	CU_ASSERT_TRUE(is_waiting);
+}
+
+/* Writes as another process would, past the client under test. */
+static void write_store(struct wiring *wiring, const char *key, bool is_put)
+{
+	struct store *store = api_get_store(wiring->server);
+	const struct store_object *object = store_find_object(store, key);
+	uint64_t version = object ? object->version : 0;
+	json_t *value = json_object();
+
+	if (is_put)
+		store_put_object(store, key, value, version, &version);
+	else
+		store_delete_object(store, key, version, &version);
+	json_decref(value);
+	api_answer_watches(wiring->server);
+}
+
+static bool run_step(int word_count, char **words, GString *output, void *state)
+{
+	struct fixture *fixture = state;
+	struct wiring *wiring = fixture->wiring;
+
+	fixture->output = output;
+	if (strcmp(words[0], "put") == 0)
+		write_store(wiring, words[1], true);
+	else if (strcmp(words[0], "delete") == 0)
+		write_store(wiring, words[1], false);
+	else if (strcmp(words[0], "faults") == 0)
+		wiring_set_faults(wiring, words[1]);
+	else if (strcmp(words[0], "waiting") == 0)
+		run_until_waiting(wiring);
+	else if (strcmp(words[0], "watch") == 0)
+		fixture->watch =
+			plat_watch_prefix(wiring, wiring->client, words[1],
+					  print_notice, fixture);
+	else if (strcmp(words[0], "expect") == 0) {
+		fixture->wanted = atoi(words[1]);
+		fixture->is_done = false;
+		wiring_run_until(wiring, &fixture->is_done);
+	} else
+		return false;
+	return true;
+}
+
+static void run_script(const char *name, uint32_t timeout_ms)
+{
+	struct fixture fixture = { .wiring = wiring_open(timeout_ms) };
+
+	scr_run(name, run_step, &fixture);
+	talloc_free(fixture.watch);
+	wiring_close(fixture.wiring);
+}
+
+static void test_watch(void)
+{
+	run_script("watch", WIRING_TIMEOUT_MS);
+}
+
+static void test_restored(void)
+{
+	run_script("watch_restored", 500);
+}
+
+static void note_time(uint64_t now_ms, void *data)
+{
+	bool *is_over = data;
+
+	*is_over = true;
+}
+
+/* The seed fixes the waits: a slow machine can only make fewer polls. */
+static void test_no_busy_loop(const char *fault, const char *kind)
+{
+	struct wiring *wiring = wiring_open(WIRING_TIMEOUT_MS);
+	struct fixture fixture = { .wiring = wiring, .wanted = 1 };
+	bool is_over = false;
+	json_t *stats;
+
+	fixture.output = g_string_new(NULL);
+	fixture.watch = plat_watch_prefix(wiring, wiring->client, "",
+					  print_notice, &fixture);
+	wiring_run_until(wiring, &fixture.is_done);
+	wiring_set_faults(wiring, fault);
+	tmr_subscribe_once(wiring, wiring->timers, HASTY_TIME_MS, note_time,
+			   &is_over);
+	wiring_run_until(wiring, &is_over);
+	stats = api_make_stats(wiring->server);
+	CU_ASSERT_TRUE(json_integer_value(json_object_get(
+			       json_object_get(stats, "calls"), kind)) <
+		       HASTY_POLLS_MAX);
+	json_decref(stats);
+	talloc_free(fixture.watch);
+	g_string_free(fixture.output, TRUE);
+	wiring_close(wiring);
+}
+
+static void test_hasty_store(void)
+{
+	test_no_busy_loop("{\"hasty_watches\": true}", "watch");
+}
+
+static void test_outage(void)
+{
+	test_no_busy_loop("{\"outage\": true}", "watch");
+}
+
+static const CU_TestInfo tests[] = {
+	{ "watch, cut and history gone", test_watch },
+	{ "restored store", test_restored },
+	{ "no busy loop at a store that does not wait", test_hasty_store },
+	{ "no busy loop in an outage", test_outage },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("platform watch", tests);
+}
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -24,6 +24,7 @@
 	struct tmr_subscription *timer;
 	struct plat_backoff backoff;
 	uint64_t revision;
+	uint64_t poll_sent_ms;
 	bool is_listed; /* revision is that of a list or of later events */
 };
 
@@ -75,21 +76,37 @@
 	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
 }
 
+/* Whether a poll without events came back before its time. */
+static bool is_hasty(const struct plat_watch *watch,
+		     const struct plat_result *result)
+{
+	uint64_t now_ms = tmr_get_now_ms(plat_get_timers(watch->client));
+
+	return result->object_count == 0 &&
+	       now_ms - watch->poll_sent_ms < WATCH_WAIT_MS / 2;
+}
+
 static void handle_events(const struct plat_result *result, void *data)
 {
 	struct plat_watch *watch = data;
+	uint32_t wait_ms = 0;
 
 	watch->call = NULL;
 	if (result->error) {
 		handle_failure(watch, result);
 		return;
 	}
-	plat_reset_backoff(&watch->backoff);
+	/* A store that does not wait must not make a busy loop of the watch. */
+	if (is_hasty(watch, result))
+		wait_ms = plat_choose_backoff_ms(
+			&watch->backoff, plat_get_random(watch->client));
+	else
+		plat_reset_backoff(&watch->backoff);
 	/* An older revision is a store that was restored: list to find out. */
 	if (result->revision < watch->revision)
 		watch->is_listed = false;
 	watch->revision = result->revision;
-	wait_for(watch, 0);
+	wait_for(watch, wait_ms);
 	if (result->object_count > 0)
 		watch->fn(PLAT_WATCH_CHANGED, result, watch->data);
 }
@@ -97,6 +114,7 @@
 static void start_call(struct plat_watch *watch)
 {
 	assert(!watch->call);
+	watch->poll_sent_ms = tmr_get_now_ms(plat_get_timers(watch->client));
 	if (watch->is_listed)
 		watch->call = plat_poll_events(
 			watch, watch->client, watch->prefix, watch->revision,
