Test leases over loopback: race, release, partition, outage, lost answers

Two competitors, each calling the stand-in by the address of its failure domain. At every turn of the loop at most one holds the lease, and the fencing version rises from tenure to tenure.

--- /dev/null
+++ b/src/platform/tests/test_platform_lease.c
@@ -0,0 +1,228 @@
+/*
+ * Leases over loopback: two competitors of one lease, each with its own client.
+ * At every turn of the loop at most one of them may hold it.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "wiring.h"
+
+#define LEASE_DURATION_MS 600U
+#define LEASE_KEY "lease/moves"
+#define COMPETITORS 2
+
+struct competitor {
+	struct plat_client *client;
+	struct plat_lease *lease;
+	bool is_told_held;
+	uint64_t fencing;
+};
+
+struct fixture {
+	struct wiring *wiring;
+	struct competitor competitors[COMPETITORS];
+	uint64_t fencing_max;
+	uint32_t doubles;     /* turns at which both held it */
+	uint32_t regressions; /* tenures whose fencing did not rise */
+};
+
+static void note_change(bool is_held, uint64_t fencing_version, void *data)
+{
+	struct competitor *competitor = data;
+
+	competitor->is_told_held = is_held;
+	competitor->fencing = fencing_version;
+}
+
+static void compete(struct fixture *fixture, int i)
+{
+	static const char *const names[COMPETITORS] = { "first", "second" };
+	struct competitor *competitor = &fixture->competitors[i];
+
+	competitor->lease = plat_compete_lease(
+		fixture->wiring, competitor->client, LEASE_KEY, names[i],
+		LEASE_DURATION_MS, note_change, competitor);
+}
+
+static struct fixture *open_fixture(void)
+{
+	struct fixture *fixture = talloc_zero(NULL, struct fixture);
+
+	fixture->wiring = wiring_open(WIRING_TIMEOUT_MS);
+	for (int i = 0; i < COMPETITORS; i++) {
+		fixture->competitors[i].client = wiring_new_client(
+			fixture->wiring, (uint32_t)i, WIRING_TIMEOUT_MS);
+		compete(fixture, i);
+	}
+	return fixture;
+}
+
+static void close_fixture(struct fixture *fixture)
+{
+	CU_ASSERT_EQUAL(fixture->doubles, 0);
+	CU_ASSERT_EQUAL(fixture->regressions, 0);
+	for (int i = 0; i < COMPETITORS; i++) {
+		talloc_free(fixture->competitors[i].lease);
+		talloc_free(fixture->competitors[i].client);
+	}
+	wiring_close(fixture->wiring);
+	talloc_free(fixture);
+}
+
+/* Returns the holder, or -1; counts what must never be. */
+static int find_holder(struct fixture *fixture)
+{
+	int holder = -1;
+
+	for (int i = 0; i < COMPETITORS; i++) {
+		const struct competitor *competitor = &fixture->competitors[i];
+
+		if (!competitor->lease ||
+		    !plat_is_lease_held(competitor->lease))
+			continue;
+		if (holder >= 0)
+			fixture->doubles++;
+		holder = i;
+	}
+	return holder;
+}
+
+static uint64_t get_version(struct fixture *fixture)
+{
+	const struct store_object *object = store_find_object(
+		api_get_store(fixture->wiring->server), LEASE_KEY);
+
+	return object ? object->version : 0;
+}
+
+/* Runs until a tenure begins that is newer than all before; gives the holder.
+ */
+static int run_until_tenure(struct fixture *fixture)
+{
+	struct competitor *competitor;
+
+	for (int i = 0; i < WIRING_TURNS_MAX; i++) {
+		int holder = find_holder(fixture);
+
+		competitor = &fixture->competitors[MAX(holder, 0)];
+		if (holder >= 0 && competitor->is_told_held &&
+		    competitor->fencing != fixture->fencing_max) {
+			if (competitor->fencing < fixture->fencing_max)
+				fixture->regressions++;
+			fixture->fencing_max = competitor->fencing;
+			return holder;
+		}
+		tevent_loop_once(fixture->wiring->events);
+	}
+	CU_FAIL("no tenure began");
+	return 0;
+}
+
+/* Runs until the lease object was written count more times. */
+static void run_until_renewed(struct fixture *fixture, uint64_t count)
+{
+	uint64_t wanted = get_version(fixture) + count;
+
+	for (int i = 0; i < WIRING_TURNS_MAX && get_version(fixture) < wanted;
+	     i++) {
+		tevent_loop_once(fixture->wiring->events);
+		find_holder(fixture);
+	}
+	CU_ASSERT_TRUE(get_version(fixture) >= wanted);
+}
+
+static void run_until_told_lost(struct fixture *fixture, int holder)
+{
+	const struct competitor *competitor = &fixture->competitors[holder];
+
+	for (int i = 0; i < WIRING_TURNS_MAX && competitor->is_told_held; i++) {
+		tevent_loop_once(fixture->wiring->events);
+		find_holder(fixture);
+	}
+	CU_ASSERT_FALSE(competitor->is_told_held);
+}
+
+static void test_one_wins_and_renews(void)
+{
+	struct fixture *fixture = open_fixture();
+
+	run_until_tenure(fixture);
+	run_until_renewed(fixture, 3);
+	CU_ASSERT_TRUE(find_holder(fixture) >= 0);
+	close_fixture(fixture);
+}
+
+static void test_released_lease_goes_on(void)
+{
+	struct fixture *fixture = open_fixture();
+	int holder = run_until_tenure(fixture);
+
+	TALLOC_FREE(fixture->competitors[holder].lease);
+	CU_ASSERT_EQUAL(run_until_tenure(fixture), 1 - holder);
+	close_fixture(fixture);
+}
+
+static void test_cut_off_holder_loses(void)
+{
+	static const char *const cuts[COMPETITORS] = {
+		"{\"only_from\": \"127.0.1.\"}",
+		"{\"only_from\": \"127.0.0.\"}"
+	};
+	struct fixture *fixture = open_fixture();
+	int holder = run_until_tenure(fixture);
+
+	wiring_set_faults(fixture->wiring, cuts[holder]);
+	CU_ASSERT_EQUAL(run_until_tenure(fixture), 1 - holder);
+	wiring_set_faults(fixture->wiring, "{\"only_from\": \"\"}");
+	run_until_renewed(fixture, 3);
+	close_fixture(fixture);
+}
+
+static void test_outage_ends_tenure(const char *outage)
+{
+	struct fixture *fixture = open_fixture();
+	int holder = run_until_tenure(fixture);
+
+	wiring_set_faults(fixture->wiring, outage);
+	run_until_told_lost(fixture, holder);
+	CU_ASSERT_EQUAL(find_holder(fixture), -1);
+	wiring_set_faults(fixture->wiring, "{\"outage\": false}");
+	run_until_tenure(fixture);
+	close_fixture(fixture);
+}
+
+static void test_outage(void)
+{
+	test_outage_ends_tenure("{\"outage\": true}");
+}
+
+static void test_hang(void)
+{
+	test_outage_ends_tenure("{\"outage\": \"hang\"}");
+}
+
+static void test_lost_renewals(void)
+{
+	struct fixture *fixture = open_fixture();
+
+	run_until_tenure(fixture);
+	for (int i = 0; i < 2; i++) {
+		wiring_set_faults(fixture->wiring, "{\"lose_answers\": 1}");
+		run_until_renewed(fixture, 2);
+	}
+	close_fixture(fixture);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "one wins and renews", test_one_wins_and_renews },
+	{ "released lease goes on", test_released_lease_goes_on },
+	{ "cut-off holder loses it", test_cut_off_holder_loses },
+	{ "outage ends the tenure", test_outage },
+	{ "hanging platform ends the tenure", test_hang },
+	{ "lost renewals", test_lost_renewals },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("platform lease", tests);
+}
--- a/src/platform/tests/wiring.h
+++ b/src/platform/tests/wiring.h
@@ -21,38 +21,46 @@
 	struct plat_client *client;
 };
 
-static struct plat_client *wiring_new_client(struct wiring *wiring,
-					     uint64_t seed, uint32_t timeout_ms)
+/* Each failure domain calls the stand-in by an address of its own. */
+static const char *const wiring_addresses[] = { "127.0.0.1", "127.0.1.1",
+						NULL };
+
+/* A client of one failure domain; its number is the seed of its jitter too. */
+static inline struct plat_client *wiring_new_client(struct wiring *wiring,
+						    uint32_t failure_domain,
+						    uint32_t timeout_ms)
 {
 	struct plat_options options;
-	char *url = talloc_asprintf(wiring, "http://127.0.0.1:%u",
+	char *url = talloc_asprintf(wiring, "http://%s:%u",
+				    wiring_addresses[failure_domain],
 				    api_get_port(wiring->server));
 
 	plat_set_default_options(&options, url);
 	options.timeout_ms = timeout_ms;
 	options.calls_per_second = 1000;
 	options.burst_calls = 1000;
-	options.seed = seed;
+	options.seed = failure_domain;
 	return plat_new_client(wiring, wiring->events, wiring->timers,
 			       wiring->counters, &options, NULL);
 }
 
-static struct wiring *wiring_open(uint32_t timeout_ms)
+static inline struct wiring *wiring_open(uint32_t timeout_ms)
 {
 	struct wiring *wiring = talloc_zero(NULL, struct wiring);
 	struct api_options options;
 
 	api_set_default_options(&options);
+	options.addresses = wiring_addresses;
 	wiring->events = tevent_context_init(wiring);
 	wiring->timers = tmr_new(wiring, wiring->events);
 	wiring->counters = cnt_new_registry(wiring);
 	wiring->server = api_new_server(wiring, wiring->events, wiring->timers,
 					&options, NULL);
-	wiring->client = wiring_new_client(wiring, 1, timeout_ms);
+	wiring->client = wiring_new_client(wiring, 0, timeout_ms);
 	return wiring;
 }
 
-static void wiring_close(struct wiring *wiring)
+static inline void wiring_close(struct wiring *wiring)
 {
 	TALLOC_FREE(wiring->client);
 	TALLOC_FREE(wiring->server);
@@ -60,14 +68,14 @@
 }
 
 /* Runs the loop until *is_done; the bound keeps a fault from hanging it. */
-static void wiring_run_until(struct wiring *wiring, const bool *is_done)
+static inline void wiring_run_until(struct wiring *wiring, const bool *is_done)
 {
 	for (int i = 0; i < WIRING_TURNS_MAX && !*is_done; i++)
 		tevent_loop_once(wiring->events);
 	CU_ASSERT_TRUE(*is_done);
 }
 
-static void wiring_set_faults(struct wiring *wiring, const char *text)
+static inline void wiring_set_faults(struct wiring *wiring, const char *text)
 {
 	CU_ASSERT_TRUE(api_set_faults(wiring->server, text, NULL));
 }
