--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -13,11 +13,28 @@
 #include <stdint.h>
 #include <glib.h>
 #include <talloc.h>
+#include <tevent.h>
 #include "loom/counter.h"
+#include "loom/moves.h"
 #include "loom/routing.h"
 
 struct tr_service;
 
+/* Calls of one series that ended in one slot, as one thread counted them. */
+struct tr_sample {
+	const char *service;
+	const char *route;
+	const char *version;
+	const char *target;	    /* address of its admission side */
+	const char *failure_domain; /* of the target */
+	uint64_t slot;		    /* see mv_get_slot() */
+	struct mv_counts counts;
+	uint32_t slow; /* good calls above the objective's latency */
+};
+
+/* Takes a sample on the control thread; the sample is borrowed. */
+typedef void (*tr_sample_fn)(const struct tr_sample *sample, void *data);
+
 struct tr_options {
 	const char *address; /* IP number to listen on */
 	const char *failure_domain;
@@ -30,13 +47,19 @@
 	uint32_t header_bytes_max;
 	enum rt_policy policy;
 	uint64_t seed;
+	tr_sample_fn on_sample; /* or NULL */
+	void *data;
 };
 
 /* Fills options with the usual values; texts and ports stay unset. */
 void tr_set_default_options(struct tr_options *options);
 
-/* Starts the threads. Returns a new service owned by ctx, or NULL. */
+/*
+ * Starts the threads; events is the control thread's loop. Returns a new
+ * service owned by ctx, or NULL with *error set.
+ */
 struct tr_service *tr_new_service(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
 				  struct cnt_registry *counters,
 				  const struct tr_options *options,
 				  GError **error);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -125,7 +125,8 @@
 	options.idle_timeout_ms = settings->idle_timeout_ms;
 	options.header_timeout_ms = settings->header_timeout_ms;
 	options.seed = g_str_hash(settings->address);
-	node->traffic = tr_new_service(node, node->counters, &options, error);
+	node->traffic = tr_new_service(node, node->events, node->counters,
+				       &options, error);
 	return node->traffic != NULL;
 }
 
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <time.h>
 #include "connection.h"
+#include "samples.h"
 
 uint64_t tr_get_now_us(void)
 {
@@ -52,6 +53,8 @@
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
 		tr_note_entry_end(call, outcome);
+		if (outcome == RT_OUTCOME_FAILED)
+			tr_note_sample(call, MV_OUTCOME_FAILED);
 		break;
 	case TR_ROLE_HOP:
 		tr_release_slot(call, adm_outcome);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 #include "call.h"
 #include "loom/error.h"
+#include "samples.h"
 
 /* Returns the service that the Host header names, without a port (new). */
 static char *get_service_name(struct tr_call *call)
@@ -182,6 +183,8 @@
 		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
 
 	tr_note_entry_end(call, outcome);
+	tr_note_sample(call,
+		       is_not_run ? MV_OUTCOME_REFUSED : MV_OUTCOME_FAILED);
 	/* An earlier attempt may have run although this one did not. */
 	if (!is_not_run)
 		call->is_run_possible = true;
@@ -195,7 +198,9 @@
 {
 	bool is_not_run = call->send_count == 0;
 
+	/* The other node is gone: no word about the version that it serves. */
 	tr_note_entry_end(call, RT_OUTCOME_FAILED);
+	tr_note_sample(call, MV_OUTCOME_LOST);
 	if (!is_not_run)
 		call->is_run_possible = true;
 	if (try_again(call, RT_OUTCOME_FAILED, is_not_run))
@@ -207,6 +212,16 @@
 		       !call->is_run_possible);
 }
 
+static enum mv_outcome get_outcome(const struct tr_answer *answer)
+{
+	if (answer->has_load && answer->load.phase == RT_PHASE_STARTING)
+		return MV_OUTCOME_COLD;
+	if (answer->is_broken ||
+	    answer->status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
+		return MV_OUTCOME_FAILED;
+	return MV_OUTCOME_GOOD;
+}
+
 void tr_end_entry_attempt(struct tr_call *call, CURLcode code)
 {
 	struct tr_answer *answer = &call->answer;
@@ -226,6 +241,7 @@
 		cnt_add(call->thread->service->counters.broken[call->role], 1);
 	tr_note_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
 						 : RT_OUTCOME_FAILED);
+	tr_note_sample(call, get_outcome(answer));
 	call->stage = TR_STAGE_ENDED;
 	tr_resume_call(call);
 }
--- /dev/null
+++ b/src/traffic/samples.c
@@ -0,0 +1,207 @@
+/*
+ * Counts of ended attempts on their way from the traffic threads to control.
+ *
+ * A thread keeps one record a series (service, route, version, target) for the
+ * present slot. When the slot is over the whole table is pushed on a queue, the
+ * control thread is woken, and a new table begins: no lock, and no work on the
+ * control thread that grows with the calls.
+ */
+#include "samples.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include "call.h"
+
+#define HAND_OVER_PERIOD_MS 250U
+/* Series of a slot beyond this are not counted; 130 services keep below. */
+#define SERIES_MAX 8192U
+
+struct sample_record {
+	struct tr_sample sample;
+	char *service;
+	char *route;
+	char *version;
+	char *target;
+	char *failure_domain;
+};
+
+static guint hash_record(gconstpointer data)
+{
+	const struct sample_record *record = data;
+
+	return g_str_hash(record->sample.service) * 31 +
+	       g_str_hash(record->sample.route) * 17 +
+	       g_str_hash(record->sample.version) * 7 +
+	       g_str_hash(record->sample.target);
+}
+
+static gboolean is_same_series(gconstpointer left, gconstpointer right)
+{
+	const struct tr_sample *a =
+		&((const struct sample_record *)left)->sample;
+	const struct tr_sample *b =
+		&((const struct sample_record *)right)->sample;
+
+	return strcmp(a->target, b->target) == 0 &&
+	       strcmp(a->route, b->route) == 0 &&
+	       strcmp(a->version, b->version) == 0 &&
+	       strcmp(a->service, b->service) == 0;
+}
+
+static void free_record(gpointer data)
+{
+	struct sample_record *record = data;
+
+	g_free(record->service);
+	g_free(record->route);
+	g_free(record->version);
+	g_free(record->target);
+	g_free(record->failure_domain);
+	g_free(record);
+}
+
+static GHashTable *new_table(void)
+{
+	return g_hash_table_new_full(hash_record, is_same_series, free_record,
+				     NULL);
+}
+
+static void hand_over(struct tr_thread *thread)
+{
+	struct tr_service *service = thread->service;
+	uint64_t one = 1;
+
+	if (g_hash_table_size(thread->samples) == 0)
+		return;
+	g_async_queue_push(service->batches, thread->samples);
+	thread->samples = new_table();
+	if (write(service->batch_fd, &one, sizeof(one)) < 0)
+		g_assert(errno == EAGAIN);
+}
+
+static void end_slot(struct tr_thread *thread)
+{
+	uint64_t slot = mv_get_slot(tmr_get_wall_ms(thread->timers));
+
+	if (slot == thread->sample_slot)
+		return;
+	hand_over(thread);
+	thread->sample_slot = slot;
+}
+
+static void handle_period(uint64_t now_ms, void *data)
+{
+	end_slot(data);
+}
+
+static struct sample_record *copy_record(const struct tr_sample *sample)
+{
+	struct sample_record *record = g_new0(struct sample_record, 1);
+
+	record->sample.service = record->service = g_strdup(sample->service);
+	record->sample.route = record->route = g_strdup(sample->route);
+	record->sample.version = record->version = g_strdup(sample->version);
+	record->sample.target = record->target = g_strdup(sample->target);
+	record->sample.failure_domain = record->failure_domain =
+		g_strdup(sample->failure_domain);
+	record->sample.slot = sample->slot;
+	return record;
+}
+
+/* Returns the record of a series (borrowed), or NULL when there are too many.
+ */
+static struct sample_record *get_record(struct tr_thread *thread,
+					const struct tr_call *call)
+{
+	struct sample_record key = { 0 };
+	struct sample_record *record;
+
+	key.sample.service = call->service->name;
+	key.sample.route = call->route->name;
+	key.sample.version = call->chosen->version;
+	key.sample.target = call->chosen->address;
+	key.sample.failure_domain = call->chosen->failure_domain;
+	key.sample.slot = thread->sample_slot;
+	record = g_hash_table_lookup(thread->samples, &key);
+	if (record || g_hash_table_size(thread->samples) >= SERIES_MAX)
+		return record;
+	record = copy_record(&key.sample);
+	g_hash_table_add(thread->samples, record);
+	return record;
+}
+
+void tr_note_sample(struct tr_call *call, enum mv_outcome outcome)
+{
+	uint64_t end_us =
+		call->answer.head_us ? call->answer.head_us : tr_get_now_us();
+	uint64_t latency_us = end_us - call->attempt_us;
+	struct sample_record *record;
+
+	if (!call->thread->service->options.on_sample || !call->chosen)
+		return;
+	end_slot(call->thread);
+	record = get_record(call->thread, call);
+	if (!record)
+		return;
+	mv_add_call(&record->sample.counts, outcome, (uint32_t)latency_us);
+	if (outcome == MV_OUTCOME_GOOD &&
+	    latency_us > call->service->objective.latency_ms * 1000ULL)
+		record->sample.slow++;
+}
+
+static void take_batch(struct tr_service *service, GHashTable *batch)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, batch);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const struct sample_record *record = key;
+
+		service->options.on_sample(&record->sample,
+					   service->options.data);
+	}
+	g_hash_table_destroy(batch);
+}
+
+static void handle_batches(struct tevent_context *events, struct tevent_fd *fde,
+			   uint16_t flags, void *data)
+{
+	struct tr_service *service = data;
+	GHashTable *batch;
+	uint64_t count;
+
+	if (read(service->batch_fd, &count, sizeof(count)) < 0)
+		return;
+	while ((batch = g_async_queue_try_pop(service->batches)))
+		take_batch(service, batch);
+}
+
+void tr_open_samples(struct tr_service *service, struct tevent_context *events)
+{
+	service->batches = g_async_queue_new();
+	service->batch_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	service->batch_fde =
+		tevent_add_fd(events, service, service->batch_fd,
+			      TEVENT_FD_READ, handle_batches, service);
+}
+
+void tr_close_samples(struct tr_service *service)
+{
+	GHashTable *batch;
+
+	while ((batch = g_async_queue_try_pop(service->batches)))
+		g_hash_table_destroy(batch);
+	g_async_queue_unref(service->batches);
+	TALLOC_FREE(service->batch_fde);
+	close(service->batch_fd);
+}
+
+void tr_open_thread_samples(struct tr_thread *thread)
+{
+	thread->samples = new_table();
+	tmr_subscribe_every(thread->timers, thread->timers, HAND_OVER_PERIOD_MS,
+			    handle_period, thread);
+}
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -3,6 +3,7 @@
  */
 #include <assert.h>
 #include "loom/error.h"
+#include "samples.h"
 #include "thread.h"
 
 #define CONNECTIONS_MAX 4096U
@@ -65,6 +66,7 @@
 	}
 	for (uint32_t i = 0; i < service->options.thread_count; i++)
 		tr_join_thread(&service->threads[i]);
+	tr_close_samples(service);
 	return 0;
 }
 
@@ -81,6 +83,7 @@
 }
 
 struct tr_service *tr_new_service(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
 				  struct cnt_registry *counters,
 				  const struct tr_options *options,
 				  GError **error)
@@ -95,6 +98,7 @@
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
+	tr_open_samples(service, events);
 	talloc_set_destructor(service, destroy_service);
 	for (uint32_t i = 0; i < options->thread_count; i++) {
 		struct tr_thread *thread = &service->threads[i];
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -17,6 +17,7 @@
 #include "call.h"
 #include "connection.h"
 #include "loom/error.h"
+#include "samples.h"
 
 #define FREE_HANDLES_MAX 256U
 #define CACHED_CONNECTIONS_MAX 2048L
@@ -187,6 +188,7 @@
 	thread->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->commands = g_async_queue_new();
+	tr_open_thread_samples(thread);
 	g_queue_init(&thread->free_handles);
 	thread->hangup_fd = -1;
 	thread->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
@@ -267,18 +269,19 @@
 	cancel_calls(thread);
 	close_listener(&thread->entry);
 	close_listener(&thread->hop);
-	tr_close_connections(thread);
 	g_queue_clear_full(&thread->free_handles, curl_easy_cleanup);
 	while ((command = g_async_queue_try_pop(thread->commands)))
 		free_command(command);
 	g_async_queue_unref(thread->commands);
 	g_hash_table_destroy(thread->budgets);
+	g_hash_table_destroy(thread->samples);
 	table = atomic_exchange(&thread->incoming, NULL);
 	if (table)
 		rt_unref_table(table);
 	if (thread->table)
 		rt_unref_table(thread->table);
 	TALLOC_FREE(thread->events);
+	tr_close_connections(thread);
 	g_free(thread->target_url);
 	g_free(thread->target_service);
 	close(thread->wake_fd);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -90,6 +90,8 @@
 	bool is_draining;
 	bool is_stopped;
 	uint64_t random_state;
+	GHashTable *samples; /* of the present slot; see samples.c */
+	uint64_t sample_slot;
 	_Atomic uint32_t call_count;
 };
 
@@ -97,6 +99,9 @@
 	struct tr_options options;
 	struct tr_counters counters;
 	struct tr_thread *threads;
+	GAsyncQueue *batches; /* samples on their way to the control thread */
+	int batch_fd;
+	struct tevent_fd *batch_fde;
 };
 
 /* Opens listeners and loops of a thread and starts it. */
