--- a/src/moves/judge.c
+++ b/src/moves/judge.c
@@ -22,16 +22,16 @@
 #include "track.h"
 #include "window.h"
 
-#define MV_FALSE_ALARMS 0.002 /* bound per move, over all judges */
+#define MV_FALSE_ALARMS 0.005 /* bound per move, over all judges */
 #define MV_ROUTE_MAX 32U
 #define MV_TRACK_MAX (2U * (MV_ROUTE_MAX + 1U))
-#define MV_BAD_TARGETS 0.02    /* part of moves with a target bad by itself */
+#define MV_BAD_TARGETS 0.04    /* part of moves with a target bad by itself */
 #define MV_ALONE_NATS 12.0     /* evidence that makes a comparison worth it */
 #define MV_GOOD_NATS 4.6       /* evidence for a good version, over all */
 #define MV_GOOD_ROUTE_NATS 2.3 /* the same on one route */
-#define MV_ALIKE_RATIO 4.0     /* worst target's part to the mean of others */
+#define MV_ALIKE_RATIO 6.0     /* worst target's part to the mean of others */
 #define MV_COMPARE_NATS 8.0    /* evidence in a comparison that decides it */
-#define MV_OLD_HIT_NATS 9.0    /* evidence that the old version got worse */
+#define MV_OLD_HIT_NATS 6.0    /* evidence that the old version got worse */
 #define MV_LEANING_PART 2.0
 
 struct mv_judge {
