--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -36,10 +36,12 @@
 	uint32_t timeout_ms;
 	uint32_t calls_per_second; /* token bucket of this process */
 	uint32_t burst_calls;
-	uint64_t seed; /* of the jitter */
+	uint32_t retry_wait_ms_max; /* between tries, drawn with full jitter */
+	uint64_t seed; /* of the jitter; must differ from process to process */
 };
 
-/* Fills options with the usual values for that URL (borrowed). */
+/* Fills options with the usual values for that URL (borrowed), a random seed.
+ */
 void plat_set_default_options(struct plat_options *options,
 			      const char *base_url);
 
--- a/src/platform/answer.c
+++ b/src/platform/answer.c
@@ -106,6 +106,9 @@
 
 	talloc_set_destructor(answer, destroy_answer);
 	answer->outcome = classify(http);
+	answer->is_overload = answer->outcome == PLAT_REFUSED ||
+			      answer->outcome == PLAT_NOT_SENT ||
+			      http->status >= 500;
 	if (!http->body)
 		return answer;
 	answer->root = json_loadb(http->body, http->body_size, 0, NULL);
--- a/src/platform/answer.h
+++ b/src/platform/answer.h
@@ -22,6 +22,7 @@
 
 struct plat_answer {
 	enum plat_outcome outcome;
+	bool is_overload; /* refused, unreachable or out: no single accident */
 	struct plat_object *objects;
 	size_t object_count;
 	uint64_t version;
--- a/src/platform/backoff.c
+++ b/src/platform/backoff.c
@@ -5,11 +5,27 @@
 
 #define DOUBLINGS_MAX 20U
 
+void plat_start_backoff(struct plat_backoff *backoff, uint32_t cap_ms)
+{
+	*backoff = (struct plat_backoff){ .first_ms = PLAT_BACKOFF_FIRST_MS,
+					  .base_ms = PLAT_BACKOFF_BASE_MS,
+					  .cap_ms = cap_ms };
+}
+
+uint32_t plat_choose_start_ms(GRand *random, uint32_t bound_ms)
+{
+	return (uint32_t)(g_rand_double(random) * bound_ms);
+}
+
 uint32_t plat_get_backoff_bound_ms(const struct plat_backoff *backoff)
 {
-	uint32_t doublings = MIN(backoff->failures, DOUBLINGS_MAX);
-	uint64_t bound_ms = (uint64_t)backoff->base_ms << doublings;
+	uint32_t doublings;
+	uint64_t bound_ms;
 
+	if (backoff->failures == 0)
+		return MIN(backoff->first_ms, backoff->cap_ms);
+	doublings = MIN(backoff->failures - 1, DOUBLINGS_MAX);
+	bound_ms = (uint64_t)backoff->base_ms << doublings;
 	return (uint32_t)MIN(bound_ms, backoff->cap_ms);
 }
 
@@ -21,6 +37,11 @@
 	return 1 + (uint32_t)(g_rand_double(random) * bound_ms);
 }
 
+void plat_note_overload(struct plat_backoff *backoff)
+{
+	backoff->failures = MAX(backoff->failures, 1);
+}
+
 void plat_reset_backoff(struct plat_backoff *backoff)
 {
 	backoff->failures = 0;
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -85,6 +85,8 @@
 
 	leave_flight(call);
 	count_try(client, call->kind, answer->outcome);
+	if (answer->is_overload)
+		plat_note_overload(&call->backoff);
 	call->try_fn(call, answer);
 	if (answer != call->stale && answer != call->kept)
 		talloc_free(answer);
@@ -224,12 +226,14 @@
 		return false;
 	}
 	if (options->timeout_ms < PLAT_TRIES_PER_TIMEOUT ||
-	    options->calls_per_second == 0 || options->burst_calls == 0) {
+	    options->calls_per_second == 0 || options->burst_calls == 0 ||
+	    options->retry_wait_ms_max == 0) {
 		err_set(error, ERR_INVALID_ARGUMENT, step, options->base_url,
-			"got timeout %u ms, %u calls/s, burst %u; wanted at "
-			"least %u, 1 and 1",
+			"got timeout %u ms, %u calls/s, burst %u, waits of "
+			"%u ms; wanted at least %u, 1, 1 and 1",
 			options->timeout_ms, options->calls_per_second,
-			options->burst_calls, PLAT_TRIES_PER_TIMEOUT);
+			options->burst_calls, options->retry_wait_ms_max,
+			PLAT_TRIES_PER_TIMEOUT);
 		return false;
 	}
 	return true;
@@ -243,7 +247,8 @@
 		.timeout_ms = PLAT_TIMEOUT_MS,
 		.calls_per_second = PLAT_CALLS_PER_SECOND,
 		.burst_calls = PLAT_BURST_CALLS,
-		.seed = 1,
+		.retry_wait_ms_max = PLAT_BACKOFF_CAP_MS,
+		.seed = (uint64_t)g_random_int() << 32 | g_random_int(),
 	};
 }
 
@@ -293,8 +298,7 @@
 	call->kind = kind;
 	call->key = talloc_strdup(call, key);
 	call->path = talloc_steal(call, path);
-	call->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
-	call->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
+	plat_start_backoff(&call->backoff, client->options.retry_wait_ms_max);
 	call->try_fn = try_fn;
 	call->fn = fn;
 	call->data = data;
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -16,8 +16,7 @@
 #include "loom/platform.h"
 #include "resolution.h"
 
-#define PLAT_BACKOFF_BASE_MS 50U
-#define PLAT_BACKOFF_CAP_MS 8000U
+#define PLAT_WATCH_START_MS 1000U /* jitter before the first list */
 
 enum plat_call_kind {
 	PLAT_CALL_GET,
--- a/src/platform/lease.c
+++ b/src/platform/lease.c
@@ -237,9 +237,8 @@
 	/* Competitors that start together do not read together. */
 	lease->timer = tmr_subscribe_once(
 		lease, plat_get_timers(client),
-		(uint32_t)g_rand_int_range(
-			plat_get_random(client), 0,
-			(gint32)(duration_ms / LEASE_CALL_PART)),
+		plat_choose_start_ms(plat_get_random(client),
+				     duration_ms / LEASE_CALL_PART),
 		carry_out_plan, lease);
 	return lease;
 }
--- a/src/platform/lease_state.c
+++ b/src/platform/lease_state.c
@@ -57,8 +57,9 @@
 	*state = (struct plat_lease_state){
 		.duration_ms = duration_ms,
 		.margin_ms = duration_ms / LEASE_MARGIN_PART,
-		.backoff = { .base_ms =
+		.backoff = { .first_ms =
 				     MAX(1, duration_ms / LEASE_BACKOFF_PART),
+			     .base_ms = duration_ms / LEASE_RENEWAL_PART,
 			     .cap_ms = duration_ms / LEASE_RENEWAL_PART },
 	};
 }
--- a/src/platform/objects.c
+++ b/src/platform/objects.c
@@ -154,12 +154,15 @@
 	}
 }
 
+/* A lost connection has a code of its own: the watch may resume at once. */
 static void handle_poll(struct plat_call *call, struct plat_answer *answer)
 {
 	if (answer->outcome == PLAT_DONE) {
 		/* Events may trail what other calls have seen. */
 		note_versions(call, answer);
 		finish_with_answer(call, answer);
+	} else if (answer->outcome == PLAT_LOST && !answer->is_overload) {
+		fail_call(call, ERR_UNKNOWN_OUTCOME, "connection lost");
 	} else {
 		fail_with_outcome(call, answer->outcome);
 	}
--- a/src/platform/tests/test_platform_decisions.c
+++ b/src/platform/tests/test_platform_decisions.c
@@ -76,7 +76,7 @@
 	g_rand_free(random);
 }
 
-/* "start BASE CAP", "fail COUNT", "draw", "reset". */
+/* "start FIRST BASE CAP", "fail COUNT", "draw", "overload", "reset". */
 static bool run_backoff(int word_count, char **words, GString *output,
 			void *state)
 {
@@ -84,11 +84,14 @@
 	GRand *random = g_rand_new_with_seed(7);
 	bool is_known = true;
 
-	if (is_step("start", 3, word_count, words)) {
+	if (is_step("start", 4, word_count, words)) {
 		*backoff = (struct plat_backoff){
-			.base_ms = (uint32_t)get_number(words[1]),
-			.cap_ms = (uint32_t)get_number(words[2])
+			.first_ms = (uint32_t)get_number(words[1]),
+			.base_ms = (uint32_t)get_number(words[2]),
+			.cap_ms = (uint32_t)get_number(words[3])
 		};
+	} else if (is_step("overload", 1, word_count, words)) {
+		plat_note_overload(backoff);
 	} else if (is_step("fail", 2, word_count, words)) {
 		for (uint64_t i = 0; i < get_number(words[1]); i++)
 			plat_choose_backoff_ms(backoff, random);
--- a/src/platform/tests/wiring.h
+++ b/src/platform/tests/wiring.h
@@ -12,6 +12,7 @@
 
 #define WIRING_TURNS_MAX 100000
 #define WIRING_TIMEOUT_MS 20000U
+#define WIRING_RETRY_WAIT_MS 50U
 
 struct wiring {
 	struct tevent_context *events;
@@ -39,6 +40,7 @@
 	options.timeout_ms = timeout_ms;
 	options.calls_per_second = 1000;
 	options.burst_calls = 1000;
+	options.retry_wait_ms_max = WIRING_RETRY_WAIT_MS;
 	options.seed = failure_domain;
 	return plat_new_client(wiring, wiring->events, wiring->timers,
 			       wiring->counters, &options, NULL);
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -13,7 +13,6 @@
 #include "loom/error.h"
 
 #define WATCH_WAIT_MS 30000U
-#define WATCH_START_JITTER_MS 500U
 
 struct plat_watch {
 	struct plat_client *client;
@@ -54,6 +53,9 @@
 
 	if (is_gone)
 		watch->is_listed = false;
+	else if (!g_error_matches(result->error, ERR_DOMAIN,
+				  ERR_UNKNOWN_OUTCOME))
+		plat_note_overload(&watch->backoff);
 	wait_for(watch, plat_choose_backoff_ms(&watch->backoff,
 					       plat_get_random(watch->client)));
 	watch->fn(is_stale ? PLAT_WATCH_STALE : PLAT_WATCH_FAILED, result,
@@ -136,9 +138,9 @@
 	watch->prefix = talloc_strdup(watch, prefix);
 	watch->fn = fn;
 	watch->data = data;
-	watch->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
-	watch->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
-	wait_for(watch, (uint32_t)g_rand_int_range(plat_get_random(client), 0,
-						   WATCH_START_JITTER_MS));
+	plat_start_backoff(&watch->backoff,
+			   plat_get_options(client)->retry_wait_ms_max);
+	wait_for(watch, plat_choose_start_ms(plat_get_random(client),
+					     PLAT_WATCH_START_MS));
 	return watch;
 }
