Wire moves into the nodes: collector, reports, holder, local brake

Cause: src/moves decided, but no node fed it calls or wrote its steps. Each node keeps a window and a brake per service with a move under way and sends the reports of ended slots to the node that rendezvous hashing names; that node alone competes for the lease, judges, and writes status/SERVICE first and its projection into the manifest second. Ruled out: a watch by every node to learn the holder (740 watches). The writer of the manifest keeps the move and its sentence in the status object. rt_set_share_limit() carries a cut to the traffic threads in the next table.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -48,6 +48,13 @@
 			      const struct rt_target *targets,
 			      size_t target_count, const char *own_domain);
 
+/*
+ * Bounds the share of the new version of a service in this table: the local
+ * brake of this node. Only before the table is handed over. The text is copied.
+ */
+void rt_set_share_limit(struct rt_table *table, const char *service,
+			uint32_t limit_permille);
+
 /* References are counted atomically; the last holder frees the table. */
 struct rt_table *rt_ref_table(struct rt_table *table);
 void rt_unref_table(struct rt_table *table);
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -6,6 +6,7 @@
  *   GET  /ready    200 when a manifest is in force here, 503 before
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
+ *   POST /moves/report  counts of calls, from nodes to a move's lease holder
  */
 #include <string.h>
 #include <stdlib.h>
@@ -158,6 +159,11 @@
 	g_string_free(text, TRUE);
 }
 
+static void handle_report(struct nd_node *node, struct web_request *request)
+{
+	rls_handle_report(node->release, request);
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -169,6 +175,7 @@
 	{ "GET", "/ready", handle_ready },
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
+	{ "POST", "/moves/report", handle_report },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -8,6 +8,7 @@
 #include "loom/http.h"
 #include "loom/membership.h"
 #include "loom/platform.h"
+#include "loom/release.h"
 #include "loom/spread.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
@@ -47,6 +48,7 @@
 	struct plat_client *platform;
 	struct mem_service *members;
 	struct spr_service *spread;
+	struct rls_service *release;
 	struct tr_service *traffic;
 	struct web_server *admin;
 	struct nd_target target;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -59,6 +59,11 @@
 	return used;
 }
 
+static void set_limit(const char *service, uint32_t limit_permille, void *data)
+{
+	rt_set_share_limit(data, service, limit_permille);
+}
+
 static void update_table(struct nd_node *node)
 {
 	struct doc_snapshot *snapshot;
@@ -76,16 +81,38 @@
 	count = list_targets(node, scratch, &targets);
 	table = rt_new_table(snapshot, targets, count,
 			     node->settings->failure_domain);
+	rls_each_limit(node->release, set_limit, table);
 	tr_set_table(node->traffic, table);
 	rt_unref_table(table);
 	talloc_free(scratch);
 }
 
 static void handle_members(void *data)
+{
+	struct nd_node *node = data;
+	const struct mem_member *members;
+	size_t count;
+
+	if (node->members && node->release) {
+		count = mem_list_members(node->members, &members);
+		rls_set_members(node->release, members, count);
+	}
+	update_table(node);
+}
+
+static void handle_limits(void *data)
 {
 	update_table(data);
 }
 
+static void handle_sample(const struct tr_sample *sample, void *data)
+{
+	const struct nd_node *node = data;
+
+	if (node->release)
+		rls_note_sample(sample, node->release);
+}
+
 static void handle_snapshot(struct doc_snapshot *snapshot, void *data)
 {
 	struct nd_node *node = data;
@@ -96,6 +123,7 @@
 	log_write(LOG_LEVEL_INFO, "node", "adopt manifest", NULL,
 		  "manifest in force", "sequence", text, LOG_END);
 	mem_set_manifest_sequence(node->members, sequence);
+	rls_set_snapshot(node->release, snapshot);
 	update_table(node);
 }
 
@@ -125,6 +153,8 @@
 	options.idle_timeout_ms = settings->idle_timeout_ms;
 	options.header_timeout_ms = settings->header_timeout_ms;
 	options.seed = g_str_hash(settings->address);
+	options.on_sample = handle_sample;
+	options.data = node;
 	node->traffic = tr_new_service(node, node->events, node->counters,
 				       &options, error);
 	return node->traffic != NULL;
@@ -155,6 +185,26 @@
 	return node->members != NULL;
 }
 
+static bool open_release(struct nd_node *node, GError **error)
+{
+	char *name = talloc_asprintf(node, "%s:%u", node->settings->address,
+				     node->settings->admin_port);
+	struct rls_options options = {
+		.events = node->events,
+		.timers = node->timers,
+		.counters = node->counters,
+		.platform = node->platform,
+		.node = name,
+		.on_change = handle_limits,
+		.data = node,
+	};
+
+	node->release = rls_new_service(node, &options, error);
+	if (node->release)
+		handle_members(node);
+	return node->release != NULL;
+}
+
 static bool open_admin(struct nd_node *node, GError **error)
 {
 	struct web_options options = {
@@ -192,7 +242,8 @@
 	node->timers = tmr_new(node, events);
 	node->counters = cnt_new_registry(node);
 	if (!open_platform(node, error) || !open_traffic(node, error) ||
-	    !open_members(node, error) || !open_admin(node, error)) {
+	    !open_members(node, error) || !open_release(node, error) ||
+	    !open_admin(node, error)) {
 		talloc_free(node);
 		return NULL;
 	}
--- /dev/null
+++ b/src/release/members.h
@@ -0,0 +1,41 @@
+/*
+ * Copy of the living members, and which of them has the duty for a service.
+ */
+#ifndef RLS_MEMBERS_H
+#define RLS_MEMBERS_H
+
+#include "loom/document.h"
+#include "loom/membership.h"
+
+struct rls_member {
+	const char *node; /* "ADDRESS:ADMIN_PORT" */
+	const char *failure_domain;
+	const char *service; /* of its target; "": none */
+	const char *version;
+	enum rt_phase phase;
+};
+
+struct rls_members {
+	struct rls_member *items;
+	size_t count;
+};
+
+/* Returns a new copy of the members that live, owned by ctx. */
+struct rls_members *rls_copy_members(TALLOC_CTX *ctx,
+				     const struct mem_member *members,
+				     size_t count);
+
+/*
+ * Returns the node that has the duty for a service (borrowed), by rendezvous
+ * hashing; NULL without members.
+ */
+const char *rls_find_owner(const struct rls_members *members,
+			   const char *service);
+
+/* Returns how many targets of a version are in that phase, not taken out. */
+uint32_t rls_count_targets(const struct rls_members *members,
+			   const struct doc_snapshot *snapshot,
+			   const char *service, const char *version,
+			   enum rt_phase phase);
+
+#endif
--- a/src/routing/table.c
+++ b/src/routing/table.c
@@ -6,9 +6,9 @@
  * version, a tier a run of one distance within a group. Groups are ordered and
  * found by binary search.
  *
- * Invariants: nothing but the reference count changes after rt_new_table(); a
- * table is the root of its own talloc hierarchy, so that its last holder may
- * free it on any thread.
+ * Invariants: nothing but the reference count changes once a table is handed
+ * over; a table is the root of its own talloc hierarchy, so that its last
+ * holder may free it on any thread.
  */
 #include "table.h"
 
@@ -149,6 +149,30 @@
 	return table;
 }
 
+void rt_set_share_limit(struct rt_table *table, const char *service,
+			uint32_t limit_permille)
+{
+	struct rt_share_limit *limit;
+
+	assert(table->references == 1);
+	assert(limit_permille <= DOC_SHARE_ALL_PERMILLE);
+	table->limits =
+		talloc_realloc(table, table->limits, struct rt_share_limit,
+			       table->limit_count + 1);
+	limit = &table->limits[table->limit_count++];
+	limit->service = talloc_strdup(table->limits, service);
+	limit->limit_permille = limit_permille;
+}
+
+uint32_t rt_get_share_limit(const struct rt_table *table, const char *service)
+{
+	for (size_t i = 0; i < table->limit_count; i++) {
+		if (strcmp(table->limits[i].service, service) == 0)
+			return table->limits[i].limit_permille;
+	}
+	return DOC_SHARE_ALL_PERMILLE;
+}
+
 struct rt_table *rt_ref_table(struct rt_table *table)
 {
 	atomic_fetch_add(&table->references, 1);
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -21,6 +21,12 @@
 	size_t count;
 };
 
+/* Bound on the share of a service's new version. */
+struct rt_share_limit {
+	const char *service;
+	uint32_t limit_permille;
+};
+
 struct rt_table {
 	_Atomic uint32_t references;
 	uint64_t serial; /* unique in the process */
@@ -30,10 +36,15 @@
 	size_t entry_count;
 	struct rt_group *groups; /* ordered by service and version */
 	size_t group_count;
+	struct rt_share_limit *limits; /* of the few services that have one */
+	size_t limit_count;
 };
 
 /* Returns the group of a version (borrowed), or NULL. */
 const struct rt_group *rt_find_group(const struct rt_table *table,
 				     const char *service, const char *version);
 
+/* Returns the bound on the share; DOC_SHARE_ALL_PERMILLE when there is none. */
+uint32_t rt_get_share_limit(const struct rt_table *table, const char *service);
+
 #endif
--- a/src/routing/version_split.c
+++ b/src/routing/version_split.c
@@ -7,6 +7,8 @@
  */
 #include "version_split.h"
 
+#include "table.h"
+
 static uint32_t get_bucket(uint64_t split_hash)
 {
 	return (uint32_t)(((split_hash >> 32) * DOC_SHARE_ALL_PERMILLE) >> 32);
@@ -25,6 +27,7 @@
 	const struct doc_service *service = request->service;
 	const struct doc_move *move = service->move;
 	const struct doc_manifest_service *state;
+	uint32_t share_permille;
 
 	if (!move)
 		return service->current;
@@ -34,7 +37,10 @@
 	switch (state->move_state) {
 	case DOC_MOVE_RUNNING:
 	case DOC_MOVE_SOAKING:
-		return get_bucket(request->split_hash) < state->share_permille
+		share_permille = rt_get_share_limit(table, service->name);
+		if (share_permille > state->share_permille)
+			share_permille = state->share_permille;
+		return get_bucket(request->split_hash) < share_permille
 			       ? move->to
 			       : move->from;
 	case DOC_MOVE_DONE:
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -91,15 +91,12 @@
 	const struct doc_manifest_service *entry =
 		doc_find_manifest_service(manifest, verdict->name);
 
-	return json_pack(
-		"{s:s,s:I,s:s,s:o,s:I,s:s,s:i}", "service", verdict->name,
-		"document_version", (json_int_t)verdict->document_version,
-		"verdict", get_verdict_name(verdict->kind), "problems",
-		make_problems(verdict), "version_in_force",
-		entry ? (json_int_t)entry->document_version : 0, "move",
-		doc_get_move_state_name(entry ? entry->move_state
-					      : DOC_MOVE_NONE),
-		"share_permille", entry ? (int)entry->share_permille : 0);
+	return json_pack("{s:s,s:I,s:s,s:o,s:I}", "service", verdict->name,
+			 "document_version",
+			 (json_int_t)verdict->document_version, "verdict",
+			 get_verdict_name(verdict->kind), "problems",
+			 make_problems(verdict), "version_in_force",
+			 entry ? (json_int_t)entry->document_version : 0);
 }
 
 static int destroy_status_write(struct status_write *write)
@@ -119,14 +116,28 @@
 	talloc_free(write);
 }
 
+/* The move belongs to its own lease holder (src/release): it stays. */
+static void keep_move(json_t *status, const json_t *present)
+{
+	static const char *const names[] = { "move", "sentence" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *value = json_object_get(present, names[i]);
+
+		if (value)
+			json_object_set(status, names[i], value);
+	}
+}
+
 static void put_status(const struct plat_result *result, void *data)
 {
 	struct status_write *write = data;
 	uint64_t version = 0;
 
-	if (!result->error)
+	if (!result->error) {
 		version = result->objects[0].version;
-	else if (!g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND)) {
+		keep_move(write->value, result->objects[0].value);
+	} else if (!g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND)) {
 		finish_status(result, data);
 		return;
 	}
