--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -17,7 +17,8 @@
 	CTL_EXIT_INVALID = 3,  /* the document has problems */
 	CTL_EXIT_CONFLICT = 4, /* someone else changed it since */
 	CTL_EXIT_NOT_FOUND = 5,
-	CTL_EXIT_TIMEOUT = 6, /* --wait ended before the state was reached */
+	CTL_EXIT_TIMEOUT = 6,	 /* --wait ended before the state was reached */
+	CTL_EXIT_TAKEN_BACK = 7, /* --wait: the move was taken back */
 };
 
 /* What a command works with. */
@@ -28,6 +29,7 @@
 	struct plat_client *platform; /* NULL when none was given */
 	const char *platform_url;
 	bool is_json;
+	uint32_t wait_ms; /* 0: do not wait */
 };
 
 /* Opens the context; platform_url may be NULL for commands without one. */
@@ -64,5 +66,6 @@
 			       const char *service);
 enum ctl_exit ctl_print_status(struct ctl_context *context,
 			       const char *service);
+enum ctl_exit ctl_take_back(struct ctl_context *context, const char *service);
 
 #endif
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -8,6 +8,7 @@
 #include "ctl.h"
 
 #define FILES_MAX 64
+#define WAIT_S_MAX (30 * 24 * 3600)
 
 struct command {
 	const char *name;
@@ -43,6 +44,13 @@
 	return ctl_print_status(context, operands[0]);
 }
 
+static enum ctl_exit run_take_back(struct ctl_context *context,
+				   const char *const *operands,
+				   int operand_count)
+{
+	return ctl_take_back(context, operands[0]);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json", true, run_check },
@@ -50,15 +58,18 @@
 	  "loomctl apply examples/kigali/catalogue.json", false, run_apply },
 	{ "get", "SERVICE", "print the document of a service",
 	  "loomctl get catalogue", false, run_get },
-	{ "status", "SERVICE", "print what became of a service's document",
-	  "loomctl status catalogue", false, run_status },
+	{ "status", "SERVICE",
+	  "print what became of a service's document and move",
+	  "loomctl status catalogue --wait 3600", false, run_status },
+	{ "take-back", "SERVICE", "take the move of a service back",
+	  "loomctl take-back catalogue", false, run_take_back },
 };
 
 static void print_commands(FILE *file)
 {
 	fputs("Usage: loomctl COMMAND [--platform URL] [--json] ...\n\n", file);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(file, "  %-8s %-8s %s\n", commands[i].name,
+		fprintf(file, "  %-9s %-8s %s\n", commands[i].name,
 			commands[i].operand, commands[i].help);
 	fputs("\nThe platform's URL may also stand in LOOM_PLATFORM.\n", file);
 }
@@ -72,12 +83,13 @@
 	printf("\nExample: %s\n", command->example);
 	puts("Exit codes: 0 done, 1 platform not reached, 2 usage, 3 invalid "
 	     "document,\n4 changed by someone else, 5 not found, 6 waited too "
-	     "long.");
+	     "long,\n7 the move that was waited for was taken back.");
 }
 
 static enum ctl_exit run_command(const struct command *command,
 				 const char *platform_url, bool is_json,
-				 const char *const *operands, int operand_count)
+				 uint32_t wait_ms, const char *const *operands,
+				 int operand_count)
 {
 	struct ctl_context context;
 	enum ctl_exit result = CTL_EXIT_FAILED;
@@ -90,8 +102,10 @@
 	}
 	if (ctl_open_context(&context,
 			     command->is_offline ? NULL : platform_url,
-			     is_json))
+			     is_json)) {
+		context.wait_ms = wait_ms;
 		result = command->run(&context, operands, operand_count);
+	}
 	ctl_close_context(&context);
 	return result;
 }
@@ -102,17 +116,23 @@
 	struct arg_str *platform =
 		arg_str0("p", "platform", "URL", "the platform's object API");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
+	struct arg_int *wait =
+		arg_int0("w", "wait", "SECONDS",
+			 "status: wait that long for the end of the move");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_str *operands = arg_strn(NULL, NULL, command->operand, 0,
 					    FILES_MAX, "what to work on");
 	struct arg_end *end = arg_end(8);
-	void *arguments[] = { platform, json, help, operands, end };
+	void *arguments[] = { platform, json, wait, help, operands, end };
 	int errors = arg_parse(argc, argv, arguments);
+	uint32_t wait_ms = 0;
 	const char *url = g_getenv("LOOM_PLATFORM");
 	enum ctl_exit result = CTL_EXIT_USAGE;
 
 	if (platform->count > 0)
 		url = platform->sval[0];
+	if (wait->count > 0 && wait->ival[0] > 0)
+		wait_ms = (uint32_t)MIN(wait->ival[0], WAIT_S_MAX) * 1000;
 	if (help->count > 0) {
 		print_help(command, arguments);
 		result = CTL_EXIT_OK;
@@ -122,7 +142,7 @@
 		fprintf(stderr, "loomctl %s: which %s? For example: %s\n",
 			command->name, command->operand, command->example);
 	} else {
-		result = run_command(command, url, json->count > 0,
+		result = run_command(command, url, json->count > 0, wait_ms,
 				     operands->sval, operands->count);
 	}
 	arg_freetable(arguments, G_N_ELEMENTS(arguments));
--- a/tests/fakes/faketarget.c
+++ b/tests/fakes/faketarget.c
@@ -38,6 +38,8 @@
 	uint32_t latency_ms;
 	uint32_t slots;
 	uint32_t cold_calls; /* calls until it is warm */
+	uint32_t fail_permille;
+	uint64_t fail_after_calls;
 	bool is_shedding;
 	bool is_leaving;
 	bool is_ended;
@@ -78,6 +80,20 @@
 	return (uint32_t)MIN(bearable, target->slots);
 }
 
+/* Spreads the failures evenly over the calls after the first good ones. */
+static uint32_t get_status(const struct target *target)
+{
+	uint64_t n;
+
+	if (target->calls <= target->fail_after_calls)
+		return 200;
+	n = target->calls - target->fail_after_calls;
+	return n * target->fail_permille / 1000 >
+			       (n - 1) * target->fail_permille / 1000
+		       ? 500
+		       : 200;
+}
+
 static void reply_stats(struct target *target, struct web_request *request)
 {
 	json_t *stats =
@@ -185,7 +201,8 @@
 	work = talloc_zero(target, struct work);
 	work->target = target;
 	work->request = request;
-	work->status = (uint32_t)get_number(request, "status", 200);
+	work->status =
+		(uint32_t)get_number(request, "status", get_status(target));
 	work->bytes = get_number(request, "bytes", 0);
 	work->is_aborted = get_number(request, "abort", 0) != 0;
 	latency_ms = (uint32_t)get_number(request, "ms", target->latency_ms);
@@ -319,16 +336,22 @@
 		arg_int0(NULL, "slots", "N", "calls that it can bear");
 	struct arg_int *cold =
 		arg_int0(NULL, "cold-calls", "N", "calls until it is warm");
+	struct arg_int *fail = arg_int0(NULL, "fail-permille", "N",
+					"calls answered by status 500");
+	struct arg_int *fail_after = arg_int0(NULL, "fail-after-calls", "N",
+					      "good calls before that");
 	struct arg_lit *shed = arg_lit0(NULL, "shed", "shed what is too much");
 	struct arg_end *end = arg_end(8);
-	void *arguments[] = { address, port,  node, service, version,
-			      latency, slots, cold, shed,    end };
+	void *arguments[] = { address, port, node, service,    version, latency,
+			      slots,   cold, fail, fail_after, shed,	end };
 	int exit_code = EXIT_FAILURE;
 
 	*port->ival = 0;
 	*latency->ival = 0;
 	*slots->ival = 12;
 	*cold->ival = 0;
+	*fail->ival = 0;
+	*fail_after->ival = 0;
 	if (arg_parse(argc, argv, arguments) > 0) {
 		arg_print_errors(stderr, end, "faketarget");
 		goto out;
@@ -340,6 +363,8 @@
 	target->latency_ms = (uint32_t)*latency->ival;
 	target->slots = (uint32_t)*slots->ival;
 	target->cold_calls = (uint32_t)*cold->ival;
+	target->fail_permille = (uint32_t)*fail->ival;
+	target->fail_after_calls = (uint64_t)*fail_after->ival;
 	target->is_shedding = shed->count > 0;
 	exit_code = run_target(target, (uint16_t)*port->ival);
 out:
