--- a/cmake/loom.cmake
+++ b/cmake/loom.cmake
@@ -7,6 +7,7 @@
 find_package(Threads REQUIRED)
 
 add_library(loom_options INTERFACE)
+target_compile_definitions(loom_options INTERFACE _GNU_SOURCE)
 target_compile_options(loom_options INTERFACE -Wall -Wextra -Werror -Wshadow
   -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wundef
   -Wformat=2 -Wno-unused-parameter -fno-omit-frame-pointer
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -61,24 +61,23 @@
 	call->headers = list;
 }
 
-static void choose_and_send(struct tr_call *call)
+static bool choose_target(struct tr_call *call, enum rt_refusal *refusal)
 {
 	struct tr_thread *thread = call->thread;
-	enum rt_refusal refusal = RT_REFUSAL_NONE;
-	char *base_url;
 
 	call->chosen =
 		rt_choose_target(thread->chooser, call->table, &call->request,
-				 tmr_get_now_ms(thread->timers), &refusal);
-	if (!call->chosen) {
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       rt_get_refusal_name(refusal),
-			       !call->is_run_possible);
-		return;
-	}
+				 tmr_get_now_ms(thread->timers), refusal);
+	return call->chosen != NULL;
+}
+
+static void send_to_chosen(struct tr_call *call)
+{
+	struct tr_thread *thread = call->thread;
+	char *base_url = g_strconcat("http://", call->chosen->address, NULL);
+
 	rt_note_start(thread->chooser, call->chosen->address);
 	make_headers(call);
-	base_url = g_strconcat("http://", call->chosen->address, NULL);
 	tr_start_attempt(call, thread->peers, base_url);
 	g_free(base_url);
 }
@@ -107,6 +106,7 @@
 
 void tr_route_call(struct tr_call *call)
 {
+	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	uint64_t depth = 0;
 
 	if (!call->thread->table) {
@@ -134,12 +134,18 @@
 	call->request.split_hash = get_split_hash(call);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 tmr_get_now_ms(call->thread->timers));
-	choose_and_send(call);
+	if (choose_target(call, &refusal))
+		send_to_chosen(call);
+	else
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       rt_get_refusal_name(refusal), true);
 }
 
+/* Returns whether another attempt was started. */
 static bool try_again(struct tr_call *call, enum rt_outcome outcome,
 		      bool is_not_run)
 {
+	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	struct rt_request *request = &call->request;
 	struct rt_retry retry = {
 		.outcome = outcome,
@@ -156,11 +162,14 @@
 	if (rt_decide_retry(tr_get_budget(call->thread, call->service->name),
 			    &retry) != RT_RETRY_YES)
 		return false;
-	cnt_add(call->thread->service->counters.retries, 1);
 	if (request->tried_count < RT_TRIED_MAX)
 		request->tried[request->tried_count++] = call->chosen->address;
+	/* Without another target the reason of this attempt is the answer. */
+	if (!choose_target(call, &refusal))
+		return false;
+	cnt_add(call->thread->service->counters.retries, 1);
 	tr_rewind_buffer(&call->upload.buffer);
-	choose_and_send(call);
+	send_to_chosen(call);
 	return true;
 }
 
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -50,6 +50,8 @@
 	counters->connections_closed =
 		get_counter(registry, "loom_connections_closed_total", NULL,
 			    "Slow or idle connections closed.");
+	counters->tables = get_counter(registry, "loom_tables_total", NULL,
+				       "Tables taken over by a thread.");
 }
 
 static int destroy_service(struct tr_service *service)
--- /dev/null
+++ b/src/traffic/tests/mesh.c
@@ -0,0 +1,216 @@
+/*
+ * Mesh of traffic services for tests.
+ */
+#include "mesh.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include "loom/document.h"
+
+#define RUN_LIMIT_MS 30000U
+
+static const char document[] =
+	"{\"service\":\"shop\",\"versions\":[\"v1\",\"v2\"],"
+	"\"current\":\"v1\",\"routes\":["
+	"{\"name\":\"safe\",\"path\":\"/\",\"timeout_ms\":%u},"
+	"{\"name\":\"once\",\"path\":\"/once\",\"timeout_ms\":%u,"
+	"\"repeatable\":false},"
+	"{\"name\":\"any\",\"path\":\"/any\",\"timeout_ms\":%u,"
+	"\"repeatable\":true},"
+	"{\"name\":\"hasty\",\"path\":\"/never\",\"timeout_ms\":200}],"
+	"\"limits\":{\"slots\":%u,\"connections\":32,\"queue_length\":%u,"
+	"\"request_body_bytes\":8388608}}";
+
+#define ROUTE_TIMEOUT_MS 20000U
+
+struct mesh *mesh_new(void)
+{
+	struct mesh *mesh = talloc_zero(NULL, struct mesh);
+
+	mesh->events = tevent_context_init(mesh);
+	mesh->timers = tmr_new(mesh, mesh->events);
+	mesh->client = hc_new_loop(mesh, mesh->events, NULL);
+	mesh->slots = 4;
+	mesh->queue_length = 2;
+	return mesh;
+}
+
+void mesh_free(struct mesh *mesh)
+{
+	for (size_t i = 0; i < mesh->node_count; i++) {
+		TALLOC_FREE(mesh->nodes[i].traffic);
+		TALLOC_FREE(mesh->nodes[i].target);
+	}
+	TALLOC_FREE(mesh->client);
+	talloc_free(mesh);
+}
+
+struct mesh_node *mesh_add_node(struct mesh *mesh, const char *name,
+				const char *failure_domain)
+{
+	struct mesh_node *node = &mesh->nodes[mesh->node_count++];
+	struct tr_options options;
+	GError *error = NULL;
+	unsigned int pid = (unsigned int)getpid();
+
+	g_strlcpy(node->name, name, sizeof(node->name));
+	g_strlcpy(node->failure_domain, failure_domain,
+		  sizeof(node->failure_domain));
+	g_snprintf(node->address, sizeof(node->address), "127.%u.%u.%zu",
+		   100 + pid / 250 % 100, 1 + pid % 250, mesh->node_count);
+	g_snprintf(node->hop_address, sizeof(node->hop_address), "%s:%u",
+		   node->address, MESH_HOP_PORT);
+	node->counters = cnt_new_registry(mesh);
+	tr_set_default_options(&options);
+	options.address = node->address;
+	options.failure_domain = node->failure_domain;
+	options.call_port = MESH_CALL_PORT;
+	options.hop_port = MESH_HOP_PORT;
+	options.seed = mesh->node_count;
+	if (mesh->header_timeout_ms)
+		options.header_timeout_ms = mesh->header_timeout_ms;
+	if (mesh->connections_max)
+		options.connections_max = mesh->connections_max;
+	node->traffic = tr_new_service(mesh, mesh->events, node->counters,
+				       &options, &error);
+	if (!node->traffic) {
+		fprintf(stderr, "mesh: %s\n", error->message);
+		abort();
+	}
+	return node;
+}
+
+struct mesh_node *mesh_get_node(struct mesh *mesh, const char *name)
+{
+	for (size_t i = 0; i < mesh->node_count; i++) {
+		if (strcmp(mesh->nodes[i].name, name) == 0)
+			return &mesh->nodes[i];
+	}
+	fprintf(stderr, "mesh: no node %s\n", name);
+	abort();
+}
+
+void mesh_add_target(struct mesh *mesh, struct mesh_node *node,
+		     const char *version)
+{
+	TALLOC_FREE(node->target);
+	node->target = raw_new_target(mesh, mesh->events, node->address,
+				      MESH_TARGET_PORT);
+	g_strlcpy(node->version, version, sizeof(node->version));
+	node->phase = RT_PHASE_SERVING;
+	tr_announce_target(node->traffic, "shop", version, node->address,
+			   MESH_TARGET_PORT);
+}
+
+static struct doc_snapshot *build_snapshot(struct mesh *mesh)
+{
+	struct doc_manifest *manifest = doc_new_manifest(mesh);
+	struct doc_problem_list *problems = doc_new_problem_list(mesh);
+	char *text = g_strdup_printf(document, ROUTE_TIMEOUT_MS,
+				     ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS,
+				     mesh->slots, mesh->queue_length);
+	struct doc_service *service;
+	struct doc_snapshot *snapshot;
+
+	service = doc_parse_service(mesh, "shop.json", text, strlen(text), 1,
+				    problems);
+	g_free(text);
+	manifest->sequence = ++mesh->sequence;
+	doc_add_manifest_service(manifest, "shop")->document_version = 1;
+	if (mesh->is_domain_out)
+		doc_add_manifest_domain(manifest, "a")->is_out = true;
+	snapshot = doc_build_snapshot(manifest, &service, 1, NULL);
+	if (!snapshot)
+		abort();
+	return snapshot;
+}
+
+static bool is_published(void *data)
+{
+	struct mesh *mesh = data;
+
+	for (size_t i = 0; i < mesh->node_count; i++) {
+		if (mesh_get_counter(&mesh->nodes[i], "loom_tables_total",
+				     NULL) < mesh->nodes[i].table_count)
+			return false;
+	}
+	return true;
+}
+
+void mesh_publish(struct mesh *mesh)
+{
+	struct doc_snapshot *snapshot = build_snapshot(mesh);
+	struct rt_target targets[MESH_NODES_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < mesh->node_count; i++) {
+		const struct mesh_node *node = &mesh->nodes[i];
+
+		if (!*node->version)
+			continue;
+		targets[count++] = (struct rt_target){
+			.address = node->hop_address,
+			.failure_domain = node->failure_domain,
+			.service = "shop",
+			.version = node->version,
+			.phase = node->phase,
+			.distance_us = 1000,
+		};
+	}
+	for (size_t i = 0; i < mesh->node_count; i++) {
+		struct mesh_node *node = &mesh->nodes[i];
+		struct rt_table *table = rt_new_table(snapshot, targets, count,
+						      node->failure_domain);
+
+		node->table_count++;
+		tr_set_table(node->traffic, table);
+		rt_unref_table(table);
+	}
+	doc_unref_snapshot(snapshot);
+	mesh_run_until(mesh, is_published, mesh);
+}
+
+static void note_time(uint64_t now_ms, void *data)
+{
+	bool *is_over = data;
+
+	*is_over = true;
+}
+
+void mesh_run_until(struct mesh *mesh, mesh_condition_fn condition, void *data)
+{
+	bool is_over = false;
+	struct tmr_subscription *limit = tmr_subscribe_once(
+		mesh, mesh->timers, RUN_LIMIT_MS, note_time, &is_over);
+	struct tmr_subscription *tick = tmr_subscribe_every(
+		mesh, mesh->timers, 5, note_time, &(bool){ false });
+
+	while (!condition(data)) {
+		tevent_loop_once(mesh->events);
+		if (!is_over)
+			continue;
+		fputs("mesh: condition not reached\n", stderr);
+		abort();
+	}
+	talloc_free(tick);
+	talloc_free(limit);
+}
+
+void mesh_run_for(struct mesh *mesh, uint32_t duration_ms)
+{
+	bool is_over = false;
+
+	tmr_subscribe_once(mesh, mesh->timers, duration_ms, note_time,
+			   &is_over);
+	while (!is_over)
+		tevent_loop_once(mesh->events);
+}
+
+int64_t mesh_get_counter(struct mesh_node *node, const char *name,
+			 const char *labels)
+{
+	return cnt_get_value(cnt_get_counter(node->counters, CNT_KIND_COUNTER,
+					     name, labels, ""));
+}
--- /dev/null
+++ b/src/traffic/tests/raw_caller.c
@@ -0,0 +1,95 @@
+/*
+ * Caller on a bare socket.
+ */
+#include "raw_caller.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 65536
+
+static int destroy_caller(struct raw_caller *caller)
+{
+	TALLOC_FREE(caller->fde);
+	close(caller->socket);
+	g_string_free(caller->input, TRUE);
+	return 0;
+}
+
+static void read_input(struct tevent_context *events, struct tevent_fd *fde,
+		       uint16_t flags, void *data)
+{
+	struct raw_caller *caller = data;
+	char part[READ_BYTES];
+	ssize_t count = read(caller->socket, part, sizeof(part));
+
+	if (count > 0) {
+		g_string_append_len(caller->input, part, count);
+		return;
+	}
+	if (count < 0 && errno == EAGAIN)
+		return;
+	caller->is_closed = true;
+	TALLOC_FREE(caller->fde);
+}
+
+struct raw_caller *raw_new_caller(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
+				  const char *address, uint16_t port)
+{
+	struct raw_caller *caller = talloc_zero(ctx, struct raw_caller);
+	struct sockaddr_in other = { .sin_family = AF_INET,
+				     .sin_port = htons(port) };
+
+	inet_pton(AF_INET, address, &other.sin_addr);
+	caller->input = g_string_new(NULL);
+	caller->is_reading = true;
+	caller->socket = socket(AF_INET, SOCK_STREAM, 0);
+	if (connect(caller->socket, (struct sockaddr *)&other, sizeof(other))) {
+		perror("raw caller");
+		abort();
+	}
+	fcntl(caller->socket, F_SETFL, O_NONBLOCK);
+	caller->fde = tevent_add_fd(events, caller, caller->socket,
+				    TEVENT_FD_READ, read_input, caller);
+	talloc_set_destructor(caller, destroy_caller);
+	return caller;
+}
+
+bool raw_send(struct raw_caller *caller, const char *bytes, size_t size)
+{
+	return send(caller->socket, bytes, size, MSG_NOSIGNAL) == (ssize_t)size;
+}
+
+void raw_set_reading(struct raw_caller *caller, bool is_reading)
+{
+	caller->is_reading = is_reading;
+	if (!caller->fde)
+		return;
+	tevent_fd_set_flags(caller->fde, is_reading ? TEVENT_FD_READ : 0);
+}
+
+uint32_t raw_count_answers(const struct raw_caller *caller)
+{
+	const char *at = caller->input->str;
+	const char *end = at + caller->input->len;
+	uint32_t count = 0;
+
+	while (at < end) {
+		const char *body = strstr(at, "\r\n\r\n");
+		const char *length = strcasestr(at, "\r\nContent-Length: ");
+
+		if (!body || !length || length > body)
+			break;
+		at = body + 4 + strtoul(length + 18, NULL, 10);
+		if (at <= end)
+			count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/src/traffic/tests/raw_caller.h
@@ -0,0 +1,35 @@
+/*
+ * A caller on a bare socket, driven by the test's event loop.
+ */
+#ifndef RAW_CALLER_H
+#define RAW_CALLER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+struct raw_caller {
+	int socket;
+	struct tevent_fd *fde;
+	GString *input; /* all that was received */
+	bool is_closed; /* by the other side */
+	bool is_reading;
+};
+
+/* Returns a new connected caller owned by ctx. */
+struct raw_caller *raw_new_caller(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
+				  const char *address, uint16_t port);
+
+/* Writes bytes; false when the connection is gone or its buffer full. */
+bool raw_send(struct raw_caller *caller, const char *bytes, size_t size);
+
+/* Stops or starts reading what comes in. */
+void raw_set_reading(struct raw_caller *caller, bool is_reading);
+
+/* Returns how many whole answers with a Content-Length were received. */
+uint32_t raw_count_answers(const struct raw_caller *caller);
+
+#endif
--- /dev/null
+++ b/src/traffic/tests/raw_target.c
@@ -0,0 +1,346 @@
+/*
+ * Target on a bare socket: reads whole requests, writes scripted answers.
+ */
+#include "raw_target.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <glib.h>
+
+#define READ_BYTES 65536
+
+struct raw_target {
+	struct tevent_context *events;
+	int socket;
+	GQueue connections;
+	uint32_t request_count;
+	uint32_t running_count;
+	uint32_t peak_count;
+	uint32_t hang_up_count;
+};
+
+struct raw_connection {
+	struct raw_target *target;
+	int socket;
+	struct tevent_fd *fde;
+	GString *input;
+	GString *output;
+	bool is_closing; /* once the output is written */
+	bool is_running; /* a request has no answer yet */
+	bool is_held;
+};
+
+static int destroy_connection(struct raw_connection *connection)
+{
+	struct raw_target *target = connection->target;
+
+	if (connection->is_running)
+		target->running_count--;
+	g_queue_remove(&target->connections, connection);
+	TALLOC_FREE(connection->fde);
+	close(connection->socket);
+	g_string_free(connection->input, TRUE);
+	g_string_free(connection->output, TRUE);
+	return 0;
+}
+
+static int destroy_target(struct raw_target *target)
+{
+	while (target->connections.head)
+		talloc_free(target->connections.head->data);
+	return 0;
+}
+
+static void write_output(struct raw_connection *connection)
+{
+	GString *output = connection->output;
+	ssize_t count = send(connection->socket, output->str, output->len,
+			     MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (count > 0)
+		g_string_erase(output, 0, count);
+	if (output->len > 0) {
+		TEVENT_FD_WRITEABLE(connection->fde);
+		return;
+	}
+	TEVENT_FD_NOT_WRITEABLE(connection->fde);
+	if (connection->is_closing)
+		talloc_free(connection);
+}
+
+static void end_request(struct raw_connection *connection)
+{
+	if (connection->is_running)
+		connection->target->running_count--;
+	connection->is_running = false;
+}
+
+static void answer(struct raw_connection *connection, const char *status,
+		   const char *headers, const char *body, size_t size)
+{
+	end_request(connection);
+	g_string_append_printf(connection->output,
+			       "HTTP/1.1 %s\r\n%sContent-Length: %zu\r\n\r\n",
+			       status, headers, size);
+	g_string_append_len(connection->output, body, (gssize)size);
+}
+
+static void answer_bytes(struct raw_connection *connection, size_t size)
+{
+	char *body = g_strnfill(size, 'b');
+
+	answer(connection, "200 OK", "", body, size);
+	g_free(body);
+}
+
+static char *get_header(const char *head, const char *name)
+{
+	char *key = g_strdup_printf("\r\n%s: ", name);
+	const char *start = strstr(head, key);
+	char *value = NULL;
+
+	if (start) {
+		start += strlen(key);
+		value = g_strndup(start, strcspn(start, "\r"));
+	}
+	g_free(key);
+	return value;
+}
+
+static void answer_ok(struct raw_connection *connection, const char *head,
+		      const char *path, size_t body_size)
+{
+	char *depth = get_header(head, "Loom-Depth");
+	char *deadline = get_header(head, "Loom-Deadline-Ms");
+	char *secret = get_header(head, "X-Hop");
+	char *body = g_strdup_printf("%s body=%zu depth=%s deadline=%s%s", path,
+				     body_size, depth ? depth : "-",
+				     deadline ? "given" : "-",
+				     secret ? " leaked" : "");
+
+	answer(connection, "200 OK", "X-Kept: yes\r\nKeep-Alive: no\r\n", body,
+	       strlen(body));
+	g_free(body);
+	g_free(secret);
+	g_free(deadline);
+	g_free(depth);
+}
+
+static void answer_broken(struct raw_connection *connection, const char *text)
+{
+	end_request(connection);
+	g_string_append(connection->output, text);
+	connection->is_closing = true;
+}
+
+static void answer_path(struct raw_connection *connection, const char *head,
+			const char *path, size_t body_size)
+{
+	if (g_str_has_prefix(path, "/close") &&
+	    !g_str_has_prefix(path, "/closing"))
+		answer_broken(connection, "");
+	else if (g_str_has_prefix(path, "/cut"))
+		answer_broken(connection,
+			      "HTTP/1.1 200 OK\r\n"
+			      "Content-Length: 100\r\n\r\n"
+			      "0123456789");
+	else if (g_str_has_prefix(path, "/chunkcut"))
+		answer_broken(connection,
+			      "HTTP/1.1 200 OK\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n"
+			      "5\r\n01234\r\n20\r\n0123");
+	else if (g_str_has_prefix(path, "/never"))
+		return;
+	else if (g_str_has_prefix(path, "/held"))
+		connection->is_held = true;
+	else if (g_str_has_prefix(path, "/shed"))
+		answer(connection, "503 Busy", "Loom-Not-Run: true\r\n", "shed",
+		       4);
+	else if (g_str_has_prefix(path, "/fail"))
+		answer(connection, "500 Broken", "", "fail", 4);
+	else if (g_str_has_prefix(path, "/lie"))
+		answer(connection, "200 OK",
+		       "Loom-Not-Run: true\r\nLoom-Limit: 99\r\n", "lie", 3);
+	else if (g_str_has_prefix(path, "/bytes/"))
+		answer_bytes(connection, strtoul(path + 7, NULL, 10));
+	else
+		answer_ok(connection, head, path, body_size);
+	if (g_str_has_prefix(path, "/closing"))
+		connection->is_closing = true;
+}
+
+/* Returns the size of the whole request at the start of input, or 0. */
+static size_t get_request_size(const GString *input, size_t *head_size,
+			       size_t *body_size)
+{
+	const char *end = strstr(input->str, "\r\n\r\n");
+	char *length;
+
+	if (!end)
+		return 0;
+	*head_size = (size_t)(end - input->str) + 4;
+	if (strstr(input->str, "Transfer-Encoding: chunked")) {
+		end = strstr(input->str + *head_size, "0\r\n\r\n");
+		if (!end)
+			return 0;
+		*body_size = (size_t)(end - input->str) - *head_size;
+		return *head_size + *body_size + 5;
+	}
+	length = get_header(input->str, "Content-Length");
+	*body_size = length ? strtoul(length, NULL, 10) : 0;
+	g_free(length);
+	if (input->len < *head_size + *body_size)
+		return 0;
+	return *head_size + *body_size;
+}
+
+static void begin_request(struct raw_connection *connection)
+{
+	struct raw_target *target = connection->target;
+
+	connection->is_running = true;
+	target->request_count++;
+	target->running_count++;
+	target->peak_count = MAX(target->peak_count, target->running_count);
+}
+
+static void handle_requests(struct raw_connection *connection)
+{
+	size_t head_size;
+	size_t body_size;
+	size_t size;
+
+	while ((size = get_request_size(connection->input, &head_size,
+					&body_size)) > 0) {
+		char *head = g_strndup(connection->input->str, head_size);
+		char **words = g_strsplit(head, " ", 3);
+
+		begin_request(connection);
+		g_string_erase(connection->input, 0, (gssize)size);
+		answer_path(connection, head, words[1], body_size);
+		g_strfreev(words);
+		g_free(head);
+	}
+	if (connection->output->len > 0 || connection->is_closing)
+		write_output(connection);
+}
+
+static void handle_connection(struct tevent_context *events,
+			      struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	struct raw_connection *connection = data;
+	char *part;
+	ssize_t count;
+
+	if (flags & TEVENT_FD_WRITE) {
+		write_output(connection);
+		return;
+	}
+	part = g_malloc(READ_BYTES);
+	count = read(connection->socket, part, READ_BYTES);
+	if (count > 0) {
+		g_string_append_len(connection->input, part, count);
+		handle_requests(connection);
+	} else if (count == 0 || errno != EAGAIN) {
+		if (connection->is_running)
+			connection->target->hang_up_count++;
+		talloc_free(connection);
+	}
+	g_free(part);
+}
+
+static void accept_connection(struct tevent_context *events,
+			      struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	struct raw_target *target = data;
+	struct raw_connection *connection;
+	int socket = accept4(target->socket, NULL, NULL, SOCK_NONBLOCK);
+
+	if (socket < 0)
+		return;
+	connection = talloc_zero(target, struct raw_connection);
+	connection->target = target;
+	connection->socket = socket;
+	connection->input = g_string_new(NULL);
+	connection->output = g_string_new(NULL);
+	connection->fde =
+		tevent_add_fd(target->events, connection, socket,
+			      TEVENT_FD_READ, handle_connection, connection);
+	g_queue_push_tail(&target->connections, connection);
+	talloc_set_destructor(connection, destroy_connection);
+}
+
+struct raw_target *raw_new_target(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
+				  const char *address, uint16_t port)
+{
+	struct raw_target *target = talloc_zero(ctx, struct raw_target);
+	struct sockaddr_in bound = { .sin_family = AF_INET,
+				     .sin_port = htons(port) };
+	struct tevent_fd *fde;
+	int on = 1;
+
+	target->events = events;
+	g_queue_init(&target->connections);
+	inet_pton(AF_INET, address, &bound.sin_addr);
+	target->socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	setsockopt(target->socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(target->socket, (struct sockaddr *)&bound, sizeof(bound)) ||
+	    listen(target->socket, 128)) {
+		perror("raw target");
+		abort();
+	}
+	fde = tevent_add_fd(events, target, target->socket, TEVENT_FD_READ,
+			    accept_connection, target);
+	tevent_fd_set_auto_close(fde);
+	talloc_set_destructor(target, destroy_target);
+	return target;
+}
+
+void raw_release_target(struct raw_target *target)
+{
+	GList *link = target->connections.head;
+
+	while (link) {
+		struct raw_connection *connection = link->data;
+
+		link = link->next;
+		if (!connection->is_held)
+			continue;
+		connection->is_held = false;
+		answer(connection, "200 OK", "", "held", 4);
+		write_output(connection);
+	}
+}
+
+uint32_t raw_get_request_count(const struct raw_target *target)
+{
+	return target->request_count;
+}
+
+uint32_t raw_get_running_count(const struct raw_target *target)
+{
+	return target->running_count;
+}
+
+uint32_t raw_get_peak_count(const struct raw_target *target)
+{
+	return target->peak_count;
+}
+
+uint32_t raw_get_hang_up_count(const struct raw_target *target)
+{
+	return target->hang_up_count;
+}
+
+uint32_t raw_get_connection_count(const struct raw_target *target)
+{
+	return target->connections.length;
+}
--- /dev/null
+++ b/src/traffic/tests/test_traffic.c
@@ -0,0 +1,365 @@
+/*
+ * Calls through traffic services in one process, by script.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <curl/curl.h>
+#include "loom/error.h"
+#include "mesh.h"
+#include "script.h"
+
+#define CALLS_MAX 64
+#define ANSWER_BYTES_MAX (16U * 1024U * 1024U)
+#define PRINTED_BYTES_MAX 120U
+#define CALL_TIMEOUT_MS 25000U
+
+struct test_call {
+	char name[16];
+	bool is_done;
+	struct hc_request *request; /* while it runs */
+	GString *result;
+};
+
+struct state {
+	struct mesh *mesh;
+	struct test_call calls[CALLS_MAX];
+	size_t call_count;
+	GHashTable *callers; /* name to struct raw_caller */
+};
+
+/* What a wait step waits for. */
+struct wait {
+	struct state *state;
+	struct mesh_node *node;
+	struct raw_caller *caller;
+	const char *what;
+	uint32_t wanted;
+};
+
+static void note_answer(const struct hc_answer *answer, void *data)
+{
+	struct test_call *call = data;
+
+	call->is_done = true;
+	call->request = NULL;
+	if (answer->error) {
+		g_string_printf(
+			call->result, "error %s",
+			err_get_code_name((enum err_code)answer->error->code));
+		return;
+	}
+	g_string_printf(call->result, "%u ", answer->status);
+	if (answer->body_size > PRINTED_BYTES_MAX)
+		g_string_append_printf(call->result, "%zu bytes",
+				       answer->body_size);
+	else
+		g_string_append(call->result, answer->body);
+}
+
+static struct test_call *new_call(struct state *state, const char *name)
+{
+	struct test_call *call = &state->calls[state->call_count++];
+
+	g_assert(state->call_count <= CALLS_MAX);
+	g_strlcpy(call->name, name, sizeof(call->name));
+	call->result = g_string_new(NULL);
+	return call;
+}
+
+/* words: NODE METHOD PATH [BODY-BYTES] [HEADER] */
+static struct test_call *start_call(struct state *state, const char *name,
+				    char **words, int word_count)
+{
+	struct mesh_node *node = mesh_get_node(state->mesh, words[0]);
+	struct test_call *call = new_call(state, name);
+	char *url = g_strdup_printf("http://%s:%d%s", node->address,
+				    MESH_CALL_PORT, words[2]);
+	const char *headers[] = { "Host: shop",
+				  word_count > 4 ? words[4] : NULL, NULL };
+	struct hc_options options = {
+		.method = words[1],
+		.url = url,
+		.headers = headers,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.answer_bytes_max = ANSWER_BYTES_MAX,
+	};
+	char *body = NULL;
+
+	if (word_count > 3 && strcmp(words[3], "0") != 0) {
+		options.body_size = strtoul(words[3], NULL, 10);
+		body = g_strnfill(options.body_size, 'u');
+		options.body = body;
+	}
+	call->request = hc_send(state->mesh, state->mesh->client, &options,
+				note_answer, call);
+	g_free(body);
+	g_free(url);
+	return call;
+}
+
+static bool is_call_done(void *data)
+{
+	const struct test_call *call = data;
+
+	return call->is_done;
+}
+
+static void print_call(struct state *state, struct test_call *call,
+		       GString *output)
+{
+	mesh_run_until(state->mesh, is_call_done, call);
+	g_string_append_printf(output, "%s\n", call->result->str);
+}
+
+static struct test_call *find_call(struct state *state, const char *name)
+{
+	for (size_t i = state->call_count; i > 0; i--) {
+		if (strcmp(state->calls[i - 1].name, name) == 0)
+			return &state->calls[i - 1];
+	}
+	g_error("no call %s", name);
+}
+
+static uint32_t get_value(const struct wait *wait)
+{
+	if (strcmp(wait->what, "requests") == 0)
+		return raw_get_request_count(wait->node->target);
+	if (strcmp(wait->what, "running") == 0)
+		return raw_get_running_count(wait->node->target);
+	if (strcmp(wait->what, "hang-ups") == 0)
+		return raw_get_hang_up_count(wait->node->target);
+	if (strcmp(wait->what, "connections") == 0)
+		return raw_get_connection_count(wait->node->target);
+	if (strcmp(wait->what, "peak") == 0)
+		return raw_get_peak_count(wait->node->target);
+	if (strcmp(wait->what, "answers") == 0)
+		return raw_count_answers(wait->caller);
+	if (strcmp(wait->what, "closed") == 0)
+		return wait->caller->is_closed;
+	if (strcmp(wait->what, "calls") == 0)
+		return tr_get_call_count(wait->node->traffic);
+	g_error("cannot wait for %s", wait->what);
+}
+
+static bool is_reached(void *data)
+{
+	const struct wait *wait = data;
+
+	return get_value(wait) == wait->wanted;
+}
+
+static void set_subject(struct state *state, const char *name,
+			struct wait *wait)
+{
+	wait->state = state;
+	wait->caller = g_hash_table_lookup(state->callers, name);
+	if (!wait->caller)
+		wait->node = mesh_get_node(state->mesh, name);
+}
+
+/* Steps that make the mesh. */
+static bool run_mesh_step(struct state *state, int count, char **words)
+{
+	struct mesh *mesh = state->mesh;
+
+	if (strcmp(words[0], "node") == 0) {
+		mesh_add_node(mesh, words[1], words[2]);
+	} else if (strcmp(words[0], "target") == 0) {
+		mesh_add_target(mesh, mesh_get_node(mesh, words[1]), words[2]);
+	} else if (strcmp(words[0], "publish") == 0) {
+		mesh_publish(mesh);
+	} else if (strcmp(words[0], "limits") == 0) {
+		mesh->slots = (uint32_t)atoi(words[1]);
+		mesh->queue_length = (uint32_t)atoi(words[2]);
+	} else if (strcmp(words[0], "bounds") == 0) {
+		mesh->header_timeout_ms = (uint32_t)atoi(words[1]);
+		mesh->connections_max = (uint32_t)atoi(words[2]);
+	} else if (strcmp(words[0], "domain") == 0) {
+		mesh->is_domain_out = strcmp(words[1], "out") == 0;
+		mesh_publish(mesh);
+	} else if (strcmp(words[0], "kill") == 0) {
+		TALLOC_FREE(mesh_get_node(mesh, words[1])->target);
+	} else if (strcmp(words[0], "stop") == 0) {
+		TALLOC_FREE(mesh_get_node(mesh, words[1])->traffic);
+	} else if (strcmp(words[0], "drain-target") == 0) {
+		tr_drain_target(mesh_get_node(mesh, words[1])->traffic);
+	} else if (strcmp(words[0], "drain") == 0) {
+		tr_begin_drain(mesh_get_node(mesh, words[1])->traffic);
+	} else if (strcmp(words[0], "leave") == 0) {
+		mesh_get_node(mesh, words[1])->phase = RT_PHASE_LEAVING;
+		mesh_publish(mesh);
+	} else if (strcmp(words[0], "release") == 0) {
+		raw_release_target(mesh_get_node(mesh, words[1])->target);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static bool run_raw_step(struct state *state, int count, char **words,
+			 GString *output)
+{
+	struct raw_caller *caller;
+	char *text;
+
+	if (strcmp(words[0], "connect") == 0) {
+		struct mesh_node *node = mesh_get_node(state->mesh, words[2]);
+
+		caller = raw_new_caller(state->mesh, state->mesh->events,
+					node->address, MESH_CALL_PORT);
+		g_hash_table_replace(state->callers, g_strdup(words[1]),
+				     caller);
+		return true;
+	}
+	caller = g_hash_table_lookup(state->callers, words[1]);
+	if (strcmp(words[0], "send") == 0) {
+		text = g_strcompress(words[2]);
+		raw_send(caller, text, strlen(text));
+		g_free(text);
+	} else if (strcmp(words[0], "send-bytes") == 0) {
+		text = g_strnfill((gsize)atoi(words[2]), 'h');
+		raw_send(caller, text, strlen(text));
+		g_free(text);
+	} else if (strcmp(words[0], "received") == 0) {
+		text = g_strescape(caller->input->str, NULL);
+		g_string_append_printf(output, "%s\n", text);
+		g_free(text);
+	} else if (strcmp(words[0], "has") == 0) {
+		g_string_append(output, strstr(caller->input->str, words[2])
+						? "yes\n"
+						: "no\n");
+	} else if (strcmp(words[0], "hang-up") == 0) {
+		g_hash_table_remove(state->callers, words[1]);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static void cancel_call(struct test_call *call)
+{
+	TALLOC_FREE(call->request);
+	call->is_done = true;
+}
+
+static bool run_call_step(struct state *state, int count, char **words,
+			  GString *output)
+{
+	if (strcmp(words[0], "call") == 0)
+		print_call(state, start_call(state, "", words + 1, count - 1),
+			   output);
+	else if (strcmp(words[0], "start") == 0)
+		start_call(state, words[1], words + 2, count - 2);
+	else if (strcmp(words[0], "finish") == 0)
+		print_call(state, find_call(state, words[1]), output);
+	else if (strcmp(words[0], "cancel") == 0)
+		cancel_call(find_call(state, words[1]));
+	else
+		return false;
+	return true;
+}
+
+static bool run_step(int count, char **words, GString *output, void *data)
+{
+	struct state *state = data;
+	struct wait wait = { 0 };
+
+	if (strcmp(words[0], "wait") == 0) {
+		set_subject(state, words[1], &wait);
+		wait.what = words[2];
+		wait.wanted = (uint32_t)atoi(words[3]);
+		mesh_run_until(state->mesh, is_reached, &wait);
+		return true;
+	}
+	if (strcmp(words[0], "print") == 0) {
+		set_subject(state, words[1], &wait);
+		wait.what = words[2];
+		g_string_append_printf(output, "%u\n", get_value(&wait));
+		return true;
+	}
+	if (strcmp(words[0], "counter") == 0) {
+		g_string_append_printf(
+			output, "%d\n",
+			(int)mesh_get_counter(
+				mesh_get_node(state->mesh, words[1]), words[2],
+				count > 3 ? words[3] : NULL));
+		return true;
+	}
+	return run_mesh_step(state, count, words) ||
+	       run_call_step(state, count, words, output) ||
+	       run_raw_step(state, count, words, output);
+}
+
+static void free_caller(gpointer data)
+{
+	talloc_free(data);
+}
+
+static void run_script(const char *name)
+{
+	struct state state = { .mesh = mesh_new() };
+
+	state.callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      free_caller);
+	scr_run(name, run_step, &state);
+	g_hash_table_destroy(state.callers);
+	mesh_free(state.mesh);
+	for (size_t i = 0; i < state.call_count; i++)
+		g_string_free(state.calls[i].result, TRUE);
+}
+
+static void test_relay(void)
+{
+	run_script("relay");
+}
+
+static void test_refusals(void)
+{
+	run_script("refusals");
+}
+
+static void test_at_most_once(void)
+{
+	run_script("at_most_once");
+}
+
+static void test_broken_answers(void)
+{
+	run_script("broken_answers");
+}
+
+static void test_admission(void)
+{
+	run_script("admission");
+}
+
+static void test_drain(void)
+{
+	run_script("drain");
+}
+
+static void test_hostile_callers(void)
+{
+	run_script("hostile_callers");
+}
+
+static const CU_TestInfo tests[] = {
+	{ "relay", test_relay },
+	{ "refusals", test_refusals },
+	{ "at most once", test_at_most_once },
+	{ "broken answers", test_broken_answers },
+	{ "admission", test_admission },
+	{ "drain", test_drain },
+	{ "hostile callers", test_hostile_callers },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	int exit_code;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	exit_code = scr_run_suite("traffic", tests);
+	curl_global_cleanup();
+	return exit_code;
+}
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -55,6 +55,7 @@
 		doc_is_domain_out(rt_get_snapshot(table),
 				  thread->service->options.failure_domain));
 	set_target_limits(thread);
+	cnt_add(thread->service->counters.tables, 1);
 }
 
 static void announce_target(struct tr_thread *thread,
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -41,6 +41,7 @@
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
+	struct cnt_counter *tables;
 };
 
 enum tr_command_kind {
