--- a/src/routing/tests/test_nested.c
+++ b/src/routing/tests/test_nested.c
@@ -116,9 +116,11 @@
 	double floor_share = BUDGET_FLOOR * windows / call_count;
 	double bound = 1;
 
-	for (uint32_t depth = 0; depth < LEVEL_COUNT; depth++)
-		bound *= 1 + floor_share +
-			 BUDGET_SHARE_PERMILLE / (depth + 1) / 1000.0;
+	for (uint32_t depth = 0; depth < LEVEL_COUNT; depth++) {
+		uint32_t share_permille = BUDGET_SHARE_PERMILLE / (depth + 1);
+
+		bound *= 1 + floor_share + share_permille / 1000.0;
+	}
 	return bound;
 }
 
