--- a/src/document/snapshot.c
+++ b/src/document/snapshot.c
@@ -21,15 +21,34 @@
 	const struct doc_service **services; /* in order of the manifest */
 };
 
-/* Returns the document of that name (borrowed), or NULL. */
-static struct doc_service *find_document(struct doc_service **services,
-					 size_t service_count, const char *name)
+/* Checks the state of a move against the move of the document. */
+static bool check_move(const struct doc_manifest_service *entry,
+		       const struct doc_move *move, GError **error)
 {
-	for (size_t i = 0; i < service_count; i++) {
-		if (strcmp(services[i]->name, name) == 0)
-			return services[i];
+	if (entry->share_permille > DOC_SHARE_ALL_PERMILLE) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got share %u of service %s, wanted at most %u",
+			entry->share_permille, entry->name,
+			DOC_SHARE_ALL_PERMILLE);
+		return false;
 	}
-	return NULL;
+	if (!move &&
+	    (entry->move_state != DOC_MOVE_NONE || entry->share_permille > 0)) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got move %s at share %u of service %s, whose document "
+			"has no move",
+			doc_get_move_state_name(entry->move_state),
+			entry->share_permille, entry->name);
+		return false;
+	}
+	if (move && entry->step_index >= move->step_count) {
+		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
+			"got step %u of service %s, wanted one of its %zu "
+			"steps, counted from 0",
+			entry->step_index, entry->name, move->step_count);
+		return false;
+	}
+	return true;
 }
 
 static bool check_entry(const struct doc_manifest_service *entry,
@@ -49,36 +68,40 @@
 			entry->document_version);
 		return false;
 	}
-	if (entry->share_permille > DOC_SHARE_ALL_PERMILLE) {
-		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
-			"got share %u of service %s, wanted at most %u",
-			entry->share_permille, entry->name,
-			DOC_SHARE_ALL_PERMILLE);
-		return false;
-	}
-	if (!service->move &&
-	    (entry->move_state != DOC_MOVE_NONE || entry->share_permille > 0)) {
-		err_set(error, ERR_INVALID_ARGUMENT, STEP, entry->name,
-			"got move %s at share %u of service %s, whose document "
-			"has no move",
-			doc_get_move_state_name(entry->move_state),
-			entry->share_permille, entry->name);
-		return false;
+	return check_move(entry, service->move, error);
+}
+
+/* Returns the documents by name, of several the one that the manifest names. */
+static GHashTable *index_documents(const struct doc_manifest *manifest,
+				   struct doc_service **services,
+				   size_t service_count)
+{
+	GHashTable *by_name = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < service_count; i++) {
+		struct doc_service *service = services[i];
+		const struct doc_manifest_service *entry;
+
+		entry = doc_find_manifest_service(manifest, service->name);
+		if ((entry &&
+		     entry->document_version == service->document_version) ||
+		    !g_hash_table_contains(by_name, service->name))
+			g_hash_table_insert(by_name, (gpointer)service->name,
+					    service);
 	}
-	return true;
+	return by_name;
 }
 
 /* Fills chosen with the document of each entry. */
 static bool choose_documents(const struct doc_manifest *manifest,
-			     struct doc_service **services,
-			     size_t service_count, struct doc_service **chosen,
+			     GHashTable *by_name, struct doc_service **chosen,
 			     GError **error)
 {
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *entry =
 			&manifest->services[i];
 
-		chosen[i] = find_document(services, service_count, entry->name);
+		chosen[i] = g_hash_table_lookup(by_name, entry->name);
 		if (!check_entry(entry, chosen[i], error))
 			return false;
 	}
@@ -110,21 +133,24 @@
 					size_t service_count, GError **error)
 {
 	struct doc_snapshot *snapshot = talloc_zero(NULL, struct doc_snapshot);
+	GHashTable *by_name =
+		index_documents(manifest, services, service_count);
+	size_t count = manifest->service_count;
 	struct doc_service **chosen;
 
-	chosen = talloc_zero_array(snapshot, struct doc_service *,
-				   manifest->service_count);
-	if (!choose_documents(manifest, services, service_count, chosen,
-			      error) ||
-	    !check_calls(chosen, manifest->service_count, error)) {
-		talloc_free(snapshot);
-		return NULL;
+	chosen = talloc_zero_array(snapshot, struct doc_service *, count);
+	if (!choose_documents(manifest, by_name, chosen, error) ||
+	    !check_calls(chosen, count, error)) {
+		TALLOC_FREE(snapshot);
+		goto done;
 	}
 	atomic_init(&snapshot->reference_count, 1);
 	snapshot->manifest = doc_copy_manifest(snapshot, manifest);
-	for (size_t i = 0; i < manifest->service_count; i++)
+	for (size_t i = 0; i < count; i++)
 		talloc_steal(snapshot, chosen[i]);
 	snapshot->services = (const struct doc_service **)chosen;
+done:
+	g_hash_table_destroy(by_name);
 	return snapshot;
 }
 
