--- a/src/moves/tests/release.h
+++ b/src/moves/tests/release.h
@@ -30,13 +30,14 @@
 	const char *name;
 	enum rel_fault fault;
 	bool is_bad;
+	bool is_sparse; /* too few bad calls a second for the bound in time */
 	uint32_t calls_per_s;
 	uint32_t finish_s;	/* from start to finish_by */
 	uint32_t onset_first_s; /* the fault begins between these, from start */
 	uint32_t onset_last_s;
-	double size; /* share of failed calls, or factor of latency */
 	uint32_t load_permille; /* of REL_FAULT_FAILS_UNDER_LOAD */
-	double noise;		/* sigma of the logarithm of the latency */
+	double size;  /* share of failed calls, or factor of latency */
+	double noise; /* sigma of the logarithm of the latency */
 };
 
 struct rel_release {
