Name the one route that holds nearly all of the evidence

A version bad on one route was condemned over all routes when that track passed its threshold first, and the sentence for operators did not name the route.

--- a/src/moves/judge.c
+++ b/src/moves/judge.c
@@ -24,6 +24,8 @@
 
 #define MV_FALSE_ALARMS 0.005 /* bound per move, over all judges */
 #define METRICS 2U
+#define MV_ROUTE_PART 0.8	/* of all evidence, to blame one route */
+#define MV_OTHER_ROUTE_PART 0.1 /* at most, on any other */
 #define MV_ROUTE_MAX 32U
 #define MV_TRACK_MAX (METRICS * (MV_ROUTE_MAX + 1U))
 #define MV_BAD_TARGETS 0.04    /* part of moves with a target bad by itself */
@@ -229,9 +231,35 @@
 	summary->alone = fmax(summary->alone, rest.alone);
 }
 
+/*
+ * Returns the one route that holds nearly all of the evidence over all routes,
+ * or else the given track.
+ */
+static const struct trk_track *narrow_track(const struct mv_judge *judge,
+					    const struct trk_track *worst)
+{
+	double evidence = tst_get_paired(&worst->sums);
+	const struct trk_track *only = worst;
+
+	for (uint32_t i = 0; i < judge->track_count; i++) {
+		const struct trk_track *track = judge->tracks[i];
+		double part = tst_get_paired(&track->sums) / evidence;
+
+		if (!track->route[0] || track->metric != worst->metric)
+			continue;
+		if (part >= MV_ROUTE_PART)
+			only = track;
+		else if (part >= MV_OTHER_ROUTE_PART)
+			return worst;
+	}
+	return only;
+}
+
 static void set_kind(const struct mv_judge *judge,
 		     const struct summary *summary, struct mv_verdict *verdict)
 {
+	const struct trk_track *worst;
+
 	/* While the new version has all calls, paired evidence stands still. */
 	if (judge->takes_all ? summary->alone >= MV_ALONE_NATS / MV_LEANING_PART
 			     : summary->is_leaning)
@@ -245,8 +273,12 @@
 		verdict->kind = MV_VERDICT_SCARCE;
 	else
 		verdict->kind = MV_VERDICT_GOOD;
-	if (summary->worst)
-		trk_get_finding(summary->worst, &verdict->finding);
+	if (!summary->worst)
+		return;
+	worst = summary->worst;
+	if (verdict->kind == MV_VERDICT_BAD && !worst->route[0])
+		worst = narrow_track(judge, worst);
+	trk_get_finding(worst, &verdict->finding);
 }
 
 struct mv_judge *mv_new_judge(TALLOC_CTX *ctx, const struct doc_move *move,
