--- a/src/moves/judge.c
+++ b/src/moves/judge.c
@@ -32,6 +32,7 @@
 #define MV_ALONE_NATS 12.0     /* evidence that makes a comparison worth it */
 #define MV_GOOD_NATS 4.6       /* evidence for a good version, over all */
 #define MV_GOOD_ROUTE_NATS 2.3 /* the same on one route */
+#define MV_ALIKE_CALLS_MIN 12U /* before targets can be called alike */
 #define MV_ALIKE_RATIO 6.0     /* worst target's part to the mean of others */
 #define MV_COMPARE_NATS 8.0    /* evidence in a comparison that decides it */
 #define MV_OLD_HIT_NATS 6.0    /* evidence that the old version got worse */
@@ -212,7 +213,8 @@
 		verdict->is_leaning_bad = true;
 	if (targets == 0)
 		return;
-	is_alike = are_targets_alike(&sums, &rest, targets);
+	is_alike = track->new_calls >= MV_ALIKE_CALLS_MIN &&
+		   are_targets_alike(&sums, &rest, targets);
 	found = join_evidence(tst_get_paired(&sums), tst_get_paired(&rest),
 			      is_alike);
 	fresh = join_evidence(tst_get_fresh(&sums), tst_get_fresh(&rest),
--- a/src/moves/tests/release.c
+++ b/src/moves/tests/release.c
@@ -10,6 +10,7 @@
 #include <math.h>
 #include <string.h>
 
+#define NOISE_SIZE 4096U
 #define BASE_US 20000.0
 #define P_GOOD 0.003 /* share of calls that fail on a good version */
 #define OUTAGE_FAILS 0.4
@@ -30,7 +31,10 @@
 static const char *const versions[2] = { "v1", "v2" };
 
 /* Standard normal deviates, drawn once. */
-static double normal[REL_NOISE_SIZE];
+static double normal[NOISE_SIZE];
+
+/* Latency bucket by whether the fault touches the call, and deviate. */
+static uint8_t buckets[2][NOISE_SIZE];
 
 static void fill_normal(void)
 {
@@ -39,7 +43,7 @@
 	if (normal[0] != 0)
 		return;
 	random = g_rand_new_with_seed(1);
-	for (uint32_t i = 0; i < REL_NOISE_SIZE; i++)
+	for (uint32_t i = 0; i < NOISE_SIZE; i++)
 		normal[i] = sqrt(-2 * log(1 - g_rand_double(random))) *
 			    cos(2 * G_PI * g_rand_double(random));
 	g_rand_free(random);
@@ -128,17 +132,20 @@
 			 : log((1 - kind->size) / (1 - P_GOOD));
 }
 
-static void fill_buckets(struct rel_release *release)
+/* Fills the buckets of the latencies; kept while the kind is the same. */
+static void fill_buckets(const struct rel_kind *kind)
 {
-	const struct rel_kind *kind = release->kind;
+	static const struct rel_kind *filled;
 	double factor = is_slow_fault(kind) ? kind->size : 1;
 
-	for (uint32_t i = 0; i < REL_NOISE_SIZE; i++) {
+	if (filled == kind)
+		return;
+	filled = kind;
+	for (uint32_t i = 0; i < NOISE_SIZE; i++) {
 		double latency_us = BASE_US * exp(kind->noise * normal[i]);
 
-		release->buckets[0][i] =
-			(uint8_t)mv_get_bucket((uint32_t)latency_us);
-		release->buckets[1][i] =
+		buckets[0][i] = (uint8_t)mv_get_bucket((uint32_t)latency_us);
+		buckets[1][i] =
 			(uint8_t)mv_get_bucket((uint32_t)(latency_us * factor));
 	}
 }
@@ -176,7 +183,7 @@
 {
 	uint32_t bits = g_rand_int(release->random);
 	uint32_t more_bits = g_rand_int(release->random);
-	uint32_t noise = bits % REL_NOISE_SIZE;
+	uint32_t noise = bits % NOISE_SIZE;
 	uint32_t target = (bits >> 12) % REL_TARGETS;
 	uint32_t route = pick_route((bits >> 14) % 1000);
 	bool is_new = more_bits % 1000 < release->share_permille;
@@ -194,7 +201,7 @@
 		counts->calls++;
 		counts->failed += is_failed;
 		if (!is_failed)
-			counts->latency[release->buckets[is_hit][noise]]++;
+			counts->latency[buckets[is_hit][noise]]++;
 	}
 	if (second < 0 || release->is_shown)
 		return;
@@ -216,7 +223,7 @@
 	release->onset_s = (uint32_t)g_rand_int_range(
 		release->random, (gint32)kind->onset_first_s,
 		(gint32)kind->onset_last_s + 1);
-	fill_buckets(release);
+	fill_buckets(kind);
 }
 
 void rel_end(struct rel_release *release)
--- a/src/moves/tests/release.h
+++ b/src/moves/tests/release.h
@@ -9,7 +9,6 @@
 
 #define REL_TARGETS 4U /* of each version */
 #define REL_ROUTES 3U
-#define REL_NOISE_SIZE 4096U
 #define REL_BEFORE_S 10U /* calls before the move starts */
 
 enum rel_fault {
@@ -47,8 +46,6 @@
 	uint32_t share_permille;			    /* in force */
 	struct mv_counts cells[2][REL_ROUTES][REL_TARGETS]; /* of the second */
 
-	uint8_t buckets[2][REL_NOISE_SIZE]; /* by touched and deviate */
-
 	uint64_t calls;		 /* since the start, until badness shows */
 	uint64_t exposed_calls;	 /* of these on the bad version, after onset */
 	uint64_t calls_at_onset; /* value of calls when badness begins */
--- a/src/moves/track.c
+++ b/src/moves/track.c
@@ -156,6 +156,8 @@
 	track->step_old_calls += calls;
 	track->slot_base_calls += calls;
 	track->slot_base_bad += bad;
+	if (track->metric != MV_METRIC_LATENCY)
+		return;
 	for (uint32_t i = 0; i < MV_LATENCY_BUCKETS; i++)
 		track->slot_latency[i] += counts->latency[i];
 }
@@ -168,7 +170,9 @@
 	track->base_calls =
 		track->base_calls * BASE_KEEP + track->slot_base_calls;
 	track->base_bad = track->base_bad * BASE_KEEP + track->slot_base_bad;
-	for (uint32_t i = 0; i < MV_LATENCY_BUCKETS; i++) {
+	for (uint32_t i = 0;
+	     i < MV_LATENCY_BUCKETS && track->metric == MV_METRIC_LATENCY;
+	     i++) {
 		track->base_latency[i] = track->base_latency[i] * BASE_KEEP +
 					 track->slot_latency[i];
 		track->slot_latency[i] = 0;
