Push local changes without waiting for credit; check options

Cause: push.script showed that an announcement made while the push credit was spent waited for the next tick. Local changes are rare and urgent, so they now go out at once whatever the credit. Names that a datagram cannot carry were taken and then silently never sent; they are refused at the public edge.

Seen failing first: 'wanted: > sequence 3, got: 400: to 10.0.0.2 gossip 10.0.0.1/alive/1/serving' (nothing was sent after 'announce' before).

--- a/src/membership/codec.c
+++ b/src/membership/codec.c
@@ -29,14 +29,6 @@
 	return BYTES_PER_XDR_UNIT + RNDUP(strlen(text));
 }
 
-static bool is_name(const char *text)
-{
-	for (; *text; text++)
-		if (*text <= ' ' || *text > '~')
-			return false;
-	return true;
-}
-
 static bool is_address(const char *text)
 {
 	struct in6_addr address;
@@ -56,11 +48,11 @@
 		return "hop_port";
 	if (record->admin_port > PORT_MAX)
 		return "admin_port";
-	if (!is_name(record->failure_domain))
+	if (!mem_is_name(record->failure_domain))
 		return "failure_domain";
-	if (!is_name(record->service))
+	if (!mem_is_name(record->service))
 		return "service";
-	if (!is_name(record->target_version))
+	if (!mem_is_name(record->target_version))
 		return "target_version";
 	if (record->phase > RT_PHASE_LEAVING)
 		return "phase";
@@ -155,6 +147,16 @@
 	return NULL;
 }
 
+bool mem_is_name(const char *text)
+{
+	size_t size = strlen(text);
+
+	for (size_t i = 0; i < size; i++)
+		if (text[i] <= ' ' || text[i] > '~')
+			return false;
+	return size <= MEM_NAME_SIZE;
+}
+
 size_t mem_get_record_size(const mem_wire_record *record)
 {
 	return get_text_size(record->address) +
--- a/src/membership/codec.h
+++ b/src/membership/codec.h
@@ -26,6 +26,9 @@
 	mem_wire_update update;
 };
 
+/* Returns whether a text can be sent: printable, no spaces, not too long. */
+bool mem_is_name(const char *text);
+
 /* Returns the encoded size of a record in bytes. */
 size_t mem_get_record_size(const mem_wire_record *record);
 
--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -454,7 +454,7 @@
 	run_probe(machine);
 	contact_seeds(machine);
 	probe_dead(machine);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, false);
 	return machine->step;
 }
 
@@ -484,7 +484,7 @@
 	self.version = version;
 	self.phase = phase;
 	mem_publish_self(machine, &self, member->state, 0);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
 
@@ -497,7 +497,7 @@
 	machine->sequence = sequence;
 	mem_get_self(machine->table)->member.manifest_sequence = sequence;
 	mem_set_hint(machine);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
 
@@ -511,6 +511,6 @@
 		return machine->step;
 	self.phase = RT_PHASE_LEAVING;
 	mem_publish_self(machine, &self, MEM_STATE_LEFT, 0);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
--- a/src/membership/mem_service.c
+++ b/src/membership/mem_service.c
@@ -287,6 +287,42 @@
 	return true;
 }
 
+static bool check_name(const char *field, const char *value, GError **error)
+{
+	if (value && mem_is_name(value))
+		return true;
+	err_set(error, ERR_INVALID_ARGUMENT, "check membership options", NULL,
+		"%s: got \"%s\", wanted at most %d printable characters "
+		"without "
+		"spaces",
+		field, value ? value : "(null)", MEM_NAME_SIZE);
+	return false;
+}
+
+static bool check_options(const struct mem_options *options, GError **error)
+{
+	const struct mem_self *self = &options->self;
+
+	if (!check_name("failure_domain", self->failure_domain, error) ||
+	    !check_name("service", self->service, error) ||
+	    !check_name("version", self->version, error))
+		return false;
+	if (options->probe_period_ms < MEM_TICKS_PER_PERIOD ||
+	    options->probe_timeout_ms == 0 ||
+	    options->probe_timeout_ms >= options->probe_period_ms ||
+	    options->suspicion_ms == 0) {
+		err_set(error, ERR_INVALID_ARGUMENT, "check membership options",
+			NULL,
+			"got probe period %u ms, timeout %u ms, suspicion %u "
+			"ms, wanted 0 < timeout < period, period >= %u and "
+			"suspicion > 0",
+			options->probe_period_ms, options->probe_timeout_ms,
+			options->suspicion_ms, MEM_TICKS_PER_PERIOD);
+		return false;
+	}
+	return true;
+}
+
 void mem_set_default_options(struct mem_options *options)
 {
 	memset(options, 0, sizeof(*options));
@@ -310,7 +346,8 @@
 	service->on_newer = options->on_newer;
 	service->data = options->data;
 	register_counters(service, counters);
-	if (!open_socket(service, &actual.self, error))
+	if (!check_options(options, error) ||
+	    !open_socket(service, &actual.self, error))
 		goto fail;
 	service->machine =
 		mem_new_machine(service, &actual, tmr_get_now_ms(timers));
@@ -332,6 +369,14 @@
 void mem_announce_target(struct mem_service *service, const char *target,
 			 const char *version, enum rt_phase phase)
 {
+	GError *error = NULL;
+
+	if (!check_name("service", target, &error) ||
+	    !check_name("version", version, &error)) {
+		log_write_error(LOG_LEVEL_ERROR, "membership", error);
+		g_clear_error(&error);
+		return;
+	}
 	carry_out(service, mem_step_announce(service->machine, target, version,
 					     phase, get_now_ms(service)));
 }
--- a/src/membership/send.c
+++ b/src/membership/send.c
@@ -236,15 +236,17 @@
 	machine->hint_count = get_send_limit(machine);
 }
 
-void mem_push_gossip(struct mem_machine *machine)
+void mem_push_gossip(struct mem_machine *machine, bool is_urgent)
 {
 	struct mem_entry *peers[GOSSIP_FANOUT];
 	uint32_t count;
 
 	count = mem_choose_peers(machine, GOSSIP_FANOUT, NULL, peers);
-	for (uint32_t i = 0; i < count && machine->push_credit_bytes > 0; i++) {
+	for (uint32_t i = 0; i < count; i++) {
 		const struct mem_self *self = &peers[i]->member.self;
 
+		if (!is_urgent && machine->push_credit_bytes <= 0)
+			return;
 		if (machine->table->queued_count == 0 &&
 		    machine->hint_count == 0)
 			return;
--- a/src/membership/send.h
+++ b/src/membership/send.h
@@ -30,8 +30,11 @@
 /* Lets the next pushes carry the digest, as an update would be carried. */
 void mem_set_hint(struct mem_machine *machine);
 
-/* Sends queued updates and the digest to a few random members at once. */
-void mem_push_gossip(struct mem_machine *machine);
+/*
+ * Sends queued updates and the digest to a few random members at once. A local
+ * change is urgent: it does not wait for credit.
+ */
+void mem_push_gossip(struct mem_machine *machine, bool is_urgent);
 
 /*
  * Compares a peer's digest with ours: asks for the difference, or notes that
--- a/src/membership/tests/test_membership_codec.c
+++ b/src/membership/tests/test_membership_codec.c
@@ -180,6 +180,19 @@
 	}
 }
 
+static void test_long_datagrams_are_refused(void)
+{
+	mem_wire_record record = make_record();
+	uint8_t buffer[2 * MEM_DATAGRAM_SIZE] = { 0 };
+	struct mem_message message;
+	size_t size = encode_sample(MEM_PING, &record, 1, buffer);
+
+	CU_ASSERT_FALSE(
+		mem_decode_message(buffer, size + 4, "test", &message, NULL));
+	CU_ASSERT_FALSE(mem_decode_message(buffer, MEM_DATAGRAM_SIZE + 4,
+					   "test", &message, NULL));
+}
+
 static void mutate(GRand *random, uint8_t *bytes, size_t *size)
 {
 	uint32_t count = (uint32_t)g_rand_int_range(random, 1, 5);
@@ -247,6 +260,8 @@
 		  test_bad_incarnation_is_refused },
 		{ "bad headers are refused", test_bad_headers_are_refused },
 		{ "cut datagrams are refused", test_cut_datagrams_are_refused },
+		{ "long datagrams are refused",
+		  test_long_datagrams_are_refused },
 		{ "mutations", test_mutations },
 		CU_TEST_INFO_NULL,
 	};
--- a/src/membership/tests/test_membership_machine.c
+++ b/src/membership/tests/test_membership_machine.c
@@ -4,8 +4,9 @@
  *   node ADDRESS [SEED...]     a new machine at time 0
  *   tick COUNT                 that many ticks, one tick apart
  *   pause MS                   time passes without ticks
- *   from ADDRESS PROCEDURE [probe] [sequence=N] [RECORD...]
- *                              a message; "probe" gives it the probe's xid
+ *   from ADDRESS PROCEDURE [probe] [alone] [sequence=N] [RECORD...]
+ *                              a message; "probe" gives it the probe's xid,
+ *                              "alone" is of a sender that knows nobody
  *   announce SERVICE VERSION PHASE, leave, sequence N
  *   show                       the table
  *
@@ -144,6 +145,8 @@
 
 		if (strcmp(words[i], "probe") == 0)
 			message.xid = world->machine->probe.xid;
+		else if (strcmp(words[i], "alone") == 0)
+			update->live_count = 1;
 		else if (g_str_has_prefix(words[i], "sequence="))
 			update->manifest_sequence = strtoull(
 				words[i] + strlen("sequence="), NULL, 10);
@@ -246,6 +249,11 @@
 	run_named("doubt");
 }
 
+static void test_push(void)
+{
+	run_named("push");
+}
+
 static void test_seeds(void)
 {
 	run_named("seeds");
@@ -284,6 +292,7 @@
 		{ "refute", test_refute },
 		{ "pause", test_pause },
 		{ "doubt", test_doubt },
+		{ "push", test_push },
 		{ "seeds", test_seeds },
 		{ "bad seeds are refused", test_bad_seeds_are_refused },
 		CU_TEST_INFO_NULL,
--- a/src/membership/tests/test_membership_service.c
+++ b/src/membership/tests/test_membership_service.c
@@ -175,10 +175,46 @@
 	talloc_free(mesh);
 }
 
+static void test_bad_options_are_refused(void)
+{
+	char long_name[] =
+		"a-name-that-is-longer-than-the-sixty-three-bytes-"
+		"that-a-datagram-takes";
+	struct mesh *mesh = talloc_zero(NULL, struct mesh);
+	struct mem_options options[6];
+
+	mesh->events = tevent_context_init(mesh);
+	mesh->timers = tmr_new(mesh, mesh->events);
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		mem_set_default_options(&options[i]);
+		options[i].self.address = "127.0.0.30";
+		options[i].self.failure_domain = "a";
+		options[i].self.service = "";
+		options[i].self.version = "";
+	}
+	options[0].self.address = "localhost";
+	options[1].self.failure_domain = long_name;
+	options[2].self.service = NULL;
+	options[3].probe_period_ms = 0;
+	options[4].probe_timeout_ms = options[4].probe_period_ms;
+	options[5].seeds = (const char *const[]){ "nowhere", NULL };
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+		GError *error = NULL;
+
+		CU_ASSERT_PTR_NULL(mem_new_service(
+			mesh, mesh->events, mesh->timers,
+			cnt_new_registry(mesh), &options[i], &error));
+		CU_ASSERT_PTR_NOT_NULL(error);
+		g_clear_error(&error);
+	}
+	talloc_free(mesh);
+}
+
 int main(void)
 {
 	const CU_TestInfo tests[] = {
 		{ "life of a mesh", test_life_of_a_mesh },
+		{ "bad options are refused", test_bad_options_are_refused },
 		CU_TEST_INFO_NULL,
 	};
 
