--- a/src/membership/tests/bench_membership.c
+++ b/src/membership/tests/bench_membership.c
@@ -2,6 +2,9 @@
  * Prints, for meshes of rising size, the bytes and messages that a node sends
  * in one second, and the times in which an announcement and a death reach all.
  *
+ * Then the time until all tables agree again after one node joins, after half
+ * of the nodes restart at once, and after a fifth was cut off for a minute.
+ *
  *   bench_membership [LARGEST_SIZE [SMALLEST_SIZE]]
  */
 #include <inttypes.h>
@@ -54,6 +57,37 @@
 	return true;
 }
 
+/* Prints how long single, joint and cut-off nodes take to be whole again. */
+static void print_recovery(uint32_t count)
+{
+	struct mesh *mesh = mesh_new(NULL, count, count);
+	uint32_t one_ms;
+	uint32_t half_ms;
+	uint32_t heal_ms;
+
+	mesh_run_until(mesh, mesh_is_whole, NULL, 4 * LIMIT_MS);
+	mesh_run(mesh, SETTLE_MS);
+	mesh_stop(mesh, count - 1);
+	mesh_run(mesh, SETTLE_MS / 4);
+	mesh_start(mesh, count - 1);
+	one_ms = mesh_run_until(mesh, mesh_is_whole, NULL, LIMIT_MS);
+	mesh_run(mesh, SETTLE_MS / 4);
+	for (uint32_t i = 0; i < count; i += 2) {
+		mesh_stop(mesh, i);
+		mesh_start(mesh, i);
+	}
+	half_ms = mesh_run_until(mesh, mesh_is_whole, NULL, 4 * LIMIT_MS);
+	mesh_run(mesh, SETTLE_MS / 4);
+	for (uint32_t i = 0; i < count / 5; i++)
+		mesh->nodes[i].group = 1;
+	mesh_run(mesh, SETTLE_MS);
+	for (uint32_t i = 0; i < count; i++)
+		mesh->nodes[i].group = 0;
+	heal_ms = mesh_run_until(mesh, mesh_is_whole, NULL, 4 * LIMIT_MS);
+	printf("%5u %7u %8u %8u\n", count, one_ms, half_ms, heal_ms);
+	talloc_free(mesh);
+}
+
 static void print_row(uint32_t count, uint32_t loss_permille)
 {
 	struct mesh *mesh = mesh_new(NULL, count, count);
@@ -105,5 +139,8 @@
 	for (uint32_t count = smallest; count <= largest; count *= 2)
 		for (size_t i = 0; i < G_N_ELEMENTS(losses_permille); i++)
 			print_row(count, losses_permille[i]);
+	printf("nodes one_ms  half_ms  heal_ms\n");
+	for (uint32_t count = smallest; count <= largest; count *= 2)
+		print_recovery(count);
 	return EXIT_SUCCESS;
 }
