--- /dev/null
+++ b/src/platform/watch.c
@@ -0,0 +1,146 @@
+/*
+ * Watch of a prefix: one list, then one poll after the other.
+ *
+ * A failed poll resumes from the last revision after a backoff; a history that
+ * is gone leads to a new list. The first list waits for a random time, so that
+ * nodes that start together do not list together.
+ *
+ * Invariant: exactly one of call and timer is set.
+ */
+#include "client.h"
+
+#include <assert.h>
+#include "loom/error.h"
+
+#define WATCH_WAIT_MS 30000U
+
+struct plat_watch {
+	struct plat_client *client;
+	char *prefix;
+	plat_watch_fn fn;
+	void *data;
+	struct plat_call *call;
+	struct tmr_subscription *timer;
+	struct plat_backoff backoff;
+	uint64_t revision;
+	uint64_t poll_sent_ms;
+	bool is_listed; /* revision is that of a list or of later events */
+};
+
+static void start_call(struct plat_watch *watch);
+
+static void handle_timer(uint64_t now_ms, void *data)
+{
+	struct plat_watch *watch = data;
+
+	watch->timer = NULL;
+	start_call(watch);
+}
+
+static void wait_for(struct plat_watch *watch, uint32_t delay_ms)
+{
+	assert(!watch->timer);
+	watch->timer = tmr_subscribe_once(watch, plat_get_timers(watch->client),
+					  delay_ms, handle_timer, watch);
+}
+
+/* Tells of a failure; talloc_free() of the watch within fn ends it. */
+static void handle_failure(struct plat_watch *watch,
+			   const struct plat_result *result)
+{
+	bool is_gone = g_error_matches(result->error, ERR_DOMAIN, ERR_GONE);
+	bool is_stale = is_gone && !watch->is_listed;
+
+	if (is_gone)
+		watch->is_listed = false;
+	else if (!g_error_matches(result->error, ERR_DOMAIN,
+				  ERR_UNKNOWN_OUTCOME))
+		plat_note_overload(&watch->backoff);
+	wait_for(watch, plat_choose_backoff_ms(&watch->backoff,
+					       plat_get_random(watch->client)));
+	watch->fn(is_stale ? PLAT_WATCH_STALE : PLAT_WATCH_FAILED, result,
+		  watch->data);
+}
+
+static void handle_list(const struct plat_result *result, void *data)
+{
+	struct plat_watch *watch = data;
+
+	watch->call = NULL;
+	if (result->error) {
+		handle_failure(watch, result);
+		return;
+	}
+	plat_reset_backoff(&watch->backoff);
+	watch->revision = result->revision;
+	watch->is_listed = true;
+	wait_for(watch, 0);
+	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
+}
+
+/* Whether a poll without events came back before its time. */
+static bool is_hasty(const struct plat_watch *watch,
+		     const struct plat_result *result)
+{
+	uint64_t now_ms = tmr_get_now_ms(plat_get_timers(watch->client));
+
+	return result->object_count == 0 &&
+	       now_ms - watch->poll_sent_ms < WATCH_WAIT_MS / 2;
+}
+
+static void handle_events(const struct plat_result *result, void *data)
+{
+	struct plat_watch *watch = data;
+	uint32_t wait_ms = 0;
+
+	watch->call = NULL;
+	if (result->error) {
+		handle_failure(watch, result);
+		return;
+	}
+	/* A store that does not wait must not make a busy loop of the watch. */
+	if (is_hasty(watch, result))
+		wait_ms = plat_choose_backoff_ms(
+			&watch->backoff, plat_get_random(watch->client));
+	else
+		plat_reset_backoff(&watch->backoff);
+	/* An older revision is a store that was restored: list to find out. */
+	if (result->revision < watch->revision)
+		watch->is_listed = false;
+	watch->revision = result->revision;
+	wait_for(watch, wait_ms);
+	if (result->object_count > 0)
+		watch->fn(PLAT_WATCH_CHANGED, result, watch->data);
+}
+
+static void start_call(struct plat_watch *watch)
+{
+	assert(!watch->call);
+	watch->poll_sent_ms = tmr_get_now_ms(plat_get_timers(watch->client));
+	if (watch->is_listed)
+		watch->call = plat_poll_events(
+			watch, watch->client, watch->prefix, watch->revision,
+			WATCH_WAIT_MS, handle_events, watch);
+	else
+		watch->call =
+			plat_list_objects(watch, watch->client, watch->prefix,
+					  handle_list, watch);
+}
+
+struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
+				     struct plat_client *client,
+				     const char *prefix, plat_watch_fn fn,
+				     void *data)
+{
+	struct plat_watch *watch = talloc_zero(ctx, struct plat_watch);
+
+	watch->client = client;
+	watch->prefix = talloc_strdup(watch, prefix);
+	watch->fn = fn;
+	watch->data = data;
+	plat_start_backoff(&watch->backoff,
+			   plat_get_options(client)->retry_wait_ms_max);
+	wait_for(watch, plat_choose_start_ms(plat_get_random(client),
+					     PLAT_WATCH_START_MS));
+	return watch;
+}
