Tell changes of members once a tick, and keep one seed an address

Cause: the node builds its routing table anew on every on_change, and in a herd every datagram changes members; the platform's list of nodes, given again and again to mem_add_seed, grew the list of seeds without bound.

Tests: 'changes are told together' (virtual clock: five announcements, two calls) and the seeds of 'bad seeds are refused'.

--- a/include/loom/membership.h
+++ b/include/loom/membership.h
@@ -41,15 +41,21 @@
 	struct mem_self self;
 	uint64_t incarnation;
 	enum mem_state state;
-	uint64_t manifest_sequence; /* highest known of that node */
+	uint64_t manifest_sequence; /* highest seen in its own datagrams */
 };
 
 struct mem_service;
 
-/* Members or their announcements changed, or a peer has a newer manifest. */
+/*
+ * Members or their announcements changed. Called at most once a tick (a fifth
+ * of the probe period), however many changes arrive.
+ */
 typedef void (*mem_change_fn)(void *data);
 
-/* A peer at "address:admin_port" reports a manifest newer than ours. */
+/*
+ * A peer at "address:admin_port" reports a manifest newer than ours. Called
+ * for every datagram that says so, until mem_set_manifest_sequence().
+ */
 typedef void (*mem_newer_fn)(const char *peer, uint64_t sequence, void *data);
 
 struct mem_options {
@@ -73,17 +79,23 @@
 		struct tmr_service *timers, struct cnt_registry *counters,
 		const struct mem_options *options, GError **error);
 
-/* Announces, changes or (service "") withdraws the local target. */
+/*
+ * Announces, changes or (service "") withdraws the local target. Names that a
+ * datagram cannot carry are refused with a log line.
+ */
 void mem_announce_target(struct mem_service *service, const char *target,
 			 const char *version, enum rt_phase phase);
 
 /* Sets the manifest sequence in force here; tells peers at once. */
 void mem_set_manifest_sequence(struct mem_service *service, uint64_t sequence);
 
-/* Adds a seed learnt later (from the platform). */
+/* Adds a seed learnt later (from the platform); one of its address is kept. */
 void mem_add_seed(struct mem_service *service, const char *seed);
 
-/* Says goodbye to peers; the service stays open for answers. */
+/*
+ * Says goodbye to peers; the service stays open for answers. Keep it running
+ * for a second, so that the news survives lost datagrams.
+ */
 void mem_leave(struct mem_service *service);
 
 /*
--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -389,6 +389,18 @@
 		mem_add_send(machine, MEM_GOSSIP, 0, address, port, about, 2);
 }
 
+static struct mem_endpoint *find_seed(const struct mem_machine *machine,
+				      const char *address)
+{
+	for (guint i = 0; i < machine->seeds->len; i++) {
+		struct mem_endpoint *seed = machine->seeds->pdata[i];
+
+		if (strcmp(seed->address, address) == 0)
+			return seed;
+	}
+	return NULL;
+}
+
 struct mem_machine *mem_new_machine(TALLOC_CTX *ctx,
 				    const struct mem_options *options,
 				    uint64_t now_ms)
@@ -436,6 +448,12 @@
 		talloc_free(address);
 		return false;
 	}
+	endpoint = find_seed(machine, address);
+	if (endpoint) {
+		endpoint->port = (uint16_t)port;
+		talloc_free(address);
+		return true;
+	}
 	endpoint = talloc_zero(machine, struct mem_endpoint);
 	endpoint->address = talloc_steal(endpoint, address);
 	endpoint->port = (uint16_t)port;
--- a/src/membership/mem_service.c
+++ b/src/membership/mem_service.c
@@ -47,6 +47,9 @@
 	mem_change_fn on_change;
 	mem_newer_fn on_newer;
 	void *data;
+	uint32_t tick_ms;
+	bool is_change_due; /* on_change waits for the next tick */
+	uint64_t told_ms;   /* time of the last on_change */
 	int socket;
 	struct mem_member *members; /* last list given out */
 };
@@ -173,28 +176,44 @@
 	*counted = *now;
 }
 
+static uint64_t get_now_ms(const struct mem_service *service)
+{
+	return tmr_get_now_ms(service->timers);
+}
+
+/*
+ * Calls on_change at most once a tick: its receiver builds tables anew, and a
+ * herd changes members with every message.
+ */
+static void tell_change(struct mem_service *service)
+{
+	uint64_t now_ms = get_now_ms(service);
+
+	if (!service->is_change_due ||
+	    now_ms < service->told_ms + service->tick_ms)
+		return;
+	service->is_change_due = false;
+	service->told_ms = now_ms;
+	if (service->on_change)
+		service->on_change(service->data);
+}
+
 static void carry_out(struct mem_service *service, const struct mem_step *step)
 {
 	/* The callbacks may take further steps, which end this one. */
-	bool is_changed = step->is_changed;
 	uint64_t newer_sequence = step->newer_sequence;
 	char *newer_peer = talloc_strdup(service, step->newer_peer);
 
 	for (size_t i = 0; i < step->send_count; i++)
 		send_datagram(service, &step->sends[i]);
 	count_statistics(service);
-	if (is_changed && service->on_change)
-		service->on_change(service->data);
+	service->is_change_due = service->is_change_due || step->is_changed;
+	tell_change(service);
 	if (newer_peer && service->on_newer)
 		service->on_newer(newer_peer, newer_sequence, service->data);
 	talloc_free(newer_peer);
 }
 
-static uint64_t get_now_ms(const struct mem_service *service)
-{
-	return tmr_get_now_ms(service->timers);
-}
-
 static void handle_tick(uint64_t due_ms, void *data)
 {
 	struct mem_service *service = data;
@@ -342,6 +361,7 @@
 	service->socket = -1;
 	talloc_set_destructor(service, destroy_service);
 	service->timers = timers;
+	service->tick_ms = options->probe_period_ms / MEM_TICKS_PER_PERIOD;
 	service->on_change = options->on_change;
 	service->on_newer = options->on_newer;
 	service->data = options->data;
@@ -355,9 +375,8 @@
 		goto fail;
 	tevent_add_fd(events, service, service->socket, TEVENT_FD_READ,
 		      handle_readable, service);
-	tmr_subscribe_every(service, timers,
-			    options->probe_period_ms / MEM_TICKS_PER_PERIOD,
-			    handle_tick, service);
+	tmr_subscribe_every(service, timers, service->tick_ms, handle_tick,
+			    service);
 	carry_out(service,
 		  mem_step_tick(service->machine, tmr_get_now_ms(timers)));
 	return service;
--- a/src/membership/tests/test_membership_machine.c
+++ b/src/membership/tests/test_membership_machine.c
@@ -281,6 +281,11 @@
 		CU_ASSERT_PTR_NOT_NULL(error);
 		g_clear_error(&error);
 	}
+	CU_ASSERT_EQUAL(world.machine->seeds->len, 0);
+	/* The platform lists the same seeds again and again. */
+	CU_ASSERT_TRUE(mem_add_machine_seed(world.machine, "10.0.0.2:1", NULL));
+	CU_ASSERT_TRUE(mem_add_machine_seed(world.machine, "10.0.0.2:2", NULL));
+	CU_ASSERT_EQUAL(world.machine->seeds->len, 1);
 	talloc_free(world.machine);
 }
 
--- a/src/membership/tests/test_membership_service.c
+++ b/src/membership/tests/test_membership_service.c
@@ -175,6 +175,26 @@
 	talloc_free(mesh);
 }
 
+/* Changes that follow each other closely are told once a tick. */
+static void test_changes_are_told_together(void)
+{
+	struct mesh *mesh = talloc_zero(NULL, struct mesh);
+	struct node *node = &mesh->nodes[0];
+
+	mesh->events = tevent_context_init(mesh);
+	mesh->timers = tmr_new_virtual(mesh, 1000);
+	start_node(mesh, 0, NULL);
+	for (uint32_t i = 0; i < 5; i++)
+		mem_announce_target(node->service, "orders", "v1",
+				    RT_PHASE_STARTING);
+	CU_ASSERT_EQUAL(node->changes, 1);
+	tmr_advance(mesh->timers, 10);
+	CU_ASSERT_EQUAL(node->changes, 2);
+	tmr_advance(mesh->timers, 100);
+	CU_ASSERT_EQUAL(node->changes, 2);
+	talloc_free(mesh);
+}
+
 static void test_bad_options_are_refused(void)
 {
 	char long_name[] =
@@ -214,6 +234,7 @@
 {
 	const CU_TestInfo tests[] = {
 		{ "life of a mesh", test_life_of_a_mesh },
+		{ "changes are told together", test_changes_are_told_together },
 		{ "bad options are refused", test_bad_options_are_refused },
 		CU_TEST_INFO_NULL,
 	};
