--- a/src/membership/mem_service.c
+++ b/src/membership/mem_service.c
@@ -250,7 +250,7 @@
 	uint8_t buffer[MEM_DATAGRAM_SIZE + 1];
 
 	for (uint32_t i = 0; i < READ_BATCH; i++) {
-		struct sockaddr_storage from;
+		struct sockaddr_storage from = { 0 };
 		socklen_t from_size = sizeof(from);
 		ssize_t size;
 
