--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -389,6 +389,18 @@
 		mem_add_send(machine, MEM_GOSSIP, 0, address, port, about, 2);
 }
 
+static struct mem_endpoint *find_seed(const struct mem_machine *machine,
+				      const char *address)
+{
+	for (guint i = 0; i < machine->seeds->len; i++) {
+		struct mem_endpoint *seed = machine->seeds->pdata[i];
+
+		if (strcmp(seed->address, address) == 0)
+			return seed;
+	}
+	return NULL;
+}
+
 struct mem_machine *mem_new_machine(TALLOC_CTX *ctx,
 				    const struct mem_options *options,
 				    uint64_t now_ms)
@@ -436,6 +448,12 @@
 		talloc_free(address);
 		return false;
 	}
+	endpoint = find_seed(machine, address);
+	if (endpoint) {
+		endpoint->port = (uint16_t)port;
+		talloc_free(address);
+		return true;
+	}
 	endpoint = talloc_zero(machine, struct mem_endpoint);
 	endpoint->address = talloc_steal(endpoint, address);
 	endpoint->port = (uint16_t)port;
@@ -454,7 +472,7 @@
 	run_probe(machine);
 	contact_seeds(machine);
 	probe_dead(machine);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, false);
 	return machine->step;
 }
 
@@ -484,7 +502,7 @@
 	self.version = version;
 	self.phase = phase;
 	mem_publish_self(machine, &self, member->state, 0);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
 
@@ -497,7 +515,7 @@
 	machine->sequence = sequence;
 	mem_get_self(machine->table)->member.manifest_sequence = sequence;
 	mem_set_hint(machine);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
 
@@ -511,6 +529,6 @@
 		return machine->step;
 	self.phase = RT_PHASE_LEAVING;
 	mem_publish_self(machine, &self, MEM_STATE_LEFT, 0);
-	mem_push_gossip(machine);
+	mem_push_gossip(machine, true);
 	return machine->step;
 }
