--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -176,15 +176,14 @@
 static void deliver(uint64_t now_ms, void *data)
 {
 	struct plat_call *call = data;
-	bool is_freed = false;
+	bool *is_freed = talloc_zero(NULL, bool);
 
 	call->wait = NULL;
-	call->is_freed = &is_freed;
+	call->is_freed = is_freed;
 	call->fn(&call->result, call->data);
-	if (is_freed)
-		return;
-	call->is_freed = NULL;
-	talloc_free(call);
+	if (!*is_freed)
+		talloc_free(call);
+	talloc_free(is_freed);
 }
 
 static void handle_expiry(uint64_t now_ms, void *data)
--- a/src/platform/lease.c
+++ b/src/platform/lease.c
@@ -30,7 +30,6 @@
 	struct tmr_subscription *end_timer;
 	bool is_told_held;
 	uint64_t told_version;
-	bool *is_freed; /* set while fn runs */
 };
 
 static uint64_t get_now_ms(const struct plat_lease *lease)
@@ -38,22 +37,17 @@
 	return tmr_get_now_ms(plat_get_timers(lease->client));
 }
 
-/* Tells the owner of a change. Returns false when fn freed the lease. */
-static bool tell_change(struct plat_lease *lease)
+/* Tells the owner of a change; fn may free the lease. */
+static void tell_change(struct plat_lease *lease)
 {
 	bool is_held = plat_is_held_at(&lease->state, get_now_ms(lease));
 	uint64_t version = is_held ? lease->state.fencing_version : 0;
-	bool is_freed = false;
 
 	if (is_held == lease->is_told_held && version == lease->told_version)
-		return true;
+		return;
 	lease->is_told_held = is_held;
 	lease->told_version = version;
-	lease->is_freed = &is_freed;
 	lease->fn(is_held, version, lease->data);
-	if (!is_freed)
-		lease->is_freed = NULL;
-	return !is_freed;
 }
 
 static void handle_end(uint64_t now_ms, void *data)
@@ -204,8 +198,6 @@
 {
 	json_t *value;
 
-	if (lease->is_freed)
-		*lease->is_freed = true;
 	if (!plat_is_held_at(&lease->state, get_now_ms(lease)))
 		return 0;
 	new_write_id(lease);
--- a/src/platform/tests/test_platform_lease.c
+++ b/src/platform/tests/test_platform_lease.c
@@ -9,6 +9,7 @@
 #define LEASE_DURATION_MS 600U
 #define LEASE_KEY "lease/moves"
 #define COMPETITORS 2
+#define SOCKET_PAUSE_US 200U
 
 struct competitor {
 	struct plat_client *client;
@@ -94,6 +95,14 @@
 	return object ? object->version : 0;
 }
 
+static const char *get_holder(struct fixture *fixture)
+{
+	const struct store_object *object = store_find_object(
+		api_get_store(fixture->wiring->server), LEASE_KEY);
+
+	return json_string_value(json_object_get(object->value, "holder"));
+}
+
 /* Runs until a tenure begins that is newer than all before; gives the holder.
  */
 static int run_until_tenure(struct fixture *fixture)
@@ -157,6 +166,8 @@
 	int holder = run_until_tenure(fixture);
 
 	TALLOC_FREE(fixture->competitors[holder].lease);
+	run_until_renewed(fixture, 1);
+	CU_ASSERT_STRING_EQUAL(get_holder(fixture), "");
 	CU_ASSERT_EQUAL(run_until_tenure(fixture), 1 - holder);
 	close_fixture(fixture);
 }
@@ -200,6 +211,57 @@
 	test_outage_ends_tenure("{\"outage\": \"hang\"}");
 }
 
+static void note_pause(struct tevent_context *events,
+		       struct tevent_timer *timer, struct timeval now,
+		       void *data)
+{
+	bool *is_over = data;
+
+	*is_over = true;
+}
+
+/* One millisecond of virtual time, with some real time for the sockets. */
+static void step_virtual(struct wiring *wiring)
+{
+	bool is_over = false;
+
+	tmr_advance(wiring->timers, 1);
+	tevent_add_timer(wiring->events, wiring->events,
+			 tevent_timeval_current_ofs(0, SOCKET_PAUSE_US),
+			 note_pause, &is_over);
+	while (!is_over)
+		tevent_loop_once(wiring->events);
+}
+
+/*
+ * On virtual time: whatever happens, the owner is told at the very millisecond
+ * at which the lease ends.
+ */
+static void test_told_in_time(void)
+{
+	struct wiring *wiring = wiring_open_virtual(WIRING_TIMEOUT_MS);
+	struct competitor competitor = { .client = wiring->client };
+	uint32_t untold = 0;
+	uint32_t held = 0;
+
+	competitor.lease =
+		plat_compete_lease(wiring, wiring->client, LEASE_KEY, "only",
+				   LEASE_DURATION_MS, note_change, &competitor);
+	for (uint32_t i = 0; i < 4 * LEASE_DURATION_MS; i++) {
+		step_virtual(wiring);
+		if (plat_is_lease_held(competitor.lease) !=
+		    competitor.is_told_held)
+			untold++;
+		if (competitor.is_told_held && held++ == LEASE_DURATION_MS)
+			wiring_set_faults(wiring, "{\"outage\": \"hang\"}");
+	}
+	CU_ASSERT_EQUAL(untold, 0);
+	CU_ASSERT_TRUE(held > LEASE_DURATION_MS);
+	CU_ASSERT_FALSE(competitor.is_told_held);
+	talloc_free(competitor.lease);
+	wiring_close(wiring);
+}
+
 static void test_lost_renewals(void)
 {
 	struct fixture *fixture = open_fixture();
@@ -218,6 +280,7 @@
 	{ "cut-off holder loses it", test_cut_off_holder_loses },
 	{ "outage ends the tenure", test_outage },
 	{ "hanging platform ends the tenure", test_hang },
+	{ "owner is told in time", test_told_in_time },
 	{ "lost renewals", test_lost_renewals },
 	CU_TEST_INFO_NULL,
 };
--- a/src/platform/tests/wiring.h
+++ b/src/platform/tests/wiring.h
@@ -46,15 +46,15 @@
 			       wiring->counters, &options, NULL);
 }
 
-static inline struct wiring *wiring_open(uint32_t timeout_ms)
+static inline struct wiring *wiring_open_on(struct wiring *wiring,
+					    struct tmr_service *timers,
+					    uint32_t timeout_ms)
 {
-	struct wiring *wiring = talloc_zero(NULL, struct wiring);
 	struct api_options options;
 
 	api_set_default_options(&options);
 	options.addresses = wiring_addresses;
-	wiring->events = tevent_context_init(wiring);
-	wiring->timers = tmr_new(wiring, wiring->events);
+	wiring->timers = timers;
 	wiring->counters = cnt_new_registry(wiring);
 	wiring->server = api_new_server(wiring, wiring->events, wiring->timers,
 					&options, NULL);
@@ -62,6 +62,24 @@
 	return wiring;
 }
 
+static inline struct wiring *wiring_open(uint32_t timeout_ms)
+{
+	struct wiring *wiring = talloc_zero(NULL, struct wiring);
+
+	wiring->events = tevent_context_init(wiring);
+	return wiring_open_on(wiring, tmr_new(wiring, wiring->events),
+			      timeout_ms);
+}
+
+/* Sockets are real; the time moves by tmr_advance() only. */
+static inline struct wiring *wiring_open_virtual(uint32_t timeout_ms)
+{
+	struct wiring *wiring = talloc_zero(NULL, struct wiring);
+
+	wiring->events = tevent_context_init(wiring);
+	return wiring_open_on(wiring, tmr_new_virtual(wiring, 0), timeout_ms);
+}
+
 static inline void wiring_close(struct wiring *wiring)
 {
 	TALLOC_FREE(wiring->client);
