Find a restored store that polls cannot show, and test the call queue

A store restored during an outage may pass the watch's revision before the watch resumes: no poll shows it. A list every 10 minutes, with jitter, does. A store that answers a revision of its future without 410 shows itself by its own. Seen failing in a scratch copy without the list, and without the comparison of revisions: CU_ASSERT_PTR_NOT_NULL(strstr(output, "stale\\nlisted a@1 older")). Without the token check: count_started(3, "{}", 100, 3) is not 3; without the bound in flight: not PLAT_IN_FLIGHT_MAX.

--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -16,6 +16,7 @@
 #include "loom/platform.h"
 #include "resolution.h"
 
+#define PLAT_IN_FLIGHT_MAX 8U
 #define PLAT_WATCH_START_MS 1000U /* jitter before the first list */
 
 enum plat_call_kind {
--- a/src/platform/tests/test_platform_client.c
+++ b/src/platform/tests/test_platform_client.c
@@ -7,6 +7,8 @@
 #include "client.h"
 #include "wiring.h"
 
+#define MANY_CALLS 20
+
 struct fixture {
 	struct wiring *wiring;
 	GString *output;
@@ -134,6 +136,63 @@
 	wiring_close(fixture.wiring);
 }
 
+static int64_t count_gets(struct wiring *wiring)
+{
+	json_t *stats = api_make_stats(wiring->server);
+	json_t *calls = json_object_get(stats, "calls");
+	int64_t count = json_integer_value(json_object_get(calls, "get"));
+
+	json_decref(stats);
+	return count;
+}
+
+static void ignore_result(const struct plat_result *result, void *data)
+{
+}
+
+/*
+ * Starts many reads on virtual time; returns how many the platform got. The
+ * sockets get all the real time that they need for the wanted ones.
+ */
+static int64_t count_started(uint32_t burst_calls, const char *faults,
+			     uint32_t time_ms, int64_t wanted)
+{
+	struct wiring *wiring = wiring_open_virtual(WIRING_TIMEOUT_MS);
+	struct plat_options options = *plat_get_options(wiring->client);
+	struct plat_client *client;
+	int64_t count;
+
+	options.calls_per_second = 1;
+	options.burst_calls = burst_calls;
+	client = plat_new_client(wiring, wiring->events, wiring->timers,
+				 wiring->counters, &options, NULL);
+	wiring_set_faults(wiring, faults);
+	for (int i = 0; i < MANY_CALLS; i++)
+		plat_get_object(client, client, "a", ignore_result, NULL);
+	for (uint32_t i = 0; i < time_ms; i++)
+		wiring_step(wiring, 1);
+	for (int i = 0; i < WIRING_TURNS_MAX && count_gets(wiring) < wanted;
+	     i++)
+		wiring_step(wiring, 0);
+	count = count_gets(wiring);
+	talloc_free(client);
+	wiring_close(wiring);
+	return count;
+}
+
+static void test_bucket_holds_calls_back(void)
+{
+	CU_ASSERT_EQUAL(count_started(3, "{}", 100, 3), 3);
+	CU_ASSERT_EQUAL(count_started(3, "{}", 2100, 5), 5);
+}
+
+static void test_calls_in_flight_are_bounded(void)
+{
+	CU_ASSERT_EQUAL(count_started(100, "{\"outage\": \"hang\"}", 100,
+				      PLAT_IN_FLIGHT_MAX),
+			PLAT_IN_FLIGHT_MAX);
+}
+
 static void test_contract(void)
 {
 	run_script("contract");
@@ -153,6 +212,8 @@
 	{ "contract", test_contract },
 	{ "faults", test_faults },
 	{ "stale reads and restored stores", test_stale },
+	{ "bucket holds calls back", test_bucket_holds_calls_back },
+	{ "calls in flight are bounded", test_calls_in_flight_are_bounded },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/platform/tests/test_platform_lease.c
+++ b/src/platform/tests/test_platform_lease.c
@@ -9,7 +9,6 @@
 #define LEASE_DURATION_MS 600U
 #define LEASE_KEY "lease/moves"
 #define COMPETITORS 2
-#define SOCKET_PAUSE_US 200U
 
 struct competitor {
 	struct plat_client *client;
@@ -211,28 +210,6 @@
 	test_outage_ends_tenure("{\"outage\": \"hang\"}");
 }
 
-static void note_pause(struct tevent_context *events,
-		       struct tevent_timer *timer, struct timeval now,
-		       void *data)
-{
-	bool *is_over = data;
-
-	*is_over = true;
-}
-
-/* One millisecond of virtual time, with some real time for the sockets. */
-static void step_virtual(struct wiring *wiring)
-{
-	bool is_over = false;
-
-	tmr_advance(wiring->timers, 1);
-	tevent_add_timer(wiring->events, wiring->events,
-			 tevent_timeval_current_ofs(0, SOCKET_PAUSE_US),
-			 note_pause, &is_over);
-	while (!is_over)
-		tevent_loop_once(wiring->events);
-}
-
 /*
  * On virtual time: whatever happens, the owner is told at the very millisecond
  * at which the lease ends.
@@ -248,7 +225,7 @@
 		plat_compete_lease(wiring, wiring->client, LEASE_KEY, "only",
 				   LEASE_DURATION_MS, note_change, &competitor);
 	for (uint32_t i = 0; i < 4 * LEASE_DURATION_MS; i++) {
-		step_virtual(wiring);
+		wiring_step(wiring, 1);
 		if (plat_is_lease_held(competitor.lease) !=
 		    competitor.is_told_held)
 			untold++;
--- a/src/platform/tests/test_platform_watch.c
+++ b/src/platform/tests/test_platform_watch.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include "wiring.h"
 
+#define RELIST_STEPS 400
+#define RELIST_STEP_MS 2000U
+#define NEVER_GONE_MS 250U
 #define HASTY_TIME_MS 300U
 #define HASTY_POLLS_MAX 20
 
@@ -126,6 +129,57 @@
 	run_script("watch_restored", 500);
 }
 
+/*
+ * The store is restored to a state of before the watch's revision, b and c
+ * written, between two faults; then steps of virtual time. The watch must tell.
+ */
+static void test_restored_unseen(const char *before, const char *after,
+				 int writes, uint32_t step_ms)
+{
+	struct wiring *wiring = wiring_open_virtual(WIRING_TIMEOUT_MS);
+	struct fixture fixture = { .wiring = wiring,
+				   .output = g_string_new(NULL) };
+
+	write_store(wiring, "a", true);
+	wiring_set_faults(wiring, "{\"save\": \"early\"}");
+	write_store(wiring, "a", true);
+	write_store(wiring, "a", true);
+	fixture.watch = plat_watch_prefix(wiring, wiring->client, "",
+					  print_notice, &fixture);
+	for (int i = 0; i < RELIST_STEPS; i++)
+		wiring_step(wiring, 10);
+	wiring_set_faults(wiring, before);
+	wiring_set_faults(wiring, "{\"restore\": \"early\"}");
+	write_store(wiring, "b", true);
+	for (int i = 0; i < writes; i++)
+		write_store(wiring, "c", true);
+	wiring_set_faults(wiring, after);
+	for (int i = 0; i < RELIST_STEPS; i++)
+		wiring_step(wiring, step_ms);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(fixture.output->str, "stale\nlisted a@1 older b@1"));
+	talloc_free(fixture.watch);
+	g_string_free(fixture.output, TRUE);
+	wiring_close(wiring);
+}
+
+/* In an outage the store also passes the watch's revision: only a list shows
+ * it.
+ */
+static void test_relist(void)
+{
+	test_restored_unseen("{\"outage\": true}", "{\"outage\": false}", 2,
+			     RELIST_STEP_MS);
+}
+
+/* A store that answers a revision of its future as if nothing had happened:
+ * its own revision, which comes with the answer, shows it.
+ */
+static void test_never_gone(void)
+{
+	test_restored_unseen("{\"never_gone\": true}", "{}", 0, NEVER_GONE_MS);
+}
+
 static void note_time(uint64_t now_ms, void *data)
 {
 	bool *is_over = data;
@@ -172,6 +226,8 @@
 static const CU_TestInfo tests[] = {
 	{ "watch, cut and history gone", test_watch },
 	{ "restored store", test_restored },
+	{ "restored store that went on", test_relist },
+	{ "restored store that knows no 410", test_never_gone },
 	{ "no busy loop at a store that does not wait", test_hasty_store },
 	{ "no busy loop in an outage", test_outage },
 	CU_TEST_INFO_NULL,
--- a/src/platform/tests/wiring.h
+++ b/src/platform/tests/wiring.h
@@ -12,6 +12,7 @@
 
 #define WIRING_TURNS_MAX 100000
 #define WIRING_TIMEOUT_MS 20000U
+#define WIRING_SOCKET_PAUSE_US 200U
 #define WIRING_RETRY_WAIT_MS 50U
 
 struct wiring {
@@ -95,6 +96,28 @@
 	CU_ASSERT_TRUE(*is_done);
 }
 
+static inline void wiring_note_pause(struct tevent_context *events,
+				     struct tevent_timer *timer,
+				     struct timeval now, void *data)
+{
+	bool *is_over = data;
+
+	*is_over = true;
+}
+
+/* A step of virtual time, with some real time for the sockets. */
+static inline void wiring_step(struct wiring *wiring, uint32_t step_ms)
+{
+	bool is_over = false;
+
+	tmr_advance(wiring->timers, step_ms);
+	tevent_add_timer(wiring->events, wiring->events,
+			 tevent_timeval_current_ofs(0, WIRING_SOCKET_PAUSE_US),
+			 wiring_note_pause, &is_over);
+	while (!is_over)
+		tevent_loop_once(wiring->events);
+}
+
 static inline void wiring_set_faults(struct wiring *wiring, const char *text)
 {
 	CU_ASSERT_TRUE(api_set_faults(wiring->server, text, NULL));
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -3,7 +3,9 @@
  *
  * A failed poll resumes from the last revision after a backoff; a history that
  * is gone leads to a new list. The first list waits for a random time, so that
- * nodes that start together do not list together.
+ * nodes that start together do not list together. A new list every few minutes
+ * finds what polls cannot: a store that was restored during an outage and has
+ * passed the watch's revision again.
  *
  * Invariant: exactly one of call and timer is set.
  */
@@ -13,6 +15,8 @@
 #include "loom/error.h"
 
 #define WATCH_WAIT_MS 30000U
+#define WATCH_RELIST_MS 600000U
+#define WATCH_RELIST_JITTER_MS 60000U
 
 struct plat_watch {
 	struct plat_client *client;
@@ -24,7 +28,8 @@
 	struct plat_backoff backoff;
 	uint64_t revision;
 	uint64_t poll_sent_ms;
-	bool is_listed; /* revision is that of a list or of later events */
+	uint64_t relist_ms; /* when to list again */
+	bool is_listed;	    /* revision is that of a list or of later events */
 };
 
 static void start_call(struct plat_watch *watch);
@@ -74,6 +79,10 @@
 	plat_reset_backoff(&watch->backoff);
 	watch->revision = result->revision;
 	watch->is_listed = true;
+	watch->relist_ms = tmr_get_now_ms(plat_get_timers(watch->client)) +
+			   WATCH_RELIST_MS +
+			   plat_choose_start_ms(plat_get_random(watch->client),
+						WATCH_RELIST_JITTER_MS);
 	wait_for(watch, 0);
 	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
 }
@@ -117,6 +126,8 @@
 {
 	assert(!watch->call);
 	watch->poll_sent_ms = tmr_get_now_ms(plat_get_timers(watch->client));
+	if (watch->poll_sent_ms >= watch->relist_ms)
+		watch->is_listed = false;
 	if (watch->is_listed)
 		watch->call = plat_poll_events(
 			watch, watch->client, watch->prefix, watch->revision,
--- a/tests/fakes/object_api.c
+++ b/tests/fakes/object_api.c
@@ -192,7 +192,8 @@
 	parse_number(web_get_query(request, "since"), &since);
 	*status = 410;
 	if (store_visit_events(server->store, get_prefix(request), since,
-			       append_event, events) == STORE_GONE) {
+			       append_event, events) == STORE_GONE &&
+	    !server->faults.is_never_gone) {
 		json_decref(events);
 		return json_pack("{s:s}", "error", "history is gone");
 	}
--- a/tests/fakes/object_api.h
+++ b/tests/fakes/object_api.h
@@ -10,6 +10,8 @@
  *   refuse_rate: the next N calls get 429
  *   cut_watches: true closes all waiting watches
  *   hasty_watches: true answers watches at once, without events too
+ *   never_gone: true answers watches of a revision out of the history as if
+ *     there were no events
  *   forget_history: true drops the history of events
  *   save, restore: keeps the state under a name, goes back to it
  *   stale_from, stale_reads: the next N reads of an object see a kept state
--- a/tests/fakes/object_api_state.h
+++ b/tests/fakes/object_api_state.h
@@ -30,6 +30,7 @@
 	bool is_out;
 	bool is_hanging;
 	bool is_hasty;
+	bool is_never_gone;
 	uint32_t delay_ms;
 	uint32_t lose_answers;
 	uint32_t drop_before;
--- a/tests/fakes/object_faults.c
+++ b/tests/fakes/object_faults.c
@@ -31,6 +31,14 @@
 		*count = (uint32_t)json_integer_value(value);
 }
 
+static void set_flag(const json_t *faults, const char *name, bool *flag)
+{
+	const json_t *value = json_object_get(faults, name);
+
+	if (json_is_boolean(value))
+		*flag = json_is_true(value);
+}
+
 static void set_text(struct api_server *server, const json_t *faults,
 		     const char *name, char **text)
 {
@@ -98,9 +106,8 @@
 	set_count(faults, "stale_reads", &server->faults.stale_reads);
 	set_text(server, faults, "stale_from", &server->faults.stale_from);
 	set_text(server, faults, "only_from", &server->faults.only_from);
-	if (json_object_get(faults, "hasty_watches"))
-		server->faults.is_hasty =
-			json_is_true(json_object_get(faults, "hasty_watches"));
+	set_flag(faults, "hasty_watches", &server->faults.is_hasty);
+	set_flag(faults, "never_gone", &server->faults.is_never_gone);
 	set_outage(server, json_object_get(faults, "outage"));
 	if (json_is_true(json_object_get(faults, "cut_watches")))
 		abort_pending(server, PENDING_WATCH);
