--- a/src/platform/tests/test_platform_client.c
+++ b/src/platform/tests/test_platform_client.c
@@ -45,12 +45,16 @@
 	g_string_append_c(fixture->output, '\n');
 }
 
-/* "put KEY VERSION ID [SIZE]": a value with that write id and padding. */
+/* "put KEY VERSION ID [SIZE]": a value with that write id ("-": none)
+ * and padding.
+ */
 static void put(struct fixture *fixture, int word_count, char **words)
 {
 	size_t size = word_count > 4 ? (size_t)atol(words[4]) : 0;
 	char *padding = g_strnfill(size, 'x');
-	json_t *value = json_pack("{s:s}", "write_id", words[3]);
+	bool has_id = strcmp(words[3], "-") != 0;
+	json_t *value =
+		json_pack("{s:s*}", "write_id", has_id ? words[3] : NULL);
 
 	if (size > 0)
 		json_object_set_new(value, "padding", json_string(padding));
