--- /dev/null
+++ b/src/routing/tests/test_routing.c
@@ -0,0 +1,373 @@
+/*
+ * Tests of the table, the version split, the choice of a target and retries.
+ */
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <xxhash.h>
+#include "fixture.h"
+#include "memory.h"
+#include "script.h"
+
+struct chooser_state {
+	struct fixture *fixture;
+	struct rt_chooser *chooser;
+	uint64_t now_ms;
+	uint64_t hash;
+};
+
+static uint32_t parse_number(const char *text)
+{
+	return (uint32_t)strtoul(text, NULL, 10);
+}
+
+static void set_move(struct chooser_state *state, const char *name,
+		     uint32_t share_permille)
+{
+	struct doc_manifest_service *entry;
+
+	entry = doc_find_manifest_service(state->fixture->manifest, "orders");
+	for (int i = DOC_MOVE_NONE; i <= DOC_MOVE_TAKEN_BACK; i++) {
+		if (strcmp(name, doc_get_move_state_name(
+					 (enum doc_move_state)i)) == 0)
+			entry->move_state = (enum doc_move_state)i;
+	}
+	entry->share_permille = share_permille;
+}
+
+static void fill_request(const struct chooser_state *state, int word_count,
+			 char **words, struct rt_request *request)
+{
+	request->service = state->fixture->service;
+	request->split_hash = state->hash;
+	for (int i = 1; i < word_count; i++)
+		request->tried[request->tried_count++] = words[i];
+}
+
+static const char *choose(struct chooser_state *state,
+			  const struct rt_request *request)
+{
+	const struct rt_target *target;
+	enum rt_refusal refusal;
+
+	target = rt_choose_target(state->chooser, state->fixture->table,
+				  request, state->now_ms, &refusal);
+	return target ? target->address : rt_get_refusal_name(refusal);
+}
+
+/* Chooses count times without starting calls and prints how often each. */
+static void print_choices(struct chooser_state *state, uint32_t count,
+			  GString *output)
+{
+	GTree *counts = g_tree_new((GCompareFunc)strcmp);
+	struct rt_request request = { .service = state->fixture->service };
+	GTreeNode *node;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const char *name;
+		uintptr_t seen;
+
+		request.split_hash = (uint64_t)i << 32 << 22;
+		name = choose(state, &request);
+		seen = (uintptr_t)g_tree_lookup(counts, name);
+		g_tree_insert(counts, (gpointer)name, (gpointer)(seen + 1));
+	}
+	for (node = g_tree_node_first(counts); node;
+	     node = g_tree_node_next(node))
+		g_string_append_printf(output, "%s %" PRIuPTR "\n",
+				       (const char *)g_tree_node_key(node),
+				       (uintptr_t)g_tree_node_value(node));
+	g_tree_destroy(counts);
+}
+
+static void note_end(struct chooser_state *state, int word_count, char **words)
+{
+	static const char *const outcomes[] = { "answered", "refused", "failed",
+						"cancelled" };
+	struct rt_load load = { 0 };
+	int outcome = 0;
+
+	while (strcmp(outcomes[outcome], words[2]) != 0)
+		outcome++;
+	if (word_count == 6) {
+		load.limit = parse_number(words[3]);
+		load.in_flight = parse_number(words[4]);
+		rt_parse_phase(words[5], &load.phase);
+	}
+	rt_note_end(state->chooser, words[1], (enum rt_outcome)outcome,
+		    word_count == 6 ? &load : NULL, state->now_ms);
+}
+
+static void change_table(struct chooser_state *state, char **words)
+{
+	struct rt_target target = { 0 };
+
+	if (strcmp(words[0], "target") == 0) {
+		target.address = words[1];
+		target.failure_domain = words[2];
+		target.version = words[3];
+		rt_parse_phase(words[4], &target.phase);
+		target.distance_us = parse_number(words[5]);
+		drop_target(state->fixture, words[1]);
+		add_target(state->fixture, &target);
+	} else if (strcmp(words[0], "drop") == 0) {
+		drop_target(state->fixture, words[1]);
+	} else if (strcmp(words[0], "domain") == 0) {
+		doc_add_manifest_domain(state->fixture->manifest, words[1])
+			->is_out = strcmp(words[2], "out") == 0;
+	} else {
+		set_move(state, words[1], parse_number(words[2]));
+	}
+	build_table(state->fixture);
+}
+
+static void set_policy(struct chooser_state *state, const char *name)
+{
+	enum rt_policy policy = RT_POLICY_TWO_CHOICES;
+
+	if (strcmp(name, "round_robin") == 0)
+		policy = RT_POLICY_ROUND_ROBIN;
+	if (strcmp(name, "random") == 0)
+		policy = RT_POLICY_RANDOM;
+	talloc_free(state->chooser);
+	state->chooser = rt_new_chooser(state->fixture, policy, 1);
+}
+
+static bool run_chooser_step(int word_count, char **words, GString *output,
+			     void *data)
+{
+	struct chooser_state *state = data;
+	struct rt_request request = { 0 };
+
+	if (strcmp(words[0], "policy") == 0) {
+		set_policy(state, words[1]);
+	} else if (strcmp(words[0], "at") == 0) {
+		state->now_ms = parse_number(words[1]);
+	} else if (strcmp(words[0], "choose") == 0) {
+		fill_request(state, word_count, words, &request);
+		g_string_append_printf(output, "%s\n", choose(state, &request));
+	} else if (strcmp(words[0], "many") == 0) {
+		print_choices(state, parse_number(words[1]), output);
+	} else if (strcmp(words[0], "start") == 0) {
+		rt_note_start(state->chooser, words[1]);
+	} else if (strcmp(words[0], "end") == 0) {
+		note_end(state, word_count, words);
+	} else {
+		change_table(state, words);
+	}
+	return true;
+}
+
+static void run_chooser_script(const char *name)
+{
+	struct chooser_state state = { 0 };
+
+	state.fixture = new_fixture();
+	set_policy(&state, "two_choices");
+	scr_run(name, run_chooser_step, &state);
+	free_fixture(state.fixture);
+}
+
+static void test_choice(void)
+{
+	run_chooser_script("choice");
+}
+
+static void test_health(void)
+{
+	run_chooser_script("health");
+}
+
+static void test_domains(void)
+{
+	run_chooser_script("domains");
+}
+
+static void test_versions(void)
+{
+	run_chooser_script("versions");
+}
+
+static void test_baselines(void)
+{
+	run_chooser_script("baselines");
+}
+
+static bool run_retry_step(int word_count, char **words, GString *output,
+			   void *data)
+{
+	struct rt_budget *budget = data;
+	struct rt_retry retry = {
+		.outcome = RT_OUTCOME_FAILED,
+		.is_repeatable = true,
+		.is_body_kept = true,
+		.attempt_count = 1,
+		.deadline_ms = UINT64_MAX,
+	};
+	uint32_t count = parse_number(words[2]);
+	uint32_t granted = 0;
+	enum rt_retry_verdict verdict = RT_RETRY_YES;
+
+	retry.now_ms = parse_number(words[1]);
+	if (strcmp(words[0], "credit") == 0) {
+		for (uint32_t i = 0; i < count; i++)
+			rt_credit_budget(budget, retry.now_ms);
+		return true;
+	}
+	for (int i = 3; i < word_count; i++) {
+		uint32_t value = parse_number(strpbrk(words[i], "0123456789"));
+
+		if (g_str_has_prefix(words[i], "repeatable="))
+			retry.is_repeatable = value;
+		else if (g_str_has_prefix(words[i], "not_run="))
+			retry.is_not_run = value;
+		else if (g_str_has_prefix(words[i], "begun="))
+			retry.is_answer_begun = value;
+		else if (g_str_has_prefix(words[i], "body="))
+			retry.is_body_kept = value;
+		else if (g_str_has_prefix(words[i], "attempts="))
+			retry.attempt_count = value;
+		else if (g_str_has_prefix(words[i], "depth="))
+			retry.depth = value;
+		else if (g_str_has_prefix(words[i], "deadline="))
+			retry.deadline_ms = value;
+		else if (g_str_has_prefix(words[i], "outcome="))
+			retry.outcome = (enum rt_outcome)value;
+		else
+			return false;
+	}
+	for (uint32_t i = 0; i < count && verdict == RT_RETRY_YES; i++) {
+		verdict = rt_decide_retry(budget, &retry);
+		granted += verdict == RT_RETRY_YES;
+	}
+	g_string_append_printf(output, "granted %u, then %s\n", granted,
+			       rt_get_retry_name(verdict));
+	return true;
+}
+
+static void test_retry(void)
+{
+	struct rt_budget *budget = rt_new_budget(NULL);
+
+	scr_run("retry", run_retry_step, budget);
+	talloc_free(budget);
+}
+
+#define SPLIT_REQUESTS 1000000U
+
+/* Exact over many hashes, and a request of the new version stays there. */
+static void test_split(void)
+{
+	static const uint32_t shares_permille[] = { 0, 1, 50, 250, 500, 1000 };
+	struct fixture *fixture = new_fixture();
+	struct chooser_state state = { .fixture = fixture };
+	uint8_t *is_new = talloc_zero_array(fixture, uint8_t, SPLIT_REQUESTS);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shares_permille); i++) {
+		uint32_t share = shares_permille[i];
+		uint32_t new_count = 0;
+		uint32_t back_count = 0;
+
+		set_move(&state, "running", share);
+		build_table(fixture);
+		for (uint32_t id = 0; id < SPLIT_REQUESTS; id++) {
+			struct rt_request request = {
+				.service = fixture->service,
+				.split_hash = XXH64(&id, sizeof(id), 0),
+			};
+			const char *version =
+				rt_choose_version(fixture->table, &request);
+			bool is_to = strcmp(version, "v2") == 0;
+
+			back_count += is_new[id] && !is_to;
+			is_new[id] = is_to;
+			new_count += is_to;
+		}
+		CU_ASSERT_EQUAL(back_count, 0);
+		CU_ASSERT_TRUE(labs((long)new_count -
+				    (long)share * SPLIT_REQUESTS / 1000) <
+			       SPLIT_REQUESTS / 1000);
+	}
+	free_fixture(fixture);
+}
+
+static void test_memory_is_bounded(void)
+{
+	struct fixture *fixture = new_fixture();
+	struct rt_memory_set *set = rt_new_memory_set(fixture);
+	struct rt_target target = { .failure_domain = "a", .version = "v1" };
+	char address[16];
+
+	for (uint32_t i = 0; i < 1000; i++) {
+		g_snprintf(address, sizeof(address), "t%u", i);
+		target.address = address;
+		add_target(fixture, &target);
+		build_table(fixture);
+		rt_sync_memory_set(set, fixture->table);
+		/* One call is still in flight when its target leaves. */
+		if (i == 500)
+			rt_get_memory(set, address)->here++;
+		drop_target(fixture, address);
+	}
+	CU_ASSERT_EQUAL(g_hash_table_size(set->by_address), 2);
+	rt_get_memory(set, "t500")->here--;
+	rt_release_memory(set, rt_get_memory(set, "t500"));
+	CU_ASSERT_EQUAL(g_hash_table_size(set->by_address), 1);
+	free_fixture(fixture);
+}
+
+static void *hold_table(void *data)
+{
+	struct rt_table *table = data;
+	struct rt_chooser *chooser =
+		rt_new_chooser(NULL, RT_POLICY_TWO_CHOICES, 1);
+	struct rt_request request = { 0 };
+	enum rt_refusal refusal;
+
+	request.service = doc_find_service(rt_get_snapshot(table), "orders");
+	for (uint64_t now_ms = 0; now_ms < 1000; now_ms++) {
+		rt_ref_table(table);
+		rt_choose_target(chooser, table, &request, now_ms, &refusal);
+		rt_unref_table(table);
+	}
+	talloc_free(chooser);
+	rt_unref_table(table);
+	return NULL;
+}
+
+static void test_table_is_freed_by_its_last_holder(void)
+{
+	struct rt_target target = { .address = "t1",
+				    .failure_domain = "a",
+				    .version = "v1" };
+	struct fixture *fixture = new_fixture();
+	pthread_t threads[4];
+
+	add_target(fixture, &target);
+	build_table(fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		pthread_create(&threads[i], NULL, hold_table,
+			       rt_ref_table(fixture->table));
+	free_fixture(fixture);
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		pthread_join(threads[i], NULL);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "choice by load, limit and distance", test_choice },
+	{ "phases, failures and refusals", test_health },
+	{ "failure domains taken out", test_domains },
+	{ "versions of a move", test_versions },
+	{ "baseline policies", test_baselines },
+	{ "split is exact and monotone", test_split },
+	{ "retry decisions", test_retry },
+	{ "memory of targets is bounded", test_memory_is_bounded },
+	{ "table is freed by its last holder",
+	  test_table_is_freed_by_its_last_holder },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("routing", tests);
+}
