Spread manifests by two relays a failure domain and pulls from peers

Cause: every node watched the manifest on the platform, so its calls grew with the nodes, and a node cut off from it learnt nothing. Now two lease holders a failure domain watch it; the others pull the manifest and the documents that they lack from a peer that reports a newer sequence, check them and adopt the whole or nothing.

A document is identified by version and hash of its content, since a restored platform can reach a version a second time. Fold test with the hash compare disabled: 'wanted: h accepted, got: h unchanged'.

--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -74,6 +74,7 @@
 struct doc_service {
 	const char *name;
 	uint64_t document_version;   /* object version on the platform */
+	uint64_t content_hash;	     /* see doc_hash_content() */
 	const char *const *versions; /* NULL-terminated */
 	const char *current;	     /* version served without a move */
 	const struct doc_route *routes;
@@ -111,6 +112,13 @@
 				      uint64_t document_version,
 				      struct doc_problem_list *list);
 
+/*
+ * Returns the hash of a document: xxHash64 of its compact text with sorted
+ * fields. A store that was restored can reach a version a second time with
+ * other content; version and hash together identify a document.
+ */
+uint64_t doc_hash_content(const json_t *document);
+
 /*
  * Returns the route of the longest path prefix on segment borders that allows
  * the method (borrowed from service), or NULL. Escapes in path are decoded and
@@ -140,6 +148,7 @@
 struct doc_manifest_service {
 	const char *name;
 	uint64_t document_version;
+	uint64_t content_hash; /* of the document of that version */
 	enum doc_move_state move_state;
 	uint32_t share_permille; /* of move->to; 0 without a move */
 	uint32_t step_index;
@@ -242,12 +251,13 @@
 /*
  * Folds proposed documents into the next manifest. services are the documents
  * of the current manifest, at least one of the exact version for each entry.
- * A document that does not parse, is older than the one in force or calls a
- * service that would be absent is rejected, and so is the removal of a service
- * that is still called; documents that call each other enter together. An
- * accepted document starts its move anew. When anything changed the sequence
- * rises by one and the caller sets a new write_id. Returns a new fold owned by
- * ctx, or NULL with *error set when a document in force is missing.
+ * A document that does not parse, is older than the one in force, has its
+ * version but other content, or calls a service that would be absent is
+ * rejected, and so is the removal of a service that is still called; documents
+ * that call each other enter together. An accepted document starts its move
+ * anew. When anything changed the sequence rises by one and the caller sets a
+ * new write_id. Returns a new fold owned by ctx, or NULL with *error set when a
+ * document in force is missing.
  */
 struct doc_fold *doc_fold_documents(TALLOC_CTX *ctx,
 				    const struct doc_manifest *current,
--- a/src/document/fold.c
+++ b/src/document/fold.c
@@ -113,6 +113,16 @@
 		verdict->kind = DOC_VERDICT_ACCEPTED;
 }
 
+/* A restored store can hold other content under the version in force. */
+static bool is_in_force(const struct doc_proposal *proposal,
+			const struct doc_manifest_service *entry)
+{
+	if (!entry || proposal->document_version != entry->document_version)
+		return false;
+	return !proposal->service ||
+	       proposal->service->content_hash == entry->content_hash;
+}
+
 static void judge_proposal(const struct fold_state *state, size_t index)
 {
 	const struct doc_proposal *proposal = &state->proposals[index];
@@ -125,7 +135,7 @@
 	else if (proposal->is_removal)
 		verdict->kind =
 			entry ? DOC_VERDICT_REMOVED : DOC_VERDICT_UNCHANGED;
-	else if (entry && proposal->document_version == entry->document_version)
+	else if (is_in_force(proposal, entry))
 		verdict->kind = DOC_VERDICT_UNCHANGED;
 	else
 		judge_document(state, proposal, entry, verdict);
@@ -246,7 +256,8 @@
 		entry = doc_find_manifest_service(state->current,
 						  service->name);
 		if (!entry ||
-		    entry->document_version != service->document_version)
+		    entry->document_version != service->document_version ||
+		    entry->content_hash != service->content_hash)
 			continue;
 		g_hash_table_insert(state->in_force, (gpointer)service->name,
 				    (gpointer)service);
@@ -284,6 +295,7 @@
 	case DOC_VERDICT_ACCEPTED:
 		entry = doc_add_manifest_service(fold->manifest, verdict->name);
 		entry->document_version = verdict->document_version;
+		entry->content_hash = proposal->service->content_hash;
 		entry->move_state = proposal->service->move ? DOC_MOVE_WAITING
 							    : DOC_MOVE_NONE;
 		entry->share_permille = 0;
--- a/src/document/manifest_json.c
+++ b/src/document/manifest_json.c
@@ -2,6 +2,7 @@
  * The manifest as JSON. A manifest from a peer is untrusted: every field is
  * read with its type and range, and entries must be in order of name.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include "loom/document.h"
@@ -11,6 +12,7 @@
 #define WRITE_ID_BYTES_MAX 200U
 #define DOMAINS_MAX 1000U
 #define STEP_INDEX_MAX 31U
+#define HASH_DIGITS 16U
 #define STEP "parse manifest"
 
 static const struct rd_range sequence_range = { 0, INT64_MAX };
@@ -20,6 +22,7 @@
 static const struct rd_range domains_range = { 0, DOMAINS_MAX };
 static const struct rd_range share_range = { 0, DOC_SHARE_ALL_PERMILLE };
 static const struct rd_range step_range = { 0, STEP_INDEX_MAX };
+static const struct rd_range hash_range = { HASH_DIGITS, HASH_DIGITS };
 static const struct rd_range state_range = { 1, 16 };
 
 /* Checks that entries are in order and none stands twice. */
@@ -47,12 +50,29 @@
 			       name);
 }
 
+/* Reads a hash in the one form that format_services() writes. */
+static void read_hash(struct rd_object *object, uint64_t *hash)
+{
+	const char *text;
+
+	if (!rd_read_text(object, "hash", RD_REQUIRED, &hash_range, &text))
+		return;
+	if (strspn(text, "0123456789abcdef") == HASH_DIGITS)
+		*hash = g_ascii_strtoull(text, NULL, 16);
+	else
+		rd_add_problem(object, "hash",
+			       "got \"%s\", wanted %u lower-case hexadecimal "
+			       "digits",
+			       text, HASH_DIGITS);
+}
+
 static void read_service(struct rd_object *object,
 			 struct doc_manifest_service *service)
 {
 	rd_read_label(object, "name", RD_REQUIRED, &service->name);
 	rd_read_uint64(object, "version", RD_REQUIRED, &version_range,
 		       &service->document_version);
+	read_hash(object, &service->content_hash);
 	read_state(object, service);
 	rd_read_uint32(object, "share_permille", RD_REQUIRED, &share_range,
 		       &service->share_permille);
@@ -165,12 +185,16 @@
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *service =
 			&manifest->services[i];
+		char hash[HASH_DIGITS + 1];
 
+		g_snprintf(hash, sizeof(hash), "%016" PRIx64,
+			   service->content_hash);
 		json_array_append_new(
 			array,
-			json_pack("{s:s, s:I, s:s, s:I, s:I}", "name",
+			json_pack("{s:s, s:I, s:s, s:s, s:I, s:I}", "name",
 				  service->name, "version",
-				  (json_int_t)service->document_version, "move",
+				  (json_int_t)service->document_version, "hash",
+				  hash, "move",
 				  doc_get_move_state_name(service->move_state),
 				  "share_permille",
 				  (json_int_t)service->share_permille, "step",
--- a/src/document/service_parse.c
+++ b/src/document/service_parse.c
@@ -5,7 +5,9 @@
  * field in place and the reading goes on, so that one run reports all
  * problems; the half-filled service is freed at the end then.
  */
+#include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 #include "parse.h"
 
 #define VERSIONS_MAX 16U
@@ -130,6 +132,15 @@
 	rd_close_object(object);
 }
 
+uint64_t doc_hash_content(const json_t *document)
+{
+	char *text = json_dumps(document, JSON_COMPACT | JSON_SORT_KEYS);
+	uint64_t hash = XXH64(text, strlen(text), 0);
+
+	free(text);
+	return hash;
+}
+
 struct doc_service *doc_parse_service(TALLOC_CTX *ctx, const char *file,
 				      const char *text, size_t size,
 				      uint64_t document_version,
@@ -145,6 +156,7 @@
 		return NULL;
 	service = talloc_zero(ctx, struct doc_service);
 	service->document_version = document_version;
+	service->content_hash = doc_hash_content(json);
 	object = rd_open_object(service, json, file, list->kept);
 	if (object)
 		read_service(object, service);
--- a/src/document/tests/fuzz_documents.c
+++ b/src/document/tests/fuzz_documents.c
@@ -115,9 +115,11 @@
 
 static const char manifest_seed[] =
 	"{\"sequence\":4,\"write_id\":\"a\",\"services\":["
-	"{\"name\":\"catalogue\",\"version\":3,\"move\":\"running\","
+	"{\"name\":\"catalogue\",\"version\":3,"
+	"\"hash\":\"00000000000000c3\",\"move\":\"running\","
 	"\"share_permille\":50,\"step\":1},"
-	"{\"name\":\"plans\",\"version\":1,\"move\":\"none\","
+	"{\"name\":\"plans\",\"version\":1,"
+	"\"hash\":\"fedcba9876543210\",\"move\":\"none\","
 	"\"share_permille\":0,\"step\":0}],"
 	"\"domains\":[{\"name\":\"kigali-1\",\"out\":true}]}";
 
--- a/src/document/tests/test_document.c
+++ b/src/document/tests/test_document.c
@@ -62,9 +62,11 @@
 
 static const char manifest_text[] =
 	"{\"sequence\":4,\"write_id\":\"a\",\"services\":["
-	"{\"name\":\"catalogue\",\"version\":3,\"move\":\"running\","
+	"{\"name\":\"catalogue\",\"version\":3,"
+	"\"hash\":\"00000000000000c3\",\"move\":\"running\","
 	"\"share_permille\":50,\"step\":1},"
-	"{\"name\":\"plans\",\"version\":1,\"move\":\"none\","
+	"{\"name\":\"plans\",\"version\":1,"
+	"\"hash\":\"fedcba9876543210\",\"move\":\"none\","
 	"\"share_permille\":0,\"step\":0}],"
 	"\"domains\":[{\"name\":\"kigali-1\",\"out\":true}]}";
 
@@ -262,6 +264,7 @@
 			doc_add_manifest_service(manifest, name);
 
 		entry->document_version = INT64_MAX;
+		entry->content_hash = UINT64_MAX;
 		entry->move_state = DOC_MOVE_TAKEN_BACK;
 		entry->share_permille = DOC_SHARE_ALL_PERMILLE;
 		entry->step_index = 31;
--- a/src/document/tests/test_fold.c
+++ b/src/document/tests/test_fold.c
@@ -96,12 +96,19 @@
 	proposal->problems = list;
 }
 
-static void set_entry(struct doc_manifest *manifest, char **words)
+static void set_entry(struct fold_test *test, char **words)
 {
 	struct doc_manifest_service *entry;
 
-	entry = doc_add_manifest_service(manifest, words[1]);
+	entry = doc_add_manifest_service(test->manifest, words[1]);
 	entry->document_version = strtoull(words[2], NULL, 10);
+	for (guint i = 0; i < test->documents->len; i++) {
+		const struct doc_service *service = test->documents->pdata[i];
+
+		if (strcmp(service->name, entry->name) == 0 &&
+		    service->document_version == entry->document_version)
+			entry->content_hash = service->content_hash;
+	}
 	if (!words[3])
 		return;
 	CU_ASSERT_TRUE(doc_parse_move_state(words[3], &entry->move_state));
@@ -229,7 +236,7 @@
 	else if (strcmp(step, "forget") == 0)
 		forget_document(test, words[1]);
 	else if (strcmp(step, "entry") == 0)
-		set_entry(test->manifest, words);
+		set_entry(test, words);
 	else if (strcmp(step, "drop") == 0)
 		doc_remove_manifest_service(test->manifest, words[1]);
 	else if (strcmp(step, "sequence") == 0)
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -6,6 +6,7 @@
  *   GET  /ready    200 when a manifest is in force here, 503 before
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
+ *   .../spread/... what peers ask for, see src/spread/peer_api.h
  */
 #include <string.h>
 #include <stdlib.h>
@@ -14,6 +15,7 @@
 #include "loom/reader.h"
 
 #define ANNOUNCEMENT_BYTES_MAX 4096U
+#define SPREAD_PATH "/spread/"
 
 static const struct rd_range port_range = { 1, 65535 };
 static const struct rd_range phase_range = { 1, 16 };
@@ -176,6 +178,10 @@
 	const char *method = web_get_method(request);
 	const char *path = web_get_path(request);
 
+	if (g_str_has_prefix(path, SPREAD_PATH)) {
+		spr_handle_request(((struct nd_node *)data)->spread, request);
+		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(admin_routes); i++) {
 		if (strcmp(admin_routes[i].method, method) == 0 &&
 		    strcmp(admin_routes[i].path, path) == 0) {
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -47,6 +47,7 @@
 	struct plat_client *platform;
 	struct mem_service *members;
 	struct spr_service *spread;
+	struct spr_peer *peers; /* last list given to spread */
 	struct tr_service *traffic;
 	struct web_server *admin;
 	struct nd_target target;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -86,6 +86,14 @@
 	update_table(data);
 }
 
+static void handle_newer(const char *peer, uint64_t sequence, void *data)
+{
+	struct nd_node *node = data;
+
+	if (node->spread)
+		spr_note_newer(node->spread, peer, sequence);
+}
+
 static void handle_snapshot(struct doc_snapshot *snapshot, void *data)
 {
 	struct nd_node *node = data;
@@ -148,6 +156,7 @@
 	options.seeds = settings->seeds;
 	options.seed = g_str_hash(settings->address);
 	options.on_change = handle_members;
+	options.on_newer = handle_newer;
 	options.data = node;
 	node->members = mem_new_service(node, node->events, node->timers,
 					node->counters, &options, error);
@@ -168,17 +177,48 @@
 	return node->admin != NULL;
 }
 
-static void open_spread(struct nd_node *node)
+static size_t list_peers(const struct spr_peer **peers, void *data)
 {
-	struct spr_options options = {
-		.timers = node->timers,
-		.platform = node->platform,
-		.holder = node->settings->address,
-		.fn = handle_snapshot,
-		.data = node,
-	};
+	struct nd_node *node = data;
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+	size_t used = 0;
 
-	node->spread = spr_new_service(node, &options);
+	TALLOC_FREE(node->peers);
+	node->peers = talloc_zero_array(node, struct spr_peer, count + 1);
+	for (size_t i = 0; i < count; i++) {
+		const struct mem_self *self = &members[i].self;
+		struct spr_peer *peer = &node->peers[used];
+
+		if (members[i].state != MEM_STATE_ALIVE ||
+		    strcmp(self->address, node->settings->address) == 0)
+			continue;
+		peer->address = talloc_asprintf(
+			node->peers, "%s:%u", self->address, self->admin_port);
+		peer->failure_domain = self->failure_domain;
+		peer->sequence = members[i].manifest_sequence;
+		used++;
+	}
+	*peers = node->peers;
+	return used;
+}
+
+static bool open_spread(struct nd_node *node, GError **error)
+{
+	struct spr_options options;
+
+	spr_set_default_options(&options);
+	options.events = node->events;
+	options.timers = node->timers;
+	options.platform = node->platform;
+	options.holder = node->settings->address;
+	options.failure_domain = node->settings->failure_domain;
+	options.seed = g_str_hash(node->settings->address);
+	options.fn = handle_snapshot;
+	options.list_peers = list_peers;
+	options.data = node;
+	node->spread = spr_new_service(node, &options, error);
+	return node->spread != NULL;
 }
 
 struct nd_node *nd_new_node(TALLOC_CTX *ctx, struct tevent_context *events,
@@ -191,11 +231,11 @@
 	node->timers = tmr_new(node, events);
 	node->counters = cnt_new_registry(node);
 	if (!open_platform(node, error) || !open_traffic(node, error) ||
-	    !open_members(node, error) || !open_admin(node, error)) {
+	    !open_members(node, error) || !open_spread(node, error) ||
+	    !open_admin(node, error)) {
 		talloc_free(node);
 		return NULL;
 	}
-	open_spread(node);
 	nd_watch_target(node);
 	nd_watch_signals(node);
 	return node;
--- a/src/spread/service.c
+++ b/src/spread/service.c
@@ -1,50 +1,196 @@
 /*
- * Spreading on one node: store, source and writer put together.
+ * Spreading on one node: store, source, puller, relay duty and writer put
+ * together, and the readiness of a fresh node.
+ *
+ * A relay follows the platform and competes for the writer's lease; every
+ * other node learns from peers and reads the platform's manifest now and then.
+ * Invariant: a snapshot is announced only once the node has caught up; after
+ * that each newer one is announced at once.
  */
 #include "loom/spread.h"
 
+#include "loom/http.h"
+#include "peer_api.h"
+#include "puller.h"
+#include "ready.h"
+#include "relay.h"
 #include "source.h"
 #include "store.h"
 #include "writer.h"
 
+#define LEASE_DURATION_MS 9000U
+#define CHECK_PERIOD_MS 1000U
+#define POLL_PERIOD_MS 30000U
+
 struct spr_service {
 	struct spr_options options;
+	struct hc_loop *loop;
 	struct spr_store *store;
 	struct spr_source *source;
-	struct spr_writer *writer;
-	struct doc_snapshot *announced; /* last one passed to fn, borrowed */
+	struct spr_puller *puller;
+	struct spr_relay *relay;
+	struct spr_writer *writer;   /* while this node is a relay */
+	uint64_t announced_sequence; /* last one passed to fn, 0: none */
+	uint64_t start_ms;
+	bool is_ready;
+	GRand *random;
 };
 
+static bool is_caught_up(struct spr_service *service)
+{
+	const struct spr_options *options = &service->options;
+	struct spr_ready_state state = {
+		.start_ms = service->start_ms,
+		.sequence = spr_get_sequence(service->store),
+	};
+	struct spr_platform_manifest present;
+	const struct spr_peer *peers;
+	size_t count = options->list_peers(&peers, options->data);
+
+	spr_get_platform_manifest(service->source, &present);
+	state.is_platform_heard = present.is_known;
+	state.platform_sequence = present.sequence;
+	for (size_t i = 0; i < count; i++) {
+		state.claimed_sequence =
+			MAX(state.claimed_sequence, peers[i].sequence);
+		if (g_strcmp0(peers[i].failure_domain,
+			      options->failure_domain) == 0)
+			state.is_peer_heard = true;
+	}
+	return spr_is_caught_up(&state, tmr_get_now_ms(options->timers));
+}
+
+static void announce(struct spr_service *service)
+{
+	struct doc_snapshot *snapshot = spr_get_store_snapshot(service->store);
+
+	if (service->announced_sequence == spr_get_sequence(service->store))
+		return;
+	service->is_ready = service->is_ready || is_caught_up(service);
+	if (!service->is_ready)
+		return;
+	service->announced_sequence = spr_get_sequence(service->store);
+	service->options.fn(snapshot, service->options.data);
+}
+
 static void handle_change(void *data)
 {
 	struct spr_service *service = data;
-	struct doc_snapshot *snapshot = spr_get_store_snapshot(service->store);
 
-	if (snapshot && snapshot != service->announced) {
-		service->announced = snapshot;
-		service->options.fn(snapshot, service->options.data);
-	}
+	announce(service);
 	if (service->writer)
 		spr_run_writer(service->writer);
 }
 
+static void handle_relay(bool is_held, void *data)
+{
+	struct spr_service *service = data;
+	const struct spr_options *options = &service->options;
+
+	TALLOC_FREE(service->writer);
+	spr_follow_platform(service->source, is_held);
+	if (is_held)
+		service->writer = spr_new_writer(
+			service, options->platform, service->store,
+			service->source, options->holder,
+			options->lease_duration_ms);
+}
+
+static void handle_check(uint64_t now_ms, void *data)
+{
+	struct spr_service *service = data;
+
+	spr_pull_any(service->puller);
+	announce(service);
+	if (!service->is_ready)
+		spr_read_platform(service->source);
+}
+
+static void handle_poll(uint64_t now_ms, void *data)
+{
+	struct spr_service *service = data;
+	uint32_t period_ms = service->options.poll_period_ms;
+
+	spr_read_platform(service->source);
+	tmr_subscribe_once(
+		service, service->options.timers,
+		period_ms / 2 + (uint32_t)g_rand_int_range(service->random, 0,
+							   (gint32)period_ms),
+		handle_poll, service);
+}
+
+static int destroy_service(struct spr_service *service)
+{
+	g_rand_free(service->random);
+	return 0;
+}
+
+static void start_timers(struct spr_service *service)
+{
+	const struct spr_options *options = &service->options;
+	uint32_t delay_ms = 1 + (uint32_t)g_rand_int_range(
+					service->random, 0,
+					(gint32)options->check_period_ms);
+
+	service->start_ms = tmr_get_now_ms(options->timers);
+	tmr_subscribe_every(service, options->timers, options->check_period_ms,
+			    handle_check, service);
+	tmr_subscribe_once(service, options->timers, delay_ms, handle_poll,
+			   service);
+}
+
+void spr_set_default_options(struct spr_options *options)
+{
+	*options = (struct spr_options){
+		.lease_duration_ms = LEASE_DURATION_MS,
+		.check_period_ms = CHECK_PERIOD_MS,
+		.poll_period_ms = POLL_PERIOD_MS,
+	};
+}
+
 struct spr_service *spr_new_service(TALLOC_CTX *ctx,
-				    const struct spr_options *options)
+				    const struct spr_options *options,
+				    GError **error)
 {
 	struct spr_service *service = talloc_zero(ctx, struct spr_service);
 
 	service->options = *options;
+	service->random = g_rand_new_with_seed((guint32)options->seed);
+	talloc_set_destructor(service, destroy_service);
+	service->loop = hc_new_loop(service, options->events, error);
+	if (!service->loop) {
+		talloc_free(service);
+		return NULL;
+	}
 	service->store = spr_new_store(service);
 	service->source =
-		spr_new_source(service, options->platform, service->store,
-			       handle_change, service);
-	service->writer =
-		spr_new_writer(service, options->platform, service->store,
-			       service->source, options->holder);
+		spr_new_source(service, options->platform, options->timers,
+			       service->store, handle_change, service);
+	service->puller =
+		spr_new_puller(service, &service->options, service->loop,
+			       service->store, handle_change, service);
+	service->relay = spr_new_relay(service, &service->options, handle_relay,
+				       service);
+	start_timers(service);
 	return service;
 }
 
+void spr_note_newer(struct spr_service *service, const char *peer,
+		    uint64_t sequence)
+{
+	spr_start_pull(service->puller, peer, sequence);
+}
+
+void spr_handle_request(struct spr_service *service,
+			struct web_request *request)
+{
+	if (spr_answer_request(service->store, request))
+		handle_change(service);
+}
+
 struct doc_snapshot *spr_get_snapshot(const struct spr_service *service)
 {
+	if (!service->is_ready)
+		return NULL;
 	return spr_get_store_snapshot(service->store);
 }
--- a/src/spread/source.c
+++ b/src/spread/source.c
@@ -1,45 +1,64 @@
 /*
- * Source: one watch on the manifest, and reads of the accepted documents that
- * the store lacks.
+ * Source: the manifest on the platform, by watch or by single reads, and reads
+ * of the accepted documents that the store lacks.
  *
  * Invariant: missing_count reads are under way for the pending manifest; when
- * the last one ends the manifest is adopted or, on a failed read, tried again.
+ * the last one ends the manifest is adopted or, on a failed read, tried again
+ * after a while.
  */
 #include "source.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include "loom/error.h"
 #include "loom/log.h"
 #include "loom/spread.h"
 
+/* Wait before documents that could not be read are read again. */
+#define RETRY_MS 500U
+
 struct spr_source {
 	struct plat_client *platform;
+	struct tmr_service *timers;
 	struct spr_store *store;
-	struct plat_watch *watch;
+	struct plat_watch *watch; /* while it is followed */
+	struct plat_call *call;	  /* single read under way */
+	struct tmr_subscription *retry;
 	struct doc_manifest *pending; /* newest one read, or NULL */
 	TALLOC_CTX *reads;	      /* calls for the pending manifest */
 	uint32_t missing_count;
-	bool is_known;
-	uint64_t object_version;
+	struct spr_platform_manifest present;
 	spr_source_fn fn;
 	void *data;
 };
 
 struct document_read {
 	struct spr_source *source;
-	const char *name;
-	uint64_t document_version;
+	struct doc_manifest_service entry;
 };
 
+static void read_missing(struct spr_source *source);
+
+static void handle_retry(uint64_t now_ms, void *data)
+{
+	struct spr_source *source = data;
+
+	source->retry = NULL;
+	if (source->pending->sequence > spr_get_sequence(source->store))
+		read_missing(source);
+}
+
 static void adopt_pending(struct spr_source *source)
 {
 	GError *error = NULL;
 
 	if (spr_adopt_manifest(source->store, source->pending, &error))
 		source->fn(source->data);
-	if (error)
+	if (error) {
 		log_write_error(LOG_LEVEL_WARNING, "spread", error);
+		source->retry = tmr_subscribe_once(
+			source, source->timers, RETRY_MS, handle_retry, source);
+	}
 	g_clear_error(&error);
 }
 
@@ -54,7 +73,7 @@
 		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
 	else
 		spr_add_document(
-			source->store, read->name, read->document_version,
+			source->store, &read->entry,
 			json_object_get(result->objects[0].value, "document"),
 			&error);
 	if (error)
@@ -64,25 +83,26 @@
 		adopt_pending(source);
 }
 
-static void read_document(struct spr_source *source, const char *name,
-			  uint64_t document_version)
+static void read_document(struct spr_source *source,
+			  const struct doc_manifest_service *entry)
 {
 	struct document_read *read =
 		talloc_zero(source->reads, struct document_read);
-	char *key = talloc_asprintf(read, "%s%s/%" PRIu64, SPR_KEY_ACCEPTED,
-				    name, document_version);
 
 	read->source = source;
-	read->name = talloc_strdup(read, name);
-	read->document_version = document_version;
+	read->entry = *entry;
+	read->entry.name = talloc_strdup(read, entry->name);
 	source->missing_count++;
-	plat_get_object(read, source->platform, key, take_document, read);
+	plat_get_object(read, source->platform,
+			spr_make_accepted_key(read, entry), take_document,
+			read);
 }
 
 static void read_missing(struct spr_source *source)
 {
 	const struct doc_manifest *manifest = source->pending;
 
+	TALLOC_FREE(source->retry);
 	TALLOC_FREE(source->reads);
 	source->reads = talloc_new(source);
 	source->missing_count = 0;
@@ -90,15 +110,21 @@
 		const struct doc_manifest_service *entry =
 			&manifest->services[i];
 
-		if (!spr_has_document(source->store, entry->name,
-				      entry->document_version))
-			read_document(source, entry->name,
-				      entry->document_version);
+		if (!spr_find_document(source->store, entry))
+			read_document(source, entry);
 	}
 	if (source->missing_count == 0)
 		adopt_pending(source);
 }
 
+static void take_absence(struct spr_source *source)
+{
+	source->present = (struct spr_platform_manifest){
+		.is_known = true,
+		.write_id = "",
+	};
+}
+
 static void take_manifest(struct spr_source *source,
 			  const struct plat_object *object)
 {
@@ -106,7 +132,6 @@
 	GError *error = NULL;
 	char *text;
 
-	source->object_version = object->version;
 	text = json_dumps(object->value, JSON_COMPACT);
 	manifest = doc_parse_manifest(source, text, strlen(text), &error);
 	free(text);
@@ -115,8 +140,16 @@
 		g_clear_error(&error);
 		return;
 	}
+	TALLOC_FREE(source->reads);
+	TALLOC_FREE(source->retry);
 	talloc_free(source->pending);
 	source->pending = manifest;
+	source->present = (struct spr_platform_manifest){
+		.is_known = true,
+		.object_version = object->version,
+		.sequence = manifest->sequence,
+		.write_id = manifest->write_id,
+	};
 	if (manifest->sequence > spr_get_sequence(source->store) ||
 	    !spr_get_store_snapshot(source->store))
 		read_missing(source);
@@ -135,38 +168,71 @@
 					result->error);
 		return;
 	case PLAT_WATCH_LISTED:
+		if (result->object_count == 0)
+			take_absence(source);
+		break;
 	case PLAT_WATCH_CHANGED:
 		break;
 	}
-	source->is_known = true;
-	if (kind == PLAT_WATCH_LISTED && result->object_count == 0) {
-		source->object_version = 0;
-		source->fn(source->data);
-	}
 	for (size_t i = 0; i < result->object_count; i++) {
-		if (!result->objects[i].is_deleted)
+		if (result->objects[i].is_deleted)
+			take_absence(source);
+		else
 			take_manifest(source, &result->objects[i]);
 	}
+	source->fn(source->data);
+}
+
+static void take_read(const struct plat_result *result, void *data)
+{
+	struct spr_source *source = data;
+
+	source->call = NULL;
+	if (!result->error)
+		take_manifest(source, &result->objects[0]);
+	else if (g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND))
+		take_absence(source);
+	else
+		return;
+	source->fn(source->data);
 }
 
 struct spr_source *spr_new_source(TALLOC_CTX *ctx, struct plat_client *platform,
+				  struct tmr_service *timers,
 				  struct spr_store *store, spr_source_fn fn,
 				  void *data)
 {
 	struct spr_source *source = talloc_zero(ctx, struct spr_source);
 
 	source->platform = platform;
+	source->timers = timers;
 	source->store = store;
 	source->fn = fn;
 	source->data = data;
-	source->watch = plat_watch_prefix(source, platform, SPR_KEY_MANIFEST,
-					  handle_watch, source);
+	source->present.write_id = "";
 	return source;
 }
 
-bool spr_get_manifest_version(const struct spr_source *source,
-			      uint64_t *object_version)
+void spr_follow_platform(struct spr_source *source, bool is_followed)
+{
+	if (!is_followed)
+		TALLOC_FREE(source->watch);
+	else if (!source->watch)
+		source->watch = plat_watch_prefix(source, source->platform,
+						  SPR_KEY_MANIFEST,
+						  handle_watch, source);
+}
+
+void spr_read_platform(struct spr_source *source)
+{
+	if (source->watch || source->call)
+		return;
+	source->call = plat_get_object(source, source->platform,
+				       SPR_KEY_MANIFEST, take_read, source);
+}
+
+void spr_get_platform_manifest(const struct spr_source *source,
+			       struct spr_platform_manifest *present)
 {
-	*object_version = source->object_version;
-	return source->is_known;
+	*present = source->present;
 }
--- a/src/spread/store.c
+++ b/src/spread/store.c
@@ -1,9 +1,10 @@
 /*
  * Store of the documents that the snapshot in force and the next one need.
  *
- * Documents are kept as JSON by name and version; those that the manifest in
- * force does not name are dropped when it is adopted.
- * Invariant: the sequence in force never falls.
+ * Documents are kept as JSON by name, version and hash; when a manifest is
+ * adopted those that it does not name are dropped, but for newer versions.
+ * Invariants: the sequence in force never falls; a document has the content
+ * whose hash it is kept under.
  */
 #include "store.h"
 
@@ -11,10 +12,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include "loom/error.h"
+#include "loom/spread.h"
 
 struct stored_document {
 	char *name;
 	uint64_t document_version;
+	uint64_t content_hash;
 	char *text;
 };
 
@@ -41,15 +44,16 @@
 }
 
 static const struct stored_document *
-find_document(const struct spr_store *store, const char *name,
-	      uint64_t document_version)
+find_document(const struct spr_store *store,
+	      const struct doc_manifest_service *entry)
 {
 	for (guint i = 0; i < store->documents->len; i++) {
 		const struct stored_document *document =
 			store->documents->pdata[i];
 
-		if (document->document_version == document_version &&
-		    strcmp(document->name, name) == 0)
+		if (document->document_version == entry->document_version &&
+		    document->content_hash == entry->content_hash &&
+		    strcmp(document->name, entry->name) == 0)
 			return document;
 	}
 	return NULL;
@@ -85,34 +89,72 @@
 	return store;
 }
 
-bool spr_add_document(struct spr_store *store, const char *name,
-		      uint64_t document_version, const json_t *document,
-		      GError **error)
+/* Checks that a document is the one that the entry names. */
+static bool check_document(const struct doc_manifest_service *entry,
+			   const char *text, uint64_t content_hash,
+			   GError **error)
 {
-	TALLOC_CTX *scratch = talloc_new(NULL);
-	char *text = json_dumps(document, JSON_COMPACT);
-	struct stored_document *stored;
+	TALLOC_CTX *scratch;
 	bool is_right;
 
-	is_right = text &&
-		   parse_document(scratch, name, document_version, text, error);
+	if (content_hash != entry->content_hash) {
+		err_set(error, ERR_INVALID_DOCUMENT, "check document",
+			entry->name,
+			"got content of hash %016" PRIx64 ", wanted %016" PRIx64
+			" for version %" PRIu64,
+			content_hash, entry->content_hash,
+			entry->document_version);
+		return false;
+	}
+	scratch = talloc_new(NULL);
+	is_right = parse_document(scratch, entry->name, entry->document_version,
+				  text, error) != NULL;
 	talloc_free(scratch);
-	if (!is_right || spr_has_document(store, name, document_version)) {
+	return is_right;
+}
+
+bool spr_add_document(struct spr_store *store,
+		      const struct doc_manifest_service *entry,
+		      const json_t *document, GError **error)
+{
+	struct stored_document *stored;
+	char *text;
+
+	if (!json_is_object(document)) {
+		err_set(error, ERR_INVALID_DOCUMENT, "check document",
+			entry->name, "got no JSON object, wanted a document");
+		return false;
+	}
+	if (find_document(store, entry))
+		return true;
+	text = json_dumps(document, JSON_COMPACT);
+	if (!check_document(entry, text, doc_hash_content(document), error)) {
 		free(text);
-		return is_right;
+		return false;
 	}
 	stored = g_new0(struct stored_document, 1);
-	stored->name = g_strdup(name);
-	stored->document_version = document_version;
+	stored->name = g_strdup(entry->name);
+	stored->document_version = entry->document_version;
+	stored->content_hash = entry->content_hash;
 	stored->text = text;
 	g_ptr_array_add(store->documents, stored);
 	return true;
 }
 
-bool spr_has_document(const struct spr_store *store, const char *name,
-		      uint64_t document_version)
+const char *spr_find_document(const struct spr_store *store,
+			      const struct doc_manifest_service *entry)
 {
-	return find_document(store, name, document_version) != NULL;
+	const struct stored_document *document = find_document(store, entry);
+
+	return document ? document->text : NULL;
+}
+
+char *spr_make_accepted_key(TALLOC_CTX *ctx,
+			    const struct doc_manifest_service *entry)
+{
+	return talloc_asprintf(ctx, "%s%s/%" PRIu64 "-%016" PRIx64,
+			       SPR_KEY_ACCEPTED, entry->name,
+			       entry->document_version, entry->content_hash);
 }
 
 static struct doc_snapshot *build_snapshot(const struct spr_store *store,
@@ -128,8 +170,8 @@
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *entry =
 			&manifest->services[i];
-		const struct stored_document *document = find_document(
-			store, entry->name, entry->document_version);
+		const struct stored_document *document =
+			find_document(store, entry);
 
 		if (!document) {
 			err_set(error, ERR_NOT_FOUND, "build snapshot",
@@ -162,7 +204,9 @@
 			doc_find_manifest_service(manifest, document->name);
 
 		if (!entry ||
-		    entry->document_version > document->document_version)
+		    entry->document_version > document->document_version ||
+		    (entry->document_version == document->document_version &&
+		     entry->content_hash != document->content_hash))
 			g_ptr_array_remove_index_fast(store->documents, i - 1);
 	}
 }
--- a/src/spread/store.h
+++ b/src/spread/store.h
@@ -13,16 +13,23 @@
 struct spr_store *spr_new_store(TALLOC_CTX *ctx);
 
 /*
- * Takes the accepted copy of a document. Returns false with *error set when it
- * does not parse.
+ * Takes the document of a manifest's entry. Returns false with *error set when
+ * its content is not the one that the entry names, or does not parse.
  */
-bool spr_add_document(struct spr_store *store, const char *name,
-		      uint64_t document_version, const json_t *document,
-		      GError **error);
+bool spr_add_document(struct spr_store *store,
+		      const struct doc_manifest_service *entry,
+		      const json_t *document, GError **error);
 
-/* Returns whether the store has that version of a document. */
-bool spr_has_document(const struct spr_store *store, const char *name,
-		      uint64_t document_version);
+/*
+ * Returns the text of the document of a manifest's entry, borrowed until the
+ * next manifest is adopted, or NULL.
+ */
+const char *spr_find_document(const struct spr_store *store,
+			      const struct doc_manifest_service *entry);
+
+/* Returns the key of the accepted copy on the platform, new, owned by ctx. */
+char *spr_make_accepted_key(TALLOC_CTX *ctx,
+			    const struct doc_manifest_service *entry);
 
 /*
  * Puts a manifest in force when it is newer and all its documents are there:
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -10,15 +10,12 @@
  */
 #include "writer.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include "loom/error.h"
 #include "loom/log.h"
 #include "loom/spread.h"
 
-#define LEASE_DURATION_MS 9000U
-
 struct known_document {
 	uint64_t version;
 	json_t *value;
@@ -196,17 +193,17 @@
 static void put_manifest(struct round *round)
 {
 	struct spr_writer *writer = round->writer;
-	uint64_t object_version;
+	struct spr_platform_manifest present;
 	json_t *value;
 	char *text;
 
-	spr_get_manifest_version(writer->source, &object_version);
+	spr_get_platform_manifest(writer->source, &present);
 	round->fold->manifest->write_id =
 		plat_make_write_id(round, writer->platform, writer->holder);
 	text = doc_format_manifest(round, round->fold->manifest);
 	value = json_loads(text, 0, NULL);
 	plat_put_object(round, writer->platform, SPR_KEY_MANIFEST, value,
-			object_version, finish_manifest, round);
+			present.object_version, finish_manifest, round);
 	json_decref(value);
 }
 
@@ -237,8 +234,9 @@
 		"{s:s,s:O}", "write_id",
 		plat_make_write_id(round, writer->platform, writer->holder),
 		"document", document->value);
-	char *key = talloc_asprintf(round, "%s%s/%" PRIu64, SPR_KEY_ACCEPTED,
-				    verdict->name, verdict->document_version);
+	char *key = spr_make_accepted_key(
+		round, doc_find_manifest_service(round->fold->manifest,
+						 verdict->name));
 
 	plat_put_object(round, writer->platform, key, value, 0, finish_copy,
 			round);
@@ -328,11 +326,13 @@
 
 void spr_run_writer(struct spr_writer *writer)
 {
-	uint64_t object_version;
+	struct spr_platform_manifest present;
 	GError *error = NULL;
 
-	if (!writer->watch || !writer->is_listed || writer->round ||
-	    !spr_get_manifest_version(writer->source, &object_version))
+	spr_get_platform_manifest(writer->source, &present);
+	if (!plat_is_lease_held(writer->lease) || !writer->is_listed ||
+	    writer->round || !present.is_known ||
+	    present.sequence > spr_get_sequence(writer->store))
 		return;
 	writer->round = talloc_zero(writer, struct round);
 	writer->round->writer = writer;
@@ -413,7 +413,8 @@
 
 struct spr_writer *spr_new_writer(TALLOC_CTX *ctx, struct plat_client *platform,
 				  struct spr_store *store,
-				  struct spr_source *source, const char *holder)
+				  struct spr_source *source, const char *holder,
+				  uint32_t lease_duration_ms)
 {
 	struct spr_writer *writer = talloc_zero(ctx, struct spr_writer);
 
@@ -428,6 +429,6 @@
 	talloc_set_destructor(writer, destroy_writer);
 	writer->lease = plat_compete_lease(
 		writer, platform, SPR_KEY_WRITER_LEASE, holder,
-		LEASE_DURATION_MS, handle_lease, writer);
+		lease_duration_ms, handle_lease, writer);
 	return writer;
 }
--- a/src/spread/writer.h
+++ b/src/spread/writer.h
@@ -10,11 +10,14 @@
 
 struct spr_writer;
 
-/* Competes for the lease. Returns a new writer owned by ctx. */
+/*
+ * Competes for the lease. source must follow the platform for the life of the
+ * writer. Returns a new writer owned by ctx.
+ */
 struct spr_writer *spr_new_writer(TALLOC_CTX *ctx, struct plat_client *platform,
 				  struct spr_store *store,
-				  struct spr_source *source,
-				  const char *holder);
+				  struct spr_source *source, const char *holder,
+				  uint32_t lease_duration_ms);
 
 /* Looks whether there is something to write: after a change in the store. */
 void spr_run_writer(struct spr_writer *writer);
