--- a/src/spread/service.c
+++ b/src/spread/service.c
@@ -100,6 +100,8 @@
 {
 	struct spr_service *service = data;
 
+	if (service->writer)
+		spr_retry_writer(service->writer);
 	spr_pull_any(service->puller);
 	announce(service);
 	if (!service->is_ready)
--- /dev/null
+++ b/src/spread/status.h
@@ -0,0 +1,19 @@
+/*
+ * Writes the status of each service for operators to read.
+ */
+#ifndef SPR_STATUS_H
+#define SPR_STATUS_H
+
+#include "loom/document.h"
+#include "loom/platform.h"
+
+struct spr_status;
+
+/* holder is borrowed. Returns a new writer of statuses owned by ctx. */
+struct spr_status *spr_new_status(TALLOC_CTX *ctx, struct plat_client *platform,
+				  const char *holder);
+
+/* Writes the statuses that differ from those on the platform. */
+void spr_write_statuses(struct spr_status *status, const struct doc_fold *fold);
+
+#endif
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -6,6 +6,13 @@
  * accepted documents are written first, then the manifest by conditional
  * update, then the status of each service. Nothing rests on the lease: two
  * writers at once lose a conditional update and begin anew.
+ *
+ * A platform that was restored holds an older manifest than the one in force,
+ * or another one of the same sequence. The one in force is then written back
+ * under a higher sequence, with all its copies and the documents that are
+ * absent. A document counts as removed only while the platform holds the
+ * manifest in force, and only after its deletion was seen or a read confirmed
+ * its absence: a list can be older than the manifest.
  * Invariant: one round at a time; `round` owns all its calls.
  */
 #include "writer.h"
@@ -15,6 +22,7 @@
 #include "loom/error.h"
 #include "loom/log.h"
 #include "loom/spread.h"
+#include "status.h"
 
 struct known_document {
 	uint64_t version;
@@ -24,10 +32,19 @@
 struct round {
 	struct spr_writer *writer;
 	struct doc_fold *fold;
-	uint32_t copy_count; /* copies of documents not yet written */
+	uint32_t copy_count; /* copies and documents not yet written */
+	bool is_write_back;
 	bool is_failed;
 };
 
+/* Read that confirms that a document is absent, or its writing back. */
+struct document_call {
+	struct spr_writer *writer;
+	struct round *round; /* of a write-back, or NULL */
+	const char *name;
+	json_t *document; /* owned; of a write-back */
+};
+
 struct spr_writer {
 	struct plat_client *platform;
 	struct spr_store *store;
@@ -37,15 +54,11 @@
 	struct plat_watch *watch; /* while the lease is held */
 	bool is_listed;
 	GHashTable *documents; /* service to struct known_document */
-	GHashTable *statuses;  /* service to the text last written */
+	GHashTable *removed;   /* services whose document is known absent */
+	GHashTable *asked;     /* services whose absence is being confirmed */
+	struct spr_status *status;
 	struct round *round;
-};
-
-struct status_write {
-	struct spr_writer *writer;
-	const char *key;
-	const char *service;
-	json_t *value;
+	bool is_retried; /* a round failed or a change came during one */
 };
 
 static void free_known_document(gpointer data)
@@ -56,125 +69,15 @@
 	g_free(document);
 }
 
-static json_t *make_problems(const struct doc_verdict *verdict)
-{
-	GString *text = g_string_new(NULL);
-	json_t *problems = json_array();
-	char **lines;
-
-	if (verdict->problems)
-		doc_print_problems(verdict->problems, text);
-	lines = g_strsplit(text->str, "\n", -1);
-	for (char **line = lines; *line; line++) {
-		if (**line)
-			json_array_append_new(problems, json_string(*line));
-	}
-	g_strfreev(lines);
-	g_string_free(text, TRUE);
-	return problems;
-}
-
-/* A document that is in force already was accepted when it entered. */
-static const char *get_verdict_name(enum doc_verdict_kind kind)
-{
-	if (kind == DOC_VERDICT_UNCHANGED)
-		kind = DOC_VERDICT_ACCEPTED;
-	return doc_get_verdict_name(kind);
-}
-
-static json_t *make_status(const struct doc_verdict *verdict,
-			   const struct doc_manifest *manifest)
-{
-	const struct doc_manifest_service *entry =
-		doc_find_manifest_service(manifest, verdict->name);
-
-	return json_pack(
-		"{s:s,s:I,s:s,s:o,s:I,s:s,s:i}", "service", verdict->name,
-		"document_version", (json_int_t)verdict->document_version,
-		"verdict", get_verdict_name(verdict->kind), "problems",
-		make_problems(verdict), "version_in_force",
-		entry ? (json_int_t)entry->document_version : 0, "move",
-		doc_get_move_state_name(entry ? entry->move_state
-					      : DOC_MOVE_NONE),
-		"share_permille", entry ? (int)entry->share_permille : 0);
-}
-
-static int destroy_status_write(struct status_write *write)
-{
-	json_decref(write->value);
-	return 0;
-}
-
-static void finish_status(const struct plat_result *result, void *data)
-{
-	struct status_write *write = data;
-
-	if (result->error) {
-		g_hash_table_remove(write->writer->statuses, write->service);
-		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
-	}
-	talloc_free(write);
-}
-
-static void put_status(const struct plat_result *result, void *data)
-{
-	struct status_write *write = data;
-	uint64_t version = 0;
-
-	if (!result->error)
-		version = result->objects[0].version;
-	else if (!g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND)) {
-		finish_status(result, data);
-		return;
-	}
-	json_object_set_new(
-		write->value, "write_id",
-		json_string(plat_make_write_id(write, write->writer->platform,
-					       write->writer->holder)));
-	plat_put_object(write, write->writer->platform, write->key,
-			write->value, version, finish_status, write);
-}
-
-static void write_status(struct spr_writer *writer,
-			 const struct doc_verdict *verdict,
-			 const struct doc_manifest *manifest)
-{
-	json_t *status = make_status(verdict, manifest);
-	char *text = json_dumps(status, JSON_COMPACT | JSON_SORT_KEYS);
-	struct status_write *write;
-
-	if (g_strcmp0(text, g_hash_table_lookup(writer->statuses,
-						verdict->name)) == 0) {
-		free(text);
-		json_decref(status);
-		return;
-	}
-	g_hash_table_replace(writer->statuses, g_strdup(verdict->name),
-			     g_strdup(text));
-	free(text);
-	write = talloc_zero(writer, struct status_write);
-	write->writer = writer;
-	write->service = talloc_strdup(write, verdict->name);
-	write->key =
-		talloc_asprintf(write, "%s%s", SPR_KEY_STATUS, verdict->name);
-	write->value = status;
-	talloc_set_destructor(write, destroy_status_write);
-	plat_get_object(write, writer->platform, write->key, put_status, write);
-}
-
-static void write_statuses(struct spr_writer *writer,
-			   const struct doc_fold *fold)
+static void finish_round(struct spr_writer *writer)
 {
-	for (size_t i = 0; i < fold->verdict_count; i++) {
-		if (fold->verdicts[i].kind != DOC_VERDICT_REMOVED)
-			write_status(writer, &fold->verdicts[i],
-				     fold->manifest);
-	}
+	TALLOC_FREE(writer->round);
 }
 
-static void finish_round(struct spr_writer *writer)
+static void fail_round(struct spr_writer *writer)
 {
-	TALLOC_FREE(writer->round);
+	writer->is_retried = true;
+	finish_round(writer);
 }
 
 static void finish_manifest(const struct plat_result *result, void *data)
@@ -182,10 +85,12 @@
 	struct round *round = data;
 	struct spr_writer *writer = round->writer;
 
-	if (result->error)
+	if (result->error) {
 		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
-	else
-		write_statuses(writer, round->fold);
+		writer->is_retried = true;
+	} else {
+		spr_write_statuses(writer->status, round->fold);
+	}
 	/* The watch on the manifest starts the next round. */
 	finish_round(writer);
 }
@@ -197,6 +102,11 @@
 	json_t *value;
 	char *text;
 
+	/* After a pause of the process its copies may have been swept. */
+	if (!plat_is_lease_held(writer->lease)) {
+		finish_round(writer);
+		return;
+	}
 	spr_get_platform_manifest(writer->source, &present);
 	round->fold->manifest->write_id =
 		plat_make_write_id(round, writer->platform, writer->holder);
@@ -207,39 +117,109 @@
 	json_decref(value);
 }
 
+/* Counts one part of the round as ended; after the last the manifest goes. */
+static void finish_part(struct round *round)
+{
+	if (--round->copy_count > 0)
+		return;
+	if (round->is_failed)
+		fail_round(round->writer);
+	else
+		put_manifest(round);
+}
+
 static void finish_copy(const struct plat_result *result, void *data)
 {
 	struct round *round = data;
 
-	/* A copy that is there already is the same document. */
+	/* A copy that is there already has the same version and hash. */
 	if (result->error &&
 	    !g_error_matches(result->error, ERR_DOMAIN, ERR_CONFLICT)) {
 		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
 		round->is_failed = true;
 	}
-	if (--round->copy_count > 0)
-		return;
-	if (round->is_failed)
-		finish_round(round->writer);
-	else
-		put_manifest(round);
+	finish_part(round);
 }
 
-static void put_copy(struct round *round, const struct doc_verdict *verdict)
+static void put_copy(struct round *round,
+		     const struct doc_manifest_service *entry, json_t *document)
 {
 	struct spr_writer *writer = round->writer;
-	const struct known_document *document =
-		g_hash_table_lookup(writer->documents, verdict->name);
 	json_t *value = json_pack(
 		"{s:s,s:O}", "write_id",
 		plat_make_write_id(round, writer->platform, writer->holder),
-		"document", document->value);
-	char *key = spr_make_accepted_key(
-		round, doc_find_manifest_service(round->fold->manifest,
-						 verdict->name));
+		"document", document);
 
-	plat_put_object(round, writer->platform, key, value, 0, finish_copy,
-			round);
+	plat_put_object(round, writer->platform,
+			spr_make_accepted_key(round, entry), value, 0,
+			finish_copy, round);
+	json_decref(value);
+}
+
+static void note_document(struct spr_writer *writer, const char *name,
+			  uint64_t version, json_t *value)
+{
+	struct known_document *document = g_new0(struct known_document, 1);
+
+	document->version = version;
+	document->value = json_incref(value);
+	g_hash_table_replace(writer->documents, g_strdup(name), document);
+	g_hash_table_remove(writer->removed, name);
+}
+
+static int destroy_document_call(struct document_call *call)
+{
+	json_decref(call->document);
+	return 0;
+}
+
+static struct document_call *
+new_document_call(TALLOC_CTX *ctx, struct spr_writer *writer, const char *name)
+{
+	struct document_call *call = talloc_zero(ctx, struct document_call);
+
+	call->writer = writer;
+	call->name = talloc_strdup(call, name);
+	talloc_set_destructor(call, destroy_document_call);
+	return call;
+}
+
+static char *make_document_key(TALLOC_CTX *ctx, const char *name)
+{
+	return talloc_asprintf(ctx, "%s%s", SPR_KEY_DOCUMENTS, name);
+}
+
+static void finish_document(const struct plat_result *result, void *data)
+{
+	struct document_call *call = data;
+	struct round *round = call->round;
+
+	if (result->error) {
+		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
+		round->is_failed = true;
+	} else {
+		note_document(call->writer, call->name, result->version,
+			      call->document);
+	}
+	finish_part(round);
+}
+
+/* Writes a document that a restored platform lost. */
+static void put_document(struct round *round, const char *name,
+			 json_t *document)
+{
+	struct spr_writer *writer = round->writer;
+	struct document_call *call = new_document_call(round, writer, name);
+	json_t *value = json_pack(
+		"{s:s,s:O}", "write_id",
+		plat_make_write_id(call, writer->platform, writer->holder),
+		"document", document);
+
+	call->round = round;
+	call->document = json_incref(document);
+	round->copy_count++;
+	plat_put_object(call, writer->platform, make_document_key(call, name),
+			value, 0, finish_document, call);
 	json_decref(value);
 }
 
@@ -247,18 +227,45 @@
 {
 	const struct doc_fold *fold = round->fold;
 
+	round->copy_count = 1;
 	for (size_t i = 0; i < fold->verdict_count; i++) {
-		if (fold->verdicts[i].kind == DOC_VERDICT_ACCEPTED)
-			round->copy_count++;
-	}
-	if (round->copy_count == 0) {
-		put_manifest(round);
-		return;
+		const struct doc_verdict *verdict = &fold->verdicts[i];
+		const struct known_document *document;
+
+		if (verdict->kind != DOC_VERDICT_ACCEPTED)
+			continue;
+		document = g_hash_table_lookup(round->writer->documents,
+					       verdict->name);
+		round->copy_count++;
+		put_copy(round,
+			 doc_find_manifest_service(fold->manifest,
+						   verdict->name),
+			 document->value);
 	}
-	for (size_t i = 0; i < fold->verdict_count; i++) {
-		if (fold->verdicts[i].kind == DOC_VERDICT_ACCEPTED)
-			put_copy(round, &fold->verdicts[i]);
+	finish_part(round);
+}
+
+/* Writes the manifest in force and all that it names. */
+static void write_back(struct round *round)
+{
+	struct spr_writer *writer = round->writer;
+	const struct doc_manifest *manifest = round->fold->manifest;
+
+	round->is_write_back = true;
+	round->copy_count = 1;
+	for (size_t i = 0; i < manifest->service_count; i++) {
+		const struct doc_manifest_service *entry =
+			&manifest->services[i];
+		json_t *document = json_loads(
+			spr_find_document(writer->store, entry), 0, NULL);
+
+		round->copy_count++;
+		put_copy(round, entry, document);
+		if (!g_hash_table_contains(writer->documents, entry->name))
+			put_document(round, entry->name, document);
+		json_decref(document);
 	}
+	finish_part(round);
 }
 
 static void add_proposal(struct doc_proposal *proposal, TALLOC_CTX *ctx,
@@ -276,6 +283,71 @@
 	free(text);
 }
 
+static void take_confirmation(const struct plat_result *result, void *data)
+{
+	struct document_call *call = data;
+	struct spr_writer *writer = call->writer;
+
+	g_hash_table_remove(writer->asked, call->name);
+	if (!result->error)
+		note_document(
+			writer, call->name, result->objects[0].version,
+			json_object_get(result->objects[0].value, "document"));
+	else if (g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND))
+		g_hash_table_add(writer->removed, g_strdup(call->name));
+	else
+		log_write_error(LOG_LEVEL_WARNING, "spread", result->error);
+	if (g_hash_table_contains(writer->documents, call->name) ||
+	    g_hash_table_contains(writer->removed, call->name))
+		spr_run_writer(writer);
+	else
+		writer->is_retried = true;
+	talloc_free(call);
+}
+
+static void confirm_absence(struct spr_writer *writer, const char *name)
+{
+	struct document_call *call;
+
+	if (!g_hash_table_add(writer->asked, g_strdup(name)))
+		return;
+	call = new_document_call(writer->watch, writer, name);
+	plat_get_object(call, writer->platform, make_document_key(call, name),
+			take_confirmation, call);
+}
+
+static void add_removals(struct spr_writer *writer,
+			 const struct doc_manifest *manifest,
+			 struct doc_proposal *proposals, size_t *count)
+{
+	for (size_t i = 0; i < manifest->service_count; i++) {
+		const char *in_force = manifest->services[i].name;
+
+		if (g_hash_table_contains(writer->documents, in_force))
+			continue;
+		if (!g_hash_table_contains(writer->removed, in_force)) {
+			confirm_absence(writer, in_force);
+			continue;
+		}
+		proposals[*count].name = in_force;
+		proposals[(*count)++].is_removal = true;
+	}
+}
+
+/* Whether the platform holds the very manifest in force here. */
+static bool is_platform_current(const struct spr_writer *writer,
+				const struct spr_platform_manifest *present)
+{
+	struct doc_snapshot *snapshot = spr_get_store_snapshot(writer->store);
+	const struct doc_manifest *manifest;
+
+	if (!snapshot)
+		return present->object_version == 0;
+	manifest = doc_get_manifest(snapshot);
+	return present->sequence == manifest->sequence &&
+	       strcmp(present->write_id, manifest->write_id) == 0;
+}
+
 static struct doc_proposal *make_proposals(struct spr_writer *writer,
 					   TALLOC_CTX *ctx,
 					   const struct doc_manifest *manifest,
@@ -293,14 +365,7 @@
 	g_hash_table_iter_init(&iter, writer->documents);
 	while (g_hash_table_iter_next(&iter, &name, &document))
 		add_proposal(&proposals[(*count)++], ctx, name, document);
-	for (size_t i = 0; i < manifest->service_count; i++) {
-		const char *in_force = manifest->services[i].name;
-
-		if (g_hash_table_contains(writer->documents, in_force))
-			continue;
-		proposals[*count].name = in_force;
-		proposals[(*count)++].is_removal = true;
-	}
+	add_removals(writer, manifest, proposals, count);
 	return proposals;
 }
 
@@ -324,48 +389,74 @@
 				  error);
 }
 
+/* Returns the manifest in force under the next sequence, without verdicts. */
+static struct doc_fold *make_write_back(struct spr_writer *writer,
+					struct round *round)
+{
+	struct doc_fold *fold = talloc_zero(round, struct doc_fold);
+
+	fold->manifest = doc_copy_manifest(
+		fold, doc_get_manifest(spr_get_store_snapshot(writer->store)));
+	fold->manifest->sequence++;
+	return fold;
+}
+
+static void run_fold(struct round *round)
+{
+	struct spr_writer *writer = round->writer;
+	GError *error = NULL;
+
+	round->fold = fold_documents(writer, round, &error);
+	if (error) {
+		log_write_error(LOG_LEVEL_ERROR, "spread", error);
+		g_clear_error(&error);
+		finish_round(writer);
+	} else if (round->fold->is_changed) {
+		put_copies(round);
+	} else {
+		spr_write_statuses(writer->status, round->fold);
+		finish_round(writer);
+	}
+}
+
 void spr_run_writer(struct spr_writer *writer)
 {
 	struct spr_platform_manifest present;
-	GError *error = NULL;
 
 	spr_get_platform_manifest(writer->source, &present);
+	writer->is_retried = writer->round != NULL;
 	if (!plat_is_lease_held(writer->lease) || !writer->is_listed ||
 	    writer->round || !present.is_known ||
 	    present.sequence > spr_get_sequence(writer->store))
 		return;
 	writer->round = talloc_zero(writer, struct round);
 	writer->round->writer = writer;
-	writer->round->fold = fold_documents(writer, writer->round, &error);
-	if (!writer->round->fold) {
-		log_write_error(LOG_LEVEL_ERROR, "spread", error);
-		g_clear_error(&error);
-		finish_round(writer);
+	if (is_platform_current(writer, &present)) {
+		run_fold(writer->round);
 		return;
 	}
-	if (writer->round->fold->is_changed) {
-		put_copies(writer->round);
-		return;
-	}
-	write_statuses(writer, writer->round->fold);
-	finish_round(writer);
+	writer->round->fold = make_write_back(writer, writer->round);
+	write_back(writer->round);
+}
+
+void spr_retry_writer(struct spr_writer *writer)
+{
+	if (writer->is_retried)
+		spr_run_writer(writer);
 }
 
 static void take_object(struct spr_writer *writer,
 			const struct plat_object *object)
 {
 	const char *name = object->key + strlen(SPR_KEY_DOCUMENTS);
-	struct known_document *document;
 
-	if (object->is_deleted) {
-		g_hash_table_remove(writer->documents, name);
+	if (!object->is_deleted) {
+		note_document(writer, name, object->version,
+			      json_object_get(object->value, "document"));
 		return;
 	}
-	document = g_new0(struct known_document, 1);
-	document->version = object->version;
-	document->value =
-		json_incref(json_object_get(object->value, "document"));
-	g_hash_table_replace(writer->documents, g_strdup(name), document);
+	g_hash_table_remove(writer->documents, name);
+	g_hash_table_add(writer->removed, g_strdup(name));
 }
 
 static void handle_watch(enum plat_watch_kind kind,
@@ -375,10 +466,13 @@
 
 	switch (kind) {
 	case PLAT_WATCH_STALE:
+		writer->is_listed = false;
+		return;
 	case PLAT_WATCH_FAILED:
 		return;
 	case PLAT_WATCH_LISTED:
 		g_hash_table_remove_all(writer->documents);
+		g_hash_table_remove_all(writer->removed);
 		writer->is_listed = true;
 		break;
 	case PLAT_WATCH_CHANGED:
@@ -397,6 +491,7 @@
 		  is_held ? "lease taken" : "lease not held", LOG_END);
 	TALLOC_FREE(writer->watch);
 	TALLOC_FREE(writer->round);
+	g_hash_table_remove_all(writer->asked);
 	writer->is_listed = false;
 	if (is_held)
 		writer->watch = plat_watch_prefix(writer, writer->platform,
@@ -407,7 +502,8 @@
 static int destroy_writer(struct spr_writer *writer)
 {
 	g_hash_table_destroy(writer->documents);
-	g_hash_table_destroy(writer->statuses);
+	g_hash_table_destroy(writer->removed);
+	g_hash_table_destroy(writer->asked);
 	return 0;
 }
 
@@ -424,8 +520,11 @@
 	writer->holder = talloc_strdup(writer, holder);
 	writer->documents = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, free_known_document);
-	writer->statuses =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	writer->removed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	writer->asked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	writer->status = spr_new_status(writer, platform, writer->holder);
 	talloc_set_destructor(writer, destroy_writer);
 	writer->lease = plat_compete_lease(
 		writer, platform, SPR_KEY_WRITER_LEASE, holder,
--- a/src/spread/writer.h
+++ b/src/spread/writer.h
@@ -22,4 +22,7 @@
 /* Looks whether there is something to write: after a change in the store. */
 void spr_run_writer(struct spr_writer *writer);
 
+/* The same when the last look could not end its work. */
+void spr_retry_writer(struct spr_writer *writer);
+
 #endif
