--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -21,7 +21,7 @@
  */
 void log_open(const char *program, enum log_level level);
 
-/* Closes the log and frees what log4c holds. */
+/* Closes the log: lines are dropped until it is opened again. */
 void log_close(void);
 
 /* Ends the pairs of log_write(). */
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,13 +1,17 @@
 /*
  * JSON-lines log on a log4c category with one stream appender.
  *
- * The line is composed by jansson before it reaches log4c, whose layout passes
- * it on unchanged; log4c contributes levels and the appender.
+ * The line is composed by jansson before it reaches log4c; layout and appender
+ * pass it on unchanged, since log4c's own stream appender puts its name in
+ * front, which is not JSON. log4c contributes the levels. It cannot be
+ * initialized again after log4c_fini(), so it is initialized once a process and
+ * its state is kept after log_close().
  */
 #include "loom/log.h"
 
 #include <stdarg.h>
 #include <stdbool.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
 #include <jansson.h>
@@ -31,6 +35,18 @@
 	.format = format_line,
 };
 
+/* One call of stdio a line: lines of several threads do not mix. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t log_appender_type = {
+	.name = "loom_stderr",
+	.append = append_line,
+};
+
 static int get_priority(enum log_level level)
 {
 	switch (level) {
@@ -61,10 +77,16 @@
 	return "error";
 }
 
+/* Bytes that are not UTF-8 are replaced, since JSON cannot hold them. */
 static void set_text(json_t *line, const char *name, const char *value)
 {
-	if (value && *value)
-		json_object_set_new(line, name, json_string(value));
+	char *valid;
+
+	if (!value || !*value)
+		return;
+	valid = g_utf8_make_valid(value, -1);
+	json_object_set_new(line, name, json_string(valid));
+	g_free(valid);
 }
 
 static void set_time(json_t *line)
@@ -115,28 +137,40 @@
 				       log_category, get_priority(level));
 }
 
-void log_open(const char *program, enum log_level level)
+static log4c_category_t *make_category(void)
 {
+	log4c_category_t *category;
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 
-	log_program = program;
 	log4c_init();
 	log4c_layout_type_set(&log_layout_type);
+	log4c_appender_type_set(&log_appender_type);
 	layout = log4c_layout_get("loom_json_line");
 	log4c_layout_set_type(layout, &log_layout_type);
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("loom_stderr");
+	log4c_appender_set_type(appender, &log_appender_type);
 	log4c_appender_set_layout(appender, layout);
-	log_category = log4c_category_get(LOG_CATEGORY);
-	log4c_category_set_appender(log_category, appender);
-	log4c_category_set_additivity(log_category, 0);
-	log4c_category_set_priority(log_category, get_priority(level));
+	category = log4c_category_get(LOG_CATEGORY);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_additivity(category, 0);
+	return category;
+}
+
+void log_open(const char *program, enum log_level level)
+{
+	static log4c_category_t *category;
+
+	log_program = program;
+	if (!category)
+		category = make_category();
+	log4c_category_set_priority(category, get_priority(level));
+	log_category = category;
 }
 
 void log_close(void)
 {
 	log_category = NULL;
-	log4c_fini();
 }
 
 void log_write(enum log_level level, const char *module, const char *step,
