--- /dev/null
+++ b/src/ctl/apply.c
@@ -0,0 +1,197 @@
+/*
+ * Command apply: shows the difference to the document on the platform and
+ * writes it, on condition that nobody else has written it since it was read.
+ */
+#include "ctl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include "loom/error.h"
+#include "loom/spread.h"
+
+/* One application on its way. */
+struct apply {
+	struct ctl_context *context;
+	const char *service;
+	char *key;
+	json_t *document;	   /* what the file holds */
+	struct ctl_object present; /* what the platform holds */
+	const char *difference;
+};
+
+static const json_t *get_document(const struct ctl_object *object)
+{
+	return json_object_get(object->value, "document");
+}
+
+static void print_outcome(const struct apply *apply, const char *outcome,
+			  uint64_t version)
+{
+	if (apply->context->is_json) {
+		ctl_print_json(json_pack(
+			"{s:s,s:s,s:I,s:o}", "service", apply->service,
+			"outcome", outcome, "version", (json_int_t)version,
+			"difference", ctl_make_lines(apply->difference)));
+		return;
+	}
+	fputs(apply->difference, stdout);
+	printf("%s: %s, version %" PRIu64 "\n", apply->service, outcome,
+	       version);
+}
+
+/* Reads the document; one that is absent is no error. */
+static bool read_present(struct apply *apply, struct ctl_object *object)
+{
+	ctl_read_object(apply->context, apply->key, object);
+	if (g_error_matches(object->error, ERR_DOMAIN, ERR_NOT_FOUND))
+		g_clear_error(&object->error);
+	return object->error == NULL;
+}
+
+static enum ctl_exit print_conflict(const struct apply *apply,
+				    uint64_t expected_version,
+				    const struct ctl_object *present,
+				    const json_t *before, const char *from)
+{
+	const char *changes;
+
+	if (present->version == 0) {
+		fprintf(stderr,
+			"loomctl: %s has no document, wanted version %" PRIu64
+			": someone else deleted it.\n",
+			apply->service, expected_version);
+		return CTL_EXIT_CONFLICT;
+	}
+	changes = doc_format_difference(apply->context->ctx, before,
+					get_document(present));
+	fprintf(stderr,
+		"loomctl: %s is at version %" PRIu64 ", wanted version %" PRIu64
+		": someone else changed it.\n"
+		"Changes from %s to version %" PRIu64 ":\n%s",
+		apply->service, present->version, expected_version, from,
+		present->version, *changes ? changes : "none\n");
+	if (apply->context->is_json)
+		ctl_print_json(json_pack(
+			"{s:s,s:s,s:I,s:I,s:s,s:o}", "service", apply->service,
+			"outcome", "conflict", "version",
+			(json_int_t)present->version, "expected_version",
+			(json_int_t)expected_version, "from", from, "changes",
+			ctl_make_lines(changes)));
+	return CTL_EXIT_CONFLICT;
+}
+
+/*
+ * Someone changed the document since the expected version. When that version
+ * was accepted its copy tells what changed, else the file is compared.
+ */
+static enum ctl_exit refuse_version(const struct apply *apply,
+				    uint64_t expected_version)
+{
+	char *key = talloc_asprintf(apply->context->ctx, "%s%s/%" PRIu64,
+				    SPR_KEY_ACCEPTED, apply->service,
+				    expected_version);
+	struct ctl_object copy;
+	enum ctl_exit result;
+
+	ctl_read_object(apply->context, key, &copy);
+	if (copy.error)
+		result =
+			print_conflict(apply, expected_version, &apply->present,
+				       apply->document, "your file");
+	else
+		result = print_conflict(apply, expected_version,
+					&apply->present, get_document(&copy),
+					"the expected version");
+	ctl_clear_object(&copy);
+	return result;
+}
+
+/* Someone wrote between our read and our write: tell what they changed. */
+static enum ctl_exit explain_lost_race(struct apply *apply)
+{
+	struct ctl_object now;
+	enum ctl_exit result = CTL_EXIT_CONFLICT;
+
+	if (read_present(apply, &now))
+		result = print_conflict(apply, apply->present.version, &now,
+					get_document(&apply->present),
+					"the version read before");
+	else
+		ctl_print_error(now.error);
+	ctl_clear_object(&now);
+	return result;
+}
+
+static enum ctl_exit write_document(struct apply *apply)
+{
+	json_t *value = json_pack("{s:O}", "document", apply->document);
+	struct ctl_object written;
+	enum ctl_exit result = CTL_EXIT_OK;
+
+	ctl_write_object(apply->context, apply->key, value,
+			 apply->present.version, &written);
+	if (g_error_matches(written.error, ERR_DOMAIN, ERR_CONFLICT)) {
+		result = explain_lost_race(apply);
+	} else if (written.error) {
+		result = ctl_print_error(written.error);
+		if (g_error_matches(written.error, ERR_DOMAIN,
+				    ERR_UNKNOWN_OUTCOME))
+			fprintf(stderr,
+				"It may have been applied: see "
+				"\"loomctl get %s\" before you try again.\n",
+				apply->service);
+	} else {
+		print_outcome(apply, "applied", written.version);
+	}
+	ctl_clear_object(&written);
+	json_decref(value);
+	return result;
+}
+
+static enum ctl_exit compare_and_write(struct apply *apply)
+{
+	const struct ctl_options *options = &apply->context->options;
+
+	if (!read_present(apply, &apply->present))
+		return ctl_print_error(apply->present.error);
+	if (options->has_expected_version &&
+	    options->expected_version != apply->present.version)
+		return refuse_version(apply, options->expected_version);
+	apply->difference = doc_format_difference(apply->context->ctx,
+						  get_document(&apply->present),
+						  apply->document);
+	if (!*apply->difference) {
+		print_outcome(apply, "unchanged", apply->present.version);
+		return CTL_EXIT_OK;
+	}
+	if (options->is_dry_run) {
+		print_outcome(apply, "not applied (dry run)",
+			      apply->present.version);
+		return CTL_EXIT_OK;
+	}
+	return write_document(apply);
+}
+
+enum ctl_exit ctl_apply_document(struct ctl_context *context, const char *file)
+{
+	struct doc_problem_list *list = doc_new_problem_list(context->ctx);
+	struct apply apply = { .context = context };
+	const struct doc_service *service;
+	enum ctl_exit result;
+
+	service = ctl_read_file(context->ctx, file, &apply.document, list);
+	if (!service) {
+		if (context->is_json)
+			ctl_print_json(json_pack("{s:s,s:o}", "outcome",
+						 "invalid", "problems",
+						 ctl_make_problems(list)));
+		ctl_print_problems(list);
+		return CTL_EXIT_INVALID;
+	}
+	apply.service = service->name;
+	apply.key = ctl_make_document_key(context, service->name);
+	result = compare_and_write(&apply);
+	ctl_clear_object(&apply.present);
+	json_decref(apply.document);
+	return result;
+}
--- a/src/ctl/context.c
+++ b/src/ctl/context.c
@@ -28,9 +28,9 @@
 	context->timers = tmr_new(context->ctx, context->events);
 	context->platform_url = platform_url;
 	context->is_json = is_json;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (!platform_url)
 		return true;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	plat_set_default_options(&options, platform_url);
 	options.timeout_ms = CALL_TIMEOUT_MS;
 	options.seed = (uint64_t)getpid();
@@ -47,8 +47,7 @@
 void ctl_close_context(struct ctl_context *context)
 {
 	TALLOC_FREE(context->ctx);
-	if (context->platform_url)
-		curl_global_cleanup();
+	curl_global_cleanup();
 }
 
 void ctl_clear_object(struct ctl_object *object)
@@ -105,6 +104,58 @@
 	wait_for(context, &pending);
 }
 
+void ctl_delete_object(struct ctl_context *context, const char *key,
+		       uint64_t expected_version, struct ctl_object *object)
+{
+	struct pending pending = { .object = object };
+
+	*object = (struct ctl_object){ 0 };
+	plat_delete_object(context->ctx, context->platform, key,
+			   expected_version, take_result, &pending);
+	wait_for(context, &pending);
+}
+
+struct pending_list {
+	struct ctl_list *list;
+	bool is_done;
+};
+
+static void take_list(const struct plat_result *result, void *data)
+{
+	struct pending_list *pending = data;
+
+	pending->is_done = true;
+	if (result->error)
+		pending->list->error = g_error_copy(result->error);
+	for (size_t i = 0; i < result->object_count; i++) {
+		const struct plat_object *object = &result->objects[i];
+
+		json_object_set_new(pending->list->objects, object->key,
+				    json_pack("{s:I,s:O}", "version",
+					      (json_int_t)object->version,
+					      "value", object->value));
+	}
+}
+
+void ctl_list_objects(struct ctl_context *context, const char *prefix,
+		      struct ctl_list *list)
+{
+	struct pending_list pending = { .list = list };
+
+	*list = (struct ctl_list){ .objects = json_object() };
+	plat_list_objects(context->ctx, context->platform, prefix, take_list,
+			  &pending);
+	while (!pending.is_done)
+		tevent_loop_once(context->events);
+}
+
+void ctl_clear_list(struct ctl_list *list)
+{
+	g_clear_error(&list->error);
+	json_decref(list->objects);
+	list->objects = NULL;
+}
+
 enum ctl_exit ctl_print_error(const GError *error)
 {
 	fprintf(stderr, "loomctl: %s%s%s: %s\n", err_get_step(error),
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -6,7 +6,7 @@
 #include "ctl.h"
 #include "loom/spread.h"
 
-static void print_words(const json_t *status)
+void ctl_print_status_words(const json_t *status)
 {
 	const json_t *problems = json_object_get(status, "problems");
 	size_t index;
@@ -40,7 +40,7 @@
 		puts(text);
 		free(text);
 	} else {
-		print_words(object.value);
+		ctl_print_status_words(object.value);
 	}
 	ctl_clear_object(&object);
 	return result;
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -113,9 +113,10 @@
 {
 	const struct mem_self *self = &member->self;
 
-	return json_pack("{s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
+	return json_pack("{s:s,s:i,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
 			 self->address, "hop_port", (int)self->hop_port,
-			 "failure_domain", self->failure_domain, "state",
+			 "admin_port", (int)self->admin_port, "failure_domain",
+			 self->failure_domain, "state",
 			 get_state_name(member->state), "service",
 			 self->service ? self->service : "", "version",
 			 self->version ? self->version : "", "phase",
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -9,6 +9,15 @@
 
 #define FILES_MAX 64
 
+/* Options that a command takes besides --platform, --json and --help. */
+enum option {
+	OPTION_EXPECT_VERSION = 1 << 0,
+	OPTION_DRY_RUN = 1 << 1,
+	OPTION_NODE = 1 << 2,
+	OPTION_COUNT = 1 << 3,
+	OPTION_MANY = 1 << 4, /* several operands */
+};
+
 struct command {
 	const char *name;
 	const char *operand; /* what its argument is, for messages */
@@ -17,6 +26,7 @@
 	bool is_offline;
 	enum ctl_exit (*run)(struct ctl_context *context,
 			     const char *const *operands, int operand_count);
+	uint32_t options; /* of enum option */
 };
 
 static enum ctl_exit run_check(struct ctl_context *context,
@@ -43,15 +53,43 @@
 	return ctl_print_status(context, operands[0]);
 }
 
+static enum ctl_exit run_delete(struct ctl_context *context,
+				const char *const *operands, int operand_count)
+{
+	return ctl_delete_document(context, operands[0]);
+}
+
+static enum ctl_exit run_nodes(struct ctl_context *context,
+			       const char *const *operands, int operand_count)
+{
+	return ctl_print_nodes(context);
+}
+
+static enum ctl_exit run_watch(struct ctl_context *context,
+			       const char *const *operands, int operand_count)
+{
+	return ctl_watch_status(context, operands[0]);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
-	  "loomctl check examples/kigali/catalogue.json", true, run_check },
-	{ "apply", "FILE", "apply a document",
-	  "loomctl apply examples/kigali/catalogue.json", false, run_apply },
+	  "loomctl check examples/kigali/catalogue.json "
+	  "examples/kigali/plans.json",
+	  true, run_check, OPTION_MANY },
+	{ "apply", "FILE", "show the difference of a document and apply it",
+	  "loomctl apply examples/kigali/catalogue.json", false, run_apply,
+	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN },
 	{ "get", "SERVICE", "print the document of a service",
-	  "loomctl get catalogue", false, run_get },
+	  "loomctl get catalogue", false, run_get, 0 },
 	{ "status", "SERVICE", "print what became of a service's document",
-	  "loomctl status catalogue", false, run_status },
+	  "loomctl status catalogue", false, run_status, 0 },
+	{ "delete", "SERVICE", "delete the document of a service",
+	  "loomctl delete catalogue", false, run_delete,
+	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN },
+	{ "nodes", "", "list the nodes and which are behind",
+	  "loomctl nodes --node 127.0.1.1:8082", true, run_nodes, OPTION_NODE },
+	{ "watch", "SERVICE", "print a service's status at each change",
+	  "loomctl watch catalogue --count 1", false, run_watch, OPTION_COUNT },
 };
 
 static void print_commands(FILE *file)
@@ -70,28 +108,153 @@
 	arg_print_syntax(stdout, arguments, "\n\n");
 	arg_print_glossary(stdout, arguments, "  %-24s %s\n");
 	printf("\nExample: %s\n", command->example);
-	puts("Exit codes: 0 done, 1 platform not reached, 2 usage, 3 invalid "
-	     "document,\n4 changed by someone else, 5 not found, 6 waited too "
-	     "long.");
+	puts("Exit codes: 0 done, 1 platform or node not reached, 2 usage,\n"
+	     "3 invalid document or still called, 4 changed by someone else,\n"
+	     "5 not found, 6 waited too long.");
 }
 
-static enum ctl_exit run_command(const struct command *command,
-				 const char *platform_url, bool is_json,
-				 const char *const *operands, int operand_count)
+/* The command line of one command. */
+struct arguments {
+	struct arg_str *platform;
+	struct arg_lit *json;
+	struct arg_lit *help;
+	struct arg_str *expected_version;
+	struct arg_lit *dry_run;
+	struct arg_str *node;
+	struct arg_str *count;
+	struct arg_str *operands;
+	struct arg_end *end;
+	void *table[9]; /* those that the command takes; end is the last */
+	size_t table_size;
+};
+
+static void add_argument(struct arguments *arguments, void *argument)
 {
-	struct ctl_context context;
-	enum ctl_exit result = CTL_EXIT_FAILED;
+	arguments->table[arguments->table_size++] = argument;
+}
+
+static void make_arguments(struct arguments *arguments,
+			   const struct command *command)
+{
+	*arguments = (struct arguments){
+		.platform = arg_str0("p", "platform", "URL",
+				     "the platform's object API"),
+		.json = arg_lit0(NULL, "json", "print JSON"),
+		.help = arg_lit0("h", "help", "print this help"),
+		.end = arg_end(8),
+	};
+	add_argument(arguments, arguments->platform);
+	add_argument(arguments, arguments->json);
+	add_argument(arguments, arguments->help);
+	if (command->options & OPTION_EXPECT_VERSION)
+		add_argument(arguments,
+			     arguments->expected_version =
+				     arg_str0(NULL, "expect-version", "N",
+					      "refuse another version than N"));
+	if (command->options & OPTION_DRY_RUN)
+		add_argument(arguments,
+			     arguments->dry_run =
+				     arg_lit0(NULL, "dry-run", "show it only"));
+	if (command->options & OPTION_NODE)
+		add_argument(arguments,
+			     arguments->node =
+				     arg_str0("n", "node", "ADDRESS:ADMIN_PORT",
+					      "the node to ask"));
+	if (command->options & OPTION_COUNT)
+		add_argument(arguments, arguments->count = arg_str0(
+						NULL, "count", "N",
+						"end after N changes"));
+	if (*command->operand)
+		add_argument(arguments, arguments->operands = arg_strn(
+						NULL, NULL, command->operand, 0,
+						FILES_MAX, "what to work on"));
+	add_argument(arguments, arguments->end);
+}
 
-	if (!command->is_offline && !platform_url) {
+/* Reads a whole number of an option that may be absent or not taken. */
+static bool read_number(const struct arg_str *option, const char *name,
+			uint64_t max, uint64_t *value)
+{
+	if (!option || option->count == 0 ||
+	    g_ascii_string_to_unsigned(option->sval[0], 10, 0, max, value,
+				       NULL))
+		return true;
+	fprintf(stderr,
+		"loomctl: --%s: got \"%s\", wanted a whole number from 0 to "
+		"%" G_GUINT64_FORMAT "\n",
+		name, option->sval[0], max);
+	return false;
+}
+
+static bool read_options(const struct arguments *arguments,
+			 struct ctl_options *options)
+{
+	uint64_t count = 0;
+
+	*options = (struct ctl_options){ .node = g_getenv("LOOM_NODE") };
+	if (!read_number(arguments->expected_version, "expect-version",
+			 INT64_MAX, &options->expected_version) ||
+	    !read_number(arguments->count, "count", UINT32_MAX, &count))
+		return false;
+	options->count_max = (uint32_t)count;
+	options->has_expected_version = arguments->expected_version &&
+					arguments->expected_version->count > 0;
+	options->is_dry_run =
+		arguments->dry_run && arguments->dry_run->count > 0;
+	if (arguments->node && arguments->node->count > 0)
+		options->node = arguments->node->sval[0];
+	return true;
+}
+
+/* Asks for what newcomers forget; returns whether nothing is missing. */
+static bool is_complete(const struct command *command,
+			const struct arguments *arguments,
+			const char *platform_url,
+			const struct ctl_options *options)
+{
+	int count = arguments->operands ? arguments->operands->count : 0;
+
+	if (*command->operand && count == 0)
+		fprintf(stderr, "loomctl %s: which %s? For example: %s\n",
+			command->name, command->operand, command->example);
+	else if (count > 1 && !(command->options & OPTION_MANY))
+		fprintf(stderr, "loomctl %s: got %d of %s, wanted one\n",
+			command->name, count, command->operand);
+	else if ((command->options & OPTION_NODE) && !options->node)
+		fprintf(stderr,
+			"loomctl %s: which node? Give --node ADDRESS:ADMIN_PORT"
+			" or set LOOM_NODE. For example: %s\n",
+			command->name, command->example);
+	else if (!command->is_offline && !platform_url)
 		fputs("loomctl: which platform? Give --platform URL or set "
 		      "LOOM_PLATFORM.\n",
 		      stderr);
+	else
+		return true;
+	return false;
+}
+
+static enum ctl_exit run_command(const struct command *command,
+				 const struct arguments *arguments)
+{
+	const char *url = g_getenv("LOOM_PLATFORM");
+	const struct arg_str *operands = arguments->operands;
+	enum ctl_exit result = CTL_EXIT_FAILED;
+	struct ctl_context context;
+	struct ctl_options options;
+
+	if (arguments->platform->count > 0)
+		url = arguments->platform->sval[0];
+	if (!read_options(arguments, &options) ||
+	    !is_complete(command, arguments, url, &options))
 		return CTL_EXIT_USAGE;
+	if (ctl_open_context(&context, command->is_offline ? NULL : url,
+			     arguments->json->count > 0)) {
+		context.options = options;
+		result =
+			command->run(&context, operands ? operands->sval : NULL,
+				     operands ? operands->count : 0);
 	}
-	if (ctl_open_context(&context,
-			     command->is_offline ? NULL : platform_url,
-			     is_json))
-		result = command->run(&context, operands, operand_count);
 	ctl_close_context(&context);
 	return result;
 }
@@ -99,33 +262,21 @@
 static enum ctl_exit parse_and_run(const struct command *command, int argc,
 				   char **argv)
 {
-	struct arg_str *platform =
-		arg_str0("p", "platform", "URL", "the platform's object API");
-	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *operands = arg_strn(NULL, NULL, command->operand, 0,
-					    FILES_MAX, "what to work on");
-	struct arg_end *end = arg_end(8);
-	void *arguments[] = { platform, json, help, operands, end };
-	int errors = arg_parse(argc, argv, arguments);
-	const char *url = g_getenv("LOOM_PLATFORM");
 	enum ctl_exit result = CTL_EXIT_USAGE;
+	struct arguments arguments;
+	int errors;
 
-	if (platform->count > 0)
-		url = platform->sval[0];
-	if (help->count > 0) {
-		print_help(command, arguments);
+	make_arguments(&arguments, command);
+	errors = arg_parse(argc, argv, arguments.table);
+	if (arguments.help->count > 0) {
+		print_help(command, arguments.table);
 		result = CTL_EXIT_OK;
 	} else if (errors > 0) {
-		arg_print_errors(stderr, end, "loomctl");
-	} else if (operands->count == 0) {
-		fprintf(stderr, "loomctl %s: which %s? For example: %s\n",
-			command->name, command->operand, command->example);
+		arg_print_errors(stderr, arguments.end, "loomctl");
 	} else {
-		result = run_command(command, url, json->count > 0,
-				     operands->sval, operands->count);
+		result = run_command(command, &arguments);
 	}
-	arg_freetable(arguments, G_N_ELEMENTS(arguments));
+	arg_freetable(arguments.table, arguments.table_size);
 	return result;
 }
 
