Add loomburn, and GET /burn of a node

Each node notes the samples of its traffic threads in a burn history and gives it at /burn. loomburn asks one node for the members and each of them for its history, takes the objectives from the platform's documents, and prints text, JSON or an HTML page. Nodes that do not answer, answer something else or are dead are named. A lost or refused attempt counts as failed; answers of cold targets alone are left out, since how they ended is not kept.

--- /dev/null
+++ b/src/ctl/burn.c
@@ -0,0 +1,218 @@
+/*
+ * The report on service-level burn: reads the histories of all nodes that one
+ * node knows, and the objectives from the documents on the platform.
+ */
+#include "ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+#include "loom/burn.h"
+#include "loom/error.h"
+#include "loom/spread.h"
+
+struct gathering {
+	struct ctl_context *context;
+	struct burn_history *history;
+	const char *path; /* of the page */
+	uint64_t now_ms;
+	size_t node_count;
+	GPtrArray *nodes; /* "ADDRESS:ADMIN_PORT", owned by the context */
+	GPtrArray *unreached;
+};
+
+static void add_node(struct gathering *gathering, const char *node)
+{
+	for (guint i = 0; i < gathering->nodes->len; i++) {
+		if (strcmp(g_ptr_array_index(gathering->nodes, i), node) == 0)
+			return;
+	}
+	g_ptr_array_add(gathering->nodes,
+			talloc_strdup(gathering->context->ctx, node));
+}
+
+/* Nodes that left took leave; dead ones are named, not waited for. */
+static void add_member(struct gathering *gathering, const json_t *member)
+{
+	const char *address =
+		json_string_value(json_object_get(member, "address"));
+	const char *state = json_string_value(json_object_get(member, "state"));
+	json_int_t port =
+		json_integer_value(json_object_get(member, "admin_port"));
+	char *node;
+
+	if (!address || !state || port <= 0 || strcmp(state, "left") == 0)
+		return;
+	node = talloc_asprintf(gathering->context->ctx,
+			       "%s:%" JSON_INTEGER_FORMAT, address, port);
+	if (strcmp(state, "dead") == 0)
+		g_ptr_array_add(gathering->unreached, node);
+	else
+		add_node(gathering, node);
+}
+
+static void add_members(struct gathering *gathering, const json_t *page)
+{
+	const json_t *members = json_object_get(page, "members");
+	size_t index;
+	json_t *member;
+
+	json_array_foreach(members, index, member)
+		add_member(gathering, member);
+}
+
+static void read_node(struct gathering *gathering, char *node)
+{
+	GError *error = NULL;
+	json_t *page = ctl_fetch_page(gathering->context, node, gathering->path,
+				      &error);
+
+	if (page && burn_merge_history(gathering->history, page,
+				       gathering->now_ms, &error)) {
+		gathering->node_count++;
+	} else {
+		ctl_print_error(error);
+		g_ptr_array_add(gathering->unreached, node);
+	}
+	g_clear_error(&error);
+	json_decref(page);
+}
+
+/* Reads the members of the given node, then the history of each. */
+static void read_nodes(struct gathering *gathering)
+{
+	const char *first = gathering->context->options.node;
+	GError *error = NULL;
+	json_t *page;
+
+	page = ctl_fetch_page(gathering->context, first, "/members", &error);
+	if (page)
+		add_members(gathering, page);
+	if (gathering->nodes->len == 0)
+		add_node(gathering, first);
+	g_clear_error(&error);
+	json_decref(page);
+	for (guint i = 0; i < gathering->nodes->len; i++)
+		read_node(gathering, g_ptr_array_index(gathering->nodes, i));
+}
+
+/* Returns the documents, new services owned by the context, by name. */
+static const struct doc_service **parse_documents(struct ctl_context *context,
+						  const struct ctl_list *list,
+						  size_t *count)
+{
+	struct doc_problem_list *problems = doc_new_problem_list(context->ctx);
+	const char *wanted = context->options.service;
+	const struct doc_service **services =
+		talloc_zero_array(context->ctx, const struct doc_service *,
+				  json_object_size(list->objects) + 1);
+	const char *key;
+	json_t *object;
+
+	*count = 0;
+	json_object_foreach(list->objects, key, object)
+	{
+		json_t *value = json_object_get(object, "value");
+		char *text = json_dumps(json_object_get(value, "document"),
+					JSON_COMPACT);
+		const char *name = key + strlen(SPR_KEY_DOCUMENTS);
+
+		if (text && (!wanted || strcmp(wanted, name) == 0))
+			services[*count] =
+				doc_parse_service(context->ctx, name, text,
+						  strlen(text), 0, problems);
+		if (services[*count])
+			(*count)++;
+		free(text);
+	}
+	ctl_print_problems(problems);
+	return services;
+}
+
+static gint compare_services(gconstpointer left, gconstpointer right,
+			     gpointer data)
+{
+	return strcmp((*(const struct doc_service *const *)left)->name,
+		      (*(const struct doc_service *const *)right)->name);
+}
+
+static enum ctl_exit write_html(const struct burn_report *report,
+				const char *file)
+{
+	GString *text = g_string_new(NULL);
+	enum ctl_exit result = CTL_EXIT_OK;
+	GError *error = NULL;
+
+	burn_print_html(report, text);
+	if (!g_file_set_contents(file, text->str, (gssize)text->len, &error)) {
+		fprintf(stderr, "loomburn: %s\n", error->message);
+		g_error_free(error);
+		result = CTL_EXIT_FAILED;
+	}
+	g_string_free(text, TRUE);
+	return result;
+}
+
+static enum ctl_exit print_report(const struct ctl_context *context,
+				  const struct burn_report *report)
+{
+	GString *text;
+
+	if (context->options.html_file)
+		return write_html(report, context->options.html_file);
+	if (context->is_json) {
+		ctl_print_json(burn_format_report(report));
+		return CTL_EXIT_OK;
+	}
+	text = g_string_new(NULL);
+	burn_print_text(report, text);
+	fputs(text->str, stdout);
+	g_string_free(text, TRUE);
+	return CTL_EXIT_OK;
+}
+
+static enum ctl_exit report_nodes(struct gathering *gathering,
+				  const struct ctl_list *list)
+{
+	struct ctl_context *context = gathering->context;
+	struct burn_input input = { .history = gathering->history,
+				    .now_ms = gathering->now_ms };
+	const struct doc_service **services;
+	enum ctl_exit result;
+
+	read_nodes(gathering);
+	g_ptr_array_add(gathering->unreached, NULL);
+	services = parse_documents(context, list, &input.service_count);
+	g_qsort_with_data(services, (gint)input.service_count,
+			  sizeof(*services), compare_services, NULL);
+	input.services = services;
+	input.node_count = gathering->node_count;
+	input.unreached = (const char *const *)gathering->unreached->pdata;
+	result = print_report(context, burn_make_report(context->ctx, &input));
+	/* A report without a single node says nothing about the services. */
+	return input.node_count > 0 ? result : CTL_EXIT_FAILED;
+}
+
+enum ctl_exit ctl_report_burn(struct ctl_context *context)
+{
+	const char *service = context->options.service;
+	struct gathering gathering = { .context = context };
+	enum ctl_exit result;
+	struct ctl_list list;
+
+	gathering.now_ms = tmr_get_wall_ms(context->timers);
+	gathering.history = burn_new_history(context->ctx, gathering.now_ms);
+	gathering.path = service ? talloc_asprintf(context->ctx,
+						   "/burn?service=%s", service)
+				 : "/burn";
+	gathering.nodes = g_ptr_array_new();
+	gathering.unreached = g_ptr_array_new();
+	ctl_list_objects(context, SPR_KEY_DOCUMENTS, &list);
+	if (list.error)
+		result = ctl_print_error(list.error);
+	else
+		result = report_nodes(&gathering, &list);
+	ctl_clear_list(&list);
+	g_ptr_array_free(gathering.nodes, TRUE);
+	g_ptr_array_free(gathering.unreached, TRUE);
+	return result;
+}
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -26,8 +26,10 @@
 	bool is_dry_run;
 	bool has_expected_version;
 	uint64_t expected_version;
-	const char *node;   /* "ADDRESS:ADMIN_PORT", or NULL */
-	uint32_t count_max; /* changes that watch prints; 0: no end */
+	const char *node;      /* "ADDRESS:ADMIN_PORT", or NULL */
+	uint32_t count_max;    /* changes that watch prints; 0: no end */
+	const char *service;   /* of the burn report; NULL: all */
+	const char *html_file; /* of the burn report, or NULL */
 };
 
 /* What a command works with. */
@@ -127,4 +129,7 @@
 enum ctl_exit ctl_watch_status(struct ctl_context *context,
 			       const char *service);
 
+/* loomburn: reports service-level burn from all nodes. */
+enum ctl_exit ctl_report_burn(struct ctl_context *context);
+
 #endif
--- a/src/ctl/tests/test_ctl.c
+++ b/src/ctl/tests/test_ctl.c
@@ -21,7 +21,8 @@
 	struct ctl_context context;
 	struct api_server *platform;
 	struct web_server *node;
-	char *members; /* answer of the node's page */
+	char *members; /* answer of the node's page /members */
+	char *burn;    /* answer of its page /burn */
 	char **race;   /* write of somebody else, see begin_race() */
 };
 
@@ -58,12 +59,14 @@
 	fclose(stream->capture);
 }
 
-static void reply_members(struct web_request *request, void *data)
+static void reply_page(struct web_request *request, void *data)
 {
 	const struct fixture *fixture = data;
+	const char *page = strcmp(web_get_path(request), "/burn") == 0
+				   ? fixture->burn
+				   : fixture->members;
 
-	web_reply(request, MHD_HTTP_OK, "application/json", fixture->members,
-		  strlen(fixture->members));
+	web_reply(request, MHD_HTTP_OK, "application/json", page, strlen(page));
 }
 
 static void open_fixture(struct fixture *fixture)
@@ -72,13 +75,14 @@
 	struct web_options web = {
 		.address = "127.0.0.1",
 		.body_bytes_max = 1024,
-		.fn = reply_members,
+		.fn = reply_page,
 		.data = fixture,
 	};
 	struct api_options api;
 	struct plat_options options;
 
-	*fixture = (struct fixture){ .members = g_strdup("{}") };
+	*fixture = (struct fixture){ .members = g_strdup("{}"),
+				     .burn = g_strdup("{}") };
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	context->ctx = talloc_new(NULL);
 	context->events = tevent_context_init(context->ctx);
@@ -108,6 +112,7 @@
 	talloc_free(fixture->context.ctx);
 	curl_global_cleanup();
 	g_free(fixture->members);
+	g_free(fixture->burn);
 }
 
 /* Reads "json", "dry-run", "expect=N", "count=N", "node" after the operands. */
@@ -155,6 +160,8 @@
 		*result = ctl_delete_document(context, operands[0]);
 	else if (strcmp(words[0], "nodes") == 0)
 		*result = ctl_print_nodes(context);
+	else if (strcmp(words[0], "report-burn") == 0)
+		*result = ctl_report_burn(context);
 	else if (strcmp(words[0], "watch") == 0)
 		*result = ctl_watch_status(context, operands[0]);
 	else
@@ -171,6 +178,21 @@
 	g_free(text);
 }
 
+/* Reports are made at the present time: it is shown as TIME. */
+static void hide_time(GString *output)
+{
+	GRegex *regex = g_regex_new(
+		"\\d{4}-\\d\\d-\\d\\dT"
+		"\\d\\d:\\d\\d:\\d\\dZ(?=, from)",
+		0, 0, NULL);
+	char *text =
+		g_regex_replace(regex, output->str, -1, 0, "TIME", 0, NULL);
+
+	g_string_assign(output, text);
+	g_free(text);
+	g_regex_unref(regex);
+}
+
 static bool run_and_print(struct fixture *fixture, int word_count, char **words,
 			  GString *output)
 {
@@ -189,6 +211,7 @@
 		g_string_append_printf(output, "exit %d\n", (int)result);
 	hide_port(output, api_get_port(fixture->platform));
 	hide_port(output, web_get_port(fixture->node));
+	hide_time(output);
 	return is_known;
 }
 
@@ -247,6 +270,9 @@
 		write_object(fixture, words);
 	} else if (strcmp(words[0], "race") == 0 && word_count == 4) {
 		begin_race(fixture, words);
+	} else if (strcmp(words[0], "burn") == 0 && word_count == 2) {
+		g_free(fixture->burn);
+		fixture->burn = g_strdup(words[1]);
 	} else if (strcmp(words[0], "members") == 0 && word_count == 2) {
 		g_free(fixture->members);
 		fixture->members = g_strdup(words[1]);
@@ -280,6 +306,11 @@
 	run_script("race");
 }
 
+static void test_burn(void)
+{
+	run_script("burn");
+}
+
 static void test_watch(void)
 {
 	run_script("watch");
@@ -309,6 +340,7 @@
 		{ "outages and lost answers", test_faults },
 		{ "delete", test_delete },
 		{ "get, nodes and watch", test_read },
+		{ "burn report", test_burn },
 		{ "watch of a change", test_watch },
 		CU_TEST_INFO_NULL,
 	};
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -6,6 +6,7 @@
  *   GET  /ready    200 when a manifest is in force here, 503 before
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
+ *   GET  /burn     history of call counts; ?service=NAME gives one service
  */
 #include <string.h>
 #include <stdlib.h>
@@ -159,6 +160,12 @@
 	g_string_free(text, TRUE);
 }
 
+static void handle_burn(struct nd_node *node, struct web_request *request)
+{
+	reply_json(request, MHD_HTTP_OK,
+		   nd_make_burn(node, web_get_query(request, "service")));
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -170,6 +177,7 @@
 	{ "GET", "/ready", handle_ready },
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
+	{ "GET", "/burn", handle_burn },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
--- /dev/null
+++ b/src/node/burn.c
@@ -0,0 +1,33 @@
+/*
+ * Counts of ended attempts go into the history that GET /burn reads:
+ * /burn gives all services, /burn?service=NAME one of them.
+ */
+#include "internal.h"
+
+#include "loom/burn.h"
+
+void nd_note_burn(struct nd_node *node, const struct tr_sample *sample)
+{
+	struct burn_key key = { .service = sample->service,
+				.version = sample->version,
+				.failure_domain = sample->failure_domain };
+	const struct mv_counts *counts = &sample->counts;
+	struct burn_counts sum = {
+		.calls = (uint64_t)counts->calls + counts->lost +
+			 counts->refused,
+		.failed = (uint64_t)counts->failed + counts->lost +
+			  counts->refused,
+		.slow = sample->slow,
+	};
+
+	/* Answers of cold targets alone: it is not known how they ended. */
+	if (sum.calls == 0)
+		return;
+	burn_note_counts(node->burn, &key, sample->slot * MV_SLOT_MS, &sum);
+}
+
+json_t *nd_make_burn(struct nd_node *node, const char *service)
+{
+	return burn_format_history(node->burn, service,
+				   tmr_get_wall_ms(node->timers));
+}
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -49,6 +49,7 @@
 	struct spr_service *spread;
 	struct tr_service *traffic;
 	struct web_server *admin;
+	struct burn_history *burn;
 	struct nd_target target;
 	enum nd_phase phase;
 	uint64_t drain_start_ms;
@@ -59,6 +60,10 @@
 /* admin.c: answers a request to the administration port. */
 void nd_handle_admin(struct web_request *request, void *data);
 
+/* burn.c: adds a sample to the history, and gives the history as JSON. */
+void nd_note_burn(struct nd_node *node, const struct tr_sample *sample);
+json_t *nd_make_burn(struct nd_node *node, const char *service);
+
 /* shutdown.c: subscribes to SIGTERM and SIGINT. */
 void nd_watch_signals(struct nd_node *node);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 #include "internal.h"
+#include "loom/burn.h"
 #include "loom/error.h"
 #include "loom/log.h"
 
@@ -110,6 +111,11 @@
 	return node->platform != NULL;
 }
 
+static void handle_sample(const struct tr_sample *sample, void *data)
+{
+	nd_note_burn(data, sample);
+}
+
 static bool open_traffic(struct nd_node *node, GError **error)
 {
 	const struct nd_settings *settings = node->settings;
@@ -125,6 +131,8 @@
 	options.idle_timeout_ms = settings->idle_timeout_ms;
 	options.header_timeout_ms = settings->header_timeout_ms;
 	options.seed = g_str_hash(settings->address);
+	options.on_sample = handle_sample;
+	options.data = node;
 	node->traffic = tr_new_service(node, node->events, node->counters,
 				       &options, error);
 	return node->traffic != NULL;
@@ -191,6 +199,7 @@
 	node->events = events;
 	node->timers = tmr_new(node, events);
 	node->counters = cnt_new_registry(node);
+	node->burn = burn_new_history(node, tmr_get_wall_ms(node->timers));
 	if (!open_platform(node, error) || !open_traffic(node, error) ||
 	    !open_members(node, error) || !open_admin(node, error)) {
 		talloc_free(node);
