Count answers of starting targets in the burn history

Cause: after 200 calls over the demonstration /burn was empty: the targets stayed in phase starting, every outcome was 'cold', and cold answers were left out.

--- a/src/node/burn.c
+++ b/src/node/burn.c
@@ -1,6 +1,10 @@
 /*
  * Counts of ended attempts go into the history that GET /burn reads:
  * /burn gives all services, /burn?service=NAME one of them.
+ *
+ * A lost or refused attempt counts as failed. Samples do not tell how the
+ * answers of targets in phase starting ended; these count as calls that did
+ * not fail, so that a service of cold targets is not taken for an idle one.
  */
 #include "internal.h"
 
@@ -13,16 +17,13 @@
 				.failure_domain = sample->failure_domain };
 	const struct mv_counts *counts = &sample->counts;
 	struct burn_counts sum = {
-		.calls = (uint64_t)counts->calls + counts->lost +
+		.calls = (uint64_t)counts->calls + counts->cold + counts->lost +
 			 counts->refused,
 		.failed = (uint64_t)counts->failed + counts->lost +
 			  counts->refused,
 		.slow = sample->slow,
 	};
 
-	/* Answers of cold targets alone: it is not known how they ended. */
-	if (sum.calls == 0)
-		return;
 	burn_note_counts(node->burn, &key, sample->slot * MV_SLOT_MS, &sum);
 }
 
