--- a/src/ctl/burn.c
+++ b/src/ctl/burn.c
@@ -95,46 +95,42 @@
 		read_node(gathering, g_ptr_array_index(gathering->nodes, i));
 }
 
-/* Returns the documents, new services owned by the context, by name. */
-static const struct doc_service **parse_documents(struct ctl_context *context,
-						  const struct ctl_list *list,
-						  size_t *count)
+static gint compare_services(gconstpointer left, gconstpointer right)
+{
+	return strcmp((*(const struct doc_service *const *)left)->name,
+		      (*(const struct doc_service *const *)right)->name);
+}
+
+/* Returns the documents by name: a new array of services of the context. */
+static GPtrArray *parse_documents(struct ctl_context *context,
+				  const struct ctl_list *list)
 {
 	struct doc_problem_list *problems = doc_new_problem_list(context->ctx);
 	const char *wanted = context->options.service;
-	const struct doc_service **services =
-		talloc_zero_array(context->ctx, const struct doc_service *,
-				  json_object_size(list->objects) + 1);
+	GPtrArray *services = g_ptr_array_new();
 	const char *key;
 	json_t *object;
 
-	*count = 0;
 	json_object_foreach(list->objects, key, object)
 	{
 		json_t *value = json_object_get(object, "value");
 		char *text = json_dumps(json_object_get(value, "document"),
 					JSON_COMPACT);
 		const char *name = key + strlen(SPR_KEY_DOCUMENTS);
+		struct doc_service *service = NULL;
 
 		if (text && (!wanted || strcmp(wanted, name) == 0))
-			services[*count] =
-				doc_parse_service(context->ctx, name, text,
-						  strlen(text), 0, problems);
-		if (services[*count])
-			(*count)++;
+			service = doc_parse_service(context->ctx, name, text,
+						    strlen(text), 0, problems);
+		if (service)
+			g_ptr_array_add(services, service);
 		free(text);
 	}
 	ctl_print_problems(problems);
+	g_ptr_array_sort(services, compare_services);
 	return services;
 }
 
-static gint compare_services(gconstpointer left, gconstpointer right,
-			     gpointer data)
-{
-	return strcmp((*(const struct doc_service *const *)left)->name,
-		      (*(const struct doc_service *const *)right)->name);
-}
-
 static enum ctl_exit write_html(const struct burn_report *report,
 				const char *file)
 {
@@ -176,18 +172,18 @@
 	struct ctl_context *context = gathering->context;
 	struct burn_input input = { .history = gathering->history,
 				    .now_ms = gathering->now_ms };
-	const struct doc_service **services;
 	enum ctl_exit result;
+	GPtrArray *services;
 
 	read_nodes(gathering);
 	g_ptr_array_add(gathering->unreached, NULL);
-	services = parse_documents(context, list, &input.service_count);
-	g_qsort_with_data(services, (gint)input.service_count,
-			  sizeof(*services), compare_services, NULL);
-	input.services = services;
+	services = parse_documents(context, list);
+	input.services = (const struct doc_service *const *)services->pdata;
+	input.service_count = services->len;
 	input.node_count = gathering->node_count;
 	input.unreached = (const char *const *)gathering->unreached->pdata;
 	result = print_report(context, burn_make_report(context->ctx, &input));
+	g_ptr_array_free(services, TRUE);
 	/* A report without a single node says nothing about the services. */
 	return input.node_count > 0 ? result : CTL_EXIT_FAILED;
 }
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -9,13 +9,14 @@
 
 #define FILES_MAX 64
 
-/* Options that a command takes besides --platform, --json and --help. */
+/* Properties of a command, and options besides --platform and --json. */
 enum option {
-	OPTION_EXPECT_VERSION = 1 << 0,
-	OPTION_DRY_RUN = 1 << 1,
-	OPTION_NODE = 1 << 2,
-	OPTION_COUNT = 1 << 3,
-	OPTION_MANY = 1 << 4, /* several operands */
+	OPTION_OFFLINE = 1 << 0, /* needs no platform */
+	OPTION_MANY = 1 << 1,	 /* takes several operands */
+	OPTION_EXPECT_VERSION = 1 << 2,
+	OPTION_DRY_RUN = 1 << 3,
+	OPTION_NODE = 1 << 4,
+	OPTION_COUNT = 1 << 5,
 };
 
 struct command {
@@ -23,10 +24,9 @@
 	const char *operand; /* what its argument is, for messages */
 	const char *help;
 	const char *example;
-	bool is_offline;
+	uint32_t options; /* of enum option */
 	enum ctl_exit (*run)(struct ctl_context *context,
 			     const char *const *operands, int operand_count);
-	uint32_t options; /* of enum option */
 };
 
 static enum ctl_exit run_check(struct ctl_context *context,
@@ -75,21 +75,22 @@
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json "
 	  "examples/kigali/plans.json",
-	  true, run_check, OPTION_MANY },
+	  OPTION_OFFLINE | OPTION_MANY, run_check },
 	{ "apply", "FILE", "show the difference of a document and apply it",
-	  "loomctl apply examples/kigali/catalogue.json", false, run_apply,
-	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN },
+	  "loomctl apply examples/kigali/catalogue.json",
+	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN, run_apply },
 	{ "get", "SERVICE", "print the document of a service",
-	  "loomctl get catalogue", false, run_get, 0 },
+	  "loomctl get catalogue", 0, run_get },
 	{ "status", "SERVICE", "print what became of a service's document",
-	  "loomctl status catalogue", false, run_status, 0 },
+	  "loomctl status catalogue", 0, run_status },
 	{ "delete", "SERVICE", "delete the document of a service",
-	  "loomctl delete catalogue", false, run_delete,
-	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN },
+	  "loomctl delete catalogue", OPTION_EXPECT_VERSION | OPTION_DRY_RUN,
+	  run_delete },
 	{ "nodes", "", "list the nodes and which are behind",
-	  "loomctl nodes --node 127.0.1.1:8082", true, run_nodes, OPTION_NODE },
+	  "loomctl nodes --node 127.0.1.1:8082", OPTION_OFFLINE | OPTION_NODE,
+	  run_nodes },
 	{ "watch", "SERVICE", "print a service's status at each change",
-	  "loomctl watch catalogue --count 1", false, run_watch, OPTION_COUNT },
+	  "loomctl watch catalogue --count 1", OPTION_COUNT, run_watch },
 };
 
 static void print_commands(FILE *file)
@@ -225,7 +226,7 @@
 			"loomctl %s: which node? Give --node ADDRESS:ADMIN_PORT"
 			" or set LOOM_NODE. For example: %s\n",
 			command->name, command->example);
-	else if (!command->is_offline && !platform_url)
+	else if (!(command->options & OPTION_OFFLINE) && !platform_url)
 		fputs("loomctl: which platform? Give --platform URL or set "
 		      "LOOM_PLATFORM.\n",
 		      stderr);
@@ -248,7 +249,8 @@
 	if (!read_options(arguments, &options) ||
 	    !is_complete(command, arguments, url, &options))
 		return CTL_EXIT_USAGE;
-	if (ctl_open_context(&context, command->is_offline ? NULL : url,
+	if (ctl_open_context(&context,
+			     command->options & OPTION_OFFLINE ? NULL : url,
 			     arguments->json->count > 0)) {
 		context.options = options;
 		result =
