--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -19,7 +19,7 @@
 	OUTCOME_TAKEN_BACK,
 };
 
-static void print_words(const json_t *status)
+void ctl_print_status_words(const json_t *status)
 {
 	const json_t *problems = json_object_get(status, "problems");
 	const char *verdict =
@@ -48,7 +48,7 @@
 	char *text;
 
 	if (!context->is_json) {
-		print_words(status);
+		ctl_print_status_words(status);
 		return;
 	}
 	text = json_dumps(status, JSON_INDENT(2) | JSON_PRESERVE_ORDER);
@@ -148,7 +148,8 @@
 static enum ctl_exit wait_for_end(struct ctl_context *context,
 				  const char *service)
 {
-	uint64_t end_ms = tmr_get_now_ms(context->timers) + context->wait_ms;
+	uint64_t end_ms =
+		tmr_get_now_ms(context->timers) + context->options.wait_ms;
 	enum ctl_exit result = CTL_EXIT_TIMEOUT;
 	struct ctl_object document;
 	struct ctl_object status;
@@ -186,7 +187,7 @@
 	enum ctl_exit result = CTL_EXIT_OK;
 	struct ctl_object object;
 
-	if (context->wait_ms > 0)
+	if (context->options.wait_ms > 0)
 		return wait_for_end(context, service);
 	ctl_read_object(context, key, &object);
 	if (object.error)
--- a/src/moves/judge.c
+++ b/src/moves/judge.c
@@ -23,12 +23,16 @@
 #include "window.h"
 
 #define MV_FALSE_ALARMS 0.005 /* bound per move, over all judges */
+#define METRICS 2U
+#define MV_ROUTE_PART 0.8	/* of all evidence, to blame one route */
+#define MV_OTHER_ROUTE_PART 0.1 /* at most, on any other */
 #define MV_ROUTE_MAX 32U
-#define MV_TRACK_MAX (2U * (MV_ROUTE_MAX + 1U))
+#define MV_TRACK_MAX (METRICS * (MV_ROUTE_MAX + 1U))
 #define MV_BAD_TARGETS 0.04    /* part of moves with a target bad by itself */
 #define MV_ALONE_NATS 12.0     /* evidence that makes a comparison worth it */
 #define MV_GOOD_NATS 4.6       /* evidence for a good version, over all */
 #define MV_GOOD_ROUTE_NATS 2.3 /* the same on one route */
+#define MV_ALIKE_CALLS_MIN 12U /* before targets can be called alike */
 #define MV_ALIKE_RATIO 6.0     /* worst target's part to the mean of others */
 #define MV_COMPARE_NATS 8.0    /* evidence in a comparison that decides it */
 #define MV_OLD_HIT_NATS 6.0    /* evidence that the old version got worse */
@@ -51,9 +55,9 @@
 /* The strongest evidence of all tracks, in nats. */
 struct summary {
 	const struct trk_track *worst;
-	double paired; /* to hold against the threshold */
-	double rest;   /* without the worst target */
+	double margin; /* by which paired evidence passes its threshold */
 	double alone;
+	bool is_leaning; /* paired evidence is above a part of its threshold */
 };
 
 struct fold {
@@ -113,9 +117,16 @@
 	}
 }
 
-static double get_threshold(const struct mv_judge *judge)
+/*
+ * Returns the threshold of a track. The two tracks over all routes have one
+ * half of the bound on false alarms, those of single routes the other.
+ */
+static double get_threshold(const struct mv_judge *judge,
+			    const struct trk_track *track)
 {
-	double tests = (double)judge->track_count * TST_ALTERNATIVES;
+	uint32_t shared =
+		track->route[0] ? judge->track_count - METRICS : METRICS;
+	double tests = 2.0 * shared * TST_ALTERNATIVES;
 
 	return log(2 * tests * (double)judge->slots * judge->judge_count /
 		   MV_FALSE_ALARMS);
@@ -192,6 +203,7 @@
 	uint32_t targets = trk_get_sums(track, &sums, &rest);
 	double found;
 	double fresh;
+	double threshold;
 	bool is_alike;
 
 	if (is_old_hit(track))
@@ -201,31 +213,60 @@
 		verdict->is_leaning_bad = true;
 	if (targets == 0)
 		return;
-	is_alike = are_targets_alike(&sums, &rest, targets);
+	is_alike = track->new_calls >= MV_ALIKE_CALLS_MIN &&
+		   are_targets_alike(&sums, &rest, targets);
 	found = join_evidence(tst_get_paired(&sums), tst_get_paired(&rest),
 			      is_alike);
 	fresh = join_evidence(tst_get_fresh(&sums), tst_get_fresh(&rest),
 			      is_alike);
 	if (fresh > 0)
 		found = fmax(found, fresh + get_step_gain(judge));
-	if (found > summary->paired ||
-	    (summary->paired <= 0 && rest.alone > summary->alone))
+	threshold = get_threshold(judge, track);
+	found -= threshold;
+	if (!summary->worst || found > fmax(summary->margin, 0) ||
+	    (summary->margin < 0 && rest.alone > summary->alone)) {
 		summary->worst = track;
-	summary->paired = fmax(summary->paired, found);
-	summary->rest = fmax(summary->rest, tst_get_paired(&rest));
+		summary->margin = found;
+	}
+	if (tst_get_paired(&rest) >= threshold / MV_LEANING_PART)
+		summary->is_leaning = true;
 	summary->alone = fmax(summary->alone, rest.alone);
 }
 
+/*
+ * Returns the one route that holds nearly all of the evidence over all routes,
+ * or else the given track.
+ */
+static const struct trk_track *narrow_track(const struct mv_judge *judge,
+					    const struct trk_track *worst)
+{
+	double evidence = tst_get_paired(&worst->sums);
+	const struct trk_track *only = worst;
+
+	for (uint32_t i = 0; i < judge->track_count; i++) {
+		const struct trk_track *track = judge->tracks[i];
+		double part = tst_get_paired(&track->sums) / evidence;
+
+		if (!track->route[0] || track->metric != worst->metric)
+			continue;
+		if (part >= MV_ROUTE_PART)
+			only = track;
+		else if (part >= MV_OTHER_ROUTE_PART)
+			return worst;
+	}
+	return only;
+}
+
 static void set_kind(const struct mv_judge *judge,
 		     const struct summary *summary, struct mv_verdict *verdict)
 {
-	double threshold = get_threshold(judge);
+	const struct trk_track *worst;
 
 	/* While the new version has all calls, paired evidence stands still. */
 	if (judge->takes_all ? summary->alone >= MV_ALONE_NATS / MV_LEANING_PART
-			     : summary->rest >= threshold / MV_LEANING_PART)
+			     : summary->is_leaning)
 		verdict->is_leaning_bad = true;
-	if (summary->paired >= threshold)
+	if (summary->worst && summary->margin >= 0)
 		verdict->kind = MV_VERDICT_BAD;
 	else if (judge->takes_all && summary->alone >= MV_ALONE_NATS)
 		verdict->kind = MV_VERDICT_SUSPECT;
@@ -234,8 +275,12 @@
 		verdict->kind = MV_VERDICT_SCARCE;
 	else
 		verdict->kind = MV_VERDICT_GOOD;
-	if (summary->worst)
-		trk_get_finding(summary->worst, &verdict->finding);
+	if (!summary->worst)
+		return;
+	worst = summary->worst;
+	if (verdict->kind == MV_VERDICT_BAD && !worst->route[0])
+		worst = narrow_track(judge, worst);
+	trk_get_finding(worst, &verdict->finding);
 }
 
 struct mv_judge *mv_new_judge(TALLOC_CTX *ctx, const struct doc_move *move,
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -7,6 +7,8 @@
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
  *   POST /moves/report  counts of calls, from nodes to a move's lease holder
+ *   .../spread/... what peers ask for, see src/spread/peer_api.h
+ *   GET  /burn     history of call counts; ?service=NAME gives one service
  */
 #include <string.h>
 #include <stdlib.h>
@@ -15,6 +17,7 @@
 #include "loom/reader.h"
 
 #define ANNOUNCEMENT_BYTES_MAX 4096U
+#define SPREAD_PATH "/spread/"
 
 static const struct rd_range port_range = { 1, 65535 };
 static const struct rd_range phase_range = { 1, 16 };
@@ -114,9 +117,10 @@
 {
 	const struct mem_self *self = &member->self;
 
-	return json_pack("{s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
+	return json_pack("{s:s,s:i,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
 			 self->address, "hop_port", (int)self->hop_port,
-			 "failure_domain", self->failure_domain, "state",
+			 "admin_port", (int)self->admin_port, "failure_domain",
+			 self->failure_domain, "state",
 			 get_state_name(member->state), "service",
 			 self->service ? self->service : "", "version",
 			 self->version ? self->version : "", "phase",
@@ -164,6 +168,12 @@
 	rls_handle_report(node->release, request);
 }
 
+static void handle_burn(struct nd_node *node, struct web_request *request)
+{
+	reply_json(request, MHD_HTTP_OK,
+		   nd_make_burn(node, web_get_query(request, "service")));
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -176,6 +186,7 @@
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
 	{ "POST", "/moves/report", handle_report },
+	{ "GET", "/burn", handle_burn },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
@@ -183,6 +194,10 @@
 	const char *method = web_get_method(request);
 	const char *path = web_get_path(request);
 
+	if (g_str_has_prefix(path, SPREAD_PATH)) {
+		spr_handle_request(((struct nd_node *)data)->spread, request);
+		return;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(admin_routes); i++) {
 		if (strcmp(admin_routes[i].method, method) == 0 &&
 		    strcmp(admin_routes[i].path, path) == 0) {
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -15,7 +15,6 @@
 #define PLAT_TIMEOUT_MS 10000U
 #define PLAT_CALLS_PER_SECOND 10U
 #define PLAT_BURST_CALLS 20U
-#define PLAT_IN_FLIGHT_MAX 8U
 #define PLAT_TRIES_PER_TIMEOUT 3U
 #define PLAT_ANSWER_BYTES_MAX (16U * 1024 * 1024)
 
@@ -176,15 +175,14 @@
 static void deliver(uint64_t now_ms, void *data)
 {
 	struct plat_call *call = data;
-	bool is_freed = false;
+	bool *is_freed = talloc_zero(NULL, bool);
 
 	call->wait = NULL;
-	call->is_freed = &is_freed;
+	call->is_freed = is_freed;
 	call->fn(&call->result, call->data);
-	if (is_freed)
-		return;
-	call->is_freed = NULL;
-	talloc_free(call);
+	if (!*is_freed)
+		talloc_free(call);
+	talloc_free(is_freed);
 }
 
 static void handle_expiry(uint64_t now_ms, void *data)
