--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -121,6 +121,13 @@
 	build_table(state->fixture);
 }
 
+/* Builds the table anew, with a bound on the share. */
+static void set_limit(struct chooser_state *state, uint32_t limit_permille)
+{
+	build_table(state->fixture);
+	rt_set_share_limit(state->fixture->table, "orders", limit_permille);
+}
+
 static void set_policy(struct chooser_state *state, const char *name)
 {
 	enum rt_policy policy = RT_POLICY_TWO_CHOICES;
@@ -141,6 +148,8 @@
 
 	if (strcmp(words[0], "policy") == 0) {
 		set_policy(state, words[1]);
+	} else if (strcmp(words[0], "limit") == 0) {
+		set_limit(state, parse_number(words[1]));
 	} else if (strcmp(words[0], "at") == 0) {
 		state->now_ms = parse_number(words[1]);
 	} else if (strcmp(words[0], "choose") == 0) {
@@ -188,6 +197,11 @@
 	run_chooser_script("versions");
 }
 
+static void test_limits(void)
+{
+	run_chooser_script("limits");
+}
+
 static void test_baselines(void)
 {
 	run_chooser_script("baselines");
@@ -358,6 +372,7 @@
 	{ "phases, failures and refusals", test_health },
 	{ "failure domains taken out", test_domains },
 	{ "versions of a move", test_versions },
+	{ "a bound on the share", test_limits },
 	{ "baseline policies", test_baselines },
 	{ "split is exact and monotone", test_split },
 	{ "retry decisions", test_retry },
