--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -8,6 +8,7 @@
  *   GET  /metrics  counters
  *   .../spread/... what peers ask for, see src/spread/peer_api.h
  *   GET  /burn     history of call counts; ?service=NAME gives one service
+ *   POST /moves/report  counts of calls, from nodes to a move's lease holder
  */
 #include <string.h>
 #include <stdlib.h>
@@ -168,6 +169,11 @@
 		   nd_make_burn(node, web_get_query(request, "service")));
 }
 
+static void handle_report(struct nd_node *node, struct web_request *request)
+{
+	rls_handle_report(node->release, request);
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -180,6 +186,7 @@
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
 	{ "GET", "/burn", handle_burn },
+	{ "POST", "/moves/report", handle_report },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
