--- a/src/moves/tests/test_moves.c
+++ b/src/moves/tests/test_moves.c
@@ -138,6 +138,8 @@
 		script->move.finish_by_ms = get_time(value);
 	else if (strcmp(name, "to") == 0)
 		script->move.to = strcmp(value, "v3") == 0 ? "v3" : "v2";
+	else if (strcmp(name, "step") == 0)
+		script->state.step_index = get_number(value);
 	else if (strcmp(name, "verdict") == 0)
 		parse_verdict(&script->evidence.verdict, value);
 	else
@@ -439,6 +441,39 @@
 	talloc_free(window);
 }
 
+/* Returns the second in which a judge of that count says bad, or 0. */
+static uint32_t find_bad_second(uint32_t judge_count)
+{
+	static char *old_words[] = { "calls", "0",   "30", "v1",   "stock",
+				     "a:1",   "100", "0",  "good", NULL };
+	static char *new_words[] = { "calls", "2", "30", "v2",	   "stock",
+				     "b:1",   "5", "2",	 "failed", NULL };
+	struct script script;
+	struct mv_verdict verdict = { 0 };
+	uint32_t second = 0;
+
+	init_script(&script);
+	talloc_free(script.judge);
+	script.judge = mv_new_judge(script.window, &script.move, judge_count);
+	g_ptr_array_add(script.rules, g_strdupv(old_words));
+	g_ptr_array_add(script.rules, g_strdupv(new_words));
+	while (verdict.kind != MV_VERDICT_BAD && second < 30) {
+		play_rules(&script, ++second);
+		mv_get_verdict(script.judge, &verdict);
+	}
+	clear_script(&script);
+	return verdict.kind == MV_VERDICT_BAD ? second : 0;
+}
+
+static void test_judges_share_their_bound(void)
+{
+	uint32_t alone = find_bad_second(1);
+	uint32_t shared = find_bad_second(740);
+
+	CU_ASSERT_TRUE(alone > 0);
+	CU_ASSERT_TRUE(shared > alone);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "planner follows its script", test_planner_script },
 	{ "brake follows its script", test_brake_script },
@@ -446,6 +481,7 @@
 	{ "codecs check what they read", test_codec_script },
 	{ "state survives its codec", test_state_survives_codec },
 	{ "window is bounded", test_window_is_bounded },
+	{ "judges share their bound", test_judges_share_their_bound },
 	CU_TEST_INFO_NULL,
 };
 
