Admit calls for the node's own target by a function call

Cause: a call that enters at its target's own node went over HTTP to the node's own hop port. Ruled out: nothing else of the path differs. The scripts of the hop side run over the short way as well (local_target).

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -33,6 +33,12 @@
 	tr_close_buffer(&answer->body);
 }
 
+void tr_reset_answer(struct tr_answer *answer)
+{
+	tr_close_answer(answer);
+	tr_open_answer(answer);
+}
+
 static void begin_head(struct tr_answer *answer, const char *line)
 {
 	const char *status = strchr(line, ' ');
@@ -86,6 +92,7 @@
 /* Of the nodes' own headers a target may say only that it shed the call. */
 static void check_target_refusal(struct tr_answer *answer)
 {
+	answer->has_load = false;
 	g_free(answer->refused);
 	answer->refused = NULL;
 	if (answer->status != MHD_HTTP_SERVICE_UNAVAILABLE)
@@ -107,10 +114,10 @@
 	if (answer->status < 200)
 		return;
 	answer->head_us = tr_get_now_us();
-	if (call->role == TR_ROLE_HOP)
+	if (call->role == TR_ROLE_HOP || call->is_local)
 		check_target_refusal(answer);
 	/* The entry side may follow a refusal with another attempt. */
-	else if (tr_is_refused(answer))
+	if (call->role == TR_ROLE_ENTRY && tr_is_refused(answer))
 		return;
 	tr_relay_answer(call);
 }
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -51,7 +51,10 @@
 	call->easy = NULL;
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
-		tr_end_entry_attempt(call, code);
+		if (call->is_local)
+			tr_end_local_attempt(call, code);
+		else
+			tr_end_entry_attempt(call, code);
 		break;
 	case TR_ROLE_HOP:
 		tr_end_hop_attempt(call, code);
@@ -114,11 +117,9 @@
 	bool is_started;
 
 	assert(!call->easy);
-	tr_close_answer(&call->answer);
-	tr_open_answer(&call->answer);
+	tr_reset_answer(&call->answer);
 	call->stage = TR_STAGE_SENDING;
 	call->attempt_us = tr_get_now_us();
-	call->attempt_count++;
 	call->send_count = 0;
 	call->upload.is_paused = false;
 	call->easy = tr_take_handle(call->thread);
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -43,8 +43,11 @@
 static void stop_call(struct tr_call *call, enum rt_outcome outcome,
 		      enum adm_outcome adm_outcome)
 {
-	if (call->stage == TR_STAGE_WAITING)
+	if (call->stage == TR_STAGE_WAITING) {
 		adm_cancel_waiting(call->thread->gate, call);
+		if (call->is_local)
+			tr_note_entry_end(call, outcome);
+	}
 	if (!call->easy)
 		return;
 	tr_stop_attempt(call);
@@ -52,6 +55,7 @@
 		call->is_run_possible = true;
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
+		tr_release_slot(call, adm_outcome);
 		tr_note_entry_end(call, outcome);
 		if (outcome == RT_OUTCOME_FAILED)
 			tr_note_sample(call, MV_OUTCOME_FAILED);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -77,7 +77,8 @@
 	uint32_t send_count;  /* of this attempt */
 	uint32_t send_total;  /* of all attempts */
 	bool is_run_possible; /* an attempt was sent and not refused */
-	bool is_held;	      /* hop: occupies a slot of the gate */
+	bool is_local; /* entry: the attempt goes to the target of this node */
+	bool is_held;  /* hop: occupies a slot of the gate */
 	struct tr_answer answer;
 
 	struct MHD_Response *reply; /* to queue, or queued */
@@ -109,6 +110,8 @@
 /* entry.c */
 void tr_route_call(struct tr_call *call);
 void tr_end_entry_attempt(struct tr_call *call, CURLcode code);
+/* The attempt was refused or failed by a node; call->answer says how. */
+void tr_end_refused_attempt(struct tr_call *call);
 void tr_note_entry_end(struct tr_call *call, enum rt_outcome outcome);
 
 /* hop.c */
@@ -116,6 +119,9 @@
 void tr_end_hop_attempt(struct tr_call *call, CURLcode code);
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome);
 void tr_run_waiting(struct tr_thread *thread);
+/* Entry: the chosen target is this node's own; admission is a function call. */
+void tr_admit_local_call(struct tr_call *call);
+void tr_end_local_attempt(struct tr_call *call, CURLcode code);
 
 /* attempt.c: starts the transfer to base_url; the call's headers are ready. */
 void tr_start_attempt(struct tr_call *call, struct hc_loop *loop,
@@ -128,6 +134,7 @@
 /* answer.c */
 void tr_open_answer(struct tr_answer *answer);
 void tr_close_answer(struct tr_answer *answer);
+void tr_reset_answer(struct tr_answer *answer);
 size_t tr_take_answer_header(char *line, size_t size, size_t count, void *data);
 size_t tr_take_answer_body(char *part, size_t size, size_t count, void *data);
 void tr_relay_answer(struct tr_call *call);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -71,12 +71,28 @@
 	return call->chosen != NULL;
 }
 
+/* The gate of this node belongs to its first thread. */
+static bool is_own_target(const struct tr_call *call)
+{
+	const struct tr_thread *thread = call->thread;
+
+	return thread->index == 0 &&
+	       strcmp(call->chosen->address, thread->service->hop_address) == 0;
+}
+
 static void send_to_chosen(struct tr_call *call)
 {
 	struct tr_thread *thread = call->thread;
-	char *base_url = g_strconcat("http://", call->chosen->address, NULL);
+	char *base_url;
 
 	rt_note_start(thread->chooser, call->chosen->address);
+	call->attempt_count++;
+	call->is_local = is_own_target(call);
+	if (call->is_local) {
+		tr_admit_local_call(call);
+		return;
+	}
+	base_url = g_strconcat("http://", call->chosen->address, NULL);
 	make_headers(call);
 	tr_start_attempt(call, thread->peers, base_url);
 	g_free(base_url);
@@ -184,7 +200,7 @@
 		    tmr_get_now_ms(call->thread->timers));
 }
 
-static void end_refused(struct tr_call *call)
+void tr_end_refused_attempt(struct tr_call *call)
 {
 	const char *reason = call->answer.refused;
 	bool is_not_run = call->answer.is_not_run;
@@ -236,8 +252,8 @@
 	struct tr_answer *answer = &call->answer;
 	bool is_relayed = call->stage == TR_STAGE_RELAYING;
 
-	if (code == CURLE_OK && !is_relayed && tr_is_refused(answer)) {
-		end_refused(call);
+	if (!is_relayed && tr_is_refused(answer)) {
+		tr_end_refused_attempt(call);
 		return;
 	}
 	if (!is_relayed) {
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -8,16 +8,26 @@
 #include <string.h>
 #include "call.h"
 
+static const char *get_service(const struct tr_call *call)
+{
+	const char *host;
+
+	if (call->service)
+		return call->service->name;
+	host = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
+					   MHD_HTTP_HEADER_HOST);
+	return host ? host : "";
+}
+
 static void make_headers(struct tr_call *call)
 {
 	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
 	uint64_t left_ms =
 		call->deadline_ms > now_ms ? call->deadline_ms - now_ms : 0;
-	const char *host = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
 	struct curl_slist *list = NULL;
 
-	list = tr_append_header(list, MHD_HTTP_HEADER_HOST, host ? host : "");
+	curl_slist_free_all(call->headers);
+	list = tr_append_header(list, MHD_HTTP_HEADER_HOST, get_service(call));
 	list = tr_copy_headers(list, call->mhd);
 	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth + 1);
@@ -44,16 +54,36 @@
 		call->mhd, MHD_HEADER_KIND, TR_HEADER_VERSION));
 }
 
-void tr_admit_call(struct tr_call *call)
+/* The load that an answer from this node would carry. */
+static void take_load(struct tr_call *call)
+{
+	adm_get_load(call->thread->gate, &call->answer.load);
+	call->answer.has_load = true;
+}
+
+/* The gate gave the call no place: not a byte went to the target. */
+static void end_unadmitted(struct tr_call *call, enum adm_refusal refusal)
+{
+	const char *reason = adm_get_refusal_name(refusal);
+
+	if (!call->is_local) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, reason,
+			       true);
+		return;
+	}
+	call->answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+	call->answer.is_not_run = true;
+	call->answer.refused = g_strdup(reason);
+	take_load(call);
+	tr_end_refused_attempt(call);
+}
+
+static void ask_gate(struct tr_call *call, const char *version)
 {
 	struct tr_thread *thread = call->thread;
-	const char *service = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
 	enum adm_refusal refusal = ADM_REFUSAL_NONE;
 
-	read_hop_headers(call);
-	switch (adm_admit(thread->gate, service ? service : "",
-			  call->version ? call->version : "", call,
+	switch (adm_admit(thread->gate, get_service(call), version, call,
 			  tmr_get_now_ms(thread->timers), call->deadline_ms,
 			  &refusal)) {
 	case ADM_VERDICT_RUN:
@@ -63,22 +93,33 @@
 		call->stage = TR_STAGE_WAITING;
 		break;
 	case ADM_VERDICT_REFUSE:
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       adm_get_refusal_name(refusal), true);
+		end_unadmitted(call, refusal);
 		break;
 	}
 }
 
+void tr_admit_call(struct tr_call *call)
+{
+	read_hop_headers(call);
+	ask_gate(call, call->version ? call->version : "");
+}
+
+void tr_admit_local_call(struct tr_call *call)
+{
+	tr_reset_answer(&call->answer);
+	cnt_add(call->thread->service->counters.local_calls, 1);
+	call->attempt_us = tr_get_now_us();
+	call->send_count = 0;
+	ask_gate(call, call->chosen->version);
+}
+
 void tr_run_waiting(struct tr_thread *thread)
 {
 	uint64_t now_ms = tmr_get_now_ms(thread->timers);
 	struct tr_call *call;
 
 	while ((call = adm_take_expired(thread->gate, now_ms)))
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       adm_get_refusal_name(
-				       adm_get_waiting_refusal(thread->gate)),
-			       true);
+		end_unadmitted(call, adm_get_waiting_refusal(thread->gate));
 	while ((call = adm_take_ready(thread->gate, now_ms)))
 		run_call(call);
 }
@@ -133,3 +174,27 @@
 	}
 	tr_release_slot(call, get_outcome(call, code));
 }
+
+/* Says of a failed transfer what this node would say to another. */
+static void note_failure(struct tr_call *call)
+{
+	struct tr_answer *answer = &call->answer;
+
+	answer->is_not_run = call->send_count == 0;
+	g_free(answer->refused);
+	answer->refused = g_strdup(answer->is_not_run ? "target_unreachable"
+						      : "connection_lost");
+	answer->status = answer->is_not_run ? MHD_HTTP_SERVICE_UNAVAILABLE
+					    : MHD_HTTP_BAD_GATEWAY;
+}
+
+void tr_end_local_attempt(struct tr_call *call, CURLcode code)
+{
+	enum adm_outcome outcome = get_outcome(call, code);
+
+	if (code != CURLE_OK && call->stage != TR_STAGE_RELAYING)
+		note_failure(call);
+	tr_release_slot(call, outcome);
+	take_load(call);
+	tr_end_entry_attempt(call, code);
+}
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -42,6 +42,9 @@
 			get_counter(registry, "loom_cancelled_total", label,
 				    "Calls whose caller hung up.");
 	}
+	counters->local_calls =
+		get_counter(registry, "loom_local_calls_total", NULL,
+			    "Attempts admitted without a second hop.");
 	counters->retries = get_counter(registry, "loom_retries_total", NULL,
 					"Attempts after the first.");
 	counters->repeats_stopped =
@@ -97,6 +100,8 @@
 	service->options.address = talloc_strdup(service, options->address);
 	service->options.failure_domain =
 		talloc_strdup(service, options->failure_domain);
+	service->hop_address = talloc_asprintf(
+		service, "%s:%u", options->address, options->hop_port);
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -120,25 +120,35 @@
 	g_error("no call %s", name);
 }
 
+static uint32_t get_caller_value(const struct raw_caller *caller,
+				 const char *what)
+{
+	if (strcmp(what, "answers") == 0)
+		return raw_count_answers(caller);
+	if (strcmp(what, "closed") == 0)
+		return caller->is_closed;
+	g_error("a caller has no %s", what);
+}
+
+static uint32_t get_node_value(const struct mesh_node *node, const char *what)
+{
+	if (strcmp(what, "requests") == 0)
+		return raw_get_request_count(node->target);
+	if (strcmp(what, "running") == 0)
+		return raw_get_running_count(node->target);
+	if (strcmp(what, "hang-ups") == 0)
+		return raw_get_hang_up_count(node->target);
+	if (strcmp(what, "peak") == 0)
+		return raw_get_peak_count(node->target);
+	if (strcmp(what, "calls") == 0)
+		return tr_get_call_count(node->traffic);
+	g_error("a node has no %s", what);
+}
+
 static uint32_t get_value(const struct wait *wait)
 {
-	if (strcmp(wait->what, "requests") == 0)
-		return raw_get_request_count(wait->node->target);
-	if (strcmp(wait->what, "running") == 0)
-		return raw_get_running_count(wait->node->target);
-	if (strcmp(wait->what, "hang-ups") == 0)
-		return raw_get_hang_up_count(wait->node->target);
-	if (strcmp(wait->what, "connections") == 0)
-		return raw_get_connection_count(wait->node->target);
-	if (strcmp(wait->what, "peak") == 0)
-		return raw_get_peak_count(wait->node->target);
-	if (strcmp(wait->what, "answers") == 0)
-		return raw_count_answers(wait->caller);
-	if (strcmp(wait->what, "closed") == 0)
-		return wait->caller->is_closed;
-	if (strcmp(wait->what, "calls") == 0)
-		return tr_get_call_count(wait->node->traffic);
-	g_error("cannot wait for %s", wait->what);
+	return wait->caller ? get_caller_value(wait->caller, wait->what)
+			    : get_node_value(wait->node, wait->what);
 }
 
 static bool is_reached(void *data)
@@ -316,6 +326,11 @@
 	run_script("relay");
 }
 
+static void test_local_target(void)
+{
+	run_script("local_target");
+}
+
 static void test_refusals(void)
 {
 	run_script("refusals");
@@ -348,6 +363,7 @@
 
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
+	{ "local target", test_local_target },
 	{ "refusals", test_refusals },
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -38,6 +38,7 @@
 	struct cnt_counter *refusals[2];
 	struct cnt_counter *broken[2];
 	struct cnt_counter *cancelled[2];
+	struct cnt_counter *local_calls;
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
@@ -98,6 +99,7 @@
 
 struct tr_service {
 	struct tr_options options;
+	const char *hop_address; /* "ADDRESS:PORT" as peers know this node */
 	struct tr_counters counters;
 	struct tr_thread *threads;
 	GAsyncQueue *batches; /* samples on their way to the control thread */
