Take failure domains out and in by one write that nodes are told of

Cause: an operator's write reached nodes only through the platform's watches, and not at all when the platform went away right after it. The written manifest is now offered to the relays, whose leases carry their administration port, and they spread it to peers. A node takes an offer only when it is newer, carries a write id and all its documents are here.

The writer also fixes the version of the manifest that a round replaces when the round starts: read at its end, a round that crossed an operator's write would have put the manifest without it.

--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -80,6 +80,15 @@
 void spr_handle_request(struct spr_service *service,
 			struct web_request *request);
 
+/*
+ * Returns the manifest that follows current with the failure domain out or in,
+ * new and owned by ctx, or NULL when it has that state already. The write id is
+ * the caller's to set.
+ */
+struct doc_manifest *
+spr_make_domain_manifest(TALLOC_CTX *ctx, const struct doc_manifest *current,
+			 const char *name, bool is_out);
+
 /*
  * Returns the snapshot in force (borrowed), or NULL before the node has caught
  * up after its start.
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -65,4 +65,12 @@
 enum ctl_exit ctl_print_status(struct ctl_context *context,
 			       const char *service);
 
+/*
+ * Takes a failure domain out or in, and offers the written manifest to the
+ * relays and to the nodes given as "ADDRESS:PORT" of their administration.
+ */
+enum ctl_exit ctl_set_failure_domain(struct ctl_context *context,
+				     const char *name, bool is_out,
+				     const char *const *nodes, int node_count);
+
 #endif
--- /dev/null
+++ b/src/ctl/failure_domain.c
@@ -0,0 +1,217 @@
+/*
+ * Takes a failure domain out or in: one conditional write of the manifest, then
+ * the written manifest is offered to nodes, so that it spreads also when the
+ * platform goes away right after the write. The relays to offer it to are read
+ * before the write for the same reason.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "ctl.h"
+#include "loom/document.h"
+#include "loom/error.h"
+#include "loom/http.h"
+#include "loom/reader.h"
+#include "loom/spread.h"
+
+#define WRITE_TRIES_MAX 5U
+#define OFFER_TIMEOUT_MS 2000U
+#define OFFER_ANSWER_BYTES_MAX (64U * 1024U)
+
+/* Offers under way; the loop runs until none is left. */
+struct offers {
+	uint32_t pending_count;
+	uint32_t taken_count;
+};
+
+struct offer {
+	struct offers *offers;
+	const char *node;
+};
+
+struct node_list {
+	GPtrArray *nodes; /* "ADDRESS:PORT" */
+	bool is_done;
+};
+
+static void take_leases(const struct plat_result *result, void *data)
+{
+	struct node_list *list = data;
+
+	list->is_done = true;
+	for (size_t i = 0; i < result->object_count; i++) {
+		const char *holder = json_string_value(
+			json_object_get(result->objects[i].value, "holder"));
+
+		if (holder && strchr(holder, ':'))
+			g_ptr_array_add(list->nodes, g_strdup(holder));
+	}
+}
+
+/* Adds the relays, which hold their leases under their address and port. */
+static void list_relays(struct ctl_context *context, GPtrArray *nodes)
+{
+	struct node_list list = { .nodes = nodes };
+
+	plat_list_objects(context->ctx, context->platform, SPR_KEY_RELAY_LEASE,
+			  take_leases, &list);
+	while (!list.is_done)
+		tevent_loop_once(context->events);
+}
+
+static void finish_offer(const struct hc_answer *answer, void *data)
+{
+	struct offer *offer = data;
+
+	offer->offers->pending_count--;
+	/* A node that has the manifest by now refuses it a second time. */
+	if (!answer->error && (answer->status == MHD_HTTP_OK ||
+			       answer->status == MHD_HTTP_CONFLICT))
+		offer->offers->taken_count++;
+	else
+		fprintf(stderr, "loomctl: node %s did not take the manifest\n",
+			offer->node);
+}
+
+static void send_offer(struct ctl_context *context, struct hc_loop *loop,
+		       struct offers *offers, const char *node,
+		       const char *manifest)
+{
+	struct offer *offer = talloc_zero(context->ctx, struct offer);
+	struct hc_options options = {
+		.method = "POST",
+		.url = talloc_asprintf(offer, "http://%s/spread/manifest",
+				       node),
+		.body = manifest,
+		.body_size = strlen(manifest),
+		.timeout_ms = OFFER_TIMEOUT_MS,
+		.answer_bytes_max = OFFER_ANSWER_BYTES_MAX,
+	};
+
+	offer->offers = offers;
+	offer->node = talloc_strdup(offer, node);
+	offers->pending_count++;
+	hc_send(context->ctx, loop, &options, finish_offer, offer);
+}
+
+static void offer_manifest(struct ctl_context *context, const char *manifest,
+			   const GPtrArray *nodes)
+{
+	struct offers offers = { 0 };
+	GError *error = NULL;
+	struct hc_loop *loop =
+		hc_new_loop(context->ctx, context->events, &error);
+
+	if (!loop) {
+		ctl_print_error(error);
+		g_clear_error(&error);
+		return;
+	}
+	for (guint i = 0; i < nodes->len; i++)
+		send_offer(context, loop, &offers, nodes->pdata[i], manifest);
+	while (offers.pending_count > 0)
+		tevent_loop_once(context->events);
+	printf("offered to %u nodes, of which %u have it\n", nodes->len,
+	       offers.taken_count);
+}
+
+/* Reads the manifest; returns it (new) or NULL with *error set. */
+static struct doc_manifest *read_manifest(struct ctl_context *context,
+					  uint64_t *version, GError **error)
+{
+	struct doc_manifest *manifest = NULL;
+	struct ctl_object object;
+	char *text;
+
+	ctl_read_object(context, SPR_KEY_MANIFEST, &object);
+	*version = object.version;
+	if (object.error) {
+		g_propagate_error(error, g_error_copy(object.error));
+	} else {
+		text = json_dumps(object.value, JSON_COMPACT);
+		manifest = doc_parse_manifest(context->ctx, text, strlen(text),
+					      error);
+		free(text);
+	}
+	ctl_clear_object(&object);
+	return manifest;
+}
+
+/* Returns the text of the written manifest (new), or NULL with *error set. */
+static char *write_manifest(struct ctl_context *context,
+			    const struct doc_manifest *manifest,
+			    uint64_t version, GError **error)
+{
+	char *text = doc_format_manifest(context->ctx, manifest);
+	json_t *value = json_loads(text, 0, NULL);
+	struct ctl_object written;
+	char *dumped = NULL;
+
+	ctl_write_object(context, SPR_KEY_MANIFEST, value, version, &written);
+	if (written.error)
+		g_propagate_error(error, g_error_copy(written.error));
+	else
+		dumped = json_dumps(value, JSON_COMPACT);
+	text = talloc_strdup(context->ctx, dumped);
+	free(dumped);
+	ctl_clear_object(&written);
+	json_decref(value);
+	return text;
+}
+
+/* One try. *text is NULL when the failure domain has that state already. */
+static bool try_to_set(struct ctl_context *context, const char *name,
+		       bool is_out, char **text, GError **error)
+{
+	struct doc_manifest *manifest;
+	struct doc_manifest *next;
+	uint64_t version;
+
+	*text = NULL;
+	manifest = read_manifest(context, &version, error);
+	if (!manifest)
+		return false;
+	next = spr_make_domain_manifest(context->ctx, manifest, name, is_out);
+	if (!next)
+		return true;
+	*text = write_manifest(context, next, version, error);
+	return *text != NULL;
+}
+
+enum ctl_exit ctl_set_failure_domain(struct ctl_context *context,
+				     const char *name, bool is_out,
+				     const char *const *nodes, int node_count)
+{
+	GPtrArray *offered = g_ptr_array_new_with_free_func(g_free);
+	enum ctl_exit result = CTL_EXIT_USAGE;
+	GError *error = NULL;
+	bool is_set = false;
+	char *text = NULL;
+
+	if (!rd_is_label(name)) {
+		fprintf(stderr,
+			"loomctl: got failure domain \"%s\", wanted a name of "
+			"lower-case letters, digits and inner hyphens\n",
+			name);
+		goto out;
+	}
+	for (int i = 0; i < node_count; i++)
+		g_ptr_array_add(offered, g_strdup(nodes[i]));
+	list_relays(context, offered);
+	for (uint32_t i = 0; i < WRITE_TRIES_MAX && !is_set; i++) {
+		g_clear_error(&error);
+		is_set = try_to_set(context, name, is_out, &text, &error);
+		if (!g_error_matches(error, ERR_DOMAIN, ERR_CONFLICT))
+			break;
+	}
+	result = is_set ? CTL_EXIT_OK : ctl_print_error(error);
+	if (is_set)
+		printf("failure domain %s is %s%s\n", name,
+		       is_out ? "out" : "in", text ? "" : " already");
+	if (text)
+		offer_manifest(context, text, offered);
+out:
+	g_clear_error(&error);
+	g_ptr_array_free(offered, TRUE);
+	return result;
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -211,7 +211,8 @@
 	options.events = node->events;
 	options.timers = node->timers;
 	options.platform = node->platform;
-	options.holder = node->settings->address;
+	options.holder = talloc_asprintf(node, "%s:%u", node->settings->address,
+					 node->settings->admin_port);
 	options.failure_domain = node->settings->failure_domain;
 	options.seed = g_str_hash(node->settings->address);
 	options.fn = handle_snapshot;
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -43,6 +43,24 @@
 	return ctl_print_status(context, operands[0]);
 }
 
+/* "out NAME [NODE...]" or "in NAME [NODE...]" */
+static enum ctl_exit run_failure_domain(struct ctl_context *context,
+					const char *const *operands,
+					int operand_count)
+{
+	bool is_out = strcmp(operands[0], "out") == 0;
+
+	if (operand_count < 2 || (!is_out && strcmp(operands[0], "in") != 0)) {
+		fputs("loomctl failure-domain: wanted \"out NAME\" or "
+		      "\"in NAME\", then ADDRESS:PORT of any further nodes "
+		      "to tell\n",
+		      stderr);
+		return CTL_EXIT_USAGE;
+	}
+	return ctl_set_failure_domain(context, operands[1], is_out,
+				      operands + 2, operand_count - 2);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json", true, run_check },
@@ -52,13 +70,16 @@
 	  "loomctl get catalogue", false, run_get },
 	{ "status", "SERVICE", "print what became of a service's document",
 	  "loomctl status catalogue", false, run_status },
+	{ "failure-domain", "out|in NAME [NODE...]",
+	  "take a failure domain out, or in again",
+	  "loomctl failure-domain out kgl-a", false, run_failure_domain },
 };
 
 static void print_commands(FILE *file)
 {
 	fputs("Usage: loomctl COMMAND [--platform URL] [--json] ...\n\n", file);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(file, "  %-8s %-8s %s\n", commands[i].name,
+		fprintf(file, "  %-14s %-21s %s\n", commands[i].name,
 			commands[i].operand, commands[i].help);
 	fputs("\nThe platform's URL may also stand in LOOM_PLATFORM.\n", file);
 }
--- a/src/spread/tests/test_spread_mesh.c
+++ b/src/spread/tests/test_spread_mesh.c
@@ -20,6 +20,11 @@
 #define TURNS_MAX 4000U
 #define BODY_BYTES_MAX (4U * 1024U * 1024U)
 
+#define NEWER_MANIFEST                                                         \
+	"{\"sequence\":1000000,\"write_id\":\"x\",\"services\":["              \
+	"{\"name\":\"plans\",\"version\":9,\"hash\":\"00000000000000aa\","     \
+	"\"move\":\"none\",\"share_permille\":0,\"step\":0}],\"domains\":[]}"
+
 /* Each failure domain calls the platform by an address of its own. */
 static const char *const platform_addresses[] = { "127.0.0.1", "127.0.1.1",
 						  NULL };
@@ -512,6 +517,121 @@
 	check_restore(mesh);
 }
 
+/* Writes the manifest with a failure domain out, as an operator does. */
+static char *take_out(struct mesh *mesh, const char *name)
+{
+	struct store *store = api_get_store(mesh->server);
+	const struct store_object *object =
+		store_find_object(store, SPR_KEY_MANIFEST);
+	char *text = json_dumps(object->value, 0);
+	struct doc_manifest *manifest =
+		doc_parse_manifest(mesh, text, strlen(text), NULL);
+	struct doc_manifest *next =
+		spr_make_domain_manifest(mesh, manifest, name, true);
+	uint64_t version = object->version;
+	json_t *value;
+
+	free(text);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(next);
+	CU_ASSERT_PTR_NULL(spr_make_domain_manifest(mesh, next, name, true));
+	next->write_id = "operator";
+	value = json_loads(doc_format_manifest(mesh, next), 0, NULL);
+	CU_ASSERT_EQUAL(store_put_object(store, SPR_KEY_MANIFEST, value,
+					 version, &version),
+			STORE_OK);
+	json_decref(value);
+	return doc_format_manifest(mesh, next);
+}
+
+static bool is_out_everywhere(struct mesh *mesh, const void *argument)
+{
+	for (uint32_t i = 0; i < NODE_COUNT; i++) {
+		struct doc_snapshot *snapshot =
+			spr_get_snapshot(mesh->nodes[i].spread);
+
+		if (!snapshot || !doc_is_domain_out(snapshot, argument))
+			return false;
+	}
+	return true;
+}
+
+struct offer {
+	uint32_t status;
+};
+
+static void note_offer(const struct hc_answer *answer, void *data)
+{
+	struct offer *offer = data;
+
+	offer->status = answer->error ? 1 : answer->status;
+}
+
+static bool is_answered(struct mesh *mesh, const void *argument)
+{
+	return ((const struct offer *)argument)->status != 0;
+}
+
+/* Offers a manifest to a node; returns the status of its answer. */
+static uint32_t offer_manifest(struct mesh *mesh, uint32_t index,
+			       const char *manifest)
+{
+	struct hc_loop *loop = hc_new_loop(mesh, mesh->events, NULL);
+	struct offer offer = { 0 };
+	struct hc_options options = {
+		.method = "POST",
+		.url = talloc_asprintf(mesh, "http://%s/spread/manifest",
+				       make_address(&mesh->nodes[index])),
+		.body = manifest,
+		.body_size = strlen(manifest),
+		.timeout_ms = 5000,
+		.answer_bytes_max = BODY_BYTES_MAX,
+	};
+
+	hc_send(mesh, loop, &options, note_offer, &offer);
+	run_until(mesh, is_answered, &offer);
+	return offer.status;
+}
+
+/* The platform goes away before any watch has seen the write. */
+static void test_domain_goes_out_in_outage(void)
+{
+	struct mesh *mesh = open_served_mesh();
+	char *manifest = take_out(mesh, "a");
+	char *unsigned_manifest;
+	uint64_t start_ms;
+
+	set_faults(mesh, "{\"outage\":true}");
+	start_ms = tmr_get_now_ms(mesh->timers);
+	unsigned_manifest = talloc_strdup(
+		mesh,
+		"{\"sequence\":1000,\"write_id\":\"\",\"services\":[],"
+		"\"domains\":[]}");
+	CU_ASSERT_EQUAL(offer_manifest(mesh, 1, unsigned_manifest), 409);
+	CU_ASSERT_EQUAL(offer_manifest(mesh, 1, "{"), 409);
+	CU_ASSERT_EQUAL(offer_manifest(mesh, 1, NEWER_MANIFEST), 409);
+	CU_ASSERT_EQUAL(offer_manifest(mesh, 1, manifest), 200);
+	CU_ASSERT_EQUAL(offer_manifest(mesh, 1, manifest), 409);
+	run_until(mesh, is_out_everywhere, "a");
+	printf("\n    out everywhere after %u ms ",
+	       (unsigned int)(tmr_get_now_ms(mesh->timers) - start_ms));
+	close_mesh(mesh);
+}
+
+/* Half of the domain's platform calls fail, and an update crosses. */
+static void test_domain_goes_out_while_cut(void)
+{
+	struct mesh *mesh = open_served_mesh();
+
+	apply(mesh, "plans", "", 200);
+	take_out(mesh, "b");
+	api_answer_watches(mesh->server);
+	set_faults(mesh, "{\"only_from\":\"127.0.0.\"}");
+	run_until(mesh, is_out_everywhere, "b");
+	wait_everywhere(mesh, "plans", 200);
+	run_until(mesh, is_out_everywhere, "b");
+	close_mesh(mesh);
+}
+
 /* A peer that answers what a test gives it. */
 struct bad_peer {
 	struct mesh *mesh;
@@ -569,11 +689,6 @@
 	close_mesh(mesh);
 }
 
-#define NEWER_MANIFEST                                                         \
-	"{\"sequence\":1000000,\"write_id\":\"x\",\"services\":["              \
-	"{\"name\":\"plans\",\"version\":9,\"hash\":\"00000000000000aa\","     \
-	"\"move\":\"none\",\"share_permille\":0,\"step\":0}],\"domains\":[]}"
-
 static void test_bad_peers(void)
 {
 	try_bad_peer("{", NULL);
@@ -599,6 +714,9 @@
 	{ "answers to writes are lost", test_answers_are_lost },
 	{ "an older state is restored", test_older_state_is_restored },
 	{ "an empty state is restored", test_empty_state_is_restored },
+	{ "domain goes out in an outage", test_domain_goes_out_in_outage },
+	{ "domain goes out while it is cut off",
+	  test_domain_goes_out_while_cut },
 	{ "bad peers change nothing", test_bad_peers },
 	CU_TEST_INFO_NULL,
 };
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -32,8 +32,8 @@
 struct round {
 	struct spr_writer *writer;
 	struct doc_fold *fold;
-	uint32_t copy_count; /* copies and documents not yet written */
-	bool is_write_back;
+	uint64_t object_version; /* of the manifest that is replaced */
+	uint32_t copy_count;	 /* copies and documents not yet written */
 	bool is_failed;
 };
 
@@ -98,7 +98,6 @@
 static void put_manifest(struct round *round)
 {
 	struct spr_writer *writer = round->writer;
-	struct spr_platform_manifest present;
 	json_t *value;
 	char *text;
 
@@ -107,13 +106,12 @@
 		finish_round(writer);
 		return;
 	}
-	spr_get_platform_manifest(writer->source, &present);
 	round->fold->manifest->write_id =
 		plat_make_write_id(round, writer->platform, writer->holder);
 	text = doc_format_manifest(round, round->fold->manifest);
 	value = json_loads(text, 0, NULL);
 	plat_put_object(round, writer->platform, SPR_KEY_MANIFEST, value,
-			present.object_version, finish_manifest, round);
+			round->object_version, finish_manifest, round);
 	json_decref(value);
 }
 
@@ -251,7 +249,6 @@
 	struct spr_writer *writer = round->writer;
 	const struct doc_manifest *manifest = round->fold->manifest;
 
-	round->is_write_back = true;
 	round->copy_count = 1;
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *entry =
@@ -431,6 +428,7 @@
 		return;
 	writer->round = talloc_zero(writer, struct round);
 	writer->round->writer = writer;
+	writer->round->object_version = present.object_version;
 	if (is_platform_current(writer, &present)) {
 		run_fold(writer->round);
 		return;
