--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -53,6 +53,7 @@
 	uint32_t lease_duration_ms;
 	uint32_t check_period_ms; /* looks for newer peers */
 	uint32_t poll_period_ms;  /* reads the manifest from the platform */
+	uint32_t sweep_period_ms; /* deletes superseded copies */
 	uint64_t seed;		  /* of the random choices */
 	spr_snapshot_fn fn;
 	spr_list_peers_fn list_peers;
--- a/src/spread/service.c
+++ b/src/spread/service.c
@@ -21,6 +21,7 @@
 #define LEASE_DURATION_MS 9000U
 #define CHECK_PERIOD_MS 1000U
 #define POLL_PERIOD_MS 30000U
+#define SWEEP_PERIOD_MS 600000U
 
 struct spr_service {
 	struct spr_options options;
@@ -85,15 +86,13 @@
 static void handle_relay(bool is_held, void *data)
 {
 	struct spr_service *service = data;
-	const struct spr_options *options = &service->options;
 
 	TALLOC_FREE(service->writer);
 	spr_follow_platform(service->source, is_held);
 	if (is_held)
-		service->writer = spr_new_writer(
-			service, options->platform, service->store,
-			service->source, options->holder,
-			options->lease_duration_ms);
+		service->writer =
+			spr_new_writer(service, &service->options,
+				       service->store, service->source);
 }
 
 static void handle_check(uint64_t now_ms, void *data)
@@ -147,6 +146,7 @@
 		.lease_duration_ms = LEASE_DURATION_MS,
 		.check_period_ms = CHECK_PERIOD_MS,
 		.poll_period_ms = POLL_PERIOD_MS,
+		.sweep_period_ms = SWEEP_PERIOD_MS,
 	};
 }
 
--- a/src/spread/tests/test_spread_mesh.c
+++ b/src/spread/tests/test_spread_mesh.c
@@ -169,6 +169,7 @@
 	options.lease_duration_ms = 600;
 	options.check_period_ms = 50;
 	options.poll_period_ms = 1000;
+	options.sweep_period_ms = 200;
 	options.seed = mesh->start_count;
 	options.fn = handle_snapshot;
 	options.list_peers = list_peers;
@@ -339,6 +340,41 @@
 	close_mesh(mesh);
 }
 
+static void count_copy(const struct store_object *object, void *data)
+{
+	(*(uint32_t *)data)++;
+}
+
+static bool is_swept(struct mesh *mesh, const void *argument)
+{
+	uint32_t count = 0;
+
+	store_visit_objects(api_get_store(mesh->server), SPR_KEY_ACCEPTED,
+			    count_copy, &count);
+	return count == *(const uint32_t *)argument;
+}
+
+static void test_superseded_copies_go(void)
+{
+	struct mesh *mesh = open_served_mesh();
+	uint32_t named_count = 2;
+
+	for (uint32_t i = 0; i < 4; i++) {
+		apply(mesh, "plans", "", 200 + i);
+		wait_everywhere(mesh, "plans", 200 + i);
+	}
+	run_until(mesh, is_swept, &named_count);
+	/* What is named is still there for a node that starts alone. */
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		kill_node(mesh, i);
+	start_node(mesh, 0);
+	wait_everywhere(mesh, "plans", 203);
+	remove_document(mesh, "stock");
+	named_count = 1;
+	run_until(mesh, is_swept, &named_count);
+	close_mesh(mesh);
+}
+
 /* Returns whether the node holds a lease whose key begins with prefix. */
 struct holder_search {
 	const char *holder;
@@ -707,6 +743,7 @@
 
 static const CU_TestInfo tests[] = {
 	{ "a change reaches all", test_change_reaches_all },
+	{ "superseded copies go", test_superseded_copies_go },
 	{ "relays die", test_relays_die },
 	{ "half of the nodes restart", test_half_restarts },
 	{ "outage right after a write", test_outage_after_write },
--- a/src/spread/writer.c
+++ b/src/spread/writer.c
@@ -23,6 +23,7 @@
 #include "loom/log.h"
 #include "loom/spread.h"
 #include "status.h"
+#include "sweep.h"
 
 struct known_document {
 	uint64_t version;
@@ -46,12 +47,14 @@
 };
 
 struct spr_writer {
+	const struct spr_options *options;
 	struct plat_client *platform;
 	struct spr_store *store;
 	struct spr_source *source;
 	const char *holder;
 	struct plat_lease *lease;
 	struct plat_watch *watch; /* while the lease is held */
+	struct spr_sweep *sweep;  /* the same */
 	bool is_listed;
 	GHashTable *documents; /* service to struct known_document */
 	GHashTable *removed;   /* services whose document is known absent */
@@ -488,44 +491,53 @@
 	log_write(LOG_LEVEL_INFO, "spread", "manifest lease", NULL,
 		  is_held ? "lease taken" : "lease not held", LOG_END);
 	TALLOC_FREE(writer->watch);
+	TALLOC_FREE(writer->sweep);
 	TALLOC_FREE(writer->round);
 	g_hash_table_remove_all(writer->asked);
 	writer->is_listed = false;
-	if (is_held)
-		writer->watch = plat_watch_prefix(writer, writer->platform,
-						  SPR_KEY_DOCUMENTS,
-						  handle_watch, writer);
+	if (!is_held)
+		return;
+	writer->watch =
+		plat_watch_prefix(writer, writer->platform, SPR_KEY_DOCUMENTS,
+				  handle_watch, writer);
+	writer->sweep =
+		spr_new_sweep(writer, writer->platform, writer->options->timers,
+			      writer->store, writer->documents,
+			      writer->options->sweep_period_ms);
 }
 
 static int destroy_writer(struct spr_writer *writer)
 {
+	TALLOC_FREE(writer->sweep);
 	g_hash_table_destroy(writer->documents);
 	g_hash_table_destroy(writer->removed);
 	g_hash_table_destroy(writer->asked);
 	return 0;
 }
 
-struct spr_writer *spr_new_writer(TALLOC_CTX *ctx, struct plat_client *platform,
+struct spr_writer *spr_new_writer(TALLOC_CTX *ctx,
+				  const struct spr_options *options,
 				  struct spr_store *store,
-				  struct spr_source *source, const char *holder,
-				  uint32_t lease_duration_ms)
+				  struct spr_source *source)
 {
 	struct spr_writer *writer = talloc_zero(ctx, struct spr_writer);
 
-	writer->platform = platform;
+	writer->options = options;
+	writer->platform = options->platform;
 	writer->store = store;
 	writer->source = source;
-	writer->holder = talloc_strdup(writer, holder);
+	writer->holder = options->holder;
 	writer->documents = g_hash_table_new_full(g_str_hash, g_str_equal,
 						  g_free, free_known_document);
 	writer->removed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	writer->asked =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	writer->status = spr_new_status(writer, platform, writer->holder);
+	writer->status =
+		spr_new_status(writer, writer->platform, writer->holder);
 	talloc_set_destructor(writer, destroy_writer);
 	writer->lease = plat_compete_lease(
-		writer, platform, SPR_KEY_WRITER_LEASE, holder,
-		lease_duration_ms, handle_lease, writer);
+		writer, writer->platform, SPR_KEY_WRITER_LEASE, writer->holder,
+		options->lease_duration_ms, handle_lease, writer);
 	return writer;
 }
--- a/src/spread/writer.h
+++ b/src/spread/writer.h
@@ -4,20 +4,20 @@
 #ifndef SPR_WRITER_H
 #define SPR_WRITER_H
 
-#include "loom/platform.h"
+#include "loom/spread.h"
 #include "source.h"
 #include "store.h"
 
 struct spr_writer;
 
 /*
- * Competes for the lease. source must follow the platform for the life of the
- * writer. Returns a new writer owned by ctx.
+ * Competes for the lease. options are borrowed; source must follow the platform
+ * for the life of the writer. Returns a new writer owned by ctx.
  */
-struct spr_writer *spr_new_writer(TALLOC_CTX *ctx, struct plat_client *platform,
+struct spr_writer *spr_new_writer(TALLOC_CTX *ctx,
+				  const struct spr_options *options,
 				  struct spr_store *store,
-				  struct spr_source *source, const char *holder,
-				  uint32_t lease_duration_ms);
+				  struct spr_source *source);
 
 /* Looks whether there is something to write: after a change in the store. */
 void spr_run_writer(struct spr_writer *writer);
