Let six nodes a failure domain compete for the relays' leases

Cause: every node waited for a lease, so the platform's calls grew with the nodes: tests/bench/spread_slopes gave 3.5 calls a second at 4 nodes, 19.4 at 32 and 40.2 at 64, on a machine that other work shares. Now the first six live nodes by a hash of their addresses compete, three for each lease.

--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -48,7 +48,8 @@
 	struct tevent_context *events;
 	struct tmr_service *timers;
 	struct plat_client *platform;
-	const char *holder; /* unique name of this node in leases and ids */
+	const char *holder;  /* unique name of this node in leases and ids */
+	const char *address; /* of this node, as its peers list it */
 	const char *failure_domain;
 	uint32_t lease_duration_ms;
 	uint32_t check_period_ms; /* looks for newer peers */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -213,6 +213,7 @@
 	options.platform = node->platform;
 	options.holder = talloc_asprintf(node, "%s:%u", node->settings->address,
 					 node->settings->admin_port);
+	options.address = options.holder;
 	options.failure_domain = node->settings->failure_domain;
 	options.seed = g_str_hash(node->settings->address);
 	options.fn = handle_snapshot;
--- a/src/spread/puller.c
+++ b/src/spread/puller.c
@@ -9,6 +9,7 @@
  */
 #include "puller.h"
 
+#include <assert.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -134,6 +135,7 @@
 	const struct doc_manifest *manifest = pull->manifest;
 	json_t *list = json_array();
 
+	assert(manifest);
 	pull->missing_count = 0;
 	for (size_t i = 0; i < manifest->service_count; i++) {
 		const struct doc_manifest_service *entry =
--- a/src/spread/relay.c
+++ b/src/spread/relay.c
@@ -1,10 +1,17 @@
 /*
- * One lease of SPR_RELAY_COUNT a failure domain, drawn by the node's seed, so
- * that half of the nodes wait for each. The first try comes after a jittered
- * delay: nodes that start together do not ask the platform together.
+ * Leases of the relays of a failure domain.
+ *
+ * Only the first SPR_RELAY_CANDIDATE_COUNT live nodes of the failure domain, in
+ * the order of a hash of their addresses, compete, so that the calls for leases
+ * do not grow with the nodes. Candidates that die leave their place to the
+ * next; nodes that see different peers are at worst a few candidates more. The
+ * rank decides which of the leases a node competes for. Invariant: a lease that
+ * is held is never given up for a change of rank.
  */
 #include "relay.h"
 
+#include <string.h>
+#include <xxhash.h>
 #include "loom/log.h"
 
 struct spr_relay {
@@ -15,6 +22,25 @@
 	void *data;
 };
 
+static uint64_t hash_address(const char *address)
+{
+	return XXH64(address, strlen(address), 0);
+}
+
+uint32_t spr_rank_node(const char *address, const char *failure_domain,
+		       const struct spr_peer *peers, size_t peer_count)
+{
+	uint64_t own = hash_address(address);
+	uint32_t rank = 0;
+
+	for (size_t i = 0; i < peer_count; i++) {
+		if (strcmp(peers[i].failure_domain, failure_domain) == 0 &&
+		    hash_address(peers[i].address) < own)
+			rank++;
+	}
+	return rank;
+}
+
 static void handle_lease(bool is_held, uint64_t fencing_version, void *data)
 {
 	struct spr_relay *relay = data;
@@ -24,16 +50,17 @@
 	relay->fn(is_held, relay->data);
 }
 
-static void compete(uint64_t now_ms, void *data)
+static void compete(struct spr_relay *relay, uint32_t index)
 {
-	struct spr_relay *relay = data;
 	const struct spr_options *options = relay->options;
-	char *key = talloc_asprintf(relay, "%s%s/%u", SPR_KEY_RELAY_LEASE,
-				    options->failure_domain, relay->index);
+	char *key = talloc_asprintf(NULL, "%s%s/%u", SPR_KEY_RELAY_LEASE,
+				    options->failure_domain, index);
 
+	relay->index = index;
 	relay->lease = plat_compete_lease(
 		relay, options->platform, key, options->holder,
 		options->lease_duration_ms, handle_lease, relay);
+	talloc_free(key);
 }
 
 struct spr_relay *spr_new_relay(TALLOC_CTX *ctx,
@@ -41,17 +68,27 @@
 				spr_relay_fn fn, void *data)
 {
 	struct spr_relay *relay = talloc_zero(ctx, struct spr_relay);
-	GRand *random = g_rand_new_with_seed((guint32)options->seed);
-	gint32 delay_max_ms = (gint32)options->check_period_ms;
 
 	relay->options = options;
-	relay->index = (uint32_t)g_rand_int_range(random, 0, SPR_RELAY_COUNT);
 	relay->fn = fn;
 	relay->data = data;
-	tmr_subscribe_once(
-		relay, options->timers,
-		1 + (uint32_t)g_rand_int_range(random, 0, delay_max_ms),
-		compete, relay);
-	g_rand_free(random);
 	return relay;
 }
+
+void spr_check_relay(struct spr_relay *relay)
+{
+	const struct spr_options *options = relay->options;
+	const struct spr_peer *peers;
+	size_t count = options->list_peers(&peers, options->data);
+	uint32_t rank = spr_rank_node(options->address, options->failure_domain,
+				      peers, count);
+	bool is_candidate = rank < SPR_RELAY_CANDIDATE_COUNT;
+	uint32_t index = rank % SPR_RELAY_COUNT;
+
+	if (relay->lease && plat_is_lease_held(relay->lease))
+		return;
+	if (relay->lease && (!is_candidate || index != relay->index))
+		TALLOC_FREE(relay->lease);
+	if (!relay->lease && is_candidate)
+		compete(relay, index);
+}
--- a/src/spread/service.c
+++ b/src/spread/service.c
@@ -101,12 +101,23 @@
 
 	if (service->writer)
 		spr_retry_writer(service->writer);
+	spr_check_relay(service->relay);
 	spr_pull_any(service->puller);
 	announce(service);
 	if (!service->is_ready)
 		spr_read_platform(service->source);
 }
 
+/* Nodes that start together check at different times. */
+static void start_checks(uint64_t now_ms, void *data)
+{
+	struct spr_service *service = data;
+
+	tmr_subscribe_every(service, service->options.timers,
+			    service->options.check_period_ms, handle_check,
+			    service);
+}
+
 static void handle_poll(uint64_t now_ms, void *data)
 {
 	struct spr_service *service = data;
@@ -134,8 +145,8 @@
 					(gint32)options->check_period_ms);
 
 	service->start_ms = tmr_get_now_ms(options->timers);
-	tmr_subscribe_every(service, options->timers, options->check_period_ms,
-			    handle_check, service);
+	tmr_subscribe_once(service, options->timers, delay_ms, start_checks,
+			   service);
 	tmr_subscribe_once(service, options->timers, delay_ms, handle_poll,
 			   service);
 }
--- a/src/spread/tests/test_spread_mesh.c
+++ b/src/spread/tests/test_spread_mesh.c
@@ -103,6 +103,8 @@
 			doc_find_service(snapshot, manifest->services[i].name);
 
 		CU_ASSERT_PTR_NOT_NULL_FATAL(service);
+		if (!service)
+			return;
 		for (size_t j = 0; service->calls[j]; j++)
 			CU_ASSERT_PTR_NOT_NULL(
 				doc_find_service(snapshot, service->calls[j]));
@@ -160,7 +162,12 @@
 	platform.seed = mesh->start_count;
 	node->platform = plat_new_client(mesh, mesh->events, mesh->timers,
 					 mesh->counters, &platform, NULL);
+	web.address = talloc_asprintf(mesh, "127.0.2.%u", index + 1);
+	node->admin = web_new_server(mesh, mesh->events, &web, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(node->admin);
+	node->port = web_get_port(node->admin);
 	spr_set_default_options(&options);
+	options.address = make_address(node);
 	options.events = mesh->events;
 	options.timers = mesh->timers;
 	options.platform = node->platform;
@@ -175,10 +182,6 @@
 	options.list_peers = list_peers;
 	options.data = node;
 	node->spread = spr_new_service(mesh, &options, NULL);
-	web.address = talloc_asprintf(mesh, "127.0.2.%u", index + 1);
-	node->admin = web_new_server(mesh, mesh->events, &web, NULL);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(node->admin);
-	node->port = web_get_port(node->admin);
 }
 
 static void kill_node(struct mesh *mesh, uint32_t index)
