--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -18,7 +18,8 @@
 	CTL_EXIT_INVALID = 3,  /* the document has problems */
 	CTL_EXIT_CONFLICT = 4, /* someone else changed it since */
 	CTL_EXIT_NOT_FOUND = 5,
-	CTL_EXIT_TIMEOUT = 6, /* --wait ended before the state was reached */
+	CTL_EXIT_TIMEOUT = 6,	 /* --wait ended before the state was reached */
+	CTL_EXIT_TAKEN_BACK = 7, /* --wait: the move was taken back */
 };
 
 /* Options of single commands; a command passes over those of others. */
@@ -30,6 +31,7 @@
 	uint32_t count_max;    /* changes that watch prints; 0: no end */
 	const char *service;   /* of the burn report; NULL: all */
 	const char *html_file; /* of the burn report, or NULL */
+	uint32_t wait_ms;      /* of status; 0: do not wait */
 };
 
 /* What a command works with. */
@@ -131,5 +133,6 @@
 
 /* loomburn: reports service-level burn from all nodes. */
 enum ctl_exit ctl_report_burn(struct ctl_context *context);
+enum ctl_exit ctl_take_back(struct ctl_context *context, const char *service);
 
 #endif
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -8,6 +8,7 @@
 #include "ctl.h"
 
 #define FILES_MAX 64
+#define WAIT_S_MAX (30 * 24 * 3600)
 
 /* Properties of a command, and options besides --platform and --json. */
 enum option {
@@ -17,6 +18,7 @@
 	OPTION_DRY_RUN = 1 << 3,
 	OPTION_NODE = 1 << 4,
 	OPTION_COUNT = 1 << 5,
+	OPTION_WAIT = 1 << 6,
 };
 
 struct command {
@@ -71,6 +73,13 @@
 	return ctl_watch_status(context, operands[0]);
 }
 
+static enum ctl_exit run_take_back(struct ctl_context *context,
+				   const char *const *operands,
+				   int operand_count)
+{
+	return ctl_take_back(context, operands[0]);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json "
@@ -81,8 +90,11 @@
 	  OPTION_EXPECT_VERSION | OPTION_DRY_RUN, run_apply },
 	{ "get", "SERVICE", "print the document of a service",
 	  "loomctl get catalogue", 0, run_get },
-	{ "status", "SERVICE", "print what became of a service's document",
-	  "loomctl status catalogue", 0, run_status },
+	{ "status", "SERVICE",
+	  "print what became of a service's document and move",
+	  "loomctl status catalogue --wait 3600", OPTION_WAIT, run_status },
+	{ "take-back", "SERVICE", "take the move of a service back",
+	  "loomctl take-back catalogue", 0, run_take_back },
 	{ "delete", "SERVICE", "delete the document of a service",
 	  "loomctl delete catalogue", OPTION_EXPECT_VERSION | OPTION_DRY_RUN,
 	  run_delete },
@@ -97,7 +109,7 @@
 {
 	fputs("Usage: loomctl COMMAND [--platform URL] [--json] ...\n\n", file);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(file, "  %-8s %-8s %s\n", commands[i].name,
+		fprintf(file, "  %-9s %-8s %s\n", commands[i].name,
 			commands[i].operand, commands[i].help);
 	fputs("\nThe platform's URL may also stand in LOOM_PLATFORM.\n", file);
 }
@@ -111,7 +123,9 @@
 	printf("\nExample: %s\n", command->example);
 	puts("Exit codes: 0 done, 1 platform or node not reached, 2 usage,\n"
 	     "3 invalid document or still called, 4 changed by someone else,\n"
-	     "5 not found, 6 waited too long.");
+	     "5 not found, 6 waited too long, 7 the move that was waited for "
+	     "was\n"
+	     "taken back.");
 }
 
 /* The command line of one command. */
@@ -123,9 +137,10 @@
 	struct arg_lit *dry_run;
 	struct arg_str *node;
 	struct arg_str *count;
+	struct arg_str *wait;
 	struct arg_str *operands;
 	struct arg_end *end;
-	void *table[9]; /* those that the command takes; end is the last */
+	void *table[10]; /* those that the command takes; end is the last */
 	size_t table_size;
 };
 
@@ -165,6 +180,10 @@
 		add_argument(arguments, arguments->count = arg_str0(
 						NULL, "count", "N",
 						"end after N changes"));
+	if (command->options & OPTION_WAIT)
+		add_argument(arguments, arguments->wait = arg_str0(
+						"w", "wait", "SECONDS",
+						"wait that long for the end"));
 	if (*command->operand)
 		add_argument(arguments, arguments->operands = arg_strn(
 						NULL, NULL, command->operand, 0,
@@ -191,12 +210,15 @@
 			 struct ctl_options *options)
 {
 	uint64_t count = 0;
+	uint64_t wait_s = 0;
 
 	*options = (struct ctl_options){ .node = g_getenv("LOOM_NODE") };
 	if (!read_number(arguments->expected_version, "expect-version",
 			 INT64_MAX, &options->expected_version) ||
-	    !read_number(arguments->count, "count", UINT32_MAX, &count))
+	    !read_number(arguments->count, "count", UINT32_MAX, &count) ||
+	    !read_number(arguments->wait, "wait", WAIT_S_MAX, &wait_s))
 		return false;
+	options->wait_ms = (uint32_t)wait_s * 1000U;
 	options->count_max = (uint32_t)count;
 	options->has_expected_version = arguments->expected_version &&
 					arguments->expected_version->count > 0;
