--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -28,10 +28,10 @@
 	bool has_expected_version;
 	uint64_t expected_version;
 	const char *node;      /* "ADDRESS:ADMIN_PORT", or NULL */
-	uint32_t wait_ms;      /* for the end of a move; 0: do not wait */
 	uint32_t count_max;    /* changes that watch prints; 0: no end */
 	const char *service;   /* of the burn report; NULL: all */
 	const char *html_file; /* of the burn report, or NULL */
+	uint32_t wait_ms;      /* of status; 0: do not wait */
 };
 
 /* What a command works with. */
@@ -127,12 +127,20 @@
 				  const char *service);
 enum ctl_exit ctl_print_status(struct ctl_context *context,
 			       const char *service);
-enum ctl_exit ctl_take_back(struct ctl_context *context, const char *service);
 enum ctl_exit ctl_print_nodes(struct ctl_context *context);
 enum ctl_exit ctl_watch_status(struct ctl_context *context,
 			       const char *service);
 
 /* loomburn: reports service-level burn from all nodes. */
 enum ctl_exit ctl_report_burn(struct ctl_context *context);
+enum ctl_exit ctl_take_back(struct ctl_context *context, const char *service);
+
+/*
+ * Takes a failure domain out or in, and offers the written manifest to the
+ * relays and to the nodes given as "ADDRESS:PORT" of their administration.
+ */
+enum ctl_exit ctl_set_failure_domain(struct ctl_context *context,
+				     const char *name, bool is_out,
+				     const char *const *nodes, int node_count);
 
 #endif
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -6,9 +6,9 @@
  *   GET  /ready    200 when a manifest is in force here, 503 before
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
- *   POST /moves/report  counts of calls, from nodes to a move's lease holder
  *   .../spread/... what peers ask for, see src/spread/peer_api.h
  *   GET  /burn     history of call counts; ?service=NAME gives one service
+ *   POST /moves/report  counts of calls, from nodes to a move's lease holder
  */
 #include <string.h>
 #include <stdlib.h>
@@ -163,17 +163,17 @@
 	g_string_free(text, TRUE);
 }
 
-static void handle_report(struct nd_node *node, struct web_request *request)
-{
-	rls_handle_report(node->release, request);
-}
-
 static void handle_burn(struct nd_node *node, struct web_request *request)
 {
 	reply_json(request, MHD_HTTP_OK,
 		   nd_make_burn(node, web_get_query(request, "service")));
 }
 
+static void handle_report(struct nd_node *node, struct web_request *request)
+{
+	rls_handle_report(node->release, request);
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -185,8 +185,8 @@
 	{ "GET", "/ready", handle_ready },
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
-	{ "POST", "/moves/report", handle_report },
 	{ "GET", "/burn", handle_burn },
+	{ "POST", "/moves/report", handle_report },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -48,8 +48,8 @@
 	struct plat_client *platform;
 	struct mem_service *members;
 	struct spr_service *spread;
-	struct rls_service *release;
 	struct spr_peer *peers; /* last list given to spread */
+	struct rls_service *release;
 	struct tr_service *traffic;
 	struct web_server *admin;
 	struct burn_history *burn;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -114,6 +114,15 @@
 		spr_note_newer(node->spread, peer, sequence);
 }
 
+static void handle_sample(const struct tr_sample *sample, void *data)
+{
+	struct nd_node *node = data;
+
+	nd_note_burn(node, sample);
+	if (node->release)
+		rls_note_sample(sample, node->release);
+}
+
 static void handle_snapshot(struct doc_snapshot *snapshot, void *data)
 {
 	struct nd_node *node = data;
@@ -139,15 +148,6 @@
 	return node->platform != NULL;
 }
 
-static void handle_sample(const struct tr_sample *sample, void *data)
-{
-	const struct nd_node *node = data;
-
-	nd_note_burn(data, sample);
-	if (node->release)
-		rls_note_sample(sample, node->release);
-}
-
 static bool open_traffic(struct nd_node *node, GError **error)
 {
 	const struct nd_settings *settings = node->settings;
@@ -264,7 +264,9 @@
 	options.events = node->events;
 	options.timers = node->timers;
 	options.platform = node->platform;
-	options.holder = node->settings->address;
+	options.holder = talloc_asprintf(node, "%s:%u", node->settings->address,
+					 node->settings->admin_port);
+	options.address = options.holder;
 	options.failure_domain = node->settings->failure_domain;
 	options.seed = g_str_hash(node->settings->address);
 	options.fn = handle_snapshot;
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -8,8 +8,7 @@
 #include "ctl.h"
 
 #define FILES_MAX 64
-#define WAIT_S_MAX (30U * 24 * 3600)
-#define MS_PER_S 1000U
+#define WAIT_S_MAX (30 * 24 * 3600)
 
 /* Properties of a command, and options besides --platform and --json. */
 enum option {
@@ -81,6 +80,24 @@
 	return ctl_take_back(context, operands[0]);
 }
 
+/* "out NAME [NODE...]" or "in NAME [NODE...]" */
+static enum ctl_exit run_failure_domain(struct ctl_context *context,
+					const char *const *operands,
+					int operand_count)
+{
+	bool is_out = strcmp(operands[0], "out") == 0;
+
+	if (operand_count < 2 || (!is_out && strcmp(operands[0], "in") != 0)) {
+		fputs("loomctl failure-domain: wanted \"out NAME\" or "
+		      "\"in NAME\", then ADDRESS:PORT of any further nodes "
+		      "to tell\n",
+		      stderr);
+		return CTL_EXIT_USAGE;
+	}
+	return ctl_set_failure_domain(context, operands[1], is_out,
+				      operands + 2, operand_count - 2);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json "
@@ -104,13 +121,16 @@
 	  run_nodes },
 	{ "watch", "SERVICE", "print a service's status at each change",
 	  "loomctl watch catalogue --count 1", OPTION_COUNT, run_watch },
+	{ "failure-domain", "out|in NAME [NODE...]",
+	  "take a failure domain out, or in again",
+	  "loomctl failure-domain out kgl-a", OPTION_MANY, run_failure_domain },
 };
 
 static void print_commands(FILE *file)
 {
 	fputs("Usage: loomctl COMMAND [--platform URL] [--json] ...\n\n", file);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(file, "  %-9s %-8s %s\n", commands[i].name,
+		fprintf(file, "  %-14s %-21s %s\n", commands[i].name,
 			commands[i].operand, commands[i].help);
 	fputs("\nThe platform's URL may also stand in LOOM_PLATFORM.\n", file);
 }
@@ -125,7 +145,8 @@
 	puts("Exit codes: 0 done, 1 platform or node not reached, 2 usage,\n"
 	     "3 invalid document or still called, 4 changed by someone else,\n"
 	     "5 not found, 6 waited too long, 7 the move that was waited for "
-	     "was\ntaken back.");
+	     "was\n"
+	     "taken back.");
 }
 
 /* The command line of one command. */
@@ -181,10 +202,9 @@
 						NULL, "count", "N",
 						"end after N changes"));
 	if (command->options & OPTION_WAIT)
-		add_argument(arguments,
-			     arguments->wait =
-				     arg_str0("w", "wait", "SECONDS",
-					      "wait for the end of the move"));
+		add_argument(arguments, arguments->wait = arg_str0(
+						"w", "wait", "SECONDS",
+						"wait that long for the end"));
 	if (*command->operand)
 		add_argument(arguments, arguments->operands = arg_strn(
 						NULL, NULL, command->operand, 0,
@@ -216,11 +236,11 @@
 	*options = (struct ctl_options){ .node = g_getenv("LOOM_NODE") };
 	if (!read_number(arguments->expected_version, "expect-version",
 			 INT64_MAX, &options->expected_version) ||
-	    !read_number(arguments->wait, "wait", WAIT_S_MAX, &wait_s) ||
-	    !read_number(arguments->count, "count", UINT32_MAX, &count))
+	    !read_number(arguments->count, "count", UINT32_MAX, &count) ||
+	    !read_number(arguments->wait, "wait", WAIT_S_MAX, &wait_s))
 		return false;
+	options->wait_ms = (uint32_t)wait_s * 1000U;
 	options->count_max = (uint32_t)count;
-	options->wait_ms = (uint32_t)wait_s * MS_PER_S;
 	options->has_expected_version = arguments->expected_version &&
 					arguments->expected_version->count > 0;
 	options->is_dry_run =
