--- a/src/membership/mem_service.c
+++ b/src/membership/mem_service.c
@@ -47,6 +47,9 @@
 	mem_change_fn on_change;
 	mem_newer_fn on_newer;
 	void *data;
+	uint32_t tick_ms;
+	bool is_change_due; /* on_change waits for the next tick */
+	uint64_t told_ms;   /* time of the last on_change */
 	int socket;
 	struct mem_member *members; /* last list given out */
 };
@@ -173,28 +176,44 @@
 	*counted = *now;
 }
 
+static uint64_t get_now_ms(const struct mem_service *service)
+{
+	return tmr_get_now_ms(service->timers);
+}
+
+/*
+ * Calls on_change at most once a tick: its receiver builds tables anew, and a
+ * herd changes members with every message.
+ */
+static void tell_change(struct mem_service *service)
+{
+	uint64_t now_ms = get_now_ms(service);
+
+	if (!service->is_change_due ||
+	    now_ms < service->told_ms + service->tick_ms)
+		return;
+	service->is_change_due = false;
+	service->told_ms = now_ms;
+	if (service->on_change)
+		service->on_change(service->data);
+}
+
 static void carry_out(struct mem_service *service, const struct mem_step *step)
 {
 	/* The callbacks may take further steps, which end this one. */
-	bool is_changed = step->is_changed;
 	uint64_t newer_sequence = step->newer_sequence;
 	char *newer_peer = talloc_strdup(service, step->newer_peer);
 
 	for (size_t i = 0; i < step->send_count; i++)
 		send_datagram(service, &step->sends[i]);
 	count_statistics(service);
-	if (is_changed && service->on_change)
-		service->on_change(service->data);
+	service->is_change_due = service->is_change_due || step->is_changed;
+	tell_change(service);
 	if (newer_peer && service->on_newer)
 		service->on_newer(newer_peer, newer_sequence, service->data);
 	talloc_free(newer_peer);
 }
 
-static uint64_t get_now_ms(const struct mem_service *service)
-{
-	return tmr_get_now_ms(service->timers);
-}
-
 static void handle_tick(uint64_t due_ms, void *data)
 {
 	struct mem_service *service = data;
@@ -231,7 +250,7 @@
 	uint8_t buffer[MEM_DATAGRAM_SIZE + 1];
 
 	for (uint32_t i = 0; i < READ_BATCH; i++) {
-		struct sockaddr_storage from;
+		struct sockaddr_storage from = { 0 };
 		socklen_t from_size = sizeof(from);
 		ssize_t size;
 
@@ -287,6 +306,42 @@
 	return true;
 }
 
+static bool check_name(const char *field, const char *value, GError **error)
+{
+	if (value && mem_is_name(value))
+		return true;
+	err_set(error, ERR_INVALID_ARGUMENT, "check membership options", NULL,
+		"%s: got \"%s\", wanted at most %d printable characters "
+		"without "
+		"spaces",
+		field, value ? value : "(null)", MEM_NAME_SIZE);
+	return false;
+}
+
+static bool check_options(const struct mem_options *options, GError **error)
+{
+	const struct mem_self *self = &options->self;
+
+	if (!check_name("failure_domain", self->failure_domain, error) ||
+	    !check_name("service", self->service, error) ||
+	    !check_name("version", self->version, error))
+		return false;
+	if (options->probe_period_ms < MEM_TICKS_PER_PERIOD ||
+	    options->probe_timeout_ms == 0 ||
+	    options->probe_timeout_ms >= options->probe_period_ms ||
+	    options->suspicion_ms == 0) {
+		err_set(error, ERR_INVALID_ARGUMENT, "check membership options",
+			NULL,
+			"got probe period %u ms, timeout %u ms, suspicion %u "
+			"ms, wanted 0 < timeout < period, period >= %u and "
+			"suspicion > 0",
+			options->probe_period_ms, options->probe_timeout_ms,
+			options->suspicion_ms, MEM_TICKS_PER_PERIOD);
+		return false;
+	}
+	return true;
+}
+
 void mem_set_default_options(struct mem_options *options)
 {
 	memset(options, 0, sizeof(*options));
@@ -306,11 +361,13 @@
 	service->socket = -1;
 	talloc_set_destructor(service, destroy_service);
 	service->timers = timers;
+	service->tick_ms = options->probe_period_ms / MEM_TICKS_PER_PERIOD;
 	service->on_change = options->on_change;
 	service->on_newer = options->on_newer;
 	service->data = options->data;
 	register_counters(service, counters);
-	if (!open_socket(service, &actual.self, error))
+	if (!check_options(options, error) ||
+	    !open_socket(service, &actual.self, error))
 		goto fail;
 	service->machine =
 		mem_new_machine(service, &actual, tmr_get_now_ms(timers));
@@ -318,9 +375,8 @@
 		goto fail;
 	tevent_add_fd(events, service, service->socket, TEVENT_FD_READ,
 		      handle_readable, service);
-	tmr_subscribe_every(service, timers,
-			    options->probe_period_ms / MEM_TICKS_PER_PERIOD,
-			    handle_tick, service);
+	tmr_subscribe_every(service, timers, service->tick_ms, handle_tick,
+			    service);
 	carry_out(service,
 		  mem_step_tick(service->machine, tmr_get_now_ms(timers)));
 	return service;
@@ -332,6 +388,14 @@
 void mem_announce_target(struct mem_service *service, const char *target,
 			 const char *version, enum rt_phase phase)
 {
+	GError *error = NULL;
+
+	if (!check_name("service", target, &error) ||
+	    !check_name("version", version, &error)) {
+		log_write_error(LOG_LEVEL_ERROR, "membership", error);
+		g_clear_error(&error);
+		return;
+	}
 	carry_out(service, mem_step_announce(service->machine, target, version,
 					     phase, get_now_ms(service)));
 }
--- a/src/moves/tests/release.h
+++ b/src/moves/tests/release.h
@@ -9,7 +9,6 @@
 
 #define REL_TARGETS 4U /* of each version */
 #define REL_ROUTES 3U
-#define REL_NOISE_SIZE 4096U
 #define REL_BEFORE_S 10U /* calls before the move starts */
 
 enum rel_fault {
@@ -30,13 +29,14 @@
 	const char *name;
 	enum rel_fault fault;
 	bool is_bad;
+	bool is_sparse; /* too few bad calls a second for the bound in time */
 	uint32_t calls_per_s;
 	uint32_t finish_s;	/* from start to finish_by */
 	uint32_t onset_first_s; /* the fault begins between these, from start */
 	uint32_t onset_last_s;
-	double size; /* share of failed calls, or factor of latency */
 	uint32_t load_permille; /* of REL_FAULT_FAILS_UNDER_LOAD */
-	double noise;		/* sigma of the logarithm of the latency */
+	double size;  /* share of failed calls, or factor of latency */
+	double noise; /* sigma of the logarithm of the latency */
 };
 
 struct rel_release {
@@ -46,8 +46,6 @@
 	uint32_t share_permille;			    /* in force */
 	struct mv_counts cells[2][REL_ROUTES][REL_TARGETS]; /* of the second */
 
-	uint8_t buckets[2][REL_NOISE_SIZE]; /* by touched and deviate */
-
 	uint64_t calls;		 /* since the start, until badness shows */
 	uint64_t exposed_calls;	 /* of these on the bad version, after onset */
 	uint64_t calls_at_onset; /* value of calls when badness begins */
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -7,6 +7,8 @@
  *   GET  /members  the members as this node knows them
  *   GET  /metrics  counters
  *   .../spread/... what peers ask for, see src/spread/peer_api.h
+ *   GET  /burn     history of call counts; ?service=NAME gives one service
+ *   POST /moves/report  counts of calls, from nodes to a move's lease holder
  */
 #include <string.h>
 #include <stdlib.h>
@@ -115,9 +117,10 @@
 {
 	const struct mem_self *self = &member->self;
 
-	return json_pack("{s:s,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
+	return json_pack("{s:s,s:i,s:i,s:s,s:s,s:s,s:s,s:s,s:I}", "address",
 			 self->address, "hop_port", (int)self->hop_port,
-			 "failure_domain", self->failure_domain, "state",
+			 "admin_port", (int)self->admin_port, "failure_domain",
+			 self->failure_domain, "state",
 			 get_state_name(member->state), "service",
 			 self->service ? self->service : "", "version",
 			 self->version ? self->version : "", "phase",
@@ -160,6 +163,17 @@
 	g_string_free(text, TRUE);
 }
 
+static void handle_burn(struct nd_node *node, struct web_request *request)
+{
+	reply_json(request, MHD_HTTP_OK,
+		   nd_make_burn(node, web_get_query(request, "service")));
+}
+
+static void handle_report(struct nd_node *node, struct web_request *request)
+{
+	rls_handle_report(node->release, request);
+}
+
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
 
 static const struct {
@@ -171,6 +185,8 @@
 	{ "GET", "/ready", handle_ready },
 	{ "GET", "/members", handle_members },
 	{ "GET", "/metrics", handle_metrics },
+	{ "GET", "/burn", handle_burn },
+	{ "POST", "/moves/report", handle_report },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -15,7 +15,6 @@
 #define PLAT_TIMEOUT_MS 10000U
 #define PLAT_CALLS_PER_SECOND 10U
 #define PLAT_BURST_CALLS 20U
-#define PLAT_IN_FLIGHT_MAX 8U
 #define PLAT_TRIES_PER_TIMEOUT 3U
 #define PLAT_ANSWER_BYTES_MAX (16U * 1024 * 1024)
 
@@ -85,6 +84,8 @@
 
 	leave_flight(call);
 	count_try(client, call->kind, answer->outcome);
+	if (answer->is_overload)
+		plat_note_overload(&call->backoff);
 	call->try_fn(call, answer);
 	if (answer != call->stale && answer != call->kept)
 		talloc_free(answer);
@@ -174,15 +175,14 @@
 static void deliver(uint64_t now_ms, void *data)
 {
 	struct plat_call *call = data;
-	bool is_freed = false;
+	bool *is_freed = talloc_zero(NULL, bool);
 
 	call->wait = NULL;
-	call->is_freed = &is_freed;
+	call->is_freed = is_freed;
 	call->fn(&call->result, call->data);
-	if (is_freed)
-		return;
-	call->is_freed = NULL;
-	talloc_free(call);
+	if (!*is_freed)
+		talloc_free(call);
+	talloc_free(is_freed);
 }
 
 static void handle_expiry(uint64_t now_ms, void *data)
@@ -224,12 +224,14 @@
 		return false;
 	}
 	if (options->timeout_ms < PLAT_TRIES_PER_TIMEOUT ||
-	    options->calls_per_second == 0 || options->burst_calls == 0) {
+	    options->calls_per_second == 0 || options->burst_calls == 0 ||
+	    options->retry_wait_ms_max == 0) {
 		err_set(error, ERR_INVALID_ARGUMENT, step, options->base_url,
-			"got timeout %u ms, %u calls/s, burst %u; wanted at "
-			"least %u, 1 and 1",
+			"got timeout %u ms, %u calls/s, burst %u, waits of "
+			"%u ms; wanted at least %u, 1, 1 and 1",
 			options->timeout_ms, options->calls_per_second,
-			options->burst_calls, PLAT_TRIES_PER_TIMEOUT);
+			options->burst_calls, options->retry_wait_ms_max,
+			PLAT_TRIES_PER_TIMEOUT);
 		return false;
 	}
 	return true;
@@ -243,7 +245,8 @@
 		.timeout_ms = PLAT_TIMEOUT_MS,
 		.calls_per_second = PLAT_CALLS_PER_SECOND,
 		.burst_calls = PLAT_BURST_CALLS,
-		.seed = 1,
+		.retry_wait_ms_max = PLAT_BACKOFF_CAP_MS,
+		.seed = (uint64_t)g_random_int() << 32 | g_random_int(),
 	};
 }
 
@@ -293,8 +296,7 @@
 	call->kind = kind;
 	call->key = talloc_strdup(call, key);
 	call->path = talloc_steal(call, path);
-	call->backoff.base_ms = PLAT_BACKOFF_BASE_MS;
-	call->backoff.cap_ms = PLAT_BACKOFF_CAP_MS;
+	plat_start_backoff(&call->backoff, client->options.retry_wait_ms_max);
 	call->try_fn = try_fn;
 	call->fn = fn;
 	call->data = data;
--- a/src/spread/status.c
+++ b/src/spread/status.c
@@ -60,15 +60,12 @@
 	const struct doc_manifest_service *entry =
 		doc_find_manifest_service(manifest, verdict->name);
 
-	return json_pack(
-		"{s:s,s:I,s:s,s:o,s:I,s:s,s:i}", "service", verdict->name,
-		"document_version", (json_int_t)verdict->document_version,
-		"verdict", get_verdict_name(verdict->kind), "problems",
-		make_problems(verdict), "version_in_force",
-		entry ? (json_int_t)entry->document_version : 0, "move",
-		doc_get_move_state_name(entry ? entry->move_state
-					      : DOC_MOVE_NONE),
-		"share_permille", entry ? (int)entry->share_permille : 0);
+	return json_pack("{s:s,s:I,s:s,s:o,s:I}", "service", verdict->name,
+			 "document_version",
+			 (json_int_t)verdict->document_version, "verdict",
+			 get_verdict_name(verdict->kind), "problems",
+			 make_problems(verdict), "version_in_force",
+			 entry ? (json_int_t)entry->document_version : 0);
 }
 
 static int destroy_status_write(struct status_write *write)
@@ -100,6 +97,19 @@
 	return is_same;
 }
 
+/* The move belongs to its own lease holder (src/release): it stays. */
+static void keep_move(json_t *status, const json_t *present)
+{
+	static const char *const names[] = { "move", "sentence" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		json_t *value = json_object_get(present, names[i]);
+
+		if (value)
+			json_object_set(status, names[i], value);
+	}
+}
+
 static void put_status(const struct plat_result *result, void *data)
 {
 	struct status_write *write = data;
@@ -108,6 +118,7 @@
 
 	if (!result->error) {
 		version = result->objects[0].version;
+		keep_move(write->value, result->objects[0].value);
 		if (is_written(write, result->objects[0].value)) {
 			finish_status(result, data);
 			return;
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include <time.h>
 #include "connection.h"
+#include "samples.h"
 
 uint64_t tr_get_now_us(void)
 {
@@ -42,8 +43,11 @@
 static void stop_call(struct tr_call *call, enum rt_outcome outcome,
 		      enum adm_outcome adm_outcome)
 {
-	if (call->stage == TR_STAGE_WAITING)
+	if (call->stage == TR_STAGE_WAITING) {
 		adm_cancel_waiting(call->thread->gate, call);
+		if (call->is_local)
+			tr_note_entry_end(call, outcome);
+	}
 	if (!call->easy)
 		return;
 	tr_stop_attempt(call);
@@ -51,7 +55,10 @@
 		call->is_run_possible = true;
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
+		tr_release_slot(call, adm_outcome);
 		tr_note_entry_end(call, outcome);
+		if (outcome == RT_OUTCOME_FAILED)
+			tr_note_sample(call, MV_OUTCOME_FAILED);
 		break;
 	case TR_ROLE_HOP:
 		tr_release_slot(call, adm_outcome);
@@ -89,9 +96,13 @@
 
 void tr_hang_up_call(struct tr_call *call)
 {
-	/* MHD sees a hang-up itself while it works on the connection. */
-	if (!call->is_suspended || call->stage == TR_STAGE_ENDED)
+	/* A whole answer may still go out to a caller that closed its side. */
+	if (call->stage == TR_STAGE_ENDED)
 		return;
+	if (!call->is_suspended) {
+		tr_shut_connection(call->connection);
+		return;
+	}
 	cancel_call(call);
 	tr_resume_call(call);
 }
@@ -146,6 +157,8 @@
 		tr_admit_call(call);
 		break;
 	}
+	if (call->connection->is_hung_up)
+		tr_hang_up_call(call);
 	if (call->deadline_ms == 0 || call->stage == TR_STAGE_ENDED)
 		return;
 	call->deadline = tmr_subscribe_once(
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 #include "call.h"
 #include "loom/error.h"
+#include "samples.h"
 
 /* Returns the service that the Host header names, without a port (new). */
 static char *get_service_name(struct tr_call *call)
@@ -60,24 +61,39 @@
 	call->headers = list;
 }
 
-static void choose_and_send(struct tr_call *call)
+static bool choose_target(struct tr_call *call, enum rt_refusal *refusal)
 {
 	struct tr_thread *thread = call->thread;
-	enum rt_refusal refusal = RT_REFUSAL_NONE;
-	char *base_url;
 
 	call->chosen =
 		rt_choose_target(thread->chooser, call->table, &call->request,
-				 tmr_get_now_ms(thread->timers), &refusal);
-	if (!call->chosen) {
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       rt_get_refusal_name(refusal),
-			       !call->is_run_possible);
+				 tmr_get_now_ms(thread->timers), refusal);
+	return call->chosen != NULL;
+}
+
+/* The gate of this node belongs to its first thread. */
+static bool is_own_target(const struct tr_call *call)
+{
+	const struct tr_thread *thread = call->thread;
+
+	return thread->index == 0 &&
+	       strcmp(call->chosen->address, thread->service->hop_address) == 0;
+}
+
+static void send_to_chosen(struct tr_call *call)
+{
+	struct tr_thread *thread = call->thread;
+	char *base_url;
+
+	rt_note_start(thread->chooser, call->chosen->address);
+	call->attempt_count++;
+	call->is_local = is_own_target(call);
+	if (call->is_local) {
+		tr_admit_local_call(call);
 		return;
 	}
-	rt_note_start(thread->chooser, call->chosen->address);
-	make_headers(call);
 	base_url = g_strconcat("http://", call->chosen->address, NULL);
+	make_headers(call);
 	tr_start_attempt(call, thread->peers, base_url);
 	g_free(base_url);
 }
@@ -106,6 +122,7 @@
 
 void tr_route_call(struct tr_call *call)
 {
+	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	uint64_t depth = 0;
 
 	if (!call->thread->table) {
@@ -133,12 +150,18 @@
 	call->request.split_hash = get_split_hash(call);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 tmr_get_now_ms(call->thread->timers));
-	choose_and_send(call);
+	if (choose_target(call, &refusal))
+		send_to_chosen(call);
+	else
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       rt_get_refusal_name(refusal), true);
 }
 
+/* Returns whether another attempt was started. */
 static bool try_again(struct tr_call *call, enum rt_outcome outcome,
 		      bool is_not_run)
 {
+	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	struct rt_request *request = &call->request;
 	struct rt_retry retry = {
 		.outcome = outcome,
@@ -155,11 +178,14 @@
 	if (rt_decide_retry(tr_get_budget(call->thread, call->service->name),
 			    &retry) != RT_RETRY_YES)
 		return false;
-	cnt_add(call->thread->service->counters.retries, 1);
 	if (request->tried_count < RT_TRIED_MAX)
 		request->tried[request->tried_count++] = call->chosen->address;
+	/* Without another target the reason of this attempt is the answer. */
+	if (!choose_target(call, &refusal))
+		return false;
+	cnt_add(call->thread->service->counters.retries, 1);
 	tr_rewind_buffer(&call->upload.buffer);
-	choose_and_send(call);
+	send_to_chosen(call);
 	return true;
 }
 
@@ -174,7 +200,7 @@
 		    tmr_get_now_ms(call->thread->timers));
 }
 
-static void end_refused(struct tr_call *call)
+void tr_end_refused_attempt(struct tr_call *call)
 {
 	const char *reason = call->answer.refused;
 	bool is_not_run = call->answer.is_not_run;
@@ -182,6 +208,8 @@
 		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
 
 	tr_note_entry_end(call, outcome);
+	tr_note_sample(call,
+		       is_not_run ? MV_OUTCOME_REFUSED : MV_OUTCOME_FAILED);
 	/* An earlier attempt may have run although this one did not. */
 	if (!is_not_run)
 		call->is_run_possible = true;
@@ -195,7 +223,9 @@
 {
 	bool is_not_run = call->send_count == 0;
 
+	/* The other node is gone: no word about the version that it serves. */
 	tr_note_entry_end(call, RT_OUTCOME_FAILED);
+	tr_note_sample(call, MV_OUTCOME_LOST);
 	if (!is_not_run)
 		call->is_run_possible = true;
 	if (try_again(call, RT_OUTCOME_FAILED, is_not_run))
@@ -207,13 +237,23 @@
 		       !call->is_run_possible);
 }
 
+static enum mv_outcome get_outcome(const struct tr_answer *answer)
+{
+	if (answer->has_load && answer->load.phase == RT_PHASE_STARTING)
+		return MV_OUTCOME_COLD;
+	if (answer->is_broken ||
+	    answer->status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
+		return MV_OUTCOME_FAILED;
+	return MV_OUTCOME_GOOD;
+}
+
 void tr_end_entry_attempt(struct tr_call *call, CURLcode code)
 {
 	struct tr_answer *answer = &call->answer;
 	bool is_relayed = call->stage == TR_STAGE_RELAYING;
 
-	if (code == CURLE_OK && !is_relayed && tr_is_refused(answer)) {
-		end_refused(call);
+	if (!is_relayed && tr_is_refused(answer)) {
+		tr_end_refused_attempt(call);
 		return;
 	}
 	if (!is_relayed) {
@@ -226,6 +266,7 @@
 		cnt_add(call->thread->service->counters.broken[call->role], 1);
 	tr_note_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
 						 : RT_OUTCOME_FAILED);
+	tr_note_sample(call, get_outcome(answer));
 	call->stage = TR_STAGE_ENDED;
 	tr_resume_call(call);
 }
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -3,6 +3,7 @@
  */
 #include <assert.h>
 #include "loom/error.h"
+#include "samples.h"
 #include "thread.h"
 
 #define CONNECTIONS_MAX 4096U
@@ -41,6 +42,9 @@
 			get_counter(registry, "loom_cancelled_total", label,
 				    "Calls whose caller hung up.");
 	}
+	counters->local_calls =
+		get_counter(registry, "loom_local_calls_total", NULL,
+			    "Attempts admitted without a second hop.");
 	counters->retries = get_counter(registry, "loom_retries_total", NULL,
 					"Attempts after the first.");
 	counters->repeats_stopped =
@@ -49,6 +53,8 @@
 	counters->connections_closed =
 		get_counter(registry, "loom_connections_closed_total", NULL,
 			    "Slow or idle connections closed.");
+	counters->tables = get_counter(registry, "loom_tables_total", NULL,
+				       "Tables taken over by a thread.");
 }
 
 static int destroy_service(struct tr_service *service)
@@ -65,6 +71,7 @@
 	}
 	for (uint32_t i = 0; i < service->options.thread_count; i++)
 		tr_join_thread(&service->threads[i]);
+	tr_close_samples(service);
 	return 0;
 }
 
@@ -81,6 +88,7 @@
 }
 
 struct tr_service *tr_new_service(TALLOC_CTX *ctx,
+				  struct tevent_context *events,
 				  struct cnt_registry *counters,
 				  const struct tr_options *options,
 				  GError **error)
@@ -92,9 +100,12 @@
 	service->options.address = talloc_strdup(service, options->address);
 	service->options.failure_domain =
 		talloc_strdup(service, options->failure_domain);
+	service->hop_address = talloc_asprintf(
+		service, "%s:%u", options->address, options->hop_port);
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
+	tr_open_samples(service, events);
 	talloc_set_destructor(service, destroy_service);
 	for (uint32_t i = 0; i < options->thread_count; i++) {
 		struct tr_thread *thread = &service->threads[i];
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -38,9 +38,11 @@
 	struct cnt_counter *refusals[2];
 	struct cnt_counter *broken[2];
 	struct cnt_counter *cancelled[2];
+	struct cnt_counter *local_calls;
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
+	struct cnt_counter *tables;
 };
 
 enum tr_command_kind {
@@ -90,13 +92,19 @@
 	bool is_draining;
 	bool is_stopped;
 	uint64_t random_state;
+	GHashTable *samples; /* of the present slot; see samples.c */
+	uint64_t sample_slot;
 	_Atomic uint32_t call_count;
 };
 
 struct tr_service {
 	struct tr_options options;
+	const char *hop_address; /* "ADDRESS:PORT" as peers know this node */
 	struct tr_counters counters;
 	struct tr_thread *threads;
+	GAsyncQueue *batches; /* samples on their way to the control thread */
+	int batch_fd;
+	struct tevent_fd *batch_fde;
 };
 
 /* Opens listeners and loops of a thread and starts it. */
