--- a/src/ctl/apply.c
+++ b/src/ctl/apply.c
@@ -6,6 +6,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 #include "loom/error.h"
 #include "loom/spread.h"
 
@@ -24,6 +25,13 @@
 	return json_object_get(object->value, "document");
 }
 
+/* Scripts read the outcome as it is; people read words. */
+static const char *get_words(const char *outcome)
+{
+	return strcmp(outcome, "dry_run") == 0 ? "not applied (dry run)"
+					       : outcome;
+}
+
 static void print_outcome(const struct apply *apply, const char *outcome,
 			  uint64_t version)
 {
@@ -35,8 +43,8 @@
 		return;
 	}
 	fputs(apply->difference, stdout);
-	printf("%s: %s, version %" PRIu64 "\n", apply->service, outcome,
-	       version);
+	printf("%s: %s, version %" PRIu64 "\n", apply->service,
+	       get_words(outcome), version);
 }
 
 /* Reads the document; one that is absent is no error. */
@@ -165,8 +173,7 @@
 		return CTL_EXIT_OK;
 	}
 	if (options->is_dry_run) {
-		print_outcome(apply, "not applied (dry run)",
-			      apply->present.version);
+		print_outcome(apply, "dry_run", apply->present.version);
 		return CTL_EXIT_OK;
 	}
 	return write_document(apply);
--- a/src/ctl/delete.c
+++ b/src/ctl/delete.c
@@ -60,6 +60,13 @@
 	return CTL_EXIT_INVALID;
 }
 
+/* Scripts read the outcome as it is; people read words. */
+static const char *get_words(const char *outcome)
+{
+	return strcmp(outcome, "dry_run") == 0 ? "not deleted (dry run)"
+					       : outcome;
+}
+
 static void print_outcome(const struct ctl_context *context,
 			  const char *service, const char *outcome,
 			  uint64_t version)
@@ -69,8 +76,8 @@
 					 "outcome", outcome, "version",
 					 (json_int_t)version));
 	else
-		printf("%s: %s, version %" PRIu64 "\n", service, outcome,
-		       version);
+		printf("%s: %s, version %" PRIu64 "\n", service,
+		       get_words(outcome), version);
 }
 
 static enum ctl_exit delete_version(struct ctl_context *context,
@@ -91,8 +98,7 @@
 		return CTL_EXIT_CONFLICT;
 	}
 	if (options->is_dry_run) {
-		print_outcome(context, service, "not deleted (dry run)",
-			      version);
+		print_outcome(context, service, "dry_run", version);
 		return CTL_EXIT_OK;
 	}
 	ctl_delete_object(context, key, version, &deleted);
