--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -80,6 +80,24 @@
 	return ctl_take_back(context, operands[0]);
 }
 
+/* "out NAME [NODE...]" or "in NAME [NODE...]" */
+static enum ctl_exit run_failure_domain(struct ctl_context *context,
+					const char *const *operands,
+					int operand_count)
+{
+	bool is_out = strcmp(operands[0], "out") == 0;
+
+	if (operand_count < 2 || (!is_out && strcmp(operands[0], "in") != 0)) {
+		fputs("loomctl failure-domain: wanted \"out NAME\" or "
+		      "\"in NAME\", then ADDRESS:PORT of any further nodes "
+		      "to tell\n",
+		      stderr);
+		return CTL_EXIT_USAGE;
+	}
+	return ctl_set_failure_domain(context, operands[1], is_out,
+				      operands + 2, operand_count - 2);
+}
+
 static const struct command commands[] = {
 	{ "check", "FILE", "check documents without a platform",
 	  "loomctl check examples/kigali/catalogue.json "
@@ -103,13 +121,16 @@
 	  run_nodes },
 	{ "watch", "SERVICE", "print a service's status at each change",
 	  "loomctl watch catalogue --count 1", OPTION_COUNT, run_watch },
+	{ "failure-domain", "out|in NAME [NODE...]",
+	  "take a failure domain out, or in again",
+	  "loomctl failure-domain out kgl-a", OPTION_MANY, run_failure_domain },
 };
 
 static void print_commands(FILE *file)
 {
 	fputs("Usage: loomctl COMMAND [--platform URL] [--json] ...\n\n", file);
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		fprintf(file, "  %-9s %-8s %s\n", commands[i].name,
+		fprintf(file, "  %-14s %-21s %s\n", commands[i].name,
 			commands[i].operand, commands[i].help);
 	fputs("\nThe platform's URL may also stand in LOOM_PLATFORM.\n", file);
 }
