--- a/tests/fakes/faketarget.c
+++ b/tests/fakes/faketarget.c
@@ -111,6 +111,14 @@
 	json_decref(stats);
 }
 
+static void reply_ran(struct target *target, struct web_request *request)
+{
+	const char *id = web_get_query(request, "id");
+	bool is_ran = id && g_hash_table_contains(target->ids, id);
+
+	web_reply(request, 200, "text/plain", is_ran ? "1\n" : "0\n", 2);
+}
+
 static void reply_bytes(struct work *work)
 {
 	char *bytes = g_malloc(work->bytes + 1);
@@ -186,6 +194,10 @@
 		reply_stats(target, request);
 		return;
 	}
+	if (strcmp(web_get_path(request), "/_ran") == 0) {
+		reply_ran(target, request);
+		return;
+	}
 	if (target->running >= get_bearable(target)) {
 		target->overloads++;
 		if (target->is_shedding) {
--- a/tests/fakes/loomload.c
+++ b/tests/fakes/loomload.c
@@ -5,6 +5,11 @@
  * each latency counts from the due time, so that waiting is not hidden. The
  * URLs are used in turn: all of them meet the same moments of the machine, and
  * the difference of two percentiles is the time that one way adds.
+ *
+ * No request is sent twice: libcurl's own resend on a reused connection that
+ * died counts as failed (CURLE_ABORTED_BY_CALLBACK, 42). With --log, each call
+ * is one line: second it was due, URL's number, milliseconds, curl's code,
+ * status, "not_run" or "-", request id or "-".
  */
 #include <math.h>
 #include <stdio.h>
@@ -14,7 +19,9 @@
 #include <argtable2.h>
 #include "loom/http.h"
 
-#define URLS_MAX 4
+#define URLS_MAX 16
+#define CALL_TIMEOUT_MS 10000L
+#define BODY_BYTES_MAX 65536
 #define RATE_MAX 20000
 #define SECONDS_MAX 120
 #define WARM_UP_SECONDS 1
@@ -25,12 +32,17 @@
 	GArray *latencies_us; /* of answers with status 200 */
 	uint32_t refused;     /* other answers */
 	uint32_t failed;
+	bool is_left; /* it said "Connection: close" */
 };
 
 struct load {
 	struct tevent_context *events;
 	struct hc_loop *client;
-	struct curl_slist *headers;
+	const char *host_header;
+	const char *ids; /* prefix of the request ids, or NULL */
+	char *body;	 /* NULL: GET */
+	bool is_moving_on;
+	FILE *log;
 	struct way ways[URLS_MAX];
 	int way_count;
 	uint32_t rate;
@@ -45,6 +57,10 @@
 	struct load *load;
 	struct way *way;
 	uint64_t due_us;
+	uint64_t number;
+	uint32_t send_count;
+	bool is_not_run;
+	struct curl_slist *headers;
 };
 
 static uint64_t get_now_us(void)
@@ -60,6 +76,48 @@
 	return size * count;
 }
 
+/* Notes what an answer's header says of the call and of its node. */
+static size_t read_header(char *line, size_t size, size_t count, void *data)
+{
+	static const char not_run[] = "Loom-Not-Run: true";
+	static const char close_line[] = "Connection: close";
+	struct shot *shot = data;
+
+	if (g_ascii_strncasecmp(line, not_run, strlen(not_run)) == 0)
+		shot->is_not_run = true;
+	if (g_ascii_strncasecmp(line, close_line, strlen(close_line)) == 0)
+		shot->way->is_left = true;
+	return size * count;
+}
+
+static int count_send(void *data, char *peer, char *local, int peer_port,
+		      int local_port)
+{
+	struct shot *shot = data;
+
+	shot->send_count++;
+	return shot->send_count > 1 ? CURL_PREREQFUNC_ABORT
+				    : CURL_PREREQFUNC_OK;
+}
+
+static void log_shot(const struct shot *shot, CURLcode code, long status,
+		     uint32_t latency_us)
+{
+	const struct load *load = shot->load;
+
+	if (!load->log)
+		return;
+	fprintf(load->log, "%u %d %u %d %ld %s ",
+		(uint32_t)((shot->due_us - load->start_us) / 1000000),
+		(int)(shot->way - load->ways), latency_us / 1000, (int)code,
+		status, shot->is_not_run ? "not_run" : "-");
+	if (load->ids)
+		fprintf(load->log, "%s%" G_GUINT64_FORMAT "\n", load->ids,
+			shot->number);
+	else
+		fputs("-\n", load->log);
+}
+
 static bool is_warm_up(const struct load *load, uint64_t due_us)
 {
 	return due_us < load->start_us + WARM_UP_SECONDS * 1000000ULL;
@@ -74,6 +132,7 @@
 
 	load->running--;
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	log_shot(shot, code, status, latency_us);
 	if (!is_warm_up(load, shot->due_us)) {
 		if (code != CURLE_OK)
 			shot->way->failed++;
@@ -83,6 +142,7 @@
 			g_array_append_val(shot->way->latencies_us, latency_us);
 	}
 	g_queue_push_head(&load->free_handles, easy);
+	curl_slist_free_all(shot->headers);
 	g_free(shot);
 }
 
@@ -94,24 +154,61 @@
 		return easy;
 	easy = curl_easy_init();
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_body);
-	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, load->headers);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 10000L);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, read_header);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, count_send);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+	if (load->body)
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, load->body);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	return easy;
 }
 
+/* Returns the next way in turn (borrowed) that has not said goodbye. */
+static struct way *choose_way(struct load *load)
+{
+	struct way *way = NULL;
+
+	for (int i = 0; i < load->way_count; i++) {
+		way = &load->ways[(load->sent + (uint64_t)i) %
+				  (uint64_t)load->way_count];
+		if (!load->is_moving_on || !way->is_left)
+			break;
+	}
+	return way;
+}
+
+static struct curl_slist *make_headers(const struct shot *shot)
+{
+	const struct load *load = shot->load;
+	struct curl_slist *list = curl_slist_append(NULL, load->host_header);
+	char *line;
+
+	if (!load->ids)
+		return list;
+	line = g_strdup_printf("Loom-Request-Id: %s%" G_GUINT64_FORMAT,
+			       load->ids, shot->number);
+	list = curl_slist_append(list, line);
+	g_free(line);
+	return list;
+}
+
 static void send_shot(struct load *load, uint64_t due_us)
 {
 	struct shot *shot = g_new0(struct shot, 1);
 	CURL *easy = take_handle(load);
 
 	shot->load = load;
-	shot->way = &load->ways[load->sent % (uint64_t)load->way_count];
+	shot->way = choose_way(load);
 	shot->due_us = due_us;
+	shot->number = load->sent;
+	shot->headers = make_headers(shot);
 	load->sent++;
 	load->running++;
 	curl_easy_setopt(easy, CURLOPT_URL, shot->way->url);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, shot->headers);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, shot);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, shot);
 	if (!hc_add_transfer(load->client, easy, finish_shot, shot, NULL))
 		abort();
 }
@@ -204,6 +301,46 @@
 	TALLOC_FREE(load->client);
 }
 
+/* Takes the options into load; false with a message on stderr. */
+static bool open_load(struct load *load, const char *host, int body_bytes,
+		      const char *log_file)
+{
+	if (body_bytes < 0 || body_bytes > BODY_BYTES_MAX) {
+		fprintf(stderr, "loomload: got --post %d, wanted 0 to %d\n",
+			body_bytes, BODY_BYTES_MAX);
+		return false;
+	}
+	load->host_header = talloc_asprintf(load, "Host: %s", host);
+	if (body_bytes > 0) {
+		load->body = talloc_zero_size(load, (size_t)body_bytes + 1);
+		memset(load->body, 'x', (size_t)body_bytes);
+	}
+	if (!log_file)
+		return true;
+	load->log = fopen(log_file, "w");
+	if (!load->log)
+		perror(log_file);
+	return load->log != NULL;
+}
+
+static void add_way(struct load *load, const char *url)
+{
+	struct way *way = &load->ways[load->way_count++];
+
+	way->url = url;
+	way->latencies_us = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+}
+
+static bool check_bounds(int rate, int seconds)
+{
+	if (rate >= 1 && rate <= RATE_MAX && seconds >= 1 &&
+	    seconds <= SECONDS_MAX)
+		return true;
+	fprintf(stderr, "loomload: rate 1 to %d, seconds 1 to %d\n", RATE_MAX,
+		SECONDS_MAX);
+	return false;
+}
+
 int main(int argc, char **argv)
 {
 	struct load *load = talloc_zero(NULL, struct load);
@@ -215,39 +352,45 @@
 	struct arg_int *rate =
 		arg_int0(NULL, "rate", "N", "calls a second in all");
 	struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "duration");
+	struct arg_int *post = arg_int0(NULL, "post", "N", "POST of N bytes");
+	struct arg_str *ids =
+		arg_str0(NULL, "ids", "PREFIX", "send unique request ids");
+	struct arg_str *log = arg_str0(NULL, "log", "FILE", "line per call");
+	struct arg_lit *move_on =
+		arg_lit0(NULL, "move-on", "leave a URL that closes");
 	struct arg_end *end = arg_end(8);
-	void *arguments[] = { urls, host, rate, seconds, end };
-	char *header;
+	void *arguments[] = { urls, host, rate,	   seconds, post,
+			      ids,  log,  move_on, end };
+	int exit_code = EXIT_FAILURE;
 
 	*rate->ival = 500;
 	*seconds->ival = 5;
-	if (arg_parse(argc, argv, arguments) > 0 || *rate->ival < 1 ||
-	    *rate->ival > RATE_MAX || *seconds->ival < 1 ||
-	    *seconds->ival > SECONDS_MAX) {
+	*post->ival = 0;
+	host->sval[0] = "loom";
+	if (arg_parse(argc, argv, arguments) > 0) {
 		arg_print_errors(stderr, end, "loomload");
-		fprintf(stderr, "loomload: rate 1 to %d, seconds 1 to %d\n",
-			RATE_MAX, SECONDS_MAX);
-		return EXIT_FAILURE;
+		goto out;
 	}
+	if (!check_bounds(*rate->ival, *seconds->ival) ||
+	    !open_load(load, host->sval[0], *post->ival,
+		       log->count > 0 ? log->sval[0] : NULL))
+		goto out;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	header = g_strdup_printf("Host: %s",
-				 host->count > 0 ? host->sval[0] : "loom");
-	load->headers = curl_slist_append(NULL, header);
 	load->rate = (uint32_t)*rate->ival;
-	load->way_count = urls->count;
-	for (int i = 0; i < urls->count; i++) {
-		load->ways[i].url = urls->sval[i];
-		load->ways[i].latencies_us =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	}
+	load->ids = ids->count > 0 ? ids->sval[0] : NULL;
+	load->is_moving_on = move_on->count > 0;
+	for (int i = 0; i < urls->count; i++)
+		add_way(load, urls->sval[i]);
 	run_load(load, (uint32_t)*seconds->ival);
 	print_report(load);
 	for (int i = 0; i < load->way_count; i++)
 		g_array_unref(load->ways[i].latencies_us);
-	curl_slist_free_all(load->headers);
-	g_free(header);
+	curl_global_cleanup();
+	exit_code = EXIT_SUCCESS;
+out:
+	if (load->log)
+		fclose(load->log);
 	arg_freetable(arguments, G_N_ELEMENTS(arguments));
 	talloc_free(load);
-	curl_global_cleanup();
-	return EXIT_SUCCESS;
+	return exit_code;
 }
--- /dev/null
+++ b/tests/process/node_paused.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Promises 8 and 9: a node that is stopped for longer than its lease and its
+# peers' suspicion, then continued, runs no request twice and gives no false
+# "not run"; the others go on serving, and it serves again afterwards.
+. "$(dirname "$0")/common.sh"
+
+lease_s=9
+
+start_platform
+for n in 1 2 3 4 5; do
+	start_node "$n" kgl-a
+	start_target "$n" --latency-ms 100 --slots 50
+done
+apply_shop
+for n in 1 2 3 4 5; do wait_for 30 served_by 1 "$n"; done
+warm_up 1 2 4 5
+
+echo "== one node is stopped"
+start_posts stopped 1 2 4 5
+sleep 2
+kill -STOP "${node_pid[3]}"
+stopped_at=$SECONDS
+judge stopped 1 2 3 4 5
+
+echo "== it is continued after its lease has run out"
+while [ $((SECONDS - stopped_at)) -le $((lease_s + 1)) ]; do sleep 0.2; done
+start_posts continued 1 2 4 5
+sleep 1
+kill -CONT "${node_pid[3]}"
+judge continued 1 2 3 4 5
+wait_for 30 served_by 1 3
+echo "the continued node serves again"
+finish
