--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -34,8 +34,10 @@
 }
 
 finish() {
-	[ "$failures" -eq 0 ] || { tail -n 5 "$work"/*.log; exit 1; }
-	exit 0
+	[ "$failures" -eq 0 ] && exit 0
+	tail -n 5 "$work"/node*.log
+	echo "$failures checks failed"
+	exit 1
 }
 
 wait_for() { # wait_for SECONDS COMMAND...
@@ -74,13 +76,13 @@
 	target_pid[$n]=$!
 }
 
-apply_shop() {
-	cat >"$work/shop.json" <<'EOF'
+apply_shop() { # apply_shop [SLOTS]
+	cat >"$work/shop.json" <<EOF
 {"service":"shop","versions":["v1"],"current":"v1",
  "routes":[{"name":"stock","path":"/stock","methods":["GET"],"timeout_ms":4000},
            {"name":"orders","path":"/orders","timeout_ms":4000,
             "repeatable":false}],
- "limits":{"slots":12,"connections":120,"queue_length":24,
+ "limits":{"slots":${1:-12},"connections":120,"queue_length":24,
            "request_body_bytes":1048576,"header_bytes":16384},
  "objective":{"availability_percent":99.9,"latency_ms":250,
               "latency_percent":99}}
