--- a/include/loom/spread.h
+++ b/include/loom/spread.h
@@ -48,11 +48,13 @@
 	struct tevent_context *events;
 	struct tmr_service *timers;
 	struct plat_client *platform;
-	const char *holder; /* unique name of this node in leases and ids */
+	const char *holder;  /* unique name of this node in leases and ids */
+	const char *address; /* of this node, as its peers list it */
 	const char *failure_domain;
 	uint32_t lease_duration_ms;
 	uint32_t check_period_ms; /* looks for newer peers */
 	uint32_t poll_period_ms;  /* reads the manifest from the platform */
+	uint32_t sweep_period_ms; /* deletes superseded copies */
 	uint64_t seed;		  /* of the random choices */
 	spr_snapshot_fn fn;
 	spr_list_peers_fn list_peers;
@@ -80,6 +82,15 @@
 void spr_handle_request(struct spr_service *service,
 			struct web_request *request);
 
+/*
+ * Returns the manifest that follows current with the failure domain out or in,
+ * new and owned by ctx, or NULL when it has that state already. The write id is
+ * the caller's to set.
+ */
+struct doc_manifest *
+spr_make_domain_manifest(TALLOC_CTX *ctx, const struct doc_manifest *current,
+			 const char *name, bool is_out);
+
 /*
  * Returns the snapshot in force (borrowed), or NULL before the node has caught
  * up after its start.
