End the starting phase in bounded time; keep an unchanged move going

Cause 1: a target counted as starting until its limit reached half its slots, and the limit rises only while it is in use. With few calls the phase never ended, all answers counted as those of a cold start, and a bad version was never judged (seen by hand: v2 failing 30 % with 12 slots, not taken back in 35 s). Cause 2: any new document sent a running move back to waiting until its lease holder carried the state over. Cause 3: two faults of the tests: test_traffic raced the drain command (refusals, line 32: wanted leaving, got 200), and freed its client loop before a call that was still under way (heap-use-after-free in hc_remove_transfer under ASan). It now waits for loom_commands_total and cancels its calls.

--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -259,7 +259,7 @@
 	load->in_flight = gate->in_flight + adm_get_queue_length(&gate->queue);
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
 		load->phase = RT_PHASE_LEAVING;
-	else if (gate->limit.is_starting)
+	else if (adm_is_limit_starting(&gate->limit, gate->now_ms))
 		load->phase = RT_PHASE_STARTING;
 	else
 		load->phase = RT_PHASE_SERVING;
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -24,6 +24,12 @@
 #define RAISE_KNOWN_PERIOD_MS 100U /* up to where it bore the load before */
 #define SHED_BURST_COUNT 3	   /* of the answers in shed_history */
 #define HINT_LIFE_MS 5000U
+/*
+ * The calls of a starting target say nothing about its version, so that the
+ * phase must end even when few calls come or the version itself looks cold.
+ */
+#define STARTING_MAX_MS 10000U
+#define STARTING_AGAIN_MS 3000U /* after it turned cold */
 
 static void reduce(struct adm_limit *limit, uint32_t value, uint64_t now_ms)
 {
@@ -42,10 +48,18 @@
 	reduce(limit, used / 2, evidence->now_ms);
 }
 
+static void begin_starting(struct adm_limit *limit, uint64_t until_ms)
+{
+	limit->is_starting = true;
+	limit->starting_until_ms = until_ms;
+}
+
 static void turn_cold(struct adm_limit *limit, uint64_t now_ms)
 {
 	limit->ceiling = START_LIMIT;
-	limit->is_starting = true;
+	/* A target that never left the phase gets no second one. */
+	if (!limit->is_starting)
+		begin_starting(limit, now_ms + STARTING_AGAIN_MS);
 	limit->shed_history = 0;
 	reduce(limit, START_LIMIT, now_ms);
 }
@@ -105,6 +119,7 @@
 {
 	adm_clear_latency(&limit->latency);
 	limit->hint_until_ms = 0;
+	begin_starting(limit, now_ms + STARTING_MAX_MS);
 	turn_cold(limit, now_ms);
 }
 
@@ -149,3 +164,8 @@
 	/* A hint may mislead, so it never closes the target altogether. */
 	return MAX(MIN(limit->value, limit->hint), 1U);
 }
+
+bool adm_is_limit_starting(const struct adm_limit *limit, uint64_t now_ms)
+{
+	return limit->is_starting && now_ms < limit->starting_until_ms;
+}
--- a/src/admission/limit.h
+++ b/src/admission/limit.h
@@ -20,9 +20,10 @@
 
 struct adm_limit {
 	uint32_t slots;
-	uint32_t value;	      /* never above slots */
-	uint32_t ceiling;     /* growth is slow from here on */
-	bool is_starting;     /* has not reached its serving share yet */
+	uint32_t value;	  /* never above slots */
+	uint32_t ceiling; /* growth is slow from here on */
+	bool is_starting; /* has not reached its serving share yet */
+	uint64_t starting_until_ms;
 	uint32_t good_count;  /* good answers at this value */
 	uint64_t raised_ms;   /* last change of value */
 	uint64_t reduced_ms;  /* last reduction: older calls are stale */
@@ -49,4 +50,7 @@
 /* Returns the limit in force, at least 1. */
 uint32_t adm_get_limit(const struct adm_limit *limit, uint64_t now_ms);
 
+/* Returns whether the target counts as starting: for a bounded time only. */
+bool adm_is_limit_starting(const struct adm_limit *limit, uint64_t now_ms);
+
 #endif
--- a/src/document/fold.c
+++ b/src/document/fold.c
@@ -278,8 +278,35 @@
 	return true;
 }
 
+static bool is_same_move(const struct doc_move *a, const struct doc_move *b)
+{
+	return a && b && strcmp(a->from, b->from) == 0 &&
+	       strcmp(a->to, b->to) == 0 && a->start_ms == b->start_ms &&
+	       a->finish_by_ms == b->finish_by_ms &&
+	       a->step_count == b->step_count &&
+	       memcmp(a->step_shares_permille, b->step_shares_permille,
+		      a->step_count * sizeof(*a->step_shares_permille)) == 0;
+}
+
+/*
+ * A document whose move stays as it is keeps the state of the move: starting it
+ * anew would send its calls to the old version meanwhile. A taken-back move is
+ * given another try by any new document.
+ */
+static void start_move(struct doc_manifest_service *entry,
+		       const struct doc_service *before,
+		       const struct doc_service *after)
+{
+	if (before && is_same_move(before->move, after->move) &&
+	    entry->move_state != DOC_MOVE_TAKEN_BACK)
+		return;
+	entry->move_state = after->move ? DOC_MOVE_WAITING : DOC_MOVE_NONE;
+	entry->share_permille = 0;
+	entry->step_index = 0;
+}
+
 /* Writes one verdict into the next manifest. */
-static void apply_verdict(struct doc_fold *fold,
+static void apply_verdict(const struct fold_state *state, struct doc_fold *fold,
 			  const struct doc_verdict *verdict,
 			  const struct doc_proposal *proposal)
 {
@@ -296,10 +323,9 @@
 		entry = doc_add_manifest_service(fold->manifest, verdict->name);
 		entry->document_version = verdict->document_version;
 		entry->content_hash = proposal->service->content_hash;
-		entry->move_state = proposal->service->move ? DOC_MOVE_WAITING
-							    : DOC_MOVE_NONE;
-		entry->share_permille = 0;
-		entry->step_index = 0;
+		start_move(entry,
+			   g_hash_table_lookup(state->in_force, verdict->name),
+			   proposal->service);
 		break;
 	}
 	fold->is_changed = true;
@@ -352,7 +378,7 @@
 	take_out_removed(&state);
 	repeat_check(&state, reject_called_removal);
 	for (size_t i = 0; i < proposal_count; i++)
-		apply_verdict(fold, &fold->verdicts[i], &proposals[i]);
+		apply_verdict(&state, fold, &fold->verdicts[i], &proposals[i]);
 	if (fold->is_changed)
 		fold->manifest->sequence++;
 done:
--- a/src/document/tests/test_fold.c
+++ b/src/document/tests/test_fold.c
@@ -23,7 +23,21 @@
 	"\"start\":\"2026-12-04T10:00:00Z\","
 	"\"finish_by\":\"2026-12-04T11:00:00Z\",\"steps_percent\":[1,100]}";
 
-/* Returns the text of a document; options are "calls=a,b", "move", "bad". */
+/* The same move with a later end. */
+static void append_other_move(GString *text)
+{
+	char **parts = g_strsplit(move_text, "T11:", 2);
+	char *other = g_strjoinv("T12:", parts);
+
+	g_string_append(text, other);
+	g_free(other);
+	g_strfreev(parts);
+}
+
+/*
+ * Returns the text of a document; options are "calls=a,b", "move",
+ * "other-move", "bad".
+ */
 static char *make_text(const char *name, char **options)
 {
 	GString *text = g_string_new(NULL);
@@ -44,6 +58,8 @@
 			g_strfreev(calls);
 		} else if (strcmp(*options, "move") == 0) {
 			g_string_append(text, move_text);
+		} else if (strcmp(*options, "other-move") == 0) {
+			append_other_move(text);
 		} else {
 			g_string_append(text, ",\"bad\":1");
 		}
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -55,6 +55,9 @@
 			    "Slow or idle connections closed.");
 	counters->tables = get_counter(registry, "loom_tables_total", NULL,
 				       "Tables taken over by a thread.");
+	counters->commands =
+		get_counter(registry, "loom_commands_total", NULL,
+			    "Commands of the control thread carried out.");
 }
 
 static int destroy_service(struct tr_service *service)
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -100,6 +100,7 @@
 				      MESH_TARGET_PORT);
 	g_strlcpy(node->version, version, sizeof(node->version));
 	node->phase = RT_PHASE_SERVING;
+	node->command_count++;
 	tr_announce_target(node->traffic, "shop", version, node->address,
 			   MESH_TARGET_PORT);
 }
@@ -214,3 +215,25 @@
 	return cnt_get_value(cnt_get_counter(node->counters, CNT_KIND_COUNTER,
 					     name, labels, ""));
 }
+
+static bool is_command_taken(void *data)
+{
+	struct mesh_node *node = data;
+
+	return mesh_get_counter(node, "loom_commands_total", NULL) >=
+	       node->command_count;
+}
+
+void mesh_drain_target(struct mesh *mesh, struct mesh_node *node)
+{
+	node->command_count++;
+	tr_drain_target(node->traffic);
+	mesh_run_until(mesh, is_command_taken, node);
+}
+
+void mesh_drain_node(struct mesh *mesh, struct mesh_node *node)
+{
+	node->command_count++;
+	tr_begin_drain(node->traffic);
+	mesh_run_until(mesh, is_command_taken, node);
+}
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -32,7 +32,8 @@
 	struct cnt_registry *counters;
 	struct tr_service *traffic;
 	struct raw_target *target;
-	int64_t table_count; /* handed over so far */
+	int64_t table_count;   /* handed over so far */
+	int64_t command_count; /* given so far */
 };
 
 struct mesh {
@@ -70,6 +71,10 @@
 /* Hands a table of all announced targets to all nodes and waits for it. */
 void mesh_publish(struct mesh *mesh);
 
+/* Gives the command to the node and waits until its thread has taken it. */
+void mesh_drain_target(struct mesh *mesh, struct mesh_node *node);
+void mesh_drain_node(struct mesh *mesh, struct mesh_node *node);
+
 /* Runs the loop until condition holds; aborts the test after a long while. */
 typedef bool (*mesh_condition_fn)(void *data);
 void mesh_run_until(struct mesh *mesh, mesh_condition_fn condition, void *data);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -192,9 +192,9 @@
 	} else if (strcmp(words[0], "stop") == 0) {
 		TALLOC_FREE(mesh_get_node(mesh, words[1])->traffic);
 	} else if (strcmp(words[0], "drain-target") == 0) {
-		tr_drain_target(mesh_get_node(mesh, words[1])->traffic);
+		mesh_drain_target(mesh, mesh_get_node(mesh, words[1]));
 	} else if (strcmp(words[0], "drain") == 0) {
-		tr_begin_drain(mesh_get_node(mesh, words[1])->traffic);
+		mesh_drain_node(mesh, mesh_get_node(mesh, words[1]));
 	} else if (strcmp(words[0], "leave") == 0) {
 		mesh_get_node(mesh, words[1])->phase = RT_PHASE_LEAVING;
 		mesh_publish(mesh);
@@ -315,6 +315,8 @@
 	state.callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_caller);
 	scr_run(name, run_step, &state);
+	for (size_t i = 0; i < state.call_count; i++)
+		cancel_call(&state.calls[i]);
 	g_hash_table_destroy(state.callers);
 	mesh_free(state.mesh);
 	for (size_t i = 0; i < state.call_count; i++)
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -116,6 +116,7 @@
 	take_table(thread);
 	while ((command = g_async_queue_try_pop(thread->commands))) {
 		run_command(thread, command);
+		cnt_add(thread->service->counters.commands, 1);
 		free_command(command);
 	}
 	/* A gate that closed gives back the calls that wait. */
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -43,6 +43,7 @@
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
 	struct cnt_counter *tables;
+	struct cnt_counter *commands;
 };
 
 enum tr_command_kind {
