Cut the nodes off the platform before a failure domain is taken out

Cause: with the platform out right after the write, a scratch copy of loomctl that offers the manifest to no node still passed: the watches had told the relays before the outage. The nodes now use an address of the platform of their own, which is cut off just before the write, so that only the offer can tell.

Seen failing in a scratch copy.

--- a/tests/process/failure_domain_out.sh
+++ b/tests/process/failure_domain_out.sh
@@ -58,11 +58,15 @@
 echo "kgl-b serves again"
 
 echo "== kgl-b out, and the platform out of service right after the write"
+# The nodes lose the platform just before, so that no watch can tell them.
+curl -sf -d "{\"only_from\":\"$base.200\",\"cut_watches\":true}" \
+	"http://$platform/faults" >/dev/null
 "$bin/loomctl" failure-domain out kgl-b
 set_platform true
 sleep "$bound_s"
 check_idle "platform out of service" 2 4 6
 set_platform false
+curl -sf -d '{"only_from":""}' "http://$platform/faults" >/dev/null
 before=$(stat 4 calls)
 wait_for 30 "$bin/loomctl" failure-domain in kgl-b
 wait_for 30 get_works 4 "$before"
