Take short request bodies in before a target is asked

Cause: a caller that sent its body slowly held a slot of the target all the while; with a fresh target's limit of 1 other calls waited behind it, and in process_graceful_shutdown a second slow body reached its deadline (504, p99 of the others 1.2 s). Bodies of a known length up to 64 KiB, which are kept for a retry anyway, are now whole before a target is chosen. admission.script stops at "call e GET /ok/9" without it.

--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -232,7 +232,10 @@
 		return MHD_NO;
 	if (!call->upload.is_whole) {
 		call->upload.is_whole = true;
-		tr_continue_attempt(call);
+		if (call->stage == TR_STAGE_COLLECTING)
+			tr_send_collected_call(call);
+		else
+			tr_continue_attempt(call);
 	}
 	if (call->reply)
 		return queue_reply(call);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -13,11 +13,12 @@
 #define TR_BUFFER_BYTES_MAX 65536U /* waiting between the two sides */
 
 enum tr_stage {
-	TR_STAGE_HEADERS,  /* request line read, headers under way */
-	TR_STAGE_WAITING,  /* in the admission queue */
-	TR_STAGE_SENDING,  /* transfer runs, no answer head yet */
-	TR_STAGE_RELAYING, /* answer head handed on, body under way */
-	TR_STAGE_ENDED,	   /* whole answer or own reply is with MHD */
+	TR_STAGE_HEADERS,    /* request line read, headers under way */
+	TR_STAGE_COLLECTING, /* entry: a short body comes in, no target yet */
+	TR_STAGE_WAITING,    /* in the admission queue */
+	TR_STAGE_SENDING,    /* transfer runs, no answer head yet */
+	TR_STAGE_RELAYING,   /* answer head handed on, body under way */
+	TR_STAGE_ENDED,	     /* whole answer or own reply is with MHD */
 };
 
 /* The answer of the present attempt. */
@@ -109,6 +110,8 @@
 
 /* entry.c */
 void tr_route_call(struct tr_call *call);
+/* The body of a call in TR_STAGE_COLLECTING is whole. */
+void tr_send_collected_call(struct tr_call *call);
 void tr_end_entry_attempt(struct tr_call *call, CURLcode code);
 /* The attempt was refused or failed by a node; call->answer says how. */
 void tr_end_refused_attempt(struct tr_call *call);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -120,9 +120,29 @@
 	return true;
 }
 
-void tr_route_call(struct tr_call *call)
+/*
+ * A slow caller must not hold a slot of a target: a body that can be kept
+ * whole is taken in first.
+ */
+static bool is_body_short(const struct tr_call *call)
+{
+	return call->upload.has_body && call->upload.content_length >= 0 &&
+	       call->upload.content_length <= TR_REPLAY_BYTES_MAX;
+}
+
+static void send_first(struct tr_call *call)
 {
 	enum rt_refusal refusal = RT_REFUSAL_NONE;
+
+	if (choose_target(call, &refusal))
+		send_to_chosen(call);
+	else
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
+			       rt_get_refusal_name(refusal), true);
+}
+
+void tr_route_call(struct tr_call *call)
+{
 	uint64_t depth = 0;
 
 	if (!call->thread->table) {
@@ -150,11 +170,15 @@
 	call->request.split_hash = get_split_hash(call);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 tmr_get_now_ms(call->thread->timers));
-	if (choose_target(call, &refusal))
-		send_to_chosen(call);
+	if (is_body_short(call))
+		call->stage = TR_STAGE_COLLECTING;
 	else
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       rt_get_refusal_name(refusal), true);
+		send_first(call);
+}
+
+void tr_send_collected_call(struct tr_call *call)
+{
+	send_first(call);
 }
 
 /* Returns whether another attempt was started. */
