--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -138,6 +138,8 @@
 		return raw_get_running_count(node->target);
 	if (strcmp(what, "hang-ups") == 0)
 		return raw_get_hang_up_count(node->target);
+	if (strcmp(what, "connections") == 0)
+		return raw_get_connection_count(node->target);
 	if (strcmp(what, "peak") == 0)
 		return raw_get_peak_count(node->target);
 	if (strcmp(what, "calls") == 0)
@@ -333,6 +335,11 @@
 	run_script("local_target");
 }
 
+static void test_slow_upload(void)
+{
+	run_script("slow_upload");
+}
+
 static void test_refusals(void)
 {
 	run_script("refusals");
@@ -366,6 +373,7 @@
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
+	{ "slow upload", test_slow_upload },
 	{ "refusals", test_refusals },
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
