See a connection that fails while curl waits to write

Cause: tevent reports a hang-up or an error of a descriptor to readers only, and drops a descriptor that is watched for writing alone (strace: EPOLL_CTL_DEL after EPOLLOUT|EPOLLERR|EPOLLHUP, and not one event after it). A target that died in the middle of a slow upload was thus noticed only at the route's deadline, and so would be a refused connect on a real network. Ruled out: curl's pause, which is not in force then, and libmicrohttpd, which went on reading.

--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -25,6 +25,7 @@
 	struct hc_loop *loop;
 	curl_socket_t socket;
 	struct tevent_fd *fde;
+	bool is_write_only; /* curl waits for room only */
 };
 
 static struct transfer *get_transfer(CURL *easy)
@@ -97,7 +98,8 @@
 	int mask = 0;
 
 	if (flags & TEVENT_FD_READ)
-		mask |= CURL_CSELECT_IN;
+		mask |= watch->is_write_only ? CURL_CSELECT_OUT
+					     : CURL_CSELECT_IN;
 	if (flags & TEVENT_FD_WRITE)
 		mask |= CURL_CSELECT_OUT;
 	run_socket(watch->loop, watch->socket, mask);
@@ -109,8 +111,12 @@
 
 	if (what & CURL_POLL_IN)
 		flags |= TEVENT_FD_READ;
+	/*
+	 * tevent reports a hang-up or an error to readers only; without this a
+	 * connection that fails while curl waits to write would go unseen.
+	 */
 	if (what & CURL_POLL_OUT)
-		flags |= TEVENT_FD_WRITE;
+		flags |= TEVENT_FD_READ | TEVENT_FD_WRITE;
 	return flags;
 }
 
@@ -132,6 +138,7 @@
 					   handle_socket, watch);
 		curl_multi_assign(loop->multi, socket, watch);
 	}
+	watch->is_write_only = what == CURL_POLL_OUT;
 	tevent_fd_set_flags(watch->fde, get_fd_flags(what));
 	return 0;
 }
