--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -340,7 +340,15 @@
 	return target->hang_up_count;
 }
 
-uint32_t raw_get_connection_count(const struct raw_target *target)
+uint32_t raw_get_partial_count(const struct raw_target *target)
 {
-	return target->connections.length;
+	uint32_t count = 0;
+
+	for (const GList *link = target->connections.head; link;
+	     link = link->next) {
+		const struct raw_connection *connection = link->data;
+
+		count += connection->input->len > 0;
+	}
+	return count;
 }
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -37,6 +37,8 @@
 uint32_t raw_get_running_count(const struct raw_target *target);
 uint32_t raw_get_peak_count(const struct raw_target *target);
 uint32_t raw_get_hang_up_count(const struct raw_target *target);
-uint32_t raw_get_connection_count(const struct raw_target *target);
+
+/* Requests of which a part was read. */
+uint32_t raw_get_partial_count(const struct raw_target *target);
 
 #endif
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -138,8 +138,8 @@
 		return raw_get_running_count(node->target);
 	if (strcmp(what, "hang-ups") == 0)
 		return raw_get_hang_up_count(node->target);
-	if (strcmp(what, "connections") == 0)
-		return raw_get_connection_count(node->target);
+	if (strcmp(what, "partial") == 0)
+		return raw_get_partial_count(node->target);
 	if (strcmp(what, "peak") == 0)
 		return raw_get_peak_count(node->target);
 	if (strcmp(what, "calls") == 0)
