--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include <jansson.h>
 #include <microhttpd.h>
 #include <talloc.h>
 #include <tevent.h>
@@ -125,6 +126,14 @@
 void web_reply(struct web_request *request, uint32_t status,
 	       const char *content_type, const char *body, size_t size);
 
+/* Sends a JSON value (stolen) as the reply. */
+void web_reply_json(struct web_request *request, uint32_t status,
+		    json_t *value);
+
+/* Sends {"error":message} as the reply. */
+void web_reply_error(struct web_request *request, uint32_t status,
+		     const char *message);
+
 /* Closes the connection in place of a reply, as a lost answer would look. */
 void web_abort(struct web_request *request);
 
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -23,29 +23,13 @@
 static const struct rd_range phase_range = { 1, 16 };
 static const struct rd_range instance_range = { 1, 128 };
 
-static void reply_json(struct web_request *request, uint32_t status,
-		       json_t *value)
-{
-	char *text = json_dumps(value, JSON_COMPACT | JSON_PRESERVE_ORDER);
-
-	web_reply(request, status, "application/json", text, strlen(text));
-	free(text);
-	json_decref(value);
-}
-
-static void reply_error(struct web_request *request, uint32_t status,
-			const char *message)
-{
-	reply_json(request, status, json_pack("{s:s}", "error", message));
-}
-
 static void reply_problems(struct web_request *request,
 			   const struct prob_list *list)
 {
 	GString *text = g_string_new(NULL);
 
 	prob_print_list(list, text);
-	reply_error(request, MHD_HTTP_BAD_REQUEST, text->str);
+	web_reply_error(request, MHD_HTTP_BAD_REQUEST, text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -93,7 +77,8 @@
 	if (prob_get_count(list) > 0)
 		reply_problems(request, list);
 	else
-		reply_json(request, MHD_HTTP_OK, json_pack("{s:b}", "ok", 1));
+		web_reply_json(request, MHD_HTTP_OK,
+			       json_pack("{s:b}", "ok", 1));
 	json_decref(json);
 	talloc_free(scratch);
 }
@@ -136,7 +121,8 @@
 
 	for (size_t i = 0; i < count; i++)
 		json_array_append_new(list, make_member(&members[i]));
-	reply_json(request, MHD_HTTP_OK, json_pack("{s:o}", "members", list));
+	web_reply_json(request, MHD_HTTP_OK,
+		       json_pack("{s:o}", "members", list));
 }
 
 static void handle_ready(struct nd_node *node, struct web_request *request)
@@ -144,13 +130,14 @@
 	struct doc_snapshot *snapshot = spr_get_snapshot(node->spread);
 
 	if (!snapshot) {
-		reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
-			    "no manifest is in force here yet");
+		web_reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				"no manifest is in force here yet");
 		return;
 	}
-	reply_json(request, MHD_HTTP_OK,
-		   json_pack("{s:I}", "sequence",
-			     (json_int_t)doc_get_manifest(snapshot)->sequence));
+	web_reply_json(
+		request, MHD_HTTP_OK,
+		json_pack("{s:I}", "sequence",
+			  (json_int_t)doc_get_manifest(snapshot)->sequence));
 }
 
 static void handle_metrics(struct nd_node *node, struct web_request *request)
@@ -165,8 +152,8 @@
 
 static void handle_burn(struct nd_node *node, struct web_request *request)
 {
-	reply_json(request, MHD_HTTP_OK,
-		   nd_make_burn(node, web_get_query(request, "service")));
+	web_reply_json(request, MHD_HTTP_OK,
+		       nd_make_burn(node, web_get_query(request, "service")));
 }
 
 static void handle_report(struct nd_node *node, struct web_request *request)
@@ -205,5 +192,5 @@
 			return;
 		}
 	}
-	reply_error(request, MHD_HTTP_NOT_FOUND, "no such page");
+	web_reply_error(request, MHD_HTTP_NOT_FOUND, "no such page");
 }
--- a/src/release/service.c
+++ b/src/release/service.c
@@ -332,15 +332,6 @@
 		rls_drop_report(service->reports);
 }
 
-static void reply(struct web_request *request, uint32_t status, json_t *value)
-{
-	char *text = json_dumps(value, JSON_COMPACT);
-
-	web_reply(request, status, "application/json", text, strlen(text));
-	free(text);
-	json_decref(value);
-}
-
 void rls_handle_report(struct rls_service *service, struct web_request *request)
 {
 	json_t *held = json_array();
@@ -354,15 +345,17 @@
 
 	reports = json_object_get(value, "reports");
 	if (!json_is_array(reports) || json_array_size(reports) > REPORTS_MAX) {
-		reply(request, MHD_HTTP_BAD_REQUEST,
-		      json_pack("{s:s}", "error",
-				"reports: wanted an array of at most 512"));
+		web_reply_json(
+			request, MHD_HTTP_BAD_REQUEST,
+			json_pack("{s:s}", "error",
+				  "reports: wanted an array of at most 512"));
 		json_decref(held);
 	} else {
 		json_array_foreach(reports, index, report)
 			take_report(service, report, is_forwarded, held);
 		rls_send_reports(service->reports, true);
-		reply(request, MHD_HTTP_OK, json_pack("{s:o}", "held", held));
+		web_reply_json(request, MHD_HTTP_OK,
+			       json_pack("{s:o}", "held", held));
 	}
 	json_decref(value);
 }
--- a/src/spread/peer_api.c
+++ b/src/spread/peer_api.c
@@ -18,22 +18,6 @@
 static const struct rd_range version_range = { 1, INT64_MAX };
 static const struct rd_range hash_range = { HASH_DIGITS, HASH_DIGITS };
 
-static void reply_json(struct web_request *request, uint32_t status,
-		       json_t *value)
-{
-	char *text = json_dumps(value, JSON_COMPACT);
-
-	web_reply(request, status, "application/json", text, strlen(text));
-	free(text);
-	json_decref(value);
-}
-
-static void reply_error(struct web_request *request, uint32_t status,
-			const char *message)
-{
-	reply_json(request, status, json_pack("{s:s}", "error", message));
-}
-
 static void answer_manifest(struct spr_store *store,
 			    struct web_request *request)
 {
@@ -41,8 +25,8 @@
 	char *text;
 
 	if (!snapshot) {
-		reply_error(request, MHD_HTTP_NOT_FOUND,
-			    "no manifest is in force here yet");
+		web_reply_error(request, MHD_HTTP_NOT_FOUND,
+				"no manifest is in force here yet");
 		return;
 	}
 	text = doc_format_manifest(NULL, doc_get_manifest(snapshot));
@@ -113,10 +97,10 @@
 		documents = read_bundle(store, object);
 	prob_print_list(list, problems);
 	if (prob_get_count(list) > 0)
-		reply_error(request, MHD_HTTP_BAD_REQUEST, problems->str);
+		web_reply_error(request, MHD_HTTP_BAD_REQUEST, problems->str);
 	else
-		reply_json(request, MHD_HTTP_OK,
-			   json_pack("{s:O}", "documents", documents));
+		web_reply_json(request, MHD_HTTP_OK,
+			       json_pack("{s:O}", "documents", documents));
 	json_decref(documents);
 	json_decref(json);
 	g_string_free(problems, TRUE);
@@ -139,12 +123,12 @@
 	else if (manifest)
 		is_adopted = spr_adopt_manifest(store, manifest, &error);
 	if (error)
-		reply_error(request, MHD_HTTP_CONFLICT, error->message);
+		web_reply_error(request, MHD_HTTP_CONFLICT, error->message);
 	else
-		reply_json(request,
-			   is_adopted ? MHD_HTTP_OK : MHD_HTTP_CONFLICT,
-			   json_pack("{s:I}", "sequence",
-				     (json_int_t)spr_get_sequence(store)));
+		web_reply_json(request,
+			       is_adopted ? MHD_HTTP_OK : MHD_HTTP_CONFLICT,
+			       json_pack("{s:I}", "sequence",
+					 (json_int_t)spr_get_sequence(store)));
 	g_clear_error(&error);
 	talloc_free(scratch);
 	return is_adopted;
@@ -163,6 +147,6 @@
 	else if (strcmp(path, "/spread/bundle") == 0 && is_post)
 		answer_bundle(store, request);
 	else
-		reply_error(request, MHD_HTTP_NOT_FOUND, "no such page");
+		web_reply_error(request, MHD_HTTP_NOT_FOUND, "no such page");
 	return false;
 }
--- a/tests/fakes/object_api.c
+++ b/tests/fakes/object_api.c
@@ -63,21 +63,6 @@
 	return request;
 }
 
-static void reply(struct web_request *request, uint32_t status, json_t *body)
-{
-	char *text = json_dumps(body, JSON_COMPACT);
-
-	web_reply(request, status, "application/json", text, strlen(text));
-	free(text);
-	json_decref(body);
-}
-
-static void reply_error(struct web_request *request, uint32_t status,
-			const char *message)
-{
-	reply(request, status, json_pack("{s:s}", "error", message));
-}
-
 static enum call_kind get_kind(const struct web_request *request)
 {
 	const char *method = web_get_method(request);
@@ -159,9 +144,9 @@
 		object = store_find_object(server->store, get_key(request));
 	}
 	if (object)
-		reply(request, 200, make_object(object));
+		web_reply_json(request, 200, make_object(object));
 	else
-		reply_error(request, 404, "no object of that key");
+		web_reply_error(request, 404, "no object of that key");
 }
 
 static void list_objects(struct api_server *server, struct web_request *request)
@@ -170,10 +155,10 @@
 
 	store_visit_objects(server->store, get_prefix(request), append_object,
 			    objects);
-	reply(request, 200,
-	      json_pack("{s:I, s:o}", "revision",
-			(json_int_t)store_get_revision(server->store),
-			"objects", objects));
+	web_reply_json(request, 200,
+		       json_pack("{s:I, s:o}", "revision",
+				 (json_int_t)store_get_revision(server->store),
+				 "objects", objects));
 }
 
 /*
@@ -225,7 +210,8 @@
 		answer = make_watch_answer(server, pending->request, false,
 					   &status);
 		if (answer)
-			reply(api_take_pending(pending), status, answer);
+			web_reply_json(api_take_pending(pending), status,
+				       answer);
 	}
 }
 
@@ -237,7 +223,7 @@
 	json_t *answer =
 		make_watch_answer(server, pending->request, true, &status);
 
-	reply(api_take_pending(pending), status, answer);
+	web_reply_json(api_take_pending(pending), status, answer);
 }
 
 static void start_watch(struct api_server *server, struct web_request *request)
@@ -250,7 +236,7 @@
 
 	if (!parse_number(web_get_query(request, "since"), &number) ||
 	    !parse_number(web_get_query(request, "wait_ms"), &number)) {
-		reply_error(request, 400, "since and wait_ms are wanted");
+		web_reply_error(request, 400, "since and wait_ms are wanted");
 		return;
 	}
 	wait_ms = (uint32_t)MIN(number, API_WAIT_MS_MAX);
@@ -258,7 +244,7 @@
 				   wait_ms == 0 || server->faults.is_hasty,
 				   &status);
 	if (answer) {
-		reply(request, status, answer);
+		web_reply_json(request, status, answer);
 		return;
 	}
 	pending = add_pending(server, request, PENDING_WATCH);
@@ -271,18 +257,20 @@
 {
 	switch (outcome) {
 	case STORE_OK:
-		reply(request, 200,
-		      json_pack("{s:I, s:I}", "version", (json_int_t)version,
-				"revision",
-				(json_int_t)store_get_revision(server->store)));
+		web_reply_json(request, 200,
+			       json_pack("{s:I, s:I}", "version",
+					 (json_int_t)version, "revision",
+					 (json_int_t)store_get_revision(
+						 server->store)));
 		return;
 	case STORE_CONFLICT:
-		reply(request, 409,
-		      json_pack("{s:I}", "version", (json_int_t)version));
+		web_reply_json(
+			request, 409,
+			json_pack("{s:I}", "version", (json_int_t)version));
 		return;
 	case STORE_ABSENT:
 	case STORE_GONE:
-		reply_error(request, 404, "no object of that key");
+		web_reply_error(request, 404, "no object of that key");
 		return;
 	}
 }
@@ -299,13 +287,14 @@
 	const char *body = web_get_body(request, &size);
 
 	if (!parse_number(web_get_header(request, "If-Match"), &expected)) {
-		reply_error(request, 400, "If-Match with a version is wanted");
+		web_reply_error(request, 400,
+				"If-Match with a version is wanted");
 		return;
 	}
 	if (kind == CALL_PUT) {
 		value = json_loadb(body, size, 0, NULL);
 		if (!value) {
-			reply_error(request, 400, "a JSON value is wanted");
+			web_reply_error(request, 400, "a JSON value is wanted");
 			return;
 		}
 		outcome = store_put_object(server->store, key, value, expected,
@@ -345,7 +334,7 @@
 		return;
 	case CALL_UNKNOWN:
 	case CALL_KIND_COUNT:
-		reply_error(request, 404, "no such call");
+		web_reply_error(request, 404, "no such call");
 		return;
 	}
 }
@@ -403,7 +392,7 @@
 	else if (faults->is_hanging)
 		add_pending(server, request, PENDING_HANGING);
 	else if (faults->is_out)
-		reply_error(request, 503, "out of service");
+		web_reply_error(request, 503, "out of service");
 	else
 		return false;
 	server->failed_by_fault++;
@@ -419,7 +408,7 @@
 		return;
 	if (!is_allowed || take_count(&server->faults.refuse_rate)) {
 		server->refused++;
-		reply_error(request, 429, "too many calls");
+		web_reply_error(request, 429, "too many calls");
 		return;
 	}
 	if (server->faults.delay_ms == 0) {
@@ -439,12 +428,12 @@
 	GError *error = NULL;
 
 	if (strcmp(path, "/stats") == 0) {
-		reply(request, 200, api_make_stats(server));
+		web_reply_json(request, 200, api_make_stats(server));
 	} else if (strcmp(path, "/faults") == 0) {
 		if (api_set_faults(server, web_get_body(request, NULL), &error))
-			reply(request, 200, json_object());
+			web_reply_json(request, 200, json_object());
 		else
-			reply_error(request, 400, error->message);
+			web_reply_error(request, 400, error->message);
 		g_clear_error(&error);
 	} else {
 		handle_call(server, request);
