Mend what the tour of the README stumbled over

The examples' moves had a start that has passed, so that a new user's first status spoke of a move that is late; they start in 2030 now, and the tests that quote the examples follow. A move that is past its start and waits for targets of the new version said only that it waits for its start; the sentence names both.

--- a/src/document/tests/test_document.c
+++ b/src/document/tests/test_document.c
@@ -43,8 +43,8 @@
 	CU_ASSERT_EQUAL(service->document_version, 7);
 	CU_ASSERT_EQUAL(service->route_count, 3);
 	CU_ASSERT_EQUAL(service->limits.slots, 12);
-	CU_ASSERT_EQUAL(service->move->start_ms, 1796378400000ULL);
-	CU_ASSERT_EQUAL(service->move->finish_by_ms, 1796382000000ULL);
+	CU_ASSERT_EQUAL(service->move->start_ms, 1906711200000ULL);
+	CU_ASSERT_EQUAL(service->move->finish_by_ms, 1906714800000ULL);
 	CU_ASSERT_EQUAL(service->move->step_count, 5);
 	CU_ASSERT_EQUAL(service->move->step_shares_permille[0], 10);
 	CU_ASSERT_EQUAL(service->move->judgement.error_permille, 10);
--- a/src/moves/describe.c
+++ b/src/moves/describe.c
@@ -86,6 +86,7 @@
 	}
 	g_string_append(text, "waits to start at ");
 	append_time(text, move->start_ms);
+	g_string_append_printf(text, " with targets of %s", move->to);
 }
 
 static void append_pending(GString *text, const struct mv_state *state)
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -11,52 +11,51 @@
 #define HEADER_TIMEOUT_MS 10000U
 #define HEADER_BYTES_MAX 16384U
 
-static struct cnt_counter *get_counter(struct cnt_registry *registry,
-				       const char *name, const char *labels,
-				       const char *help)
+/* One counter a side: entry and hop. */
+static void open_pair(struct cnt_registry *registry,
+		      struct cnt_counter **counters, const char *name,
+		      const char *help)
 {
-	return cnt_get_counter(registry, CNT_KIND_COUNTER, name, labels, help);
+	counters[TR_ROLE_ENTRY] = cnt_get_counter(registry, CNT_KIND_COUNTER,
+						  name, "side=\"entry\"", help);
+	counters[TR_ROLE_HOP] = cnt_get_counter(registry, CNT_KIND_COUNTER,
+						name, "side=\"hop\"", help);
+}
+
+static struct cnt_counter *open_single(struct cnt_registry *registry,
+				       const char *name, const char *help)
+{
+	return cnt_get_counter(registry, CNT_KIND_COUNTER, name, NULL, help);
 }
 
 static void open_counters(struct tr_counters *counters,
 			  struct cnt_registry *registry)
 {
-	static const char *const labels[] = { "side=\"entry\"",
-					      "side=\"hop\"" };
-
-	for (int role = TR_ROLE_ENTRY; role <= TR_ROLE_HOP; role++) {
-		const char *label = labels[role];
-
-		counters->calls[role] = get_counter(
-			registry, "loom_calls_total", label, "Calls taken in.");
-		counters->answers[role] =
-			get_counter(registry, "loom_answers_total", label,
-				    "Answers relayed.");
-		counters->refusals[role] =
-			get_counter(registry, "loom_refusals_total", label,
-				    "Calls refused or failed by the node.");
-		counters->broken[role] =
-			get_counter(registry, "loom_broken_answers_total",
-				    label, "Answers that broke off.");
-		counters->cancelled[role] =
-			get_counter(registry, "loom_cancelled_total", label,
-				    "Calls whose caller hung up.");
-	}
+	open_pair(registry, counters->calls, "loom_calls_total",
+		  "Calls taken in.");
+	open_pair(registry, counters->answers, "loom_answers_total",
+		  "Answers relayed.");
+	open_pair(registry, counters->refusals, "loom_refusals_total",
+		  "Calls refused or failed by the node.");
+	open_pair(registry, counters->broken, "loom_broken_answers_total",
+		  "Answers that broke off.");
+	open_pair(registry, counters->cancelled, "loom_cancelled_total",
+		  "Calls whose caller hung up.");
 	counters->local_calls =
-		get_counter(registry, "loom_local_calls_total", NULL,
+		open_single(registry, "loom_local_calls_total",
 			    "Attempts admitted without a second hop.");
-	counters->retries = get_counter(registry, "loom_retries_total", NULL,
+	counters->retries = open_single(registry, "loom_retries_total",
 					"Attempts after the first.");
 	counters->repeats_stopped =
-		get_counter(registry, "loom_repeats_stopped_total", NULL,
+		open_single(registry, "loom_repeats_stopped_total",
 			    "Second sends by the HTTP library stopped.");
 	counters->connections_closed =
-		get_counter(registry, "loom_connections_closed_total", NULL,
+		open_single(registry, "loom_connections_closed_total",
 			    "Slow or idle connections closed.");
-	counters->tables = get_counter(registry, "loom_tables_total", NULL,
+	counters->tables = open_single(registry, "loom_tables_total",
 				       "Tables taken over by a thread.");
 	counters->commands =
-		get_counter(registry, "loom_commands_total", NULL,
+		open_single(registry, "loom_commands_total",
 			    "Commands of the control thread carried out.");
 }
 
