--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -85,7 +85,8 @@
  * Sends a small request and collects the answer. Errors: ERR_UNAVAILABLE when
  * no request was sent, ERR_TIMEOUT, ERR_UNKNOWN_OUTCOME when the connection was
  * lost after sending began. Returns a new request owned by ctx; talloc_free()
- * cancels it. fn runs from the loop, never from within hc_send().
+ * cancels it, and must happen before the loop is freed. fn runs from the loop,
+ * never from within hc_send().
  */
 struct hc_request *hc_send(TALLOC_CTX *ctx, struct hc_loop *loop,
 			   const struct hc_options *options, hc_answer_fn fn,
