--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -183,3 +183,16 @@
 		awk '{ sum = 0; for (i = 1; i <= NF; i++) sum += $i
 		       if (sum > 1) n++ } END { print n + 0 }'
 }
+
+# Vms 1 to COUNT in one failure domain, with a platform, all of them serving.
+start_fleet() { # start_fleet COUNT [OPTIONS OF faketarget...]
+	local count=$1
+	shift
+	start_platform
+	for n in $(seq "$count"); do
+		start_node "$n" kgl-a
+		start_target "$n" "$@"
+	done
+	apply_shop
+	for n in $(seq "$count"); do wait_for 30 served_by 1 "$n"; done
+}
--- a/tests/process/graceful_shutdown.sh
+++ b/tests/process/graceful_shutdown.sh
@@ -4,13 +4,7 @@
 # log says how many calls that cut.
 . "$(dirname "$0")/common.sh"
 
-start_platform
-for n in 1 2 3 4 5; do
-	start_node "$n" kgl-a
-	start_target "$n" --latency-ms 20 --slots 50
-done
-apply_shop
-for n in 1 2 3 4 5; do wait_for 30 served_by 1 "$n"; done
+start_fleet 5 --latency-ms 20 --slots 50
 
 echo "== steady calls and slow bodies; one vm leaves, then two at once"
 # shellcheck disable=SC2046
--- a/tests/process/node_killed.sh
+++ b/tests/process/node_killed.sh
@@ -1,16 +1,10 @@
 #!/usr/bin/env bash
-# Promises 8 and 9: with nodes and targets killed under
-# POSTs that may not be repeated, no request runs twice, a "not run" is true by
-# the targets' own record, and the others go on serving.
+# Promises 8 and 9: with nodes and targets killed under POSTs that may not be
+# repeated, no request runs twice, a "not run" is true by the targets' own
+# record, and the others go on serving.
 . "$(dirname "$0")/common.sh"
 
-start_platform
-for n in 1 2 3 4 5; do
-	start_node "$n" kgl-a
-	start_target "$n" --latency-ms 100 --slots 50
-done
-apply_shop
-for n in 1 2 3 4 5; do wait_for 30 served_by 1 "$n"; done
+start_fleet 5 --latency-ms 100 --slots 50
 warm_up 1 2 4 5
 
 echo "== kill -9 of a target's node"
--- a/tests/process/node_paused.sh
+++ b/tests/process/node_paused.sh
@@ -6,13 +6,7 @@
 
 lease_s=9
 
-start_platform
-for n in 1 2 3 4 5; do
-	start_node "$n" kgl-a
-	start_target "$n" --latency-ms 100 --slots 50
-done
-apply_shop
-for n in 1 2 3 4 5; do wait_for 30 served_by 1 "$n"; done
+start_fleet 5 --latency-ms 100 --slots 50
 warm_up 1 2 4 5
 
 echo "== one node is stopped"
