Run timers on the monotonic clock, and give the product a gateway document

tevent's timers follow the wall clock, so a step of it by seconds moved every timeout of a node. The timer service and the loops of curl and libmicrohttpd now use an alarm on a timer descriptor.

--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -40,11 +40,12 @@
 
 /* Bounds of one target of the service. */
 struct doc_limits {
-	uint32_t slots;		     /* calls that run side by side */
-	uint32_t connections;	     /* open connections to the target */
-	uint32_t queue_length;	     /* calls that wait for a slot */
-	uint32_t request_body_bytes; /* largest request body */
-	uint32_t header_bytes;	     /* largest request header */
+	uint32_t slots;			/* calls that run side by side */
+	uint32_t connections;		/* open connections to the target */
+	uint32_t queue_length;		/* calls that wait for a slot */
+	uint32_t request_body_bytes;	/* largest request body */
+	uint32_t header_bytes;		/* largest request header */
+	uint32_t cold_calls_per_second; /* while it is cold; 0: no bound */
 };
 
 /* Thresholds by which a new version is judged against the old one. */
@@ -275,8 +276,99 @@
 char *doc_format_difference(TALLOC_CTX *ctx, const json_t *before,
 			    const json_t *after);
 
+/* Version class of a gateway's service: every version but that of a move. */
+#define DOC_VERSION_ANY "*"
+
+/* One part of a gateway route's calls. */
+struct doc_share {
+	const char *service;
+	uint32_t weight;
+};
+
+/* A host and a path prefix over one service or several. */
+struct doc_gateway_route {
+	const char *host;
+	struct doc_route route;
+	uint32_t objective_ms; /* an answer within it is worth most */
+	uint32_t attempts_max; /* targets that one call may be sent to */
+	uint32_t priority;     /* 0 is the highest */
+	const struct doc_share *shares;
+	size_t share_count;
+	uint32_t weight_sum; /* of the shares */
+};
+
+/* What a gateway says of a service; its versions come from the targets. */
+struct doc_gateway_service {
+	const char *name;
+	uint32_t connections;
+	uint32_t cold_calls_per_second;
+};
+
+/* Bounds on what a caller may send, and on how long it may take. */
+struct doc_caller_limits {
+	uint32_t header_bytes;
+	uint32_t request_body_bytes;
+	uint32_t header_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
+/*
+ * A gateway document: all hosts, services and bounds of a mesh in one. Its
+ * sequence is the one order of configuration where no manifest is used.
+ */
+struct doc_gateway;
+
+/*
+ * Parses and checks a gateway document whole. file names the source in
+ * problems. Returns a new gateway with one reference, or NULL with at least
+ * one problem added to list.
+ */
+struct doc_gateway *doc_parse_gateway(const char *file, const json_t *document,
+				      struct prob_list *list);
+
+/* References are counted atomically; the last holder frees the gateway. */
+struct doc_gateway *doc_ref_gateway(struct doc_gateway *gateway);
+void doc_unref_gateway(struct doc_gateway *gateway);
+
+uint64_t doc_get_gateway_sequence(const struct doc_gateway *gateway);
+const struct doc_caller_limits *
+doc_get_caller_limits(const struct doc_gateway *gateway);
+
+/*
+ * Returns the route (borrowed) of a host and a path: the longest prefix of
+ * that host that begins the path, without its query. NULL when there is none.
+ */
+const struct doc_gateway_route *
+doc_find_gateway_route(const struct doc_gateway *gateway, const char *host,
+		       const char *path);
+
+/* Returns the service (borrowed) of the share that the hash falls into. */
+const char *doc_choose_share(const struct doc_gateway_route *route,
+			     uint64_t split_hash);
+
+/* State of a move of a gateway's service. */
+struct doc_gateway_move {
+	const char *service;
+	const char *to;
+	enum doc_move_state state;
+	uint32_t share_permille; /* of calls that go to version "to" */
+};
+
 struct doc_snapshot;
 
+/*
+ * Builds the snapshot of a gateway, which is referenced, with the moves of its
+ * services and the failure domains that are out (NULL-terminated). A move of
+ * an unknown service is passed over. Returns a new snapshot with one reference.
+ */
+struct doc_snapshot *
+doc_build_gateway_snapshot(struct doc_gateway *gateway,
+			   const struct doc_gateway_move *moves,
+			   size_t move_count, const char *const *domains_out);
+
+/* Returns the gateway of a snapshot (borrowed), or NULL. */
+const struct doc_gateway *doc_get_gateway(const struct doc_snapshot *snapshot);
+
 /*
  * Builds the snapshot of a manifest. services must hold one document of the
  * exact version for each entry; they are stolen from their talloc owners on
--- a/include/loom/timer.h
+++ b/include/loom/timer.h
@@ -52,4 +52,22 @@
 /* Moves a virtual clock on by delta_ms, calling what is due in due order. */
 void tmr_advance(struct tmr_service *service, uint32_t delta_ms);
 
+/*
+ * One-shot alarm on the monotonic clock: steps of the wall clock, on which
+ * tevent's own timers run, do not move it.
+ */
+struct tmr_alarm;
+
+typedef void (*tmr_alarm_fn)(void *data);
+
+/* Returns a new alarm owned by ctx, not set. */
+struct tmr_alarm *tmr_new_alarm(TALLOC_CTX *ctx, struct tevent_context *events,
+				tmr_alarm_fn fn, void *data);
+
+/* Sets the alarm to go off once in wait_ms; replaces an earlier setting. */
+void tmr_set_alarm(struct tmr_alarm *alarm, uint64_t wait_ms);
+
+/* Clears the alarm, if it is set. */
+void tmr_clear_alarm(struct tmr_alarm *alarm);
+
 #endif
--- /dev/null
+++ b/src/base/alarm.c
@@ -0,0 +1,123 @@
+/*
+ * One-shot alarm: a timer descriptor on the monotonic clock.
+ *
+ * The descriptor is armed lazily. A later or cleared setting leaves it armed;
+ * when it fires too early it is armed again for what is left. Invariant: while
+ * is_set, either an immediate event is scheduled or the descriptor is armed for
+ * due_ms or earlier.
+ */
+#include "loom/timer.h"
+
+#include <assert.h>
+#include <stdbool.h>
+#include <sys/timerfd.h>
+#include <time.h>
+#include <unistd.h>
+
+struct tmr_alarm {
+	struct tevent_context *events;
+	struct tevent_immediate *immediate; /* for a wait of 0 */
+	struct tevent_fd *fde;
+	int fd;
+	bool is_set;
+	uint64_t due_ms;
+	uint64_t armed_ms; /* 0: the descriptor is not armed */
+	tmr_alarm_fn fn;
+	void *data;
+};
+
+static uint64_t read_monotonic_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+static void arm(struct tmr_alarm *alarm, uint64_t due_ms)
+{
+	struct itimerspec setting = {
+		.it_value = { .tv_sec = (time_t)(due_ms / 1000),
+			      .tv_nsec = (long)(due_ms % 1000) * 1000000 },
+	};
+	int result =
+		timerfd_settime(alarm->fd, TFD_TIMER_ABSTIME, &setting, NULL);
+
+	assert(result == 0);
+	(void)result;
+	alarm->armed_ms = due_ms;
+}
+
+static void go_off(struct tmr_alarm *alarm)
+{
+	alarm->is_set = false;
+	alarm->fn(alarm->data);
+}
+
+static void handle_immediate(struct tevent_context *events,
+			     struct tevent_immediate *immediate, void *data)
+{
+	struct tmr_alarm *alarm = data;
+
+	if (alarm->is_set && alarm->due_ms <= read_monotonic_ms())
+		go_off(alarm);
+}
+
+static void handle_readable(struct tevent_context *events,
+			    struct tevent_fd *fde, uint16_t flags, void *data)
+{
+	struct tmr_alarm *alarm = data;
+	uint64_t count;
+
+	if (read(alarm->fd, &count, sizeof(count)) < 0)
+		return;
+	alarm->armed_ms = 0;
+	if (!alarm->is_set)
+		return;
+	if (alarm->due_ms <= read_monotonic_ms())
+		go_off(alarm);
+	else
+		arm(alarm, alarm->due_ms);
+}
+
+static int destroy_alarm(struct tmr_alarm *alarm)
+{
+	TALLOC_FREE(alarm->fde);
+	close(alarm->fd);
+	return 0;
+}
+
+struct tmr_alarm *tmr_new_alarm(TALLOC_CTX *ctx, struct tevent_context *events,
+				tmr_alarm_fn fn, void *data)
+{
+	struct tmr_alarm *alarm = talloc_zero(ctx, struct tmr_alarm);
+
+	alarm->events = events;
+	alarm->fn = fn;
+	alarm->data = data;
+	alarm->fd = timerfd_create(CLOCK_MONOTONIC, TFD_CLOEXEC | TFD_NONBLOCK);
+	assert(alarm->fd >= 0);
+	alarm->immediate = tevent_create_immediate(alarm);
+	alarm->fde = tevent_add_fd(events, alarm, alarm->fd, TEVENT_FD_READ,
+				   handle_readable, alarm);
+	talloc_set_destructor(alarm, destroy_alarm);
+	return alarm;
+}
+
+void tmr_set_alarm(struct tmr_alarm *alarm, uint64_t wait_ms)
+{
+	alarm->is_set = true;
+	alarm->due_ms = read_monotonic_ms() + wait_ms;
+	if (wait_ms == 0) {
+		tevent_schedule_immediate(alarm->immediate, alarm->events,
+					  handle_immediate, alarm);
+		return;
+	}
+	if (alarm->armed_ms == 0 || alarm->due_ms < alarm->armed_ms)
+		arm(alarm, alarm->due_ms);
+}
+
+void tmr_clear_alarm(struct tmr_alarm *alarm)
+{
+	alarm->is_set = false;
+}
--- a/src/base/timer.c
+++ b/src/base/timer.c
@@ -2,20 +2,19 @@
  * Timer service on a tevent loop or on a virtual clock.
  *
  * Subscriptions stand in a list ordered by due time, equal times in order of
- * subscription. The real service keeps one tevent timer for the first of them.
+ * subscription. The real service keeps one alarm for the first of them.
  * Invariant: while a callback runs its subscription is out of the list and is
  * the service's running one. A callback must not free the service.
  */
 #include "loom/timer.h"
 
 #include <assert.h>
-#include <sys/time.h>
 #include <time.h>
 #include <glib.h>
 
 struct tmr_service {
 	struct tevent_context *events; /* NULL for a virtual clock */
-	struct tevent_timer *alarm;
+	struct tmr_alarm *alarm;       /* NULL for a virtual clock */
 	uint64_t virtual_now_ms;
 	GQueue pending; /* struct tmr_subscription, by due_ms */
 	struct tmr_subscription *running; /* NULL once it was freed */
@@ -113,13 +112,10 @@
 	}
 }
 
-static void handle_alarm(struct tevent_context *events,
-			 struct tevent_timer *alarm, struct timeval now,
-			 void *data)
+static void handle_alarm(void *data)
 {
 	struct tmr_service *service = data;
 
-	service->alarm = NULL;
 	run_due(service, tmr_get_now_ms(service));
 	set_alarm(service);
 }
@@ -128,21 +124,17 @@
 {
 	struct tmr_subscription *first;
 	uint64_t now_ms;
-	uint64_t wait_ms;
 
 	if (!service->events)
 		return;
-	TALLOC_FREE(service->alarm);
 	first = g_queue_peek_head(&service->pending);
-	if (!first)
+	if (!first) {
+		tmr_clear_alarm(service->alarm);
 		return;
+	}
 	now_ms = tmr_get_now_ms(service);
-	wait_ms = first->due_ms > now_ms ? first->due_ms - now_ms : 0;
-	service->alarm = tevent_add_timer(
-		service->events, service,
-		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
-					   (uint32_t)(wait_ms % 1000) * 1000),
-		handle_alarm, service);
+	tmr_set_alarm(service->alarm,
+		      first->due_ms > now_ms ? first->due_ms - now_ms : 0);
 }
 
 static struct tmr_subscription *subscribe(TALLOC_CTX *ctx,
@@ -169,6 +161,7 @@
 
 	assert(events);
 	service->events = events;
+	service->alarm = tmr_new_alarm(service, events, handle_alarm, service);
 	g_queue_init(&service->pending);
 	talloc_set_destructor(service, destroy_service);
 	return service;
--- a/src/document/service_parse.c
+++ b/src/document/service_parse.c
@@ -33,6 +33,7 @@
 static const struct rd_range queue_range = { 0, 10000 };
 static const struct rd_range body_range = { 0, 64 * 1024 * 1024 };
 static const struct rd_range header_range = { 1024, 256 * 1024 };
+static const struct rd_range cold_calls_range = { 0, 1000000 };
 static const struct rd_range latency_range = { 1, 3600 * 1000 };
 static const struct rd_range versions_range = { 1, VERSIONS_MAX };
 static const struct rd_range calls_range = { 0, CALLS_MAX };
@@ -82,6 +83,8 @@
 		       &limits->request_body_bytes);
 	rd_read_uint32(field, "header_bytes", RD_OPTIONAL, &header_range,
 		       &limits->header_bytes);
+	rd_read_uint32(field, "cold_calls_per_second", RD_OPTIONAL,
+		       &cold_calls_range, &limits->cold_calls_per_second);
 	if (limits->connections < limits->slots)
 		rd_add_problem(field, "connections",
 			       "got %u, wanted at least the %u of \"slots\"",
--- a/src/document/snapshot.c
+++ b/src/document/snapshot.c
@@ -11,6 +11,7 @@
 #include <stdatomic.h>
 #include <string.h>
 #include "loom/document.h"
+#include "gateway.h"
 #include "loom/error.h"
 
 #define STEP "build snapshot"
@@ -19,6 +20,7 @@
 	atomic_uint reference_count;
 	struct doc_manifest *manifest;
 	const struct doc_service **services; /* in order of the manifest */
+	struct doc_gateway *gateway;	     /* or NULL */
 };
 
 /* Checks the state of a move against the move of the document. */
@@ -154,6 +156,95 @@
 	return snapshot;
 }
 
+static const struct doc_gateway_move *
+find_move(const struct doc_gateway_move *moves, size_t count,
+	  const char *service)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(moves[i].service, service) == 0)
+			return &moves[i];
+	}
+	return NULL;
+}
+
+/* The steps of a gateway's move are decided apart from its document. */
+static void add_gateway_move(struct doc_service *service,
+			     struct doc_manifest_service *entry,
+			     const struct doc_gateway_move *move)
+{
+	struct doc_move *copy = talloc_zero(service, struct doc_move);
+
+	copy->from = DOC_VERSION_ANY;
+	copy->to = talloc_strdup(copy, move->to);
+	service->move = copy;
+	entry->move_state = move->state;
+	entry->share_permille = move->share_permille;
+}
+
+static struct doc_service *
+make_gateway_service(TALLOC_CTX *ctx, const struct doc_gateway *gateway,
+		     const struct doc_gateway_service *spec)
+{
+	static const char *const versions[] = { DOC_VERSION_ANY, NULL };
+	static const char *const no_calls[] = { NULL };
+	struct doc_service *service = talloc_zero(ctx, struct doc_service);
+
+	service->name = talloc_strdup(service, spec->name);
+	service->document_version = gateway->sequence;
+	service->versions = versions;
+	service->current = DOC_VERSION_ANY;
+	service->calls = no_calls;
+	/* Slots and queue follow what the target itself says. */
+	service->limits = (struct doc_limits){
+		.slots = 1,
+		.connections = spec->connections,
+		.queue_length = 0,
+		.request_body_bytes = gateway->limits.request_body_bytes,
+		.header_bytes = gateway->limits.header_bytes,
+		.cold_calls_per_second = spec->cold_calls_per_second,
+	};
+	return service;
+}
+
+struct doc_snapshot *
+doc_build_gateway_snapshot(struct doc_gateway *gateway,
+			   const struct doc_gateway_move *moves,
+			   size_t move_count, const char *const *domains_out)
+{
+	struct doc_snapshot *snapshot = talloc_zero(NULL, struct doc_snapshot);
+	struct doc_manifest *manifest = doc_new_manifest(snapshot);
+
+	atomic_init(&snapshot->reference_count, 1);
+	snapshot->gateway = doc_ref_gateway(gateway);
+	snapshot->manifest = manifest;
+	manifest->sequence = gateway->sequence;
+	for (; *domains_out; domains_out++)
+		doc_add_manifest_domain(manifest, *domains_out)->is_out = true;
+	for (size_t i = 0; i < gateway->service_count; i++)
+		doc_add_manifest_service(manifest, gateway->services[i].name)
+			->document_version = gateway->sequence;
+	snapshot->services = talloc_zero_array(
+		snapshot, const struct doc_service *, manifest->service_count);
+	for (size_t i = 0; i < manifest->service_count; i++) {
+		struct doc_manifest_service *entry = &manifest->services[i];
+		const struct doc_gateway_move *move =
+			find_move(moves, move_count, entry->name);
+		struct doc_service *service = make_gateway_service(
+			snapshot, gateway,
+			doc_find_gateway_service(gateway, entry->name));
+
+		if (move)
+			add_gateway_move(service, entry, move);
+		snapshot->services[i] = service;
+	}
+	return snapshot;
+}
+
+const struct doc_gateway *doc_get_gateway(const struct doc_snapshot *snapshot)
+{
+	return snapshot->gateway;
+}
+
 struct doc_snapshot *doc_ref_snapshot(struct doc_snapshot *snapshot)
 {
 	atomic_fetch_add_explicit(&snapshot->reference_count, 1,
@@ -170,8 +261,10 @@
 	before = atomic_fetch_sub_explicit(&snapshot->reference_count, 1,
 					   memory_order_acq_rel);
 	assert(before > 0);
-	if (before == 1)
-		talloc_free(snapshot);
+	if (before > 1)
+		return;
+	doc_unref_gateway(snapshot->gateway);
+	talloc_free(snapshot);
 }
 
 const struct doc_manifest *doc_get_manifest(const struct doc_snapshot *snapshot)
--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -1,7 +1,7 @@
 /*
  * A curl multi handle driven by tevent.
  *
- * Each socket of curl is one tevent_fd, curl's timeout one tevent timer. Every
+ * Each socket of curl is one tevent_fd, curl's timeout one alarm. Every
  * transfer has one record, found by CURLOPT_PRIVATE.
  * Invariant: a record lives exactly while its handle is in the multi handle.
  */
@@ -9,6 +9,7 @@
 
 #include <assert.h>
 #include "loom/error.h"
+#include "loom/timer.h"
 
 struct transfer {
 	hc_done_fn fn;
@@ -18,7 +19,7 @@
 struct hc_loop {
 	struct tevent_context *events;
 	CURLM *multi;
-	struct tevent_timer *timeout;
+	struct tmr_alarm *timeout;
 };
 
 struct socket_watch {
@@ -66,28 +67,19 @@
 	finish_transfers(loop);
 }
 
-static void handle_timeout(struct tevent_context *events,
-			   struct tevent_timer *timer, struct timeval now,
-			   void *data)
+static void handle_timeout(void *data)
 {
-	struct hc_loop *loop = data;
-
-	loop->timeout = NULL;
-	run_socket(loop, CURL_SOCKET_TIMEOUT, 0);
+	run_socket(data, CURL_SOCKET_TIMEOUT, 0);
 }
 
 static int set_timeout(CURLM *multi, long wait_ms, void *data)
 {
 	struct hc_loop *loop = data;
 
-	TALLOC_FREE(loop->timeout);
-	if (wait_ms < 0)
-		return 0;
-	loop->timeout = tevent_add_timer(
-		loop->events, loop,
-		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
-					   (uint32_t)(wait_ms % 1000) * 1000),
-		handle_timeout, loop);
+	if (wait_ms >= 0)
+		tmr_set_alarm(loop->timeout, (uint64_t)wait_ms);
+	else
+		tmr_clear_alarm(loop->timeout);
 	return 0;
 }
 
@@ -155,6 +147,7 @@
 	struct hc_loop *loop = talloc_zero(ctx, struct hc_loop);
 
 	loop->events = events;
+	loop->timeout = tmr_new_alarm(loop, events, handle_timeout, loop);
 	loop->multi = curl_multi_init();
 	if (!loop->multi) {
 		err_set(error, ERR_INTERNAL, "open client loop", NULL,
--- a/src/http/server_loop.c
+++ b/src/http/server_loop.c
@@ -2,7 +2,7 @@
  * A libmicrohttpd daemon driven by tevent.
  *
  * The daemon's epoll descriptor is watched for reading; its timeout is kept by
- * one tevent timer, and hs_wake() schedules one run for resumed connections.
+ * one alarm, and hs_wake() schedules one run for resumed connections.
  */
 #include "loom/http.h"
 
@@ -10,25 +10,21 @@
 #include <assert.h>
 #include <netinet/in.h>
 #include "loom/error.h"
+#include "loom/timer.h"
 
 struct hs_loop {
 	struct tevent_context *events;
 	struct MHD_Daemon *daemon;
 	struct tevent_fd *readable;
-	struct tevent_timer *timeout;
+	struct tmr_alarm *timeout;
 	struct tevent_immediate *wake;
 };
 
 static void run_daemon(struct hs_loop *loop);
 
-static void handle_timeout(struct tevent_context *events,
-			   struct tevent_timer *timer, struct timeval now,
-			   void *data)
+static void handle_timeout(void *data)
 {
-	struct hs_loop *loop = data;
-
-	loop->timeout = NULL;
-	run_daemon(loop);
+	run_daemon(data);
 }
 
 static void handle_readable(struct tevent_context *events,
@@ -48,14 +44,10 @@
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
 	MHD_run(loop->daemon);
-	TALLOC_FREE(loop->timeout);
-	if (MHD_get_timeout(loop->daemon, &wait_ms) != MHD_YES)
-		return;
-	loop->timeout = tevent_add_timer(
-		loop->events, loop,
-		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
-					   (uint32_t)(wait_ms % 1000) * 1000),
-		handle_timeout, loop);
+	if (MHD_get_timeout(loop->daemon, &wait_ms) == MHD_YES)
+		tmr_set_alarm(loop->timeout, wait_ms);
+	else
+		tmr_clear_alarm(loop->timeout);
 }
 
 struct hs_loop *hs_attach_daemon(TALLOC_CTX *ctx, struct tevent_context *events,
@@ -68,6 +60,7 @@
 	assert(info && info->epoll_fd >= 0);
 	loop->events = events;
 	loop->daemon = daemon;
+	loop->timeout = tmr_new_alarm(loop, events, handle_timeout, loop);
 	loop->wake = tevent_create_immediate(loop);
 	loop->readable = tevent_add_fd(events, loop, info->epoll_fd,
 				       TEVENT_FD_READ, handle_readable, loop);
