Carry calls by gateway route, and check that an answer is the request's own

Traffic learns the names of headers that callers and targets know, the identity and the slots of the target, and routes by host and prefix. A refusal by a gate costs no retry budget, since no target was asked; a target that does not listen is asked again once it was heard from. A short answer is held until it is whole, so that one that breaks off can be tried again: /cut answers 502 now where it closed the connection before; /longcut keeps the old check for answers that are relayed.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -22,6 +22,8 @@
 	ADM_REFUSAL_DOMAIN_OUT,
 	ADM_REFUSAL_QUEUE_FULL,
 	ADM_REFUSAL_DEADLINE, /* would not be served before its deadline */
+	ADM_REFUSAL_COLD,     /* the target bears no more while it is cold */
+	ADM_REFUSAL_DOWN,     /* not reached; waits for its next heartbeat */
 };
 
 /* Returns the machine-readable reason, such as "queue_full". */
@@ -43,6 +45,21 @@
 void adm_announce_target(struct adm_gate *gate, const char *service,
 			 const char *version, uint64_t now_ms);
 
+/*
+ * The target told its slots: they are the limit from now on, and the queue
+ * follows them. 0: they are not known, and the limit adapts.
+ */
+void adm_set_known_slots(struct adm_gate *gate, uint32_t slots);
+
+/* The target is cold until then; the service's limits bound its calls. */
+void adm_set_cold(struct adm_gate *gate, uint64_t until_ms);
+
+/* The target could not be reached: refuse until adm_note_alive(). */
+void adm_note_down(struct adm_gate *gate);
+
+/* The target was heard from. */
+void adm_note_alive(struct adm_gate *gate);
+
 /* The target drains or is gone: refuse from now on. */
 void adm_drain_target(struct adm_gate *gate);
 
--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -29,7 +29,8 @@
 	const char *address; /* "127.0.1.2:8081": the admission side */
 	const char *failure_domain;
 	const char *service;
-	const char *version;
+	const char *version; /* that calls are split by */
+	const char *release; /* that the target announced; NULL: version */
 	enum rt_phase phase;
 	uint32_t distance_us; /* configured round trip to its domain */
 };
@@ -87,6 +88,8 @@
 				  uint64_t seed);
 
 #define RT_TRIED_MAX 3U
+/* Targets that one call may be sent to, where its document does not say. */
+#define RT_OFFERS_MAX 3U
 
 /* What a choice is made for. */
 struct rt_request {
@@ -158,9 +161,12 @@
 	enum rt_outcome outcome;
 	bool is_repeatable;	/* by route and method */
 	bool is_not_run;	/* true refusal: no byte reached a target */
+	bool is_unsent;		/* no target was asked: costs no budget */
 	bool is_answer_begun;	/* bytes of the answer reached the caller */
 	bool is_body_kept;	/* the request body can be sent again */
 	uint32_t attempt_count; /* attempts made so far */
+	uint32_t offer_count;	/* of those, a target may have got */
+	uint32_t offers_max;	/* targets that may get the call */
 	uint32_t depth;		/* nesting level of the call, 0 at the edge */
 	uint64_t now_ms;
 	uint64_t deadline_ms;
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -35,11 +35,37 @@
 /* Takes a sample on the control thread; the sample is borrowed. */
 typedef void (*tr_sample_fn)(const struct tr_sample *sample, void *data);
 
+/*
+ * Names of the headers that callers and targets know. A name that is NULL is
+ * not used.
+ */
+struct tr_names {
+	const char *request_id;
+	const char *deadline; /* request: milliseconds that are left */
+	const char *instance; /* request: which instance of a target is meant */
+	const char *caller;   /* request: service of the vm where it began */
+	const char *not_run;  /* answer: the target did not run the request */
+	const char *stamp;    /* answer: on every success of a target */
+};
+
+/* The target of this vm. */
+struct tr_target {
+	const char *service;
+	const char *version;
+	const char *instance; /* "": not told */
+	const char *address;
+	uint16_t port;
+	uint32_t slots;	       /* 0: not told */
+	uint32_t cold_left_ms; /* until it bears its full load */
+};
+
 struct tr_options {
 	const char *address; /* IP number to listen on */
 	const char *failure_domain;
 	uint16_t call_port; /* for callers */
 	uint16_t hop_port;  /* for other nodes */
+	const struct tr_names *names;
+	const char *caller_service; /* of this vm, for names->caller; or "" */
 	uint32_t thread_count;
 	uint32_t connections_max;   /* per thread; the longest idle is closed */
 	uint32_t idle_timeout_ms;   /* without a whole request line */
@@ -67,10 +93,13 @@
 /* Hands a table to all threads; each takes references of its own. */
 void tr_set_table(struct tr_service *service, struct rt_table *table);
 
-/* The target at address:port serves that version from now on. */
-void tr_announce_target(struct tr_service *service, const char *name,
-			const char *version, const char *address,
-			uint16_t port);
+/* That target is served from now on; all texts are copied. */
+void tr_announce_target(struct tr_service *service,
+			const struct tr_target *target);
+
+/* The target was heard from, with the slots and the cold time that it told. */
+void tr_note_heartbeat(struct tr_service *service, uint32_t slots,
+		       uint32_t cold_left_ms);
 
 /* The target drains or is gone: refuse its calls from now on. */
 void tr_drain_target(struct tr_service *service);
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -13,9 +13,14 @@
 
 #include <assert.h>
 #include <string.h>
+#include <glib.h>
 #include "limit.h"
 #include "queue.h"
 
+/* Calls that wait for each slot of a target that told its slots. */
+#define QUEUE_PER_SLOT 2U
+/* A cold target gets its calls evenly: this part of a second in one burst. */
+#define COLD_BURST_PART 5U
 #define LATENCY_SHIFT 3 /* an answer moves the mean latency by an eighth */
 
 struct adm_gate {
@@ -23,6 +28,12 @@
 	char *version;
 	bool is_leaving;
 	bool is_domain_out;
+	bool is_down;
+	uint32_t known_slots; /* 0: the target did not tell them */
+	uint64_t cold_until_ms;
+	uint32_t cold_calls_per_second; /* 0: no bound */
+	uint64_t cold_credit;		/* calls, in units of 1/1000 */
+	uint64_t cold_credit_ms;	/* when cold_credit was brought up */
 	uint32_t queue_length;
 	uint32_t in_flight;
 	uint32_t latency_us; /* moving mean; 0: no answer yet */
@@ -45,9 +56,28 @@
 		return ADM_REFUSAL_LEAVING;
 	if (gate->is_domain_out)
 		return ADM_REFUSAL_DOMAIN_OUT;
+	if (gate->is_down)
+		return ADM_REFUSAL_DOWN;
 	return ADM_REFUSAL_NONE;
 }
 
+/* Returns whether a cold target bears one more call, and counts it. */
+static bool take_cold_credit(struct adm_gate *gate, uint64_t now_ms)
+{
+	uint64_t rate = gate->cold_calls_per_second;
+	uint64_t most = MAX(rate * 1000 / COLD_BURST_PART, 1000);
+
+	if (now_ms >= gate->cold_until_ms || rate == 0)
+		return true;
+	gate->cold_credit += (now_ms - gate->cold_credit_ms) * rate;
+	gate->cold_credit = MIN(gate->cold_credit, most);
+	gate->cold_credit_ms = now_ms;
+	if (gate->cold_credit < 1000)
+		return false;
+	gate->cold_credit -= 1000;
+	return true;
+}
+
 static uint32_t get_service_ms(const struct adm_gate *gate)
 {
 	return gate->latency_us / 1000;
@@ -121,6 +151,10 @@
 		return "queue_full";
 	case ADM_REFUSAL_DEADLINE:
 		return "deadline";
+	case ADM_REFUSAL_COLD:
+		return "cold";
+	case ADM_REFUSAL_DOWN:
+		return "down";
 	}
 	return "unknown";
 }
@@ -138,10 +172,38 @@
 
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
 {
+	gate->cold_calls_per_second = limits->cold_calls_per_second;
+	if (gate->known_slots > 0)
+		return;
 	gate->queue_length = limits->queue_length;
 	adm_set_limit_slots(&gate->limit, limits->slots);
 }
 
+void adm_set_known_slots(struct adm_gate *gate, uint32_t slots)
+{
+	gate->known_slots = slots;
+	if (slots > 0) {
+		gate->queue_length = slots * QUEUE_PER_SLOT;
+		adm_set_limit_slots(&gate->limit, slots);
+	}
+	adm_set_limit_fixed(&gate->limit, slots > 0);
+}
+
+void adm_set_cold(struct adm_gate *gate, uint64_t until_ms)
+{
+	gate->cold_until_ms = until_ms;
+}
+
+void adm_note_down(struct adm_gate *gate)
+{
+	gate->is_down = true;
+}
+
+void adm_note_alive(struct adm_gate *gate)
+{
+	gate->is_down = false;
+}
+
 void adm_announce_target(struct adm_gate *gate, const char *service,
 			 const char *version, uint64_t now_ms)
 {
@@ -157,6 +219,7 @@
 	gate->service = talloc_strdup(gate, service);
 	gate->version = talloc_strdup(gate, version);
 	gate->is_leaving = false;
+	gate->is_down = false;
 	gate->latency_us = 0;
 	adm_start_limit(&gate->limit, now_ms);
 	talloc_free(old_service);
@@ -188,6 +251,10 @@
 	*refusal = check_open(gate, service, version, now_ms, deadline_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
+	if (!take_cold_credit(gate, now_ms)) {
+		*refusal = ADM_REFUSAL_COLD;
+		return ADM_VERDICT_REFUSE;
+	}
 	if (adm_get_queue_length(&gate->queue) == 0 && has_room(gate, now_ms)) {
 		gate->in_flight++;
 		return ADM_VERDICT_RUN;
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -11,6 +11,8 @@
  * Calls that were started before a reduction say nothing about the reduced
  * limit and are passed over.
  *
+ * A fixed limit stands at the slots that the target told.
+ *
  * Invariant: 1 <= value <= slots.
  */
 #include "limit.h"
@@ -126,7 +128,18 @@
 void adm_set_limit_slots(struct adm_limit *limit, uint32_t slots)
 {
 	limit->slots = MAX(slots, 1U);
-	limit->value = CLAMP(limit->value, START_LIMIT, limit->slots);
+	limit->value = limit->is_fixed ? limit->slots
+				       : CLAMP(limit->value, START_LIMIT,
+					       limit->slots);
+}
+
+void adm_set_limit_fixed(struct adm_limit *limit, bool is_fixed)
+{
+	limit->is_fixed = is_fixed;
+	if (!is_fixed)
+		return;
+	limit->is_starting = false;
+	limit->value = limit->slots;
 }
 
 void adm_note_limit_hint(struct adm_limit *limit, uint32_t bearable_calls,
@@ -139,7 +152,7 @@
 void adm_note_limit(struct adm_limit *limit,
 		    const struct adm_evidence *evidence)
 {
-	if (evidence->started_ms < limit->reduced_ms)
+	if (limit->is_fixed || evidence->started_ms < limit->reduced_ms)
 		return;
 	switch (evidence->outcome) {
 	case ADM_OUTCOME_GOOD:
--- a/src/admission/limit.h
+++ b/src/admission/limit.h
@@ -20,6 +20,7 @@
 
 struct adm_limit {
 	uint32_t slots;
+	bool is_fixed;	  /* the target told its slots: value stays there */
 	uint32_t value;	  /* never above slots */
 	uint32_t ceiling; /* growth is slow from here on */
 	bool is_starting; /* has not reached its serving share yet */
@@ -39,6 +40,9 @@
 /* Sets the slots of the target, at least 1. */
 void adm_set_limit_slots(struct adm_limit *limit, uint32_t slots);
 
+/* Sets whether the limit is the slots or adapts below them. */
+void adm_set_limit_fixed(struct adm_limit *limit, bool is_fixed);
+
 /* Notes how much the target says it bears. */
 void adm_note_limit_hint(struct adm_limit *limit, uint32_t bearable_calls,
 			 uint64_t now_ms);
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -25,6 +25,7 @@
 	char *service; /* NULL: none yet */
 	char *version;
 	char *instance; /* differs after each start of the target */
+	char *address;
 	uint16_t port;
 	enum rt_phase phase;
 	uint64_t heard_ms; /* last announcement */
@@ -36,8 +37,11 @@
 	const char *service;
 	const char *version;
 	const char *instance;
+	const char *address; /* NULL: that of the node */
 	uint16_t port;
 	enum rt_phase phase;
+	uint32_t slots;	       /* 0: not told */
+	uint32_t cold_left_ms; /* until the target bears its full load */
 };
 
 struct nd_node {
--- a/src/node/target.c
+++ b/src/node/target.c
@@ -31,9 +31,13 @@
 	talloc_free(target->service);
 	talloc_free(target->version);
 	talloc_free(target->instance);
+	talloc_free(target->address);
 	target->service = talloc_strdup(node, announcement->service);
 	target->version = talloc_strdup(node, announcement->version);
 	target->instance = talloc_strdup(node, announcement->instance);
+	target->address = talloc_strdup(
+		node, announcement->address ? announcement->address
+					    : node->settings->address);
 	target->port = announcement->port;
 	target->phase = announcement->phase;
 	target->is_lost = false;
@@ -46,8 +50,13 @@
 
 	target->heard_ms = tmr_get_now_ms(node->timers);
 	/* A node that leaves takes no target in any more. */
-	if (is_same(target, announcement) || node->phase != ND_PHASE_SERVING)
+	if (node->phase != ND_PHASE_SERVING)
 		return;
+	if (is_same(target, announcement)) {
+		tr_note_heartbeat(node->traffic, announcement->slots,
+				  announcement->cold_left_ms);
+		return;
+	}
 	store_target(node, announcement);
 	log_write(LOG_LEVEL_INFO, "node", "take announcement", NULL,
 		  "target announced", "service", target->service, "version",
@@ -56,9 +65,17 @@
 	if (target->phase == RT_PHASE_LEAVING)
 		tr_drain_target(node->traffic);
 	else
-		tr_announce_target(node->traffic, target->service,
-				   target->version, node->settings->address,
-				   target->port);
+		tr_announce_target(
+			node->traffic,
+			&(struct tr_target){
+				.service = target->service,
+				.version = target->version,
+				.instance = target->instance,
+				.address = target->address,
+				.port = target->port,
+				.slots = announcement->slots,
+				.cold_left_ms = announcement->cold_left_ms,
+			});
 	mem_announce_target(node->members, target->service, target->version,
 			    target->phase);
 }
--- a/src/routing/bench/model.c
+++ b/src/routing/bench/model.c
@@ -125,6 +125,7 @@
 		.is_not_run = true,
 		.is_body_kept = true,
 		.attempt_count = call->attempt_count,
+		.offers_max = RT_OFFERS_MAX,
 		.now_ms = now_us / 1000,
 		.deadline_ms = get_deadline_us(call) / 1000,
 	};
--- a/src/routing/retry.c
+++ b/src/routing/retry.c
@@ -108,9 +108,12 @@
 		return RT_RETRY_NOT_REPEATABLE;
 	if (!retry->is_body_kept)
 		return RT_RETRY_BODY_LOST;
-	if (retry->attempt_count >= ATTEMPT_MAX)
+	if (retry->attempt_count >= ATTEMPT_MAX ||
+	    retry->offer_count >= retry->offers_max)
 		return RT_RETRY_TOO_MANY;
 	if (retry->now_ms >= retry->deadline_ms)
 		return RT_RETRY_DEADLINE;
+	if (retry->is_unsent)
+		return RT_RETRY_YES;
 	return spend(budget, retry) ? RT_RETRY_YES : RT_RETRY_BUDGET;
 }
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -216,6 +216,7 @@
 		.is_repeatable = true,
 		.is_body_kept = true,
 		.attempt_count = 1,
+		.offers_max = RT_OFFERS_MAX,
 		.deadline_ms = UINT64_MAX,
 	};
 	uint32_t count = parse_number(words[2]);
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -57,14 +57,48 @@
 	} else if (strcasecmp(name, TR_HEADER_REFUSED) == 0) {
 		g_free(answer->refused);
 		answer->refused = g_strdup(value);
+		answer->is_unsent = strcmp(value, TR_REASON_SHED) != 0;
 	} else if (tr_read_load(name, value, &answer->load)) {
 		answer->has_load = true;
 	}
 }
 
-static void note_header(struct tr_answer *answer, const char *name,
+static bool is_name(const char *name, const char *known)
+{
+	return known && strcasecmp(name, known) == 0;
+}
+
+static bool is_from_target(const struct tr_call *call)
+{
+	return call->role == TR_ROLE_HOP || call->is_local;
+}
+
+/* What a target says in the names that it knows. */
+static void note_target_header(struct tr_call *call, const char *name,
+			       const char *value)
+{
+	const struct tr_names *names = call->thread->service->options.names;
+	struct tr_answer *answer = &call->answer;
+	const char *id;
+
+	if (is_name(name, names->not_run)) {
+		answer->is_not_run = strcasecmp(value, "false") != 0;
+	} else if (is_name(name, names->stamp)) {
+		answer->has_stamp = true;
+	} else if (is_name(name, names->request_id)) {
+		id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
+						 names->request_id);
+		answer->is_foreign = id && strcmp(id, value) != 0;
+	}
+}
+
+static void note_header(struct tr_call *call, const char *name,
 			const char *value)
 {
+	struct tr_answer *answer = &call->answer;
+
+	if (is_from_target(call))
+		note_target_header(call, name, value);
 	if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
 		answer->content_length = g_ascii_strtoll(value, NULL, 10);
 	if (strcasecmp(name, MHD_HTTP_HEADER_CONNECTION) == 0) {
@@ -79,14 +113,22 @@
 	g_ptr_array_add(answer->headers, g_strdup(value));
 }
 
-static void split_header(struct tr_answer *answer, char *line)
+static void split_header(struct tr_call *call, char *line)
 {
 	char *colon = strchr(line, ':');
 
 	if (!colon)
 		return;
 	*colon = '\0';
-	note_header(answer, g_strstrip(line), g_strstrip(colon + 1));
+	note_header(call, g_strstrip(line), g_strstrip(colon + 1));
+}
+
+static bool may_say_not_run(uint32_t status)
+{
+	return status == MHD_HTTP_SERVICE_UNAVAILABLE ||
+	       status == MHD_HTTP_TOO_MANY_REQUESTS ||
+	       status == MHD_HTTP_MISDIRECTED_REQUEST ||
+	       status == MHD_HTTP_BAD_REQUEST;
 }
 
 /* Of the nodes' own headers a target may say only that it shed the call. */
@@ -95,10 +137,32 @@
 	answer->has_load = false;
 	g_free(answer->refused);
 	answer->refused = NULL;
-	if (answer->status != MHD_HTTP_SERVICE_UNAVAILABLE)
+	answer->is_unsent = false;
+	if (!may_say_not_run(answer->status))
 		answer->is_not_run = false;
 	if (answer->is_not_run)
-		answer->refused = g_strdup("target_shed");
+		answer->refused = g_strdup(TR_REASON_SHED);
+}
+
+/* Whether the answer can only be that to the call's request. */
+static bool is_own_answer(const struct tr_call *call)
+{
+	const struct tr_names *names = call->thread->service->options.names;
+	const struct tr_answer *answer = &call->answer;
+	bool is_success = answer->status >= 200 && answer->status < 300;
+
+	return !answer->is_foreign &&
+	       (!names->stamp || !is_success || answer->has_stamp);
+}
+
+/*
+ * The entry side holds a short answer until it is whole: when it breaks off,
+ * the call can still be tried again.
+ */
+static bool is_held(const struct tr_call *call)
+{
+	return call->role == TR_ROLE_ENTRY &&
+	       call->answer.content_length <= (int64_t)TR_HELD_BYTES_MAX;
 }
 
 bool tr_is_refused(const struct tr_answer *answer)
@@ -106,20 +170,28 @@
 	return answer->is_not_run || answer->refused;
 }
 
-static void finish_head(struct tr_call *call)
+/* Returns false when the answer must not be used. */
+static bool finish_head(struct tr_call *call)
 {
 	struct tr_answer *answer = &call->answer;
 
 	/* An interim answer (100 Continue) precedes the final one. */
 	if (answer->status < 200)
-		return;
+		return true;
 	answer->head_us = tr_get_now_us();
-	if (call->role == TR_ROLE_HOP || call->is_local)
+	if (is_from_target(call)) {
 		check_target_refusal(answer);
+		if (!is_own_answer(call)) {
+			cnt_add(call->thread->service->counters.foreign, 1);
+			return false;
+		}
+	}
 	/* The entry side may follow a refusal with another attempt. */
 	if (call->role == TR_ROLE_ENTRY && tr_is_refused(answer))
-		return;
-	tr_relay_answer(call);
+		return true;
+	if (!is_held(call))
+		tr_relay_answer(call);
+	return true;
 }
 
 size_t tr_take_answer_header(char *line, size_t size, size_t count, void *data)
@@ -127,6 +199,7 @@
 	struct tr_call *call = data;
 	struct tr_answer *answer = &call->answer;
 	size_t length = size * count;
+	bool is_usable = true;
 	char *text;
 
 	answer->header_bytes += length;
@@ -139,11 +212,11 @@
 	if (g_str_has_prefix(text, "HTTP/"))
 		begin_head(answer, text);
 	else if (*text == '\0')
-		finish_head(call);
+		is_usable = finish_head(call);
 	else
-		split_header(answer, text);
+		split_header(call, text);
 	g_free(text);
-	return length;
+	return is_usable ? length : 0;
 }
 
 size_t tr_take_answer_body(char *part, size_t size, size_t count, void *data)
@@ -152,8 +225,14 @@
 	struct tr_answer *answer = &call->answer;
 
 	/* The body of a refusal that was not relayed. */
-	if (call->stage != TR_STAGE_RELAYING)
+	if (call->stage != TR_STAGE_RELAYING && tr_is_refused(answer))
 		return size * count;
+	if (call->stage != TR_STAGE_RELAYING) {
+		tr_append_buffer(&answer->body, part, size * count, 0);
+		if (tr_get_buffer_size(&answer->body) > TR_HELD_BYTES_MAX)
+			tr_relay_answer(call);
+		return size * count;
+	}
 	if (tr_get_buffer_size(&answer->body) >= TR_BUFFER_BYTES_MAX) {
 		answer->is_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
@@ -239,3 +318,15 @@
 	call->stage = TR_STAGE_RELAYING;
 	tr_resume_call(call);
 }
+
+void tr_relay_held_answer(struct tr_call *call)
+{
+	struct tr_answer *answer = &call->answer;
+
+	if (!answer->head_us || tr_is_refused(answer))
+		return;
+	if (strcmp(call->method, MHD_HTTP_METHOD_HEAD) != 0)
+		answer->content_length =
+			(int64_t)tr_get_buffer_size(&answer->body);
+	tr_relay_answer(call);
+}
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -80,8 +80,10 @@
 		tr_resume_call(call);
 		return;
 	}
-	tr_refuse_call(call, MHD_HTTP_GATEWAY_TIMEOUT, "deadline",
-		       !call->is_run_possible);
+	tr_refuse_call(call,
+		       call->is_run_possible ? MHD_HTTP_GATEWAY_TIMEOUT
+					     : MHD_HTTP_SERVICE_UNAVAILABLE,
+		       "deadline", !call->is_run_possible);
 }
 
 /* The caller is gone: nothing more is sent to it. */
@@ -258,7 +260,9 @@
 	tr_close_buffer(&call->upload.buffer);
 	if (call->table)
 		rt_unref_table(call->table);
+	g_free(call->service_name);
 	g_free(call->version);
+	g_free(call->caller);
 	g_free(call->method);
 	g_free(call->uri);
 	g_free(call);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -11,6 +11,7 @@
 #define TR_DEPTH_MAX 32U
 #define TR_REPLAY_BYTES_MAX 65536U /* of a request body kept for a retry */
 #define TR_BUFFER_BYTES_MAX 65536U /* waiting between the two sides */
+#define TR_HELD_BYTES_MAX 32768U   /* of an answer that is held until whole */
 
 enum tr_stage {
 	TR_STAGE_HEADERS,    /* request line read, headers under way */
@@ -31,6 +32,10 @@
 	struct rt_load load;
 	bool has_load;
 	bool is_not_run; /* says that the request was not run */
+	bool is_unsent;	 /* a gate refused: no target was asked */
+	bool has_stamp;
+	bool has_id; /* it names a request: this one */
+	bool is_foreign; /* it belongs to another request */
 	char *refused;	 /* reason of a refusal, or NULL */
 	struct tr_buffer body;
 	bool is_paused; /* the transfer waits for the reader */
@@ -62,8 +67,11 @@
 	struct rt_table *table; /* referenced while the call lasts */
 	const struct doc_service *service;
 	const struct doc_route *route;
+	const struct doc_gateway_route *place; /* NULL: no gateway */
 	struct rt_request request;
-	char *version; /* hop: what the entry node asked for */
+	char *service_name; /* hop: what the entry node asked for */
+	char *version;	    /* the same */
+	char *caller;	    /* service of the vm where the call began */
 	uint32_t depth;
 	uint64_t deadline_ms;
 	struct tmr_subscription *deadline;
@@ -74,6 +82,7 @@
 	const struct rt_target *chosen; /* entry: borrowed from table */
 	uint64_t attempt_us;
 	uint32_t attempt_count;
+	uint32_t offer_count; /* attempts that a target may have got */
 	uint32_t send_count;  /* of this attempt */
 	uint32_t send_total;  /* of all attempts */
 	bool is_run_possible; /* an attempt was sent and not refused */
@@ -140,6 +149,8 @@
 size_t tr_take_answer_header(char *line, size_t size, size_t count, void *data);
 size_t tr_take_answer_body(char *part, size_t size, size_t count, void *data);
 void tr_relay_answer(struct tr_call *call);
+/* Relays an answer that was held until it is whole, unless it is a refusal. */
+void tr_relay_held_answer(struct tr_call *call);
 /* Returns whether a node refused the call or failed it, in place of a target.
  */
 bool tr_is_refused(const struct tr_answer *answer);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -7,8 +7,13 @@
 #include "loom/error.h"
 #include "samples.h"
 
-/* Returns the service that the Host header names, without a port (new). */
-static char *get_service_name(struct tr_call *call)
+static const struct tr_names *get_names(const struct tr_call *call)
+{
+	return call->thread->service->options.names;
+}
+
+/* Returns the name in the Host header, without a port (new). */
+static char *get_host_name(struct tr_call *call)
 {
 	const char *host = MHD_lookup_connection_value(
 		call->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
@@ -20,8 +25,8 @@
 
 static uint64_t get_split_hash(struct tr_call *call)
 {
-	const char *id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
-						     TR_HEADER_REQUEST_ID);
+	const char *id = MHD_lookup_connection_value(
+		call->mhd, MHD_HEADER_KIND, get_names(call)->request_id);
 
 	if (id)
 		return XXH3_64bits(id, strlen(id));
@@ -36,7 +41,7 @@
 	uint64_t timeout_ms = call->route->timeout_ms;
 	uint64_t given_ms;
 
-	if (tr_read_number(call->mhd, TR_HEADER_DEADLINE, UINT32_MAX,
+	if (tr_read_number(call->mhd, get_names(call)->deadline, UINT32_MAX,
 			   &given_ms) &&
 	    given_ms < timeout_ms)
 		timeout_ms = given_ms;
@@ -51,12 +56,12 @@
 	struct curl_slist *list = NULL;
 
 	curl_slist_free_all(call->headers);
-	list = tr_append_header(list, MHD_HTTP_HEADER_HOST,
-				call->service->name);
-	list = tr_copy_headers(list, call->mhd);
+	list = tr_copy_headers(list, call->mhd, get_names(call));
+	list = tr_append_header(list, TR_HEADER_SERVICE, call->service->name);
+	list = tr_append_header(list, TR_HEADER_CALLER, call->caller);
 	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth);
-	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->version);
+	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->release);
 	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
 	call->headers = list;
 }
@@ -98,12 +103,28 @@
 	g_free(base_url);
 }
 
+/* Fills the call's place in the gateway and the service of its share. */
+static void find_place(struct tr_call *call, struct doc_snapshot *snapshot,
+		       const char *host)
+{
+	call->place = doc_find_gateway_route(doc_get_gateway(snapshot), host,
+					     call->uri);
+	if (!call->place)
+		return;
+	call->service = doc_find_service(
+		snapshot, doc_choose_share(call->place, get_split_hash(call)));
+	call->route = &call->place->route;
+}
+
 static bool find_route(struct tr_call *call)
 {
 	struct doc_snapshot *snapshot = rt_get_snapshot(call->table);
-	char *name = get_service_name(call);
+	char *name = get_host_name(call);
 
-	call->service = doc_find_service(snapshot, name);
+	if (doc_get_gateway(snapshot))
+		find_place(call, snapshot, name);
+	else
+		call->service = doc_find_service(snapshot, name);
 	g_free(name);
 	if (!call->service) {
 		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
@@ -111,7 +132,9 @@
 			       true);
 		return false;
 	}
-	call->route = doc_find_route(call->service, call->method, call->uri);
+	if (!call->place)
+		call->route = doc_find_route(call->service, call->method,
+					     call->uri);
 	if (!call->route) {
 		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
 			       rt_get_refusal_name(RT_REFUSAL_NO_ROUTE), true);
@@ -165,6 +188,7 @@
 		return;
 	}
 	call->depth = (uint32_t)depth;
+	call->caller = g_strdup(call->thread->service->options.caller_service);
 	set_deadline(call);
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
@@ -181,9 +205,12 @@
 	send_first(call);
 }
 
-/* Returns whether another attempt was started. */
+/*
+ * Returns whether another attempt was started. is_unsent says that no target
+ * was asked.
+ */
 static bool try_again(struct tr_call *call, enum rt_outcome outcome,
-		      bool is_not_run)
+		      bool is_not_run, bool is_unsent)
 {
 	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	struct rt_request *request = &call->request;
@@ -191,6 +218,10 @@
 		.outcome = outcome,
 		.is_repeatable = doc_is_repeatable(call->route, call->method),
 		.is_not_run = is_not_run,
+		.is_unsent = is_unsent,
+		.offer_count = call->offer_count,
+		.offers_max = call->place ? call->place->attempts_max
+					  : RT_OFFERS_MAX,
 		.is_answer_begun = call->reply != NULL,
 		.is_body_kept = call->upload.buffer.is_kept,
 		.attempt_count = call->attempt_count,
@@ -199,6 +230,8 @@
 		.deadline_ms = call->deadline_ms,
 	};
 
+	if (!is_unsent)
+		retry.offer_count = ++call->offer_count;
 	if (rt_decide_retry(tr_get_budget(call->thread, call->service->name),
 			    &retry) != RT_RETRY_YES)
 		return false;
@@ -237,7 +270,7 @@
 	/* An earlier attempt may have run although this one did not. */
 	if (!is_not_run)
 		call->is_run_possible = true;
-	if (try_again(call, outcome, is_not_run))
+	if (try_again(call, outcome, is_not_run, call->answer.is_unsent))
 		return;
 	tr_refuse_call(call, call->answer.status, reason ? reason : "refused",
 		       !call->is_run_possible);
@@ -247,12 +280,16 @@
 {
 	bool is_not_run = call->send_count == 0;
 
+	/* A part of the answer that came is of no use. */
+	if (call->answer.head_us)
+		cnt_add(call->thread->service->counters.broken[call->role], 1);
+	tr_reset_answer(&call->answer);
 	/* The other node is gone: no word about the version that it serves. */
 	tr_note_entry_end(call, RT_OUTCOME_FAILED);
 	tr_note_sample(call, MV_OUTCOME_LOST);
 	if (!is_not_run)
 		call->is_run_possible = true;
-	if (try_again(call, RT_OUTCOME_FAILED, is_not_run))
+	if (try_again(call, RT_OUTCOME_FAILED, is_not_run, is_not_run))
 		return;
 	tr_refuse_call(call,
 		       is_not_run ? MHD_HTTP_SERVICE_UNAVAILABLE
@@ -274,8 +311,11 @@
 void tr_end_entry_attempt(struct tr_call *call, CURLcode code)
 {
 	struct tr_answer *answer = &call->answer;
-	bool is_relayed = call->stage == TR_STAGE_RELAYING;
+	bool is_relayed;
 
+	if (call->stage == TR_STAGE_SENDING && code == CURLE_OK)
+		tr_relay_held_answer(call);
+	is_relayed = call->stage == TR_STAGE_RELAYING;
 	if (!is_relayed && tr_is_refused(answer)) {
 		tr_end_refused_attempt(call);
 		return;
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -10,6 +10,7 @@
 struct copy_state {
 	struct curl_slist *list;
 	const char *connection;
+	const struct tr_names *names;
 };
 
 static bool is_listed(const char *name, const char *connection)
@@ -33,12 +34,12 @@
 
 bool tr_is_forwarded(const char *name, const char *connection)
 {
-	/* Host, length and Expect are set anew for the next connection. */
+	/* Length and Expect are set anew for the next connection. */
 	static const char *const dropped[] = {
 		"Connection", "Keep-Alive",	   "Proxy-Authenticate",
 		"TE",	      "Proxy-Connection",  "Proxy-Authorization",
 		"Trailer",    "Transfer-Encoding", "Upgrade",
-		"Host",	      "Content-Length",	   "Expect",
+		"Content-Length", "Expect",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
@@ -72,6 +73,20 @@
 	return tr_append_header(list, name, text);
 }
 
+static bool is_name(const char *name, const char *known)
+{
+	return known && strcasecmp(name, known) == 0;
+}
+
+/* The nodes set these themselves, whatever a caller sent. */
+static bool is_set_by_nodes(const char *name, const struct tr_names *names)
+{
+	if (is_name(name, names->request_id))
+		return false;
+	return tr_is_internal(name) || is_name(name, names->deadline) ||
+	       is_name(name, names->instance) || is_name(name, names->caller);
+}
+
 static enum MHD_Result copy_header(void *data, enum MHD_ValueKind kind,
 				   const char *name, const char *value)
 {
@@ -79,16 +94,17 @@
 
 	if (!tr_is_forwarded(name, state->connection))
 		return MHD_YES;
-	if (tr_is_internal(name) && strcasecmp(name, TR_HEADER_REQUEST_ID) != 0)
+	if (is_set_by_nodes(name, state->names))
 		return MHD_YES;
 	state->list = tr_append_header(state->list, name, value ? value : "");
 	return MHD_YES;
 }
 
 struct curl_slist *tr_copy_headers(struct curl_slist *list,
-				   struct MHD_Connection *connection)
+				   struct MHD_Connection *connection,
+				   const struct tr_names *names)
 {
-	struct copy_state state = { .list = list };
+	struct copy_state state = { .list = list, .names = names };
 
 	state.connection = MHD_lookup_connection_value(
 		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONNECTION);
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -10,11 +10,15 @@
 #include <curl/curl.h>
 #include <microhttpd.h>
 #include "loom/routing.h"
+#include "loom/traffic.h"
 
 #define TR_HEADER_DEADLINE "Loom-Deadline-Ms"
 #define TR_HEADER_DEPTH "Loom-Depth"
 #define TR_HEADER_REQUEST_ID "Loom-Request-Id"
+#define TR_HEADER_SERVICE "Loom-Service"
 #define TR_HEADER_VERSION "Loom-Version"
+#define TR_HEADER_INSTANCE "Loom-Instance"
+#define TR_HEADER_CALLER "Loom-Caller"
 #define TR_HEADER_ROUTE "Loom-Route"
 #define TR_HEADER_LIMIT "Loom-Limit"
 #define TR_HEADER_IN_FLIGHT "Loom-In-Flight"
@@ -22,6 +26,9 @@
 #define TR_HEADER_REFUSED "Loom-Refused"
 #define TR_HEADER_NOT_RUN "Loom-Not-Run"
 
+/* Reason of a refusal by the target itself; all others are by a gate. */
+#define TR_REASON_SHED "target_shed"
+
 /*
  * Returns whether a header passes from one side to the other. connection is
  * the value of the message's Connection header or NULL: names listed there are
@@ -32,9 +39,13 @@
 /* Returns whether the name belongs to the nodes ("Loom-..."). */
 bool tr_is_internal(const char *name);
 
-/* Appends the request headers that pass; returns the list (stolen). */
+/*
+ * Appends the request headers that pass, without those of names that the nodes
+ * set themselves; returns the list (stolen).
+ */
 struct curl_slist *tr_copy_headers(struct curl_slist *list,
-				   struct MHD_Connection *connection);
+				   struct MHD_Connection *connection,
+				   const struct tr_names *names);
 
 /* Appends "name: value"; returns the list (stolen). */
 struct curl_slist *tr_append_header(struct curl_slist *list, const char *name,
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -10,27 +10,26 @@
 
 static const char *get_service(const struct tr_call *call)
 {
-	const char *host;
-
-	if (call->service)
-		return call->service->name;
-	host = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
-					   MHD_HTTP_HEADER_HOST);
-	return host ? host : "";
+	return call->service ? call->service->name : call->service_name;
 }
 
 static void make_headers(struct tr_call *call)
 {
+	const struct tr_names *names = call->thread->service->options.names;
 	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
 	uint64_t left_ms =
 		call->deadline_ms > now_ms ? call->deadline_ms - now_ms : 0;
 	struct curl_slist *list = NULL;
 
 	curl_slist_free_all(call->headers);
-	list = tr_append_header(list, MHD_HTTP_HEADER_HOST, get_service(call));
-	list = tr_copy_headers(list, call->mhd);
-	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
+	list = tr_copy_headers(list, call->mhd, names);
+	list = tr_append_number(list, names->deadline, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth + 1);
+	if (*call->thread->target_instance)
+		list = tr_append_header(list, names->instance,
+					call->thread->target_instance);
+	if (*call->caller)
+		list = tr_append_header(list, names->caller, call->caller);
 	call->headers = list;
 }
 
@@ -41,6 +40,15 @@
 	tr_start_attempt(call, call->thread->target, call->thread->target_url);
 }
 
+/* Returns a header of the request, "" when it is absent (new). */
+static char *copy_header(const struct tr_call *call, const char *name)
+{
+	const char *value = MHD_lookup_connection_value(
+		call->mhd, MHD_HEADER_KIND, name);
+
+	return g_strdup(value ? value : "");
+}
+
 static void read_hop_headers(struct tr_call *call)
 {
 	uint64_t timeout_ms = 0;
@@ -50,8 +58,9 @@
 	tr_read_number(call->mhd, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
 	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
 	call->depth = (uint32_t)depth;
-	call->version = g_strdup(MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, TR_HEADER_VERSION));
+	call->service_name = copy_header(call, TR_HEADER_SERVICE);
+	call->version = copy_header(call, TR_HEADER_VERSION);
+	call->caller = copy_header(call, TR_HEADER_CALLER);
 }
 
 /* The load that an answer from this node would carry. */
@@ -73,6 +82,7 @@
 	}
 	call->answer.status = MHD_HTTP_SERVICE_UNAVAILABLE;
 	call->answer.is_not_run = true;
+	call->answer.is_unsent = true;
 	call->answer.refused = g_strdup(reason);
 	take_load(call);
 	tr_end_refused_attempt(call);
@@ -101,7 +111,7 @@
 void tr_admit_call(struct tr_call *call)
 {
 	read_hop_headers(call);
-	ask_gate(call, call->version ? call->version : "");
+	ask_gate(call, call->version);
 }
 
 void tr_admit_local_call(struct tr_call *call)
@@ -110,7 +120,7 @@
 	cnt_add(call->thread->service->counters.local_calls, 1);
 	call->attempt_us = tr_get_now_us();
 	call->send_count = 0;
-	ask_gate(call, call->chosen->version);
+	ask_gate(call, call->chosen->release);
 }
 
 void tr_run_waiting(struct tr_thread *thread)
@@ -139,6 +149,13 @@
 	tr_run_waiting(thread);
 }
 
+/* The target does not listen: it is asked again when it was heard from. */
+static void note_connect(struct tr_call *call, CURLcode code)
+{
+	if (code == CURLE_COULDNT_CONNECT)
+		adm_note_down(call->thread->gate);
+}
+
 static enum adm_outcome get_outcome(const struct tr_call *call, CURLcode code)
 {
 	if (code != CURLE_OK)
@@ -154,6 +171,7 @@
 {
 	bool is_not_run = call->send_count == 0;
 
+	note_connect(call, code);
 	if (call->stage == TR_STAGE_RELAYING) {
 		call->answer.is_whole = code == CURLE_OK;
 		call->answer.is_broken = code != CURLE_OK;
@@ -181,6 +199,7 @@
 	struct tr_answer *answer = &call->answer;
 
 	answer->is_not_run = call->send_count == 0;
+	answer->is_unsent = answer->is_not_run;
 	g_free(answer->refused);
 	answer->refused = g_strdup(answer->is_not_run ? "target_unreachable"
 						      : "connection_lost");
@@ -192,6 +211,7 @@
 {
 	enum adm_outcome outcome = get_outcome(call, code);
 
+	note_connect(call, code);
 	if (code != CURLE_OK && call->stage != TR_STAGE_RELAYING)
 		note_failure(call);
 	tr_release_slot(call, outcome);
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -4,8 +4,13 @@
 #include <assert.h>
 #include <string.h>
 #include <jansson.h>
+#include <xxhash.h>
 #include "call.h"
 
+/* A slot comes free within some tens of milliseconds: the work of a call. */
+#define RETRY_AFTER_MIN_MS 40U
+#define RETRY_AFTER_MAX_MS 200U
+
 static void add_load(struct tr_call *call)
 {
 	struct rt_load load;
@@ -16,6 +21,23 @@
 	tr_add_load(call->reply, &load);
 }
 
+/* Callers that were refused together come back spread over this time. */
+static void add_retry_after(struct tr_call *call)
+{
+	struct tr_thread *thread = call->thread;
+	uint32_t spread_ms = RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS;
+	uint32_t wait_ms;
+	char text[16];
+
+	thread->random_state++;
+	wait_ms = RETRY_AFTER_MIN_MS +
+		  (uint32_t)(XXH3_64bits(&thread->random_state,
+					 sizeof(thread->random_state)) %
+			     spread_ms);
+	g_snprintf(text, sizeof(text), "0.%03u", wait_ms);
+	MHD_add_response_header(call->reply, MHD_HTTP_HEADER_RETRY_AFTER, text);
+}
+
 void tr_refuse_call(struct tr_call *call, uint32_t status, const char *reason,
 		    bool is_not_run)
 {
@@ -37,6 +59,8 @@
 	MHD_add_response_header(call->reply, TR_HEADER_REFUSED, reason);
 	if (is_not_run)
 		MHD_add_response_header(call->reply, TR_HEADER_NOT_RUN, "true");
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		add_retry_after(call);
 	if (call->thread->is_draining)
 		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
 					"close");
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -2,6 +2,7 @@
  * Public side of the traffic slice, called by the control thread only.
  */
 #include <assert.h>
+#include "headers.h"
 #include "loom/error.h"
 #include "samples.h"
 #include "thread.h"
@@ -52,6 +53,9 @@
 	counters->connections_closed =
 		open_single(registry, "loom_connections_closed_total",
 			    "Slow or idle connections closed.");
+	counters->foreign =
+		open_single(registry, "loom_foreign_answers_total",
+			    "Answers that belong to no request or another.");
 	counters->tables = open_single(registry, "loom_tables_total",
 				       "Tables taken over by a thread.");
 	counters->commands =
@@ -77,6 +81,14 @@
 	return 0;
 }
 
+static const struct tr_names default_names = {
+	.request_id = TR_HEADER_REQUEST_ID,
+	.deadline = TR_HEADER_DEADLINE,
+	.instance = TR_HEADER_INSTANCE,
+	.caller = TR_HEADER_CALLER,
+	.not_run = TR_HEADER_NOT_RUN,
+};
+
 void tr_set_default_options(struct tr_options *options)
 {
 	*options = (struct tr_options){
@@ -86,6 +98,8 @@
 		.header_timeout_ms = HEADER_TIMEOUT_MS,
 		.header_bytes_max = HEADER_BYTES_MAX,
 		.policy = RT_POLICY_TWO_CHOICES,
+		.names = &default_names,
+		.caller_service = "",
 	};
 }
 
@@ -102,6 +116,8 @@
 	service->options.address = talloc_strdup(service, options->address);
 	service->options.failure_domain =
 		talloc_strdup(service, options->failure_domain);
+	service->options.caller_service =
+		talloc_strdup(service, options->caller_service);
 	service->hop_address = talloc_asprintf(
 		service, "%s:%u", options->address, options->hop_port);
 	service->threads = talloc_zero_array(service, struct tr_thread,
@@ -142,14 +158,27 @@
 			g_memdup2(command, sizeof(*command)));
 }
 
-void tr_announce_target(struct tr_service *service, const char *name,
-			const char *version, const char *address, uint16_t port)
+void tr_announce_target(struct tr_service *service,
+			const struct tr_target *target)
 {
 	struct tr_command command = { .kind = TR_COMMAND_ANNOUNCE };
 
-	command.announce.service = g_strdup(name);
-	command.announce.version = g_strdup(version);
-	command.announce.url = g_strdup_printf("http://%s:%u", address, port);
+	command.announce.service = g_strdup(target->service);
+	command.announce.version = g_strdup(target->version);
+	command.announce.instance = g_strdup(target->instance);
+	command.announce.url = g_strdup_printf("http://%s:%u", target->address,
+					       target->port);
+	send_to_first(service, &command);
+	tr_note_heartbeat(service, target->slots, target->cold_left_ms);
+}
+
+void tr_note_heartbeat(struct tr_service *service, uint32_t slots,
+		       uint32_t cold_left_ms)
+{
+	struct tr_command command = { .kind = TR_COMMAND_HEARTBEAT };
+
+	command.heartbeat.slots = slots;
+	command.heartbeat.cold_left_ms = cold_left_ms;
 	send_to_first(service, &command);
 }
 
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -151,6 +151,11 @@
 			      "HTTP/1.1 200 OK\r\n"
 			      "Content-Length: 100\r\n\r\n"
 			      "0123456789");
+	else if (g_str_has_prefix(path, "/longcut"))
+		answer_broken(connection,
+			      "HTTP/1.1 200 OK\r\n"
+			      "Content-Length: 100000\r\n\r\n"
+			      "0123456789");
 	else if (g_str_has_prefix(path, "/chunkcut"))
 		answer_broken(connection,
 			      "HTTP/1.1 200 OK\r\n"
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -8,6 +8,7 @@
  *   /chunkcut  a chunked answer that ends in the middle of a chunk
  *   /never     no answer
  *   /held      no answer until raw_release_target()
+ *   /longcut  200 with 10 of 100000 bytes, then closes
  *   /shed      503 with Loom-Not-Run
  *   /fail      500
  *   /lie       200 with Loom-Not-Run, which only a 503 may carry
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -63,6 +63,8 @@
 {
 	g_free(thread->target_url);
 	g_free(thread->target_service);
+	g_free(thread->target_instance);
+	thread->target_instance = g_strdup(command->announce.instance);
 	thread->target_url = g_strdup(command->announce.url);
 	thread->target_service = g_strdup(command->announce.service);
 	set_target_limits(thread);
@@ -71,6 +73,16 @@
 			    tmr_get_now_ms(thread->timers));
 }
 
+static void note_heartbeat(struct tr_thread *thread,
+			   const struct tr_command *command)
+{
+	uint64_t now_ms = tmr_get_now_ms(thread->timers);
+
+	adm_note_alive(thread->gate);
+	adm_set_known_slots(thread->gate, command->heartbeat.slots);
+	adm_set_cold(thread->gate, now_ms + command->heartbeat.cold_left_ms);
+}
+
 static void run_command(struct tr_thread *thread,
 			const struct tr_command *command)
 {
@@ -78,6 +90,9 @@
 	case TR_COMMAND_ANNOUNCE:
 		announce_target(thread, command);
 		break;
+	case TR_COMMAND_HEARTBEAT:
+		note_heartbeat(thread, command);
+		break;
 	case TR_COMMAND_DRAIN_TARGET:
 		adm_drain_target(thread->gate);
 		break;
@@ -99,6 +114,7 @@
 	if (command->kind == TR_COMMAND_ANNOUNCE) {
 		g_free(command->announce.service);
 		g_free(command->announce.version);
+		g_free(command->announce.instance);
 		g_free(command->announce.url);
 	}
 	g_free(command);
@@ -288,6 +304,7 @@
 	tr_close_connections(thread);
 	g_free(thread->target_url);
 	g_free(thread->target_service);
+	g_free(thread->target_instance);
 	close(thread->wake_fd);
 }
 
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -42,12 +42,14 @@
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
+	struct cnt_counter *foreign;
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
 };
 
 enum tr_command_kind {
 	TR_COMMAND_ANNOUNCE,
+	TR_COMMAND_HEARTBEAT,
 	TR_COMMAND_DRAIN_TARGET,
 	TR_COMMAND_HINT,
 	TR_COMMAND_BEGIN_DRAIN,
@@ -61,8 +63,13 @@
 		struct {
 			char *service;
 			char *version;
+			char *instance;
 			char *url; /* "http://127.0.1.1:9001" */
 		} announce;
+		struct {
+			uint32_t slots;
+			uint32_t cold_left_ms;
+		} heartbeat;
 		uint32_t bearable_calls;
 	};
 };
@@ -85,6 +92,7 @@
 	_Atomic(struct rt_table *) incoming; /* swapped in by control */
 	struct adm_gate *gate;
 	char *target_service;
+	char *target_instance;
 	char *target_url;
 	GAsyncQueue *commands;
 	int wake_fd;
