Put calls to the store into requests by a dialect

One client keeps the queue of tries, the floors, the resolution of lost answers and the watches; a dialect, given in the options, makes the request of a try and reads its answer. Lists follow pages, and the status part of an object can be written.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -1,9 +1,11 @@
 /*
- * Client of the platform's object API: get, list, conditional put and delete,
- * watch with resume, and leases. All calls are asynchronous on one tevent loop
- * over a libcurl multi handle; every callback runs exactly once per call.
+ * Client of an object store, the platform's: get, list, conditional put and
+ * delete, watch with resume, and leases. All calls are asynchronous on one
+ * tevent loop over a libcurl multi handle; every callback runs exactly once per
+ * call.
  *
- * The object API, as the stand-in tests/fakes/fakeplatform serves it:
+ * A dialect puts calls into requests and reads the answers. The project's own,
+ * as the stand-in tests/fakes/fakeplatform serves it:
  *   GET    /objects/KEY                     200 {key,version,revision,value}
  *   GET    /objects?prefix=P                200 {revision,objects:[...]}
  *   PUT    /objects/KEY  If-Match: VERSION  200 {version,revision}, 409
@@ -31,12 +33,75 @@
 struct plat_call;
 struct plat_watch;
 
+enum plat_call_kind {
+	PLAT_CALL_GET,
+	PLAT_CALL_LIST,
+	PLAT_CALL_PUT,
+	PLAT_CALL_PUT_STATUS,
+	PLAT_CALL_DELETE,
+	PLAT_CALL_WATCH,
+	PLAT_CALL_KIND_COUNT,
+};
+
+/* What one try asks for; all texts are borrowed. */
+struct plat_ask {
+	enum plat_call_kind kind;
+	const char *key;	   /* or the prefix of a list or a watch */
+	const char *after;	   /* list: goes on behind this key; or NULL */
+	uint64_t revision;	   /* watch: since */
+	uint32_t wait_ms;	   /* watch */
+	uint64_t expected_version; /* of a write */
+	const json_t *value;	   /* of a put */
+};
+
+/* The request for it; texts are owned by the ctx that it was made with. */
+struct plat_message {
+	const char *method;
+	const char *path;   /* with its query */
+	const char *header; /* "Name: value", or NULL */
+	const char *body;   /* or NULL */
+};
+
+struct plat_object {
+	const char *key;
+	uint64_t version;
+	uint64_t revision;
+	bool is_deleted;  /* in events only */
+	bool is_older;	  /* than a version of it that this client saw before */
+	json_t *value;	  /* borrowed */
+	json_t *status;	  /* borrowed; NULL when the dialect has none */
+	uint64_t created; /* revision of its creation; 0 when not told */
+};
+
+/* What a dialect reads from the body of a successful answer or a conflict. */
+struct plat_reading {
+	struct plat_object *objects; /* texts are borrowed from the JSON tree */
+	size_t object_count;
+	uint64_t version;  /* of the written or conflicting object */
+	uint64_t revision; /* of the store */
+	bool has_more;	   /* a list goes on behind the last object */
+};
+
+struct plat_dialect {
+	/* Fills message; what it needs is made on ctx. */
+	void (*make_message)(TALLOC_CTX *ctx, const struct plat_ask *ask,
+			     struct plat_message *message);
+	/* Fills reading on ctx; returns false for a body of another form. */
+	bool (*read_body)(TALLOC_CTX *ctx, const struct plat_ask *ask,
+			  json_t *root, struct plat_reading *reading);
+};
+
+/* The project's own dialect. */
+extern const struct plat_dialect plat_own_dialect;
+
 struct plat_options {
 	const char *base_url; /* "http://127.0.0.1:9000" */
 	uint32_t timeout_ms;
 	uint32_t calls_per_second; /* token bucket of this process */
 	uint32_t burst_calls;
 	uint32_t retry_wait_ms_max; /* between tries, drawn with full jitter */
+	uint32_t start_jitter_ms;   /* at most, before a watch's first list */
+	const struct plat_dialect *dialect;
 	uint64_t seed; /* of the jitter; must differ from process to process */
 };
 
@@ -51,15 +116,6 @@
 		struct tmr_service *timers, struct cnt_registry *counters,
 		const struct plat_options *options, GError **error);
 
-struct plat_object {
-	const char *key;
-	uint64_t version;
-	uint64_t revision;
-	bool is_deleted; /* in events only */
-	bool is_older;	 /* than a version of it that this client saw before */
-	json_t *value;	 /* borrowed */
-};
-
 /* Result of a call; objects live for the length of the callback only. */
 struct plat_result {
 	const GError *error; /* NULL: it succeeded */
@@ -97,6 +153,16 @@
 				  uint64_t expected_version, plat_fn fn,
 				  void *data);
 
+/*
+ * Writes the status part of an object when its present version is
+ * expected_version, with the results of plat_put_object(). The value tells by
+ * itself whether it is this write's.
+ */
+struct plat_call *plat_put_status(TALLOC_CTX *ctx, struct plat_client *client,
+				  const char *key, json_t *value,
+				  uint64_t expected_version, plat_fn fn,
+				  void *data);
+
 /* Deletes an object when its present version is expected_version. */
 struct plat_call *plat_delete_object(TALLOC_CTX *ctx,
 				     struct plat_client *client,
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -128,9 +128,9 @@
 void adm_set_limit_slots(struct adm_limit *limit, uint32_t slots)
 {
 	limit->slots = MAX(slots, 1U);
-	limit->value = limit->is_fixed ? limit->slots
-				       : CLAMP(limit->value, START_LIMIT,
-					       limit->slots);
+	limit->value = limit->is_fixed
+			       ? limit->slots
+			       : CLAMP(limit->value, START_LIMIT, limit->slots);
 }
 
 void adm_set_limit_fixed(struct adm_limit *limit, bool is_fixed)
--- a/src/platform/answer.h
+++ b/src/platform/answer.h
@@ -23,21 +23,21 @@
 struct plat_answer {
 	enum plat_outcome outcome;
 	bool is_overload; /* refused, unreachable or out: no single accident */
-	struct plat_object *objects;
-	size_t object_count;
-	uint64_t version;
-	uint64_t revision;
+	struct plat_reading reading;
 	json_t *root;
+	bool is_kept; /* the result of its call borrows from it */
 };
 
 /* Returns the label of an outcome for the counters. */
 const char *plat_get_outcome_name(enum plat_outcome outcome);
 
 /*
- * Returns a new answer owned by ctx. A body that is not of the object API's
- * form counts as a lost answer.
+ * Returns a new answer owned by ctx to what was asked. A body that is not of
+ * the dialect's form counts as a lost answer.
  */
 struct plat_answer *plat_parse_answer(TALLOC_CTX *ctx,
+				      const struct plat_dialect *dialect,
+				      const struct plat_ask *ask,
 				      const struct hc_answer *http);
 
 #endif
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -35,7 +35,7 @@
 };
 
 static const char *const kind_names[PLAT_CALL_KIND_COUNT] = {
-	"get", "list", "put", "delete", "watch",
+	"get", "list", "put", "put_status", "delete", "watch",
 };
 
 static void pump(struct plat_client *client);
@@ -56,7 +56,7 @@
 static void leave_flight(struct plat_call *call)
 {
 	call->request = NULL;
-	if (call->kind == PLAT_CALL_WATCH)
+	if (call->ask.kind == PLAT_CALL_WATCH)
 		cnt_add(call->client->waiting_watches, -1);
 	else
 		call->client->in_flight--;
@@ -76,18 +76,28 @@
 	}
 }
 
+static struct plat_ask get_try_ask(const struct plat_call *call)
+{
+	struct plat_ask ask = call->ask;
+
+	ask.kind = call->try_kind;
+	return ask;
+}
+
 static void handle_answer(const struct hc_answer *http, void *data)
 {
 	struct plat_call *call = data;
 	struct plat_client *client = call->client;
-	struct plat_answer *answer = plat_parse_answer(call, http);
+	struct plat_ask ask = get_try_ask(call);
+	struct plat_answer *answer =
+		plat_parse_answer(call, client->options.dialect, &ask, http);
 
 	leave_flight(call);
-	count_try(client, call->kind, answer->outcome);
+	count_try(client, call->ask.kind, answer->outcome);
 	if (answer->is_overload)
 		plat_note_overload(&call->backoff);
 	call->try_fn(call, answer);
-	if (answer != call->stale && answer != call->kept)
+	if (answer != call->stale && !answer->is_kept)
 		talloc_free(answer);
 	pump(client);
 }
@@ -95,29 +105,30 @@
 static void send_try(struct plat_call *call)
 {
 	struct plat_client *client = call->client;
-	const char *headers[] = { call->if_match,
-				  "Content-Type: application/json", NULL };
-	bool is_put = strcmp(call->method, "PUT") == 0;
-	bool is_write = strcmp(call->method, "GET") != 0;
-	char *url = talloc_asprintf(call, "%s%s", client->options.base_url,
-				    call->path);
+	TALLOC_CTX *scratch = talloc_new(call);
+	struct plat_ask ask = get_try_ask(call);
+	struct plat_message message = { 0 };
+	const char *headers[3] = { "Content-Type: application/json" };
 	struct hc_options options = {
-		.method = call->method,
-		.url = url,
-		.headers = is_write ? headers : headers + 1,
-		.body = is_put ? call->body : NULL,
-		.body_size = is_put ? strlen(call->body) : 0,
+		.headers = headers,
 		.timeout_ms = call->try_timeout_ms,
 		.answer_bytes_max = PLAT_ANSWER_BYTES_MAX,
 	};
 
+	client->options.dialect->make_message(scratch, &ask, &message);
+	headers[1] = message.header;
+	options.method = message.method;
+	options.url = talloc_asprintf(scratch, "%s%s", client->options.base_url,
+				      message.path);
+	options.body = message.body;
+	options.body_size = message.body ? strlen(message.body) : 0;
 	call->request =
 		hc_send(client, client->http, &options, handle_answer, call);
-	if (call->kind == PLAT_CALL_WATCH)
+	if (call->ask.kind == PLAT_CALL_WATCH)
 		cnt_add(client->waiting_watches, 1);
 	else
 		client->in_flight++;
-	talloc_free(url);
+	talloc_free(scratch);
 }
 
 static void handle_pump(uint64_t now_ms, void *data)
@@ -169,6 +180,7 @@
 		g_queue_remove(&call->client->calls, call);
 	}
 	g_clear_error(&call->error);
+	json_decref(call->value);
 	return 0;
 }
 
@@ -246,6 +258,8 @@
 		.calls_per_second = PLAT_CALLS_PER_SECOND,
 		.burst_calls = PLAT_BURST_CALLS,
 		.retry_wait_ms_max = PLAT_BACKOFF_CAP_MS,
+		.start_jitter_ms = PLAT_START_JITTER_MS,
+		.dialect = &plat_own_dialect,
 		.seed = (uint64_t)g_random_int() << 32 | g_random_int(),
 	};
 }
@@ -286,16 +300,16 @@
 }
 
 struct plat_call *plat_new_call(TALLOC_CTX *ctx, struct plat_client *client,
-				enum plat_call_kind kind, const char *key,
-				char *path, plat_try_fn try_fn, plat_fn fn,
-				void *data)
+				const struct plat_ask *ask, plat_try_fn try_fn,
+				plat_fn fn, void *data)
 {
 	struct plat_call *call = talloc_zero(ctx, struct plat_call);
 
 	call->client = client;
-	call->kind = kind;
-	call->key = talloc_strdup(call, key);
-	call->path = talloc_steal(call, path);
+	call->ask = *ask;
+	call->ask.key = talloc_strdup(call, ask->key);
+	call->value = json_incref((json_t *)ask->value);
+	call->ask.value = call->value;
 	plat_start_backoff(&call->backoff, client->options.retry_wait_ms_max);
 	call->try_fn = try_fn;
 	call->fn = fn;
@@ -314,19 +328,19 @@
 					  timeout_ms, handle_expiry, call);
 }
 
-void plat_queue_try(struct plat_call *call, const char *method,
+void plat_queue_try(struct plat_call *call, enum plat_call_kind kind,
 		    uint32_t delay_ms)
 {
 	assert(!call->wait && !call->is_queued && !call->request);
-	call->method = method;
+	call->try_kind = kind;
 	call->wait = tmr_subscribe_once(call, call->client->timers, delay_ms,
 					handle_wait, call);
 }
 
-void plat_queue_retry(struct plat_call *call, const char *method)
+void plat_queue_retry(struct plat_call *call, enum plat_call_kind kind)
 {
 	plat_queue_try(
-		call, method,
+		call, kind,
 		plat_choose_backoff_ms(&call->backoff, call->client->random));
 }
 
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -17,16 +17,7 @@
 #include "resolution.h"
 
 #define PLAT_IN_FLIGHT_MAX 8U
-#define PLAT_WATCH_START_MS 1000U /* jitter before the first list */
-
-enum plat_call_kind {
-	PLAT_CALL_GET,
-	PLAT_CALL_LIST,
-	PLAT_CALL_PUT,
-	PLAT_CALL_DELETE,
-	PLAT_CALL_WATCH,
-	PLAT_CALL_KIND_COUNT,
-};
+#define PLAT_START_JITTER_MS 1000U /* nodes that start together list apart */
 
 struct plat_call;
 
@@ -35,12 +26,8 @@
 
 struct plat_call {
 	struct plat_client *client;
-	enum plat_call_kind kind;
-	const char *key; /* or the prefix */
-	char *path;	 /* of the request, with its query */
-	char *body;	 /* NULL: none */
-	char *write_id;	 /* of a put */
-	char *if_match;	 /* of a write */
+	struct plat_ask ask; /* its key and value are owned by the call */
+	json_t *value;	     /* of a put, or NULL */
 	struct plat_backoff backoff;
 	uint32_t try_timeout_ms;
 	plat_try_fn try_fn;
@@ -48,10 +35,11 @@
 	void *data;
 	struct plat_resolution resolution; /* of a write */
 	struct plat_answer *stale;	   /* the last stale answer, or NULL */
-	struct plat_answer *kept;	   /* whose objects the result holds */
+	struct plat_object *pages;	   /* objects of a list so far */
+	size_t page_object_count;
 
-	const char *method;	    /* of the try in progress */
-	struct hc_request *request; /* NULL: none in flight */
+	enum plat_call_kind try_kind; /* of the try in progress */
+	struct hc_request *request;   /* NULL: none in flight */
 	struct tmr_subscription *wait;
 	struct tmr_subscription *expiry;
 	bool is_queued;
@@ -63,21 +51,23 @@
 	struct plat_result result;
 };
 
-/* Returns a new call owned by ctx; path (stolen) is that of its requests. */
+/* Returns a new call owned by ctx; the texts and the value are kept. */
 struct plat_call *plat_new_call(TALLOC_CTX *ctx, struct plat_client *client,
-				enum plat_call_kind kind, const char *key,
-				char *path, plat_try_fn try_fn, plat_fn fn,
-				void *data);
+				const struct plat_ask *ask, plat_try_fn try_fn,
+				plat_fn fn, void *data);
 
 /* Sets the time limit over all tries of a new call. */
 void plat_set_time_limit(struct plat_call *call, uint32_t timeout_ms);
 
-/* Queues one try after delay_ms with the method "GET", "PUT" or "DELETE". */
-void plat_queue_try(struct plat_call *call, const char *method,
+/*
+ * Queues one try after delay_ms: of the call's own kind, or PLAT_CALL_GET to
+ * read back what a write did.
+ */
+void plat_queue_try(struct plat_call *call, enum plat_call_kind kind,
 		    uint32_t delay_ms);
 
 /* Queues a further try after the call's backoff. */
-void plat_queue_retry(struct plat_call *call, const char *method);
+void plat_queue_retry(struct plat_call *call, enum plat_call_kind kind);
 
 /*
  * Finishes a call with call->result; fn runs from the loop. error is stolen and
--- a/src/platform/objects.c
+++ b/src/platform/objects.c
@@ -3,7 +3,6 @@
  */
 #include "client.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include "loom/error.h"
 
@@ -12,13 +11,15 @@
 
 static const char *get_step(const struct plat_call *call)
 {
-	switch (call->kind) {
+	switch (call->ask.kind) {
 	case PLAT_CALL_GET:
 		return "get object";
 	case PLAT_CALL_LIST:
 		return "list objects";
 	case PLAT_CALL_PUT:
 		return "put object";
+	case PLAT_CALL_PUT_STATUS:
+		return "put status";
 	case PLAT_CALL_DELETE:
 		return "delete object";
 	case PLAT_CALL_WATCH:
@@ -56,8 +57,8 @@
 	GError *error = NULL;
 
 	err_set(&error, code, get_step(call),
-		plat_get_options(call->client)->base_url, "%s: %s", call->key,
-		message);
+		plat_get_options(call->client)->base_url, "%s: %s",
+		call->ask.key, message);
 	plat_finish_call(call, error);
 }
 
@@ -69,11 +70,11 @@
 static void finish_with_answer(struct plat_call *call,
 			       struct plat_answer *answer)
 {
-	call->kept = answer;
-	call->result.objects = answer->objects;
-	call->result.object_count = answer->object_count;
-	call->result.version = answer->version;
-	call->result.revision = answer->revision;
+	answer->is_kept = true;
+	call->result.objects = answer->reading.objects;
+	call->result.object_count = answer->reading.object_count;
+	call->result.version = answer->reading.version;
+	call->result.revision = answer->reading.revision;
 	plat_finish_call(call, NULL);
 }
 
@@ -81,14 +82,15 @@
 static bool note_versions(struct plat_call *call, struct plat_answer *answer)
 {
 	struct plat_floors *floors = plat_get_floors(call->client);
-	bool is_fresh =
-		plat_note_version(floors, PLAT_STORE_KEY, answer->revision);
+	bool is_fresh = plat_note_version(floors, PLAT_STORE_KEY,
+					  answer->reading.revision);
 
 	/* An object's own revision says nothing of the store's present one. */
-	if (call->kind != PLAT_CALL_LIST && call->kind != PLAT_CALL_WATCH)
+	if (call->ask.kind != PLAT_CALL_LIST &&
+	    call->ask.kind != PLAT_CALL_WATCH)
 		is_fresh = true;
-	for (size_t i = 0; i < answer->object_count; i++) {
-		struct plat_object *object = &answer->objects[i];
+	for (size_t i = 0; i < answer->reading.object_count; i++) {
+		struct plat_object *object = &answer->reading.objects[i];
 
 		if (!plat_note_version(floors, object->key, object->version))
 			is_fresh = false;
@@ -106,8 +108,8 @@
 	struct plat_floors *floors = plat_get_floors(call->client);
 
 	plat_reset_floor(floors, PLAT_STORE_KEY);
-	for (size_t i = 0; i < answer->object_count; i++)
-		plat_reset_floor(floors, answer->objects[i].key);
+	for (size_t i = 0; i < answer->reading.object_count; i++)
+		plat_reset_floor(floors, answer->reading.objects[i].key);
 }
 
 static void retry_stale(struct plat_call *call, struct plat_answer *answer)
@@ -118,7 +120,9 @@
 		1);
 	talloc_free(call->stale);
 	call->stale = answer;
-	plat_queue_retry(call, "GET");
+	plat_queue_retry(call, call->ask.kind == PLAT_CALL_LIST
+				       ? PLAT_CALL_LIST
+				       : PLAT_CALL_GET);
 }
 
 static void expire_read(struct plat_call *call)
@@ -132,14 +136,39 @@
 		  "the store stays older than what was seen of it");
 }
 
+/* Takes one page of a list; returns whether it was the last. */
+static bool add_page(struct plat_call *call, struct plat_answer *answer)
+{
+	struct plat_reading *reading = &answer->reading;
+	size_t count = call->page_object_count + reading->object_count;
+
+	if (!reading->has_more && !call->pages)
+		return true;
+	answer->is_kept = true;
+	call->pages = talloc_realloc(call, call->pages, struct plat_object,
+				     count + 1);
+	for (size_t i = 0; i < reading->object_count; i++)
+		call->pages[call->page_object_count + i] = reading->objects[i];
+	call->page_object_count = count;
+	if (reading->has_more && reading->object_count > 0) {
+		call->ask.after = talloc_strdup(
+			call, reading->objects[reading->object_count - 1].key);
+		plat_queue_try(call, PLAT_CALL_LIST, 0);
+		return false;
+	}
+	reading->objects = call->pages;
+	reading->object_count = count;
+	return true;
+}
+
 static void handle_read(struct plat_call *call, struct plat_answer *answer)
 {
 	switch (answer->outcome) {
 	case PLAT_DONE:
-		if (note_versions(call, answer))
-			finish_with_answer(call, answer);
-		else
+		if (!note_versions(call, answer))
 			retry_stale(call, answer);
+		else if (add_page(call, answer))
+			finish_with_answer(call, answer);
 		return;
 	case PLAT_REFUSED:
 	case PLAT_NOT_SENT:
@@ -147,7 +176,7 @@
 		if (call->is_expired)
 			expire_read(call);
 		else
-			plat_queue_retry(call, "GET");
+			plat_queue_retry(call, call->ask.kind);
 		return;
 	default:
 		fail_with_outcome(call, answer->outcome);
@@ -168,11 +197,6 @@
 	}
 }
 
-static const char *get_method(const struct plat_call *call)
-{
-	return call->kind == PLAT_CALL_DELETE ? "DELETE" : "PUT";
-}
-
 static void count_resolution(struct plat_call *call)
 {
 	static const char *const names[] = {
@@ -194,14 +218,14 @@
 {
 	struct plat_floors *floors = plat_get_floors(call->client);
 
-	if (call->kind == PLAT_CALL_DELETE) {
-		plat_drop_floor(floors, call->key);
+	if (call->ask.kind == PLAT_CALL_DELETE) {
+		plat_drop_floor(floors, call->ask.key);
 		return;
 	}
-	if (plat_note_version(floors, call->key, call->result.version))
+	if (plat_note_version(floors, call->ask.key, call->result.version))
 		return;
-	plat_reset_floor(floors, call->key);
-	plat_note_version(floors, call->key, call->result.version);
+	plat_reset_floor(floors, call->ask.key);
+	plat_note_version(floors, call->ask.key, call->result.version);
 }
 
 static void end_write(struct plat_call *call)
@@ -233,10 +257,10 @@
 {
 	switch (call->resolution.step) {
 	case PLAT_STEP_WRITE:
-		plat_queue_retry(call, get_method(call));
+		plat_queue_retry(call, call->ask.kind);
 		return;
 	case PLAT_STEP_READ_BACK:
-		plat_queue_retry(call, "GET");
+		plat_queue_retry(call, PLAT_CALL_GET);
 		return;
 	case PLAT_STEP_END:
 		end_write(call);
@@ -244,13 +268,19 @@
 	}
 }
 
-static bool has_write_id(const struct plat_call *call,
-			 const struct plat_object *object)
+/* Whether the object holds what the call wrote. */
+static bool holds_write(const struct plat_call *call,
+			const struct plat_object *object)
 {
-	const char *write_id =
-		json_string_value(json_object_get(object->value, "write_id"));
+	const char *written;
+	const char *write_id;
 
-	return write_id && g_strcmp0(write_id, call->write_id) == 0;
+	if (call->ask.kind == PLAT_CALL_PUT_STATUS)
+		return json_equal(object->status, call->value);
+	written = json_string_value(json_object_get(call->value, "write_id"));
+	write_id =
+		json_string_value(json_object_get(object->value, "write_id"));
+	return written && write_id && strcmp(written, write_id) == 0;
 }
 
 static void handle_read_back(struct plat_call *call, struct plat_answer *answer)
@@ -263,10 +293,10 @@
 			return;
 		}
 		read.is_present = true;
-		read.version = answer->version;
-		read.is_own = has_write_id(call, &answer->objects[0]);
+		read.version = answer->reading.version;
+		read.is_own = holds_write(call, &answer->reading.objects[0]);
 	} else if (answer->outcome != PLAT_ABSENT) {
-		plat_queue_retry(call, "GET");
+		plat_queue_retry(call, PLAT_CALL_GET);
 		return;
 	}
 	plat_note_read_back(&call->resolution, &read);
@@ -286,69 +316,45 @@
 		handle_read_back(call, answer);
 		return;
 	}
-	call->result.revision = answer->revision;
-	plat_note_write(&call->resolution, answer->outcome, answer->version);
+	call->result.revision = answer->reading.revision;
+	plat_note_write(&call->resolution, answer->outcome,
+			answer->reading.version);
 	continue_write(call);
 }
 
-static char *escape(TALLOC_CTX *ctx, const char *text)
+static struct plat_call *new_read(TALLOC_CTX *ctx, struct plat_client *client,
+				  enum plat_call_kind kind, const char *key,
+				  plat_fn fn, void *data)
 {
-	char *escaped = g_uri_escape_string(text, "/", FALSE);
-	char *copy = talloc_strdup(ctx, escaped);
-
-	g_free(escaped);
-	return copy;
-}
+	struct plat_ask ask = { .kind = kind, .key = key };
+	struct plat_call *call =
+		plat_new_call(ctx, client, &ask, handle_read, fn, data);
 
-static char *make_object_path(struct plat_client *client, const char *key)
-{
-	char *path = escape(client, key);
-	char *whole = talloc_asprintf(client, "/objects/%s", path);
-
-	talloc_free(path);
-	return whole;
+	plat_queue_try(call, kind, 0);
+	return call;
 }
 
 struct plat_call *plat_get_object(TALLOC_CTX *ctx, struct plat_client *client,
 				  const char *key, plat_fn fn, void *data)
 {
-	struct plat_call *call;
-
-	call = plat_new_call(ctx, client, PLAT_CALL_GET, key,
-			     make_object_path(client, key), handle_read, fn,
-			     data);
-	plat_queue_try(call, "GET", 0);
-	return call;
+	return new_read(ctx, client, PLAT_CALL_GET, key, fn, data);
 }
 
 struct plat_call *plat_list_objects(TALLOC_CTX *ctx, struct plat_client *client,
 				    const char *prefix, plat_fn fn, void *data)
 {
-	char *escaped = escape(client, prefix);
-	char *path = talloc_asprintf(client, "/objects?prefix=%s", escaped);
-	struct plat_call *call;
-
-	talloc_free(escaped);
-	call = plat_new_call(ctx, client, PLAT_CALL_LIST, prefix, path,
-			     handle_read, fn, data);
-	plat_queue_try(call, "GET", 0);
-	return call;
+	return new_read(ctx, client, PLAT_CALL_LIST, prefix, fn, data);
 }
 
 static struct plat_call *new_write(TALLOC_CTX *ctx, struct plat_client *client,
-				   enum plat_call_kind kind, const char *key,
-				   uint64_t expected_version, plat_fn fn,
+				   const struct plat_ask *ask, plat_fn fn,
 				   void *data)
 {
-	struct plat_call *call;
-
-	call = plat_new_call(ctx, client, kind, key,
-			     make_object_path(client, key), handle_write, fn,
-			     data);
-	plat_start_resolution(&call->resolution, expected_version,
-			      kind == PLAT_CALL_DELETE);
-	call->if_match = talloc_asprintf(call, "If-Match: %" G_GUINT64_FORMAT,
-					 expected_version);
+	struct plat_call *call =
+		plat_new_call(ctx, client, ask, handle_write, fn, data);
+
+	plat_start_resolution(&call->resolution, ask->expected_version,
+			      ask->kind == PLAT_CALL_DELETE);
 	return call;
 }
 
@@ -357,22 +363,36 @@
 				  uint64_t expected_version, plat_fn fn,
 				  void *data)
 {
-	struct plat_call *call = new_write(ctx, client, PLAT_CALL_PUT, key,
-					   expected_version, fn, data);
-	const char *write_id =
-		json_string_value(json_object_get(value, "write_id"));
-	char *body = json_dumps(value, JSON_COMPACT);
+	struct plat_ask ask = {
+		.kind = PLAT_CALL_PUT,
+		.key = key,
+		.expected_version = expected_version,
+		.value = value,
+	};
+	struct plat_call *call = new_write(ctx, client, &ask, fn, data);
 
-	if (!write_id) {
+	if (json_is_string(json_object_get(value, "write_id")))
+		plat_queue_try(call, PLAT_CALL_PUT, 0);
+	else
 		fail_call(call, ERR_INVALID_ARGUMENT,
 			  "got a value without write_id, wanted a text");
-		goto out;
-	}
-	call->write_id = talloc_strdup(call, write_id);
-	call->body = talloc_strdup(call, body);
-	plat_queue_try(call, "PUT", 0);
-out:
-	free(body);
+	return call;
+}
+
+struct plat_call *plat_put_status(TALLOC_CTX *ctx, struct plat_client *client,
+				  const char *key, json_t *value,
+				  uint64_t expected_version, plat_fn fn,
+				  void *data)
+{
+	struct plat_ask ask = {
+		.kind = PLAT_CALL_PUT_STATUS,
+		.key = key,
+		.expected_version = expected_version,
+		.value = value,
+	};
+	struct plat_call *call = new_write(ctx, client, &ask, fn, data);
+
+	plat_queue_try(call, PLAT_CALL_PUT_STATUS, 0);
 	return call;
 }
 
@@ -381,10 +401,14 @@
 				     const char *key, uint64_t expected_version,
 				     plat_fn fn, void *data)
 {
-	struct plat_call *call = new_write(ctx, client, PLAT_CALL_DELETE, key,
-					   expected_version, fn, data);
+	struct plat_ask ask = {
+		.kind = PLAT_CALL_DELETE,
+		.key = key,
+		.expected_version = expected_version,
+	};
+	struct plat_call *call = new_write(ctx, client, &ask, fn, data);
 
-	plat_queue_try(call, "DELETE", 0);
+	plat_queue_try(call, PLAT_CALL_DELETE, 0);
 	return call;
 }
 
@@ -392,19 +416,18 @@
 				   const char *prefix, uint64_t revision,
 				   uint32_t wait_ms, plat_fn fn, void *data)
 {
-	char *escaped = escape(client, prefix);
-	char *path = talloc_asprintf(client,
-				     "/watch?prefix=%s&since=%" G_GUINT64_FORMAT
-				     "&wait_ms=%u",
-				     escaped, revision, wait_ms);
-	struct plat_call *call;
-
-	talloc_free(escaped);
-	call = plat_new_call(ctx, client, PLAT_CALL_WATCH, prefix, path,
-			     handle_poll, fn, data);
+	struct plat_ask ask = {
+		.kind = PLAT_CALL_WATCH,
+		.key = prefix,
+		.revision = revision,
+		.wait_ms = wait_ms,
+	};
+	struct plat_call *call =
+		plat_new_call(ctx, client, &ask, handle_poll, fn, data);
+
 	plat_set_time_limit(call,
 			    plat_get_options(client)->timeout_ms + wait_ms);
 	call->try_timeout_ms += wait_ms;
-	plat_queue_try(call, "GET", 0);
+	plat_queue_try(call, PLAT_CALL_WATCH, 0);
 	return call;
 }
--- a/src/platform/tests/test_platform_herd.c
+++ b/src/platform/tests/test_platform_herd.c
@@ -233,7 +233,7 @@
 		node->failure_domain = i % FAILURE_DOMAINS;
 		schedule(herd, i, ACTIVITY_WATCH,
 			 plat_choose_start_ms(node->random,
-					      PLAT_WATCH_START_MS));
+					      PLAT_START_JITTER_MS));
 		schedule(herd, i, ACTIVITY_LEASE,
 			 plat_choose_start_ms(node->random,
 					      LEASE_DURATION_MS / 3));
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -151,7 +151,8 @@
 	watch->data = data;
 	plat_start_backoff(&watch->backoff,
 			   plat_get_options(client)->retry_wait_ms_max);
-	wait_for(watch, plat_choose_start_ms(plat_get_random(client),
-					     PLAT_WATCH_START_MS));
+	wait_for(watch, plat_choose_start_ms(
+				plat_get_random(client),
+				plat_get_options(client)->start_jitter_ms));
 	return watch;
 }
--- a/src/routing/table.c
+++ b/src/routing/table.c
@@ -67,10 +67,9 @@
 		talloc_strdup(table->entries, target->failure_domain);
 	entry->target.service = talloc_strdup(table->entries, target->service);
 	entry->target.version = talloc_strdup(table->entries, target->version);
-	entry->target.release =
-		talloc_strdup(table->entries, target->release
-						      ? target->release
-						      : target->version);
+	entry->target.release = talloc_strdup(
+		table->entries,
+		target->release ? target->release : target->version);
 	entry->is_domain_out =
 		doc_is_domain_out(table->snapshot, target->failure_domain);
 	entry->tier =
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -34,7 +34,7 @@
 	bool is_not_run; /* says that the request was not run */
 	bool is_unsent;	 /* a gate refused: no target was asked */
 	bool has_stamp;
-	bool has_id; /* it names a request: this one */
+	bool has_id;	 /* it names a request: this one */
 	bool is_foreign; /* it belongs to another request */
 	char *refused;	 /* reason of a refusal, or NULL */
 	struct tr_buffer body;
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -133,8 +133,8 @@
 		return false;
 	}
 	if (!call->place)
-		call->route = doc_find_route(call->service, call->method,
-					     call->uri);
+		call->route =
+			doc_find_route(call->service, call->method, call->uri);
 	if (!call->route) {
 		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
 			       rt_get_refusal_name(RT_REFUSAL_NO_ROUTE), true);
@@ -220,8 +220,8 @@
 		.is_not_run = is_not_run,
 		.is_unsent = is_unsent,
 		.offer_count = call->offer_count,
-		.offers_max = call->place ? call->place->attempts_max
-					  : RT_OFFERS_MAX,
+		.offers_max =
+			call->place ? call->place->attempts_max : RT_OFFERS_MAX,
 		.is_answer_begun = call->reply != NULL,
 		.is_body_kept = call->upload.buffer.is_kept,
 		.attempt_count = call->attempt_count,
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -36,10 +36,17 @@
 {
 	/* Length and Expect are set anew for the next connection. */
 	static const char *const dropped[] = {
-		"Connection", "Keep-Alive",	   "Proxy-Authenticate",
-		"TE",	      "Proxy-Connection",  "Proxy-Authorization",
-		"Trailer",    "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Expect",
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Authenticate",
+		"TE",
+		"Proxy-Connection",
+		"Proxy-Authorization",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Content-Length",
+		"Expect",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -43,8 +43,8 @@
 /* Returns a header of the request, "" when it is absent (new). */
 static char *copy_header(const struct tr_call *call, const char *name)
 {
-	const char *value = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, name);
+	const char *value =
+		MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND, name);
 
 	return g_strdup(value ? value : "");
 }
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -166,8 +166,8 @@
 	command.announce.service = g_strdup(target->service);
 	command.announce.version = g_strdup(target->version);
 	command.announce.instance = g_strdup(target->instance);
-	command.announce.url = g_strdup_printf("http://%s:%u", target->address,
-					       target->port);
+	command.announce.url =
+		g_strdup_printf("http://%s:%u", target->address, target->port);
 	send_to_first(service, &command);
 	tr_note_heartbeat(service, target->slots, target->cold_left_ms);
 }
