--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -249,6 +249,38 @@
 void mv_describe_state(const struct mv_state *state,
 		       const struct doc_move *move, GString *text);
 
+/*
+ * Ramp: a move that has to end within seconds. Its share follows the time since
+ * it began, and each node judges it by the calls that it sent itself.
+ */
+struct mv_ramp;
+
+enum mv_ramp_verdict {
+	MV_RAMP_GO_ON,
+	MV_RAMP_FINISH,	   /* all calls went to the new version for a while */
+	MV_RAMP_TAKE_BACK, /* the new version is bad */
+};
+
+/*
+ * Returns a new ramp owned by ctx, begun at now_ms, that has limit_ms. to is
+ * the new version; counts of any other belong to the old one.
+ */
+struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
+			    uint64_t now_ms);
+
+/* Adds calls that ended, of one version and route. */
+void mv_note_ramp_counts(struct mv_ramp *ramp, const char *version,
+			 const char *route, const struct mv_counts *counts);
+
+/* Returns the share of the new version; 0 once it was found bad. */
+uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms);
+
+/* Returns what the calls and the time say; a bad version stays bad. */
+enum mv_ramp_verdict mv_judge_ramp(struct mv_ramp *ramp, uint64_t now_ms);
+
+/* Returns why, for operators: "route r: 6 of 9 calls failed, ..." (borrowed). */
+const char *mv_get_ramp_reason(const struct mv_ramp *ramp);
+
 /*
  * Local brake of one node on one move. It cuts the share that is in force on
  * the node by what the node itself sees, and never raises it.
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -15,6 +15,7 @@
 #include <talloc.h>
 #include <tevent.h>
 #include "loom/counter.h"
+#include "loom/document.h"
 #include "loom/moves.h"
 #include "loom/routing.h"
 
@@ -93,6 +94,10 @@
 /* Hands a table to all threads; each takes references of its own. */
 void tr_set_table(struct tr_service *service, struct rt_table *table);
 
+/* Sets the bounds on callers' connections; they apply from the next sweep. */
+void tr_set_caller_limits(struct tr_service *service,
+			  const struct doc_caller_limits *limits);
+
 /* That target is served from now on; all texts are copied. */
 void tr_announce_target(struct tr_service *service,
 			const struct tr_target *target);
--- /dev/null
+++ b/src/moves/ramp.c
@@ -0,0 +1,237 @@
+/*
+ * Ramp of a move that has to end within seconds.
+ *
+ * A small share probes the new version for the first part of the time; then
+ * the share rises in a few steps, so that a version that is bad only under load
+ * shows while it has less than all calls. Evidence adds up over the whole ramp,
+ * by route and over all routes. The new version is bad when so many failed or
+ * slow calls would be very rare at the rate of the old version.
+ *
+ * Invariant: evidence[0] counts all routes; once reason is set, the ramp is
+ * taken back for good.
+ */
+#include <math.h>
+#include <string.h>
+#include "loom/moves.h"
+
+/* Share of calls that probe the new version: half of what a bad one may get. */
+#define PROBE_SHARE_PERMILLE 50U
+/* Part of the time for the probe: late faults show within it. */
+#define PROBE_TIME_PERCENT 55U
+/* Shares after the probe and how long each stands before the next. */
+#define STEP_MS 1000U
+/* All calls stay with the new version so long before the ramp is finished. */
+#define FULL_MS 1500U
+/* Bound on a chance finding, for each test of each of some hundred nodes. */
+#define CHANCE_MAX 1e-5
+#define BAD_CALLS_MIN 4U
+/* Rates below these are ordinary, whatever the old version shows. */
+#define FAILED_RATE_MIN 0.03
+#define SLOW_RATE_MIN 0.05
+/* A version may be somewhat worse than the old one by chance of its targets. */
+#define OLD_RATE_FACTOR 1.5
+#define OLD_CALLS_MIN 20U
+/* Slow: two buckets (a factor of 2.25) above nine of ten old calls. */
+#define SLOW_SHIFT_BUCKETS 2U
+#define SLOW_QUANTILE 0.9
+#define ROUTES_MAX 32U
+
+static const uint32_t step_shares_permille[] = { 200, 500 };
+
+struct evidence {
+	char route[MV_NAME_SIZE]; /* "": all routes */
+	struct mv_counts old;
+	struct mv_counts new;
+};
+
+struct mv_ramp {
+	char to[MV_NAME_SIZE];
+	uint64_t start_ms;
+	uint32_t limit_ms;
+	uint32_t evidence_count;
+	struct evidence evidence[ROUTES_MAX + 1];
+	char reason[256]; /* "": not found bad */
+};
+
+static struct evidence *get_evidence(struct mv_ramp *ramp, const char *route)
+{
+	struct evidence *evidence;
+
+	for (uint32_t i = 1; i < ramp->evidence_count; i++) {
+		if (strcmp(ramp->evidence[i].route, route) == 0)
+			return &ramp->evidence[i];
+	}
+	if (ramp->evidence_count > ROUTES_MAX)
+		return NULL;
+	evidence = &ramp->evidence[ramp->evidence_count++];
+	g_strlcpy(evidence->route, route, sizeof(evidence->route));
+	return evidence;
+}
+
+/* Returns the chance of at least bad of calls at that rate. */
+static double get_chance(uint32_t calls, uint32_t bad, double rate)
+{
+	double sum = 0;
+
+	for (uint32_t k = bad; k <= calls; k++) {
+		double term = exp(lgamma(calls + 1.0) - lgamma(k + 1.0) -
+				  lgamma(calls - k + 1.0) + k * log(rate) +
+				  (calls - k) * log1p(-rate));
+
+		sum += term;
+		if (term < sum * 1e-6)
+			break;
+	}
+	return sum;
+}
+
+static double get_old_rate(uint32_t calls, uint32_t bad, double least)
+{
+	if (calls < OLD_CALLS_MIN)
+		return least;
+	return fmin(0.9, fmax(least, OLD_RATE_FACTOR * bad / calls));
+}
+
+static uint32_t sum_from(const uint32_t *buckets, uint32_t first)
+{
+	uint32_t sum = 0;
+
+	for (uint32_t i = first; i < MV_LATENCY_BUCKETS; i++)
+		sum += buckets[i];
+	return sum;
+}
+
+/* Returns the first bucket whose calls are slow by the old version's measure. */
+static uint32_t get_slow_bucket(const struct mv_counts *old)
+{
+	uint32_t good = sum_from(old->latency, 0);
+	uint32_t bucket = 0;
+
+	while (bucket < MV_LATENCY_BUCKETS &&
+	       sum_from(old->latency, bucket) > good * (1 - SLOW_QUANTILE))
+		bucket++;
+	return bucket + SLOW_SHIFT_BUCKETS;
+}
+
+static bool is_rare(const struct evidence *evidence, uint32_t new_calls,
+		    uint32_t new_bad, double rate)
+{
+	return new_bad >= BAD_CALLS_MIN &&
+	       new_bad > rate * evidence->new.calls &&
+	       get_chance(new_calls, new_bad, rate) < CHANCE_MAX;
+}
+
+static void set_reason(struct mv_ramp *ramp, const struct evidence *evidence,
+		       const char *what, uint32_t bad, uint32_t calls)
+{
+	g_snprintf(ramp->reason, sizeof(ramp->reason),
+		   "%s%s: %u of %u calls %s, %u of %u on the old version",
+		   *evidence->route ? "route " : "all routes", evidence->route,
+		   bad, calls, what, evidence->old.failed,
+		   evidence->old.calls);
+}
+
+static void judge_failures(struct mv_ramp *ramp,
+			   const struct evidence *evidence)
+{
+	double rate = get_old_rate(evidence->old.calls, evidence->old.failed,
+				   FAILED_RATE_MIN);
+
+	if (is_rare(evidence, evidence->new.calls, evidence->new.failed, rate))
+		set_reason(ramp, evidence, "failed", evidence->new.failed,
+			   evidence->new.calls);
+}
+
+static void judge_latency(struct mv_ramp *ramp, const struct evidence *evidence)
+{
+	uint32_t old_good = sum_from(evidence->old.latency, 0);
+	uint32_t first = get_slow_bucket(&evidence->old);
+	uint32_t new_slow;
+	double rate;
+
+	if (old_good < OLD_CALLS_MIN || first >= MV_LATENCY_BUCKETS)
+		return;
+	/* A call that failed by its deadline was slow as well. */
+	new_slow = sum_from(evidence->new.latency, first) +
+		   evidence->new.failed;
+	rate = get_old_rate(evidence->old.calls,
+			    sum_from(evidence->old.latency, first) +
+				    evidence->old.failed,
+			    SLOW_RATE_MIN);
+	if (is_rare(evidence, evidence->new.calls, new_slow, rate))
+		set_reason(ramp, evidence, "slow or failed", new_slow,
+			   evidence->new.calls);
+}
+
+static uint64_t get_probe_ms(const struct mv_ramp *ramp)
+{
+	return (uint64_t)ramp->limit_ms * PROBE_TIME_PERCENT / 100;
+}
+
+static uint64_t get_full_ms(const struct mv_ramp *ramp)
+{
+	return get_probe_ms(ramp) +
+	       (uint64_t)G_N_ELEMENTS(step_shares_permille) * STEP_MS;
+}
+
+struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
+			    uint64_t now_ms)
+{
+	struct mv_ramp *ramp = talloc_zero(ctx, struct mv_ramp);
+
+	g_strlcpy(ramp->to, to, sizeof(ramp->to));
+	ramp->limit_ms = limit_ms;
+	ramp->start_ms = now_ms;
+	ramp->evidence_count = 1;
+	return ramp;
+}
+
+static void add_counts(struct evidence *evidence, bool is_new,
+		       const struct mv_counts *counts)
+{
+	mv_add_counts(is_new ? &evidence->new : &evidence->old, counts);
+}
+
+void mv_note_ramp_counts(struct mv_ramp *ramp, const char *version,
+			 const char *route, const struct mv_counts *counts)
+{
+	bool is_new = strcmp(version, ramp->to) == 0;
+	struct evidence *evidence = get_evidence(ramp, route);
+
+	add_counts(&ramp->evidence[0], is_new, counts);
+	if (evidence)
+		add_counts(evidence, is_new, counts);
+}
+
+uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint64_t elapsed_ms = now_ms - ramp->start_ms;
+	uint64_t probe_ms = get_probe_ms(ramp);
+
+	if (*ramp->reason)
+		return 0;
+	if (elapsed_ms < probe_ms)
+		return PROBE_SHARE_PERMILLE;
+	if (elapsed_ms >= get_full_ms(ramp))
+		return DOC_SHARE_ALL_PERMILLE;
+	return step_shares_permille[(elapsed_ms - probe_ms) / STEP_MS];
+}
+
+enum mv_ramp_verdict mv_judge_ramp(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	for (uint32_t i = 0; i < ramp->evidence_count && !*ramp->reason; i++) {
+		judge_failures(ramp, &ramp->evidence[i]);
+		if (!*ramp->reason)
+			judge_latency(ramp, &ramp->evidence[i]);
+	}
+	if (*ramp->reason)
+		return MV_RAMP_TAKE_BACK;
+	if (now_ms - ramp->start_ms >= get_full_ms(ramp) + FULL_MS)
+		return MV_RAMP_FINISH;
+	return MV_RAMP_GO_ON;
+}
+
+const char *mv_get_ramp_reason(const struct mv_ramp *ramp)
+{
+	return ramp->reason;
+}
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -127,7 +127,7 @@
 
 static void handle_ready(struct nd_node *node, struct web_request *request)
 {
-	struct doc_snapshot *snapshot = spr_get_snapshot(node->spread);
+	struct doc_snapshot *snapshot = nd_get_snapshot(node);
 
 	if (!snapshot) {
 		web_reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
@@ -158,7 +158,11 @@
 
 static void handle_report(struct nd_node *node, struct web_request *request)
 {
-	rls_handle_report(node->release, request);
+	if (node->release)
+		rls_handle_report(node->release, request);
+	else
+		web_reply_error(request, MHD_HTTP_NOT_FOUND,
+				"this node has no moves of documents");
 }
 
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
@@ -180,9 +184,10 @@
 {
 	const char *method = web_get_method(request);
 	const char *path = web_get_path(request);
+	struct nd_node *node = data;
 
-	if (g_str_has_prefix(path, SPREAD_PATH)) {
-		spr_handle_request(((struct nd_node *)data)->spread, request);
+	if (node->spread && g_str_has_prefix(path, SPREAD_PATH)) {
+		spr_handle_request(node->spread, request);
 		return;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(admin_routes); i++) {
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -44,7 +44,29 @@
 	uint32_t cold_left_ms; /* until the target bears its full load */
 };
 
+struct nd_move; /* see gateway.c */
+
+/* Configuration of a node whose source is a gateway. */
+struct nd_gateway_state {
+	struct doc_gateway *gateway;   /* NULL: none yet */
+	struct doc_snapshot *snapshot; /* of gateway, moves and domains */
+	const char **domains_out;
+	GHashTable *moves; /* service to struct nd_move */
+	nd_order_fn order_fn;
+	void *order_data;
+};
+
+/* The instance that heartbeats told of. */
+struct nd_instance {
+	char *id; /* NULL: none yet */
+	uint64_t born_ms;
+	uint64_t sequence;
+	bool is_leaving;
+};
+
 struct nd_node {
+	struct nd_gateway_state gateway;
+	struct nd_instance instance;
 	const struct nd_settings *settings;
 	struct tevent_context *events;
 	struct tmr_service *timers;
@@ -71,6 +93,22 @@
 void nd_note_burn(struct nd_node *node, const struct tr_sample *sample);
 json_t *nd_make_burn(struct nd_node *node, const char *service);
 
+/* Returns the snapshot in force (borrowed), or NULL. */
+struct doc_snapshot *nd_get_snapshot(const struct nd_node *node);
+
+/* Gives the traffic threads a table of the present state. */
+void nd_update_table(struct nd_node *node);
+
+/* gateway.c: starts and ends the state; counts calls for the moves. */
+void nd_open_gateway(struct nd_node *node);
+void nd_close_gateway(struct nd_node *node);
+void nd_note_gateway_sample(struct nd_node *node,
+			    const struct tr_sample *sample);
+
+/* Returns the version class that a target's calls are split by (borrowed). */
+const char *nd_get_version_class(const struct nd_node *node,
+				 const char *service, const char *version);
+
 /* shutdown.c: subscribes to SIGTERM and SIGINT. */
 void nd_watch_signals(struct nd_node *node);
 
@@ -78,6 +116,9 @@
 void nd_take_announcement(struct nd_node *node,
 			  const struct nd_announcement *announcement);
 
+/* target.c: the target leaves, or its announcements stopped. */
+void nd_drain_target(struct nd_node *node);
+
 /* target.c: watches that announcements go on. */
 void nd_watch_target(struct nd_node *node);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -51,7 +51,9 @@
 						  self->hop_port);
 		target->failure_domain = self->failure_domain;
 		target->service = self->service;
-		target->version = self->version;
+		target->version = nd_get_version_class(node, self->service,
+						       self->version);
+		target->release = self->version;
 		target->phase = self->phase;
 		target->distance_us =
 			get_distance_us(node, self->failure_domain);
@@ -65,7 +67,18 @@
 	rt_set_share_limit(data, service, limit_permille);
 }
 
-static void update_table(struct nd_node *node)
+struct doc_snapshot *nd_get_snapshot(const struct nd_node *node)
+{
+	switch (node->settings->source) {
+	case ND_SOURCE_DOCUMENTS:
+		return node->spread ? spr_get_snapshot(node->spread) : NULL;
+	case ND_SOURCE_GATEWAY:
+		return node->gateway.snapshot;
+	}
+	return NULL;
+}
+
+void nd_update_table(struct nd_node *node)
 {
 	struct doc_snapshot *snapshot;
 	struct rt_target *targets;
@@ -73,16 +86,15 @@
 	TALLOC_CTX *scratch;
 	size_t count;
 
-	if (!node->spread || !node->members)
-		return;
-	snapshot = spr_get_snapshot(node->spread);
-	if (!snapshot)
+	snapshot = nd_get_snapshot(node);
+	if (!snapshot || !node->members)
 		return;
 	scratch = talloc_new(NULL);
 	count = list_targets(node, scratch, &targets);
 	table = rt_new_table(snapshot, targets, count,
 			     node->settings->failure_domain);
-	rls_each_limit(node->release, set_limit, table);
+	if (node->release)
+		rls_each_limit(node->release, set_limit, table);
 	tr_set_table(node->traffic, table);
 	rt_unref_table(table);
 	talloc_free(scratch);
@@ -98,12 +110,12 @@
 		count = mem_list_members(node->members, &members);
 		rls_set_members(node->release, members, count);
 	}
-	update_table(node);
+	nd_update_table(node);
 }
 
 static void handle_limits(void *data)
 {
-	update_table(data);
+	nd_update_table(data);
 }
 
 static void handle_newer(const char *peer, uint64_t sequence, void *data)
@@ -119,6 +131,7 @@
 	struct nd_node *node = data;
 
 	nd_note_burn(node, sample);
+	nd_note_gateway_sample(node, sample);
 	if (node->release)
 		rls_note_sample(sample, node->release);
 }
@@ -134,7 +147,7 @@
 		  "manifest in force", "sequence", text, LOG_END);
 	mem_set_manifest_sequence(node->members, sequence);
 	rls_set_snapshot(node->release, snapshot);
-	update_table(node);
+	nd_update_table(node);
 }
 
 static bool open_platform(struct nd_node *node, GError **error)
@@ -143,6 +156,8 @@
 
 	plat_set_default_options(&options, node->settings->platform_url);
 	options.seed = g_str_hash(node->settings->address);
+	if (node->settings->platform_dialect)
+		options.dialect = node->settings->platform_dialect;
 	node->platform = plat_new_client(node, node->events, node->timers,
 					 node->counters, &options, error);
 	return node->platform != NULL;
@@ -162,6 +177,9 @@
 	options.connections_max = settings->connections;
 	options.idle_timeout_ms = settings->idle_timeout_ms;
 	options.header_timeout_ms = settings->header_timeout_ms;
+	options.caller_service = settings->service;
+	if (settings->header_names)
+		options.names = settings->header_names;
 	options.seed = g_str_hash(settings->address);
 	options.on_sample = handle_sample;
 	options.data = node;
@@ -276,19 +294,38 @@
 	return node->spread != NULL;
 }
 
+static bool open_source(struct nd_node *node, GError **error)
+{
+	switch (node->settings->source) {
+	case ND_SOURCE_DOCUMENTS:
+		return open_release(node, error) && open_spread(node, error);
+	case ND_SOURCE_GATEWAY:
+		nd_open_gateway(node);
+		return true;
+	}
+	return false;
+}
+
+static int destroy_node(struct nd_node *node)
+{
+	nd_close_gateway(node);
+	return 0;
+}
+
 struct nd_node *nd_new_node(TALLOC_CTX *ctx, struct tevent_context *events,
 			    const struct nd_settings *settings, GError **error)
 {
 	struct nd_node *node = talloc_zero(ctx, struct nd_node);
 
+	talloc_set_destructor(node, destroy_node);
 	node->settings = settings;
 	node->events = events;
 	node->timers = tmr_new(node, events);
 	node->counters = cnt_new_registry(node);
 	node->burn = burn_new_history(node, tmr_get_wall_ms(node->timers));
 	if (!open_platform(node, error) || !open_traffic(node, error) ||
-	    !open_members(node, error) || !open_release(node, error) ||
-	    !open_spread(node, error) || !open_admin(node, error)) {
+	    !open_members(node, error) || !open_source(node, error) ||
+	    !open_admin(node, error)) {
 		talloc_free(node);
 		return NULL;
 	}
@@ -297,6 +334,36 @@
 	return node;
 }
 
+struct tevent_context *nd_get_events(struct nd_node *node)
+{
+	return node->events;
+}
+
+struct tmr_service *nd_get_timers(struct nd_node *node)
+{
+	return node->timers;
+}
+
+struct plat_client *nd_get_platform(struct nd_node *node)
+{
+	return node->platform;
+}
+
+const struct nd_settings *nd_get_settings(const struct nd_node *node)
+{
+	return node->settings;
+}
+
+bool nd_is_ready(const struct nd_node *node)
+{
+	return node->phase == ND_PHASE_SERVING && nd_get_snapshot(node);
+}
+
+void nd_add_seed(struct nd_node *node, const char *seed)
+{
+	mem_add_seed(node->members, seed);
+}
+
 int nd_run_node(struct nd_node *node)
 {
 	log_write(LOG_LEVEL_INFO, "node", "start", node->settings->address,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <talloc.h>
 #include <tevent.h>
+#include "loom/document.h"
+#include "loom/platform.h"
 #include "settings.h"
 
 struct nd_node;
@@ -18,6 +20,73 @@
 struct nd_node *nd_new_node(TALLOC_CTX *ctx, struct tevent_context *events,
 			    const struct nd_settings *settings, GError **error);
 
+/* Parts of a node, borrowed, for what hands its configuration over. */
+struct tevent_context *nd_get_events(struct nd_node *node);
+struct tmr_service *nd_get_timers(struct nd_node *node);
+struct plat_client *nd_get_platform(struct nd_node *node);
+const struct nd_settings *nd_get_settings(const struct nd_node *node);
+
+/* Returns whether the node serves callers: configured, and not draining. */
+bool nd_is_ready(const struct nd_node *node);
+
+/* Another node may be met at that address and port. */
+void nd_add_seed(struct nd_node *node, const char *seed);
+
+/*
+ * Puts a gateway in force, which is referenced. One that is not newer than the
+ * present one changes nothing.
+ */
+void nd_set_gateway(struct nd_node *node, struct doc_gateway *gateway);
+
+/* Sets the failure domains that are out: NULL-terminated, copied. */
+void nd_set_domains_out(struct nd_node *node, const char *const *names);
+
+/* An order to move a service to a version within seconds; texts are copied. */
+struct nd_order {
+	const char *service;
+	const char *to;
+	uint64_t id; /* unique to the order */
+	uint32_t limit_ms;
+	enum doc_move_state state; /* as it is kept for all nodes */
+};
+
+/*
+ * The move of an order is at another state. The receiver keeps it for all
+ * nodes and hands the order over again; it is told again until then.
+ */
+typedef void (*nd_order_fn)(const struct nd_order *order, const char *reason,
+			    void *data);
+void nd_set_order_fn(struct nd_node *node, nd_order_fn fn, void *data);
+
+/* Takes the orders as they are kept: those that are not given are over. */
+void nd_set_orders(struct nd_node *node, const struct nd_order *orders,
+		   size_t count);
+
+/* What the target of this vm says of itself; texts are borrowed. */
+struct nd_heartbeat {
+	const char *instance;
+	const char *service;
+	const char *version;
+	const char *address; /* IP number */
+	uint16_t port;
+	uint64_t born_ms;  /* wall clock of its start */
+	uint64_t sequence; /* rises with each heartbeat of an instance */
+	uint32_t slots;
+	uint32_t cold_left_ms;
+	bool is_leaving;
+};
+
+/*
+ * Takes a heartbeat. One that is older than what is known changes nothing: it
+ * was delayed on the way.
+ */
+void nd_take_heartbeat(struct nd_node *node,
+		       const struct nd_heartbeat *heartbeat);
+
+/* The instance leaves for good; born_ms is 0 when it is not known. */
+void nd_take_departure(struct nd_node *node, const char *instance,
+		       uint64_t born_ms);
+
 /* Runs until a graceful shutdown has ended. Returns the exit code. */
 int nd_run_node(struct nd_node *node);
 
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -25,6 +25,7 @@
 static const struct rd_range linger_range = { 0, 600000 };
 
 static const struct nd_settings default_settings = {
+	.service = "",
 	.traffic_threads = 1,
 	.connections = 4096,
 	.idle_timeout_ms = 60000,
@@ -187,6 +188,20 @@
 		       &settings->shutdown_limit_ms);
 }
 
+static void read_source(struct rd_object *object, struct nd_settings *settings)
+{
+	const char *name = "documents";
+
+	rd_read_label(object, "service", RD_OPTIONAL, &settings->service);
+	if (!rd_read_text(object, "source", RD_OPTIONAL, &text_range, &name))
+		return;
+	if (strcmp(name, "gateway") == 0)
+		settings->source = ND_SOURCE_GATEWAY;
+	else if (strcmp(name, "documents") != 0)
+		rd_add_problem(object, "source",
+			       "got \"%s\", wanted documents or gateway", name);
+}
+
 static void read_fields(TALLOC_CTX *ctx, struct rd_object *object,
 			struct nd_settings *settings)
 {
@@ -194,6 +209,7 @@
 	read_address(object, settings);
 	rd_read_label(object, "failure_domain", RD_REQUIRED,
 		      &settings->failure_domain);
+	read_source(object, settings);
 	read_ports(object, settings);
 	read_platform(object, settings);
 	read_seeds(ctx, object, settings);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -8,7 +8,9 @@
 #include <stdint.h>
 #include <talloc.h>
 #include "loom/log.h"
+#include "loom/platform.h"
 #include "loom/problem.h"
+#include "loom/traffic.h"
 
 /* Configured round trip from the node's own failure domain to another. */
 struct nd_distance {
@@ -16,7 +18,15 @@
 	uint32_t round_trip_us;
 };
 
+/* Where the configuration of a node comes from. */
+enum nd_source {
+	ND_SOURCE_DOCUMENTS, /* service documents and the manifest */
+	ND_SOURCE_GATEWAY,   /* one gateway document, handed over */
+};
+
 struct nd_settings {
+	enum nd_source source;
+	const char *service; /* of the vm's target; "" when not told */
 	const char *address; /* IP number of this vm */
 	const char *failure_domain;
 	uint16_t call_port;
@@ -24,6 +34,8 @@
 	uint16_t admin_port;
 	uint16_t gossip_port;
 	const char *platform_url;
+	const struct plat_dialect *platform_dialect; /* not in the file */
+	const struct tr_names *header_names;	     /* not in the file */
 	const char *const *seeds; /* "ADDRESS:PORT"; NULL-terminated */
 	const struct nd_distance *distances;
 	size_t distance_count;
--- a/src/node/target.c
+++ b/src/node/target.c
@@ -9,6 +9,7 @@
 #include "internal.h"
 #include "loom/log.h"
 
+/* Announcements come every second or two; four may be lost or late. */
 #define HEARTBEAT_TIMEOUT_MS 6000U
 #define HEARTBEAT_CHECK_MS 500U
 
@@ -62,10 +63,11 @@
 		  "target announced", "service", target->service, "version",
 		  target->version, "phase", rt_get_phase_name(target->phase),
 		  LOG_END);
-	if (target->phase == RT_PHASE_LEAVING)
-		tr_drain_target(node->traffic);
-	else
-		tr_announce_target(
+	if (target->phase == RT_PHASE_LEAVING) {
+		nd_drain_target(node);
+		return;
+	}
+	tr_announce_target(
 			node->traffic,
 			&(struct tr_target){
 				.service = target->service,
@@ -80,6 +82,21 @@
 			    target->phase);
 }
 
+void nd_drain_target(struct nd_node *node)
+{
+	struct nd_target *target = &node->target;
+
+	if (!target->service)
+		return;
+	target->phase = RT_PHASE_LEAVING;
+	log_write(LOG_LEVEL_INFO, "node", "drain target", target->address,
+		  "target leaves", "service", target->service, "instance",
+		  target->instance, LOG_END);
+	tr_drain_target(node->traffic);
+	mem_announce_target(node->members, target->service, target->version,
+			    RT_PHASE_LEAVING);
+}
+
 static void check_heartbeat(uint64_t now_ms, void *data)
 {
 	struct nd_node *node = data;
--- a/src/traffic/connection.c
+++ b/src/traffic/connection.c
@@ -47,15 +47,14 @@
 
 static bool is_overdue(const struct tr_connection *connection, uint64_t now_ms)
 {
-	const struct tr_options *options =
-		&connection->thread->service->options;
+	const struct tr_service *service = connection->thread->service;
 
 	if (connection->call || connection->is_closing)
 		return false;
 	if (connection->request_ms)
 		return now_ms >=
-		       connection->request_ms + options->header_timeout_ms;
-	return now_ms >= connection->active_ms + options->idle_timeout_ms;
+		       connection->request_ms + service->header_timeout_ms;
+	return now_ms >= connection->active_ms + service->idle_timeout_ms;
 }
 
 static void sweep_connections(uint64_t now_ms, void *data)
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -113,6 +113,8 @@
 
 	assert(options->thread_count > 0);
 	service->options = *options;
+	service->idle_timeout_ms = options->idle_timeout_ms;
+	service->header_timeout_ms = options->header_timeout_ms;
 	service->options.address = talloc_strdup(service, options->address);
 	service->options.failure_domain =
 		talloc_strdup(service, options->failure_domain);
@@ -151,6 +153,13 @@
 	}
 }
 
+void tr_set_caller_limits(struct tr_service *service,
+			  const struct doc_caller_limits *limits)
+{
+	service->idle_timeout_ms = limits->idle_timeout_ms;
+	service->header_timeout_ms = limits->header_timeout_ms;
+}
+
 static void send_to_first(struct tr_service *service,
 			  const struct tr_command *command)
 {
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -108,6 +108,9 @@
 
 struct tr_service {
 	struct tr_options options;
+	/* Of callers' connections; set by control, read by the sweeps. */
+	_Atomic uint32_t idle_timeout_ms;
+	_Atomic uint32_t header_timeout_ms;
 	const char *hop_address; /* "ADDRESS:PORT" as peers know this node */
 	struct tr_counters counters;
 	struct tr_thread *threads;
