--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -7,6 +7,11 @@
  * finds what polls cannot: a store that was restored during an outage and has
  * passed the watch's revision again.
  *
+ * A store may hand out one event an answer, later than changes come: a watch
+ * that follows each of them falls behind. When events come in quick succession
+ * the watch lists at a fixed pace, which skips what was replaced meanwhile,
+ * until a list brings nothing new.
+ *
  * Invariant: exactly one of call and timer is set.
  */
 #include "client.h"
@@ -15,6 +20,11 @@
 #include "loom/error.h"
 
 #define WATCH_WAIT_MS 30000U
+/* Answers with events this soon after their poll are in quick succession. */
+#define WATCH_QUICK_MS 1000U
+#define WATCH_QUICK_COUNT 2U
+/* A fraction of the seconds within which a change is to be in force. */
+#define WATCH_BUSY_LIST_MS 500U
 #define WATCH_RELIST_MS 600000U
 #define WATCH_RELIST_JITTER_MS 60000U
 
@@ -30,6 +40,8 @@
 	uint64_t poll_sent_ms;
 	uint64_t relist_ms; /* when to list again */
 	bool is_listed;	    /* revision is that of a list or of later events */
+	uint32_t quick_count; /* polls in quick succession */
+	uint64_t newest;      /* highest revision of an object seen */
 };
 
 static void start_call(struct plat_watch *watch);
@@ -67,6 +79,23 @@
 		  watch->data);
 }
 
+/* Returns whether an object of the result is newer than all before. */
+static bool note_newest(struct plat_watch *watch,
+			const struct plat_result *result)
+{
+	uint64_t before = watch->newest;
+
+	for (size_t i = 0; i < result->object_count; i++)
+		watch->newest =
+			MAX(watch->newest, result->objects[i].revision);
+	return watch->newest > before;
+}
+
+static bool is_busy(const struct plat_watch *watch)
+{
+	return watch->quick_count >= WATCH_QUICK_COUNT;
+}
+
 static void handle_list(const struct plat_result *result, void *data)
 {
 	struct plat_watch *watch = data;
@@ -78,15 +107,30 @@
 	}
 	plat_reset_backoff(&watch->backoff);
 	watch->revision = result->revision;
-	watch->is_listed = true;
+	if (!note_newest(watch, result))
+		watch->quick_count = 0;
+	watch->is_listed = !is_busy(watch);
 	watch->relist_ms = tmr_get_now_ms(plat_get_timers(watch->client)) +
 			   WATCH_RELIST_MS +
 			   plat_choose_start_ms(plat_get_random(watch->client),
 						WATCH_RELIST_JITTER_MS);
-	wait_for(watch, 0);
+	wait_for(watch, is_busy(watch) ? WATCH_BUSY_LIST_MS : 0);
 	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
 }
 
+static void note_pace(struct plat_watch *watch,
+		      const struct plat_result *result)
+{
+	uint64_t now_ms = tmr_get_now_ms(plat_get_timers(watch->client));
+
+	note_newest(watch, result);
+	if (result->object_count > 0 &&
+	    now_ms < watch->poll_sent_ms + WATCH_QUICK_MS)
+		watch->quick_count++;
+	else
+		watch->quick_count = 0;
+}
+
 /* Whether a poll without events came back before its time. */
 static bool is_hasty(const struct plat_watch *watch,
 		     const struct plat_result *result)
@@ -117,6 +161,11 @@
 	if (result->revision < watch->revision)
 		watch->is_listed = false;
 	watch->revision = result->revision;
+	note_pace(watch, result);
+	if (is_busy(watch)) {
+		watch->is_listed = false;
+		wait_ms = WATCH_BUSY_LIST_MS;
+	}
 	wait_for(watch, wait_ms);
 	if (result->object_count > 0)
 		watch->fn(PLAT_WATCH_CHANGED, result, watch->data);
