Wait for all of the configuration before any call, and judge moves by the calls of all

Changes: list after a cut, waits of at most 500 ms, no call before gateway, moves and domains are known, evidence of one step only, pooled on two judges.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -268,9 +268,20 @@
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
 			    uint64_t now_ms);
 
-/* Adds calls that ended, of one version and route. */
+/*
+ * Adds calls that ended, of one version and route. Calls of the time in which
+ * the new version has all calls have nothing to be compared with; they do not
+ * count.
+ */
 void mv_note_ramp_counts(struct mv_ramp *ramp, const char *version,
-			 const char *route, const struct mv_counts *counts);
+			 const char *route, const struct mv_counts *counts,
+			 uint64_t now_ms);
+
+/* Returns counts as a JSON array for another node, a new reference. */
+json_t *mv_format_counts(const struct mv_counts *counts);
+
+/* Fills counts; returns false when the value is not of that form. */
+bool mv_parse_counts(const json_t *value, struct mv_counts *counts);
 
 /* Returns the share of the new version; 0 once it was found bad. */
 uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms);
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -100,6 +100,16 @@
 	uint32_t calls_per_second; /* token bucket of this process */
 	uint32_t burst_calls;
 	uint32_t retry_wait_ms_max; /* between tries, drawn with full jitter */
+	/*
+	 * Pace at which a watch lists while events come in quick succession,
+	 * to skip what was replaced meanwhile; 0: it follows every event.
+	 */
+	uint32_t busy_list_ms;
+	/*
+	 * A watch that was cut lists instead of resuming: for a store that may
+	 * drop its history without telling a watch that waits.
+	 */
+	bool is_cut_relisted;
 	uint32_t start_jitter_ms;   /* at most, before a watch's first list */
 	const struct plat_dialect *dialect;
 	uint64_t seed; /* of the jitter; must differ from process to process */
@@ -189,6 +199,9 @@
 				     const char *prefix, plat_watch_fn fn,
 				     void *data);
 
+/* Has the watch list soon: something newer is known to be there. */
+void plat_relist_watch(struct plat_watch *watch);
+
 struct plat_lease;
 
 #define PLAT_LEASE_DURATION_MS_MIN 30U
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -3,12 +3,14 @@
  *
  * A small share probes the new version for the first part of the time; then
  * the share rises in a few steps, so that a version that is bad only under load
- * shows while it has less than all calls. Evidence adds up over the whole ramp,
- * by route and over all routes. The new version is bad when so many failed or
- * slow calls would be very rare at the rate of the old version.
+ * shows while it has less than all calls. Evidence adds up over one step, by
+ * route and over all routes: a fault that hits both versions must not weigh on
+ * the new one alone because the old one has better days behind it. The new
+ * version is bad when so many failed or slow calls would be very rare at the
+ * rate of the old version.
  *
- * Invariant: evidence[0] counts all routes; once reason is set, the ramp is
- * taken back for good.
+ * Invariants: evidence[0] counts all routes, and all evidence is of the present
+ * step; once reason is set, the ramp is taken back for good.
  */
 #include <math.h>
 #include <string.h>
@@ -37,6 +39,7 @@
 #define ROUTES_MAX 32U
 
 static const uint32_t step_shares_permille[] = { 200, 500 };
+#define FULL_STEP (1U + G_N_ELEMENTS(step_shares_permille))
 
 struct evidence {
 	char route[MV_NAME_SIZE]; /* "": all routes */
@@ -48,6 +51,7 @@
 	char to[MV_NAME_SIZE];
 	uint64_t start_ms;
 	uint32_t limit_ms;
+	uint32_t step; /* that the evidence is of: 0 is the probe */
 	uint32_t evidence_count;
 	struct evidence evidence[ROUTES_MAX + 1];
 	char reason[256]; /* "": not found bad */
@@ -174,6 +178,27 @@
 	       (uint64_t)G_N_ELEMENTS(step_shares_permille) * STEP_MS;
 }
 
+/* Returns the step in force; one behind the last has all calls. */
+static uint32_t get_step(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint64_t elapsed_ms = now_ms - ramp->start_ms;
+
+	if (elapsed_ms < get_probe_ms(ramp))
+		return 0;
+	if (elapsed_ms >= get_full_ms(ramp))
+		return FULL_STEP;
+	return 1 + (uint32_t)((elapsed_ms - get_probe_ms(ramp)) / STEP_MS);
+}
+
+static void begin_step(struct mv_ramp *ramp, uint32_t step)
+{
+	if (ramp->step == step)
+		return;
+	ramp->step = step;
+	memset(ramp->evidence, 0, sizeof(ramp->evidence));
+	ramp->evidence_count = 1;
+}
+
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
 			    uint64_t now_ms)
 {
@@ -193,11 +218,17 @@
 }
 
 void mv_note_ramp_counts(struct mv_ramp *ramp, const char *version,
-			 const char *route, const struct mv_counts *counts)
+			 const char *route, const struct mv_counts *counts,
+			 uint64_t now_ms)
 {
 	bool is_new = strcmp(version, ramp->to) == 0;
-	struct evidence *evidence = get_evidence(ramp, route);
+	uint32_t step = get_step(ramp, now_ms);
+	struct evidence *evidence;
 
+	if (step == FULL_STEP)
+		return;
+	begin_step(ramp, step);
+	evidence = get_evidence(ramp, route);
 	add_counts(&ramp->evidence[0], is_new, counts);
 	if (evidence)
 		add_counts(evidence, is_new, counts);
@@ -205,16 +236,14 @@
 
 uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms)
 {
-	uint64_t elapsed_ms = now_ms - ramp->start_ms;
-	uint64_t probe_ms = get_probe_ms(ramp);
+	uint32_t step = get_step(ramp, now_ms);
 
 	if (*ramp->reason)
 		return 0;
-	if (elapsed_ms < probe_ms)
+	if (step == 0)
 		return PROBE_SHARE_PERMILLE;
-	if (elapsed_ms >= get_full_ms(ramp))
-		return DOC_SHARE_ALL_PERMILLE;
-	return step_shares_permille[(elapsed_ms - probe_ms) / STEP_MS];
+	return step == FULL_STEP ? DOC_SHARE_ALL_PERMILLE
+				 : step_shares_permille[step - 1];
 }
 
 enum mv_ramp_verdict mv_judge_ramp(struct mv_ramp *ramp, uint64_t now_ms)
@@ -231,6 +260,39 @@
 	return MV_RAMP_GO_ON;
 }
 
+json_t *mv_format_counts(const struct mv_counts *counts)
+{
+	json_t *array = json_array();
+
+	json_array_append_new(array, json_integer(counts->calls));
+	json_array_append_new(array, json_integer(counts->failed));
+	for (uint32_t i = 0; i < MV_LATENCY_BUCKETS; i++)
+		json_array_append_new(array, json_integer(counts->latency[i]));
+	return array;
+}
+
+bool mv_parse_counts(const json_t *value, struct mv_counts *counts)
+{
+	memset(counts, 0, sizeof(*counts));
+	if (json_array_size(value) != 2 + MV_LATENCY_BUCKETS)
+		return false;
+	for (size_t i = 0; i < json_array_size(value); i++) {
+		const json_t *item = json_array_get(value, i);
+		json_int_t number = json_integer_value(item);
+
+		if (!json_is_integer(item) || number < 0 ||
+		    number > UINT32_MAX)
+			return false;
+		if (i == 0)
+			counts->calls = (uint32_t)number;
+		else if (i == 1)
+			counts->failed = (uint32_t)number;
+		else
+			counts->latency[i - 2] = (uint32_t)number;
+	}
+	return counts->failed <= counts->calls;
+}
+
 const char *mv_get_ramp_reason(const struct mv_ramp *ramp)
 {
 	return ramp->reason;
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -158,11 +158,19 @@
 
 static void handle_report(struct nd_node *node, struct web_request *request)
 {
-	if (node->release)
+	size_t size;
+	const char *body;
+	json_t *json;
+
+	if (node->release) {
 		rls_handle_report(node->release, request);
-	else
-		web_reply_error(request, MHD_HTTP_NOT_FOUND,
-				"this node has no moves of documents");
+		return;
+	}
+	body = web_get_body(request, &size);
+	json = json_loadb(body, size, 0, NULL);
+	nd_take_reports(node, json);
+	json_decref(json);
+	web_reply_json(request, MHD_HTTP_OK, json_object());
 }
 
 typedef void (*admin_fn)(struct nd_node *node, struct web_request *request);
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -6,22 +6,30 @@
  * move by itself; the state of a move is kept elsewhere for all nodes, and the
  * node asks for a change of it by order_fn.
  *
- * Invariant: snapshot is set exactly when gateway is.
+ * Invariant: snapshot is set once the gateway, the moves and the failure domains
+ * that are out are all known: with less, calls could go where they must not.
  */
 #include <string.h>
 #include <xxhash.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "reports.h"
 
 #define TICK_MS 200U
 /* A node asks this long after the one that is asked to go first. */
 #define TURN_MS 700U
+/* Nodes that get the calls of all: one may be lost during a move. */
+#define JUDGES 2U
+/* A node that is no judge asks to take a move back after this time only. */
+#define OWN_FINDING_MS 1500U
 /* A request that led to no change of state is repeated. */
 #define ASK_AGAIN_MS 1500U
 
 struct nd_move {
 	struct nd_order order;
-	struct mv_ramp *ramp;
+	struct mv_ramp *ramp; /* judged by the calls of this node */
+	struct mv_ramp *pool; /* by those of all, while this node is a judge */
+	json_t *unsent;	      /* counts that the judges do not have yet */
 	uint32_t share_permille; /* in the snapshot */
 	uint64_t wanted_ms;	 /* since when a change is wanted; 0: none */
 	enum doc_move_state wanted;
@@ -45,14 +53,13 @@
 
 static void build_snapshot(struct nd_gateway_state *state)
 {
-	static const char *const no_domains[] = { NULL };
 	struct doc_gateway_move *moves;
 	struct doc_snapshot *old = state->snapshot;
 	GHashTableIter iter;
 	gpointer value;
 	size_t count = 0;
 
-	if (!state->gateway)
+	if (!state->gateway || !state->domains_out || !state->are_orders_known)
 		return;
 	moves = talloc_zero_array(NULL, struct doc_gateway_move,
 				  g_hash_table_size(state->moves));
@@ -60,42 +67,80 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		fill_move(value, &moves[count++]);
 	state->snapshot = doc_build_gateway_snapshot(
-		state->gateway, moves, count,
-		state->domains_out ? state->domains_out : no_domains);
+		state->gateway, moves, count, state->domains_out);
 	talloc_free(moves);
 	doc_unref_snapshot(old);
 	nd_update_table(get_node(state));
 }
 
-static bool is_known_address(const struct mem_member *member)
+/* Place of a node in an order that differs from service to service. */
+static uint64_t get_place(const char *service, const char *address)
 {
-	return member->state == MEM_STATE_ALIVE;
+	return XXH3_64bits_withSeed(address, strlen(address),
+				    XXH3_64bits(service, strlen(service)));
 }
 
-/*
- * Returns how many live nodes go before this one in an order that differs from
- * service to service.
- */
-static uint32_t get_turn(struct nd_node *node, const char *service)
+/* Returns how many live nodes go before the node of that address. */
+static uint32_t get_turn(struct nd_node *node, const char *service,
+			 const char *address)
 {
 	const struct mem_member *members;
 	size_t count = mem_list_members(node->members, &members);
-	uint64_t seed = XXH3_64bits(service, strlen(service));
-	const char *own = node->settings->address;
-	uint64_t own_hash = XXH3_64bits_withSeed(own, strlen(own), seed);
+	uint64_t place = get_place(service, address);
 	uint32_t turn = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		const char *address = members[i].self.address;
-
-		if (is_known_address(&members[i]) &&
-		    XXH3_64bits_withSeed(address, strlen(address), seed) <
-			    own_hash)
+		if (members[i].state == MEM_STATE_ALIVE &&
+		    get_place(service, members[i].self.address) < place)
 			turn++;
 	}
 	return turn;
 }
 
+static bool is_judge(struct nd_node *node, const char *service)
+{
+	return get_turn(node, service, node->settings->address) < JUDGES;
+}
+
+/* Sends the counts since the last time to the judges of the move. */
+static void report_move(struct nd_node *node, struct nd_move *move)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+	json_t *report;
+
+	if (json_array_size(move->unsent) == 0)
+		return;
+	report = json_pack("{s:s,s:I,s:O}", "service", move->order.service,
+			   "id", (json_int_t)move->order.id, "series",
+			   move->unsent);
+	for (size_t i = 0; i < count; i++) {
+		const struct mem_self *self = &members[i].self;
+		char *judge;
+
+		if (members[i].state != MEM_STATE_ALIVE ||
+		    strcmp(self->address, node->settings->address) == 0 ||
+		    get_turn(node, move->order.service, self->address) >=
+			    JUDGES)
+			continue;
+		judge = talloc_asprintf(node, "%s:%u", self->address,
+					self->admin_port);
+		rls_add_report(node->gateway.reports, judge,
+			       json_incref(report));
+		talloc_free(judge);
+	}
+	json_decref(report);
+	json_decref(move->unsent);
+	move->unsent = json_array();
+}
+
+static const char *get_reason(const struct nd_move *move)
+{
+	const char *reason = mv_get_ramp_reason(move->pool);
+
+	return *reason ? reason : mv_get_ramp_reason(move->ramp);
+}
+
 /* Asks for a state when it is this node's turn and nobody did so yet. */
 static void want_state(struct nd_node *node, struct nd_move *move,
 		       enum doc_move_state wanted, uint64_t now_ms)
@@ -108,17 +153,18 @@
 		move->wanted_ms = now_ms;
 		move->asked_ms = 0;
 	}
-	turn_ms = (uint64_t)get_turn(node, order.service) * TURN_MS;
-	/* Whoever finds a version bad says so at once. */
+	turn_ms = (uint64_t)get_turn(node, order.service,
+				     node->settings->address) *
+		  TURN_MS;
 	if (wanted == DOC_MOVE_TAKEN_BACK)
-		turn_ms = 0;
+		turn_ms = is_judge(node, order.service) ? 0 : OWN_FINDING_MS;
 	if (now_ms < move->wanted_ms + turn_ms ||
 	    (move->asked_ms > 0 && now_ms < move->asked_ms + ASK_AGAIN_MS))
 		return;
 	move->asked_ms = now_ms;
 	order.state = wanted;
 	if (node->gateway.order_fn)
-		node->gateway.order_fn(&order, mv_get_ramp_reason(move->ramp),
+		node->gateway.order_fn(&order, get_reason(move),
 				       node->gateway.order_data);
 }
 
@@ -130,6 +176,8 @@
 	case DOC_MOVE_WAITING:
 	case DOC_MOVE_RUNNING:
 	case DOC_MOVE_SOAKING:
+		if (*mv_get_ramp_reason(move->pool))
+			return 0;
 		return mv_get_ramp_share(move->ramp, now_ms);
 	case DOC_MOVE_DONE:
 		return DOC_SHARE_ALL_PERMILLE;
@@ -142,10 +190,17 @@
 static void drive_move(struct nd_node *node, struct nd_move *move,
 		       uint64_t now_ms)
 {
+	enum mv_ramp_verdict verdict;
+
 	if (move->order.state == DOC_MOVE_DONE ||
 	    move->order.state == DOC_MOVE_TAKEN_BACK)
 		return;
-	switch (mv_judge_ramp(move->ramp, now_ms)) {
+	report_move(node, move);
+	verdict = mv_judge_ramp(move->ramp, now_ms);
+	if (is_judge(node, move->order.service) &&
+	    mv_judge_ramp(move->pool, now_ms) == MV_RAMP_TAKE_BACK)
+		verdict = MV_RAMP_TAKE_BACK;
+	switch (verdict) {
 	case MV_RAMP_TAKE_BACK:
 		want_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
 		break;
@@ -182,10 +237,17 @@
 		drive_move(node, value, now_ms);
 		is_changed |= update_share(value, now_ms);
 	}
+	rls_send_reports(node->gateway.reports, false);
 	if (is_changed)
 		build_snapshot(&node->gateway);
 }
 
+static int destroy_move(struct nd_move *move)
+{
+	json_decref(move->unsent);
+	return 0;
+}
+
 static void free_move(gpointer data)
 {
 	talloc_free(data);
@@ -195,12 +257,15 @@
 				const struct nd_order *order)
 {
 	struct nd_move *move = talloc_zero(node, struct nd_move);
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
 
 	move->order = *order;
 	move->order.service = talloc_strdup(move, order->service);
 	move->order.to = talloc_strdup(move, order->to);
-	move->ramp = mv_new_ramp(move, order->to, order->limit_ms,
-				 tmr_get_now_ms(node->timers));
+	move->ramp = mv_new_ramp(move, order->to, order->limit_ms, now_ms);
+	move->pool = mv_new_ramp(move, order->to, order->limit_ms, now_ms);
+	move->unsent = json_array();
+	talloc_set_destructor(move, destroy_move);
 	return move;
 }
 
@@ -234,11 +299,24 @@
 	return false;
 }
 
-void nd_open_gateway(struct nd_node *node)
+/* A judge's word on held moves belongs to moves of documents. */
+static void pass_over_word(const char *service, void *data)
+{
+}
+
+bool nd_open_gateway(struct nd_node *node, GError **error)
 {
+	struct rls_options options = { .events = node->events,
+				       .counters = node->counters };
+
+	node->gateway.reports = rls_new_reports(node, &options, pass_over_word,
+						node, error);
+	if (!node->gateway.reports)
+		return false;
 	node->gateway.moves = g_hash_table_new_full(g_str_hash, g_str_equal,
 						    NULL, free_move);
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
+	return true;
 }
 
 void nd_close_gateway(struct nd_node *node)
@@ -255,14 +333,66 @@
 void nd_note_gateway_sample(struct nd_node *node,
 			    const struct tr_sample *sample)
 {
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
 	struct nd_move *move;
 
-	if (!node->gateway.moves)
+	if (!node->gateway.moves || sample->counts.calls == 0)
 		return;
 	move = g_hash_table_lookup(node->gateway.moves, sample->service);
-	if (move)
-		mv_note_ramp_counts(move->ramp, sample->version, sample->route,
-				    &sample->counts);
+	if (!move || move->order.state == DOC_MOVE_DONE ||
+	    move->order.state == DOC_MOVE_TAKEN_BACK)
+		return;
+	mv_note_ramp_counts(move->ramp, sample->version, sample->route,
+			    &sample->counts, now_ms);
+	mv_note_ramp_counts(move->pool, sample->version, sample->route,
+			    &sample->counts, now_ms);
+	json_array_append_new(
+		move->unsent,
+		json_pack("[s,s,o]", sample->version, sample->route,
+			  mv_format_counts(&sample->counts)));
+}
+
+static void take_series(struct nd_move *move, const json_t *series,
+			uint64_t now_ms)
+{
+	const char *version = json_string_value(json_array_get(series, 0));
+	const char *route = json_string_value(json_array_get(series, 1));
+	struct mv_counts counts;
+
+	if (version && route &&
+	    mv_parse_counts(json_array_get(series, 2), &counts))
+		mv_note_ramp_counts(move->pool, version, route, &counts,
+				    now_ms);
+}
+
+static void take_report(struct nd_node *node, const json_t *report)
+{
+	const char *service =
+		json_string_value(json_object_get(report, "service"));
+	json_int_t id = json_integer_value(json_object_get(report, "id"));
+	struct nd_move *move = NULL;
+	const json_t *series;
+	size_t i;
+
+	if (service)
+		move = g_hash_table_lookup(node->gateway.moves, service);
+	if (!move || move->order.id != (uint64_t)id)
+		return;
+	json_array_foreach(json_object_get(report, "series"), i, series)
+	{
+		take_series(move, series, tmr_get_now_ms(node->timers));
+	}
+}
+
+void nd_take_reports(struct nd_node *node, const json_t *body)
+{
+	const json_t *report;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "reports"), i, report)
+	{
+		take_report(node, report);
+	}
 }
 
 const char *nd_get_version_class(const struct nd_node *node,
@@ -333,5 +463,6 @@
 		if (!is_given(orders, count, key))
 			g_hash_table_iter_remove(&iter);
 	}
+	state->are_orders_known = true;
 	build_snapshot(state);
 }
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -50,8 +50,10 @@
 struct nd_gateway_state {
 	struct doc_gateway *gateway;   /* NULL: none yet */
 	struct doc_snapshot *snapshot; /* of gateway, moves and domains */
-	const char **domains_out;
+	const char **domains_out; /* NULL: not known yet */
+	bool are_orders_known;
 	GHashTable *moves; /* service to struct nd_move */
+	struct rls_reports *reports;
 	nd_order_fn order_fn;
 	void *order_data;
 };
@@ -100,11 +102,14 @@
 void nd_update_table(struct nd_node *node);
 
 /* gateway.c: starts and ends the state; counts calls for the moves. */
-void nd_open_gateway(struct nd_node *node);
+bool nd_open_gateway(struct nd_node *node, GError **error);
 void nd_close_gateway(struct nd_node *node);
 void nd_note_gateway_sample(struct nd_node *node,
 			    const struct tr_sample *sample);
 
+/* gateway.c: takes the counts of other nodes for the moves judged here. */
+void nd_take_reports(struct nd_node *node, const json_t *body);
+
 /* Returns the version class that a target's calls are split by (borrowed). */
 const char *nd_get_version_class(const struct nd_node *node,
 				 const char *service, const char *version);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -11,6 +11,13 @@
 #include "loom/log.h"
 
 #define ADMIN_BODY_BYTES_MAX (4U * 1024U * 1024U)
+/*
+ * A gateway's change is to be in force within 2 s, also right after the store
+ * was out: each of these is a fraction of that.
+ */
+#define STORE_BUSY_LIST_MS 500U
+#define STORE_RETRY_WAIT_MS 500U
+#define STORE_START_JITTER_MS 100U
 
 static uint32_t get_distance_us(const struct nd_node *node, const char *domain)
 {
@@ -156,6 +163,12 @@
 
 	plat_set_default_options(&options, node->settings->platform_url);
 	options.seed = g_str_hash(node->settings->address);
+	if (node->settings->source == ND_SOURCE_GATEWAY) {
+		options.is_cut_relisted = true;
+		options.busy_list_ms = STORE_BUSY_LIST_MS;
+		options.retry_wait_ms_max = STORE_RETRY_WAIT_MS;
+		options.start_jitter_ms = STORE_START_JITTER_MS;
+	}
 	if (node->settings->platform_dialect)
 		options.dialect = node->settings->platform_dialect;
 	node->platform = plat_new_client(node, node->events, node->timers,
@@ -300,8 +313,7 @@
 	case ND_SOURCE_DOCUMENTS:
 		return open_release(node, error) && open_spread(node, error);
 	case ND_SOURCE_GATEWAY:
-		nd_open_gateway(node);
-		return true;
+		return nd_open_gateway(node, error);
 	}
 	return false;
 }
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -8,9 +8,9 @@
  * passed the watch's revision again.
  *
  * A store may hand out one event an answer, later than changes come: a watch
- * that follows each of them falls behind. When events come in quick succession
- * the watch lists at a fixed pace, which skips what was replaced meanwhile,
- * until a list brings nothing new.
+ * that follows each of them falls behind. With busy_list_ms set, a watch whose
+ * events come in quick succession lists at that pace until a list brings
+ * nothing new.
  *
  * Invariant: exactly one of call and timer is set.
  */
@@ -23,8 +23,6 @@
 /* Answers with events this soon after their poll are in quick succession. */
 #define WATCH_QUICK_MS 1000U
 #define WATCH_QUICK_COUNT 2U
-/* A fraction of the seconds within which a change is to be in force. */
-#define WATCH_BUSY_LIST_MS 500U
 #define WATCH_RELIST_MS 600000U
 #define WATCH_RELIST_JITTER_MS 60000U
 
@@ -68,8 +66,10 @@
 	bool is_gone = g_error_matches(result->error, ERR_DOMAIN, ERR_GONE);
 	bool is_stale = is_gone && !watch->is_listed;
 
-	if (is_gone)
+	if (is_gone || plat_get_options(watch->client)->is_cut_relisted)
 		watch->is_listed = false;
+	if (is_gone)
+		watch->quick_count = 0;
 	else if (!g_error_matches(result->error, ERR_DOMAIN,
 				  ERR_UNKNOWN_OUTCOME))
 		plat_note_overload(&watch->backoff);
@@ -91,9 +91,15 @@
 	return watch->newest > before;
 }
 
+static uint32_t get_busy_list_ms(const struct plat_watch *watch)
+{
+	return plat_get_options(watch->client)->busy_list_ms;
+}
+
 static bool is_busy(const struct plat_watch *watch)
 {
-	return watch->quick_count >= WATCH_QUICK_COUNT;
+	return get_busy_list_ms(watch) > 0 &&
+	       watch->quick_count >= WATCH_QUICK_COUNT;
 }
 
 static void handle_list(const struct plat_result *result, void *data)
@@ -114,7 +120,7 @@
 			   WATCH_RELIST_MS +
 			   plat_choose_start_ms(plat_get_random(watch->client),
 						WATCH_RELIST_JITTER_MS);
-	wait_for(watch, is_busy(watch) ? WATCH_BUSY_LIST_MS : 0);
+	wait_for(watch, is_busy(watch) ? get_busy_list_ms(watch) : 0);
 	watch->fn(PLAT_WATCH_LISTED, result, watch->data);
 }
 
@@ -164,7 +170,7 @@
 	note_pace(watch, result);
 	if (is_busy(watch)) {
 		watch->is_listed = false;
-		wait_ms = WATCH_BUSY_LIST_MS;
+		wait_ms = get_busy_list_ms(watch);
 	}
 	wait_for(watch, wait_ms);
 	if (result->object_count > 0)
@@ -205,3 +211,12 @@
 				plat_get_options(client)->start_jitter_ms));
 	return watch;
 }
+
+void plat_relist_watch(struct plat_watch *watch)
+{
+	if (!watch->call || !watch->is_listed)
+		return;
+	watch->is_listed = false;
+	TALLOC_FREE(watch->call);
+	wait_for(watch, 0);
+}
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -111,6 +111,12 @@
 void tr_admit_call(struct tr_call *call)
 {
 	read_hop_headers(call);
+	/* Without a table the bounds of the target are not known. */
+	if (!call->thread->table) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "not_ready",
+			       true);
+		return;
+	}
 	ask_gate(call, call->version);
 }
 
--- a/src/traffic/samples.c
+++ b/src/traffic/samples.c
@@ -2,9 +2,9 @@
  * Counts of ended attempts on their way from the traffic threads to control.
  *
  * A thread keeps one record a series (service, route, version, target) for the
- * present slot. When the slot is over the whole table is pushed on a queue, the
- * control thread is woken, and a new table begins: no lock, and no work on the
- * control thread that grows with the calls.
+ * present slot. A few times a second, and when the slot is over, the whole table
+ * is pushed on a queue, the control thread is woken, and a new table begins: no
+ * lock, and no work on the control thread that grows with the calls.
  */
 #include "samples.h"
 
@@ -93,7 +93,10 @@
 
 static void handle_period(uint64_t now_ms, void *data)
 {
-	end_slot(data);
+	struct tr_thread *thread = data;
+
+	hand_over(thread);
+	thread->sample_slot = mv_get_slot(tmr_get_wall_ms(thread->timers));
 }
 
 static struct sample_record *copy_record(const struct tr_sample *sample)
