--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -54,6 +54,12 @@
 /* Returns the curl multi handle (borrowed), for its options. */
 CURLM *hc_get_multi(struct hc_loop *loop);
 
+/*
+ * Bounds how long a transfer depends on a peer that fell silent: the time to
+ * connect, and by probes of the kernel the time of a connection without word.
+ */
+void hc_guard_transfer(CURL *easy, uint32_t connect_timeout_ms);
+
 /* Starts a transfer; the loop uses CURLOPT_PRIVATE. easy stays the caller's. */
 bool hc_add_transfer(struct hc_loop *loop, CURL *easy, hc_done_fn fn,
 		     void *data, GError **error);
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -115,6 +115,9 @@
 /* Answers carry "Connection: close" from now on. */
 void tr_begin_drain(struct tr_service *service);
 
+/* Callers' new calls are refused from now on, while the others end. */
+void tr_refuse_callers(struct tr_service *service);
+
 /* Returns how many calls are under way in all threads. */
 uint32_t tr_get_call_count(const struct tr_service *service);
 
--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -8,9 +8,21 @@
 #include "loom/http.h"
 
 #include <assert.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include "loom/error.h"
 #include "loom/timer.h"
 
+/*
+ * A silent connection is given up within 2 to 3 s: sooner than a change has to
+ * be in force after a partition heals.
+ */
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT 2
+#define UNACKED_TIMEOUT_MS 2000U
+
 struct transfer {
 	hc_done_fn fn;
 	void *data;
@@ -168,6 +180,32 @@
 	return loop->multi;
 }
 
+/* Without these a connection that was cut silently lives for minutes. */
+static int set_probes(void *data, curl_socket_t socket, curlsocktype purpose)
+{
+	static const int on = 1;
+	static const int idle_s = PROBE_IDLE_S;
+	static const int interval_s = PROBE_INTERVAL_S;
+	static const int count = PROBE_COUNT;
+	static const unsigned int timeout_ms = UNACKED_TIMEOUT_MS;
+
+	setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+		   sizeof(interval_s));
+	setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		   sizeof(timeout_ms));
+	return CURL_SOCKOPT_OK;
+}
+
+void hc_guard_transfer(CURL *easy, uint32_t connect_timeout_ms)
+{
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)connect_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_probes);
+}
+
 bool hc_add_transfer(struct hc_loop *loop, CURL *easy, hc_done_fn fn,
 		     void *data, GError **error)
 {
--- a/src/http/client_request.c
+++ b/src/http/client_request.c
@@ -9,6 +9,9 @@
 #include <string.h>
 #include "loom/error.h"
 
+/* Many round trips, and a packet that is lost and sent again. */
+#define CONNECT_TIMEOUT_MS 1000U
+
 struct hc_request {
 	struct hc_loop *loop;
 	CURL *easy;
@@ -122,6 +125,7 @@
 	}
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+	hc_guard_transfer(easy, MIN(options->timeout_ms, CONNECT_TIMEOUT_MS));
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect_answer);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, request);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, count_send);
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -84,6 +84,7 @@
 	struct nd_target target;
 	enum nd_phase phase;
 	uint64_t drain_start_ms;
+	bool is_refusing; /* callers' new calls */
 	struct tmr_subscription *drain_poll;
 	int exit_code;
 };
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -31,6 +31,7 @@
 	.idle_timeout_ms = 60000,
 	.header_timeout_ms = 10000,
 	.drain_linger_ms = 5000,
+	.drain_refuse_ms = 50000,
 	.shutdown_limit_ms = 60000,
 	.log_level = LOG_LEVEL_INFO,
 };
@@ -184,6 +185,8 @@
 		       &settings->header_timeout_ms);
 	rd_read_uint32(object, "drain_linger_ms", RD_OPTIONAL, &linger_range,
 		       &settings->drain_linger_ms);
+	rd_read_uint32(object, "drain_refuse_ms", RD_OPTIONAL, &linger_range,
+		       &settings->drain_refuse_ms);
 	rd_read_uint32(object, "shutdown_limit_ms", RD_OPTIONAL, &linger_range,
 		       &settings->shutdown_limit_ms);
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -44,6 +44,7 @@
 	uint32_t idle_timeout_ms;
 	uint32_t header_timeout_ms;
 	uint32_t drain_linger_ms;
+	uint32_t drain_refuse_ms; /* from then on new calls are refused */
 	uint32_t shutdown_limit_ms;
 	enum log_level log_level;
 };
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -1,7 +1,8 @@
 /*
  * Graceful shutdown: on SIGTERM the node says goodbye to its peers, refuses new
  * work for its target, answers with "Connection: close", and ends when no call
- * is under way and the linger has passed. A second signal, or the limit in the
+ * is under way and the linger has passed. Callers that still come late are
+ * refused, so that their calls are not cut at the limit. A second signal, or the limit in the
  * settings, ends it at once and logs how many calls that cut.
  */
 #include <signal.h>
@@ -31,6 +32,11 @@
 	bool is_idle = tr_get_call_count(node->traffic) == 0;
 	bool is_lingered = elapsed_ms >= node->settings->drain_linger_ms;
 
+	if (!node->is_refusing &&
+	    elapsed_ms >= node->settings->drain_refuse_ms) {
+		node->is_refusing = true;
+		tr_refuse_callers(node->traffic);
+	}
 	if ((is_idle && is_lingered) ||
 	    elapsed_ms >= node->settings->shutdown_limit_ms)
 		end_node(node);
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -7,6 +7,9 @@
 #include "call.h"
 #include "loom/error.h"
 
+/* A node that does not answer by then is cut off; another can still serve. */
+#define CONNECT_TIMEOUT_MS 200U
+
 static size_t read_upload(char *target, size_t size, size_t count, void *data)
 {
 	struct tr_call *call = data;
@@ -96,6 +99,7 @@
 	g_free(url);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	hc_guard_transfer(easy, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	if (g_strcmp0(call->method, MHD_HTTP_METHOD_HEAD) == 0)
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -168,6 +168,11 @@
 {
 	uint64_t depth = 0;
 
+	if (call->thread->is_refusing) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "draining",
+			       true);
+		return;
+	}
 	if (!call->thread->table) {
 		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "not_ready",
 			       true);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -206,15 +206,25 @@
 	send_to_first(service, &command);
 }
 
-void tr_begin_drain(struct tr_service *service)
+static void send_to_all(struct tr_service *service, enum tr_command_kind kind)
 {
-	struct tr_command command = { .kind = TR_COMMAND_BEGIN_DRAIN };
+	struct tr_command command = { .kind = kind };
 
 	for (uint32_t i = 0; i < service->options.thread_count; i++)
 		tr_send_command(&service->threads[i],
 				g_memdup2(&command, sizeof(command)));
 }
 
+void tr_begin_drain(struct tr_service *service)
+{
+	send_to_all(service, TR_COMMAND_BEGIN_DRAIN);
+}
+
+void tr_refuse_callers(struct tr_service *service)
+{
+	send_to_all(service, TR_COMMAND_REFUSE_CALLERS);
+}
+
 uint32_t tr_get_call_count(const struct tr_service *service)
 {
 	uint32_t count = 0;
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -103,6 +103,9 @@
 	case TR_COMMAND_BEGIN_DRAIN:
 		thread->is_draining = true;
 		break;
+	case TR_COMMAND_REFUSE_CALLERS:
+		thread->is_refusing = true;
+		break;
 	case TR_COMMAND_STOP:
 		thread->is_stopped = true;
 		break;
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -53,6 +53,7 @@
 	TR_COMMAND_DRAIN_TARGET,
 	TR_COMMAND_HINT,
 	TR_COMMAND_BEGIN_DRAIN,
+	TR_COMMAND_REFUSE_CALLERS,
 	TR_COMMAND_STOP,
 };
 
@@ -99,6 +100,7 @@
 	int hangup_fd;	    /* epoll set of the callers' sockets */
 	GQueue connections; /* struct tr_connection, longest idle first */
 	bool is_draining;
+	bool is_refusing; /* callers' new calls */
 	bool is_stopped;
 	uint64_t random_state;
 	GHashTable *samples; /* of the present slot; see samples.c */
