--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -1,7 +1,9 @@
 /*
- * Logs: one JSON object a line on standard error, written through log4c.
+ * Logs: one JSON object a line on standard output, composed through log4c.
  *
- * Safe to call from every thread after log_open().
+ * Safe to call from every thread after log_open(). A call never waits for the
+ * reader of the log: lines that do not fit into the queue are left out, and a
+ * line says how many.
  */
 #ifndef LOOM_LOG_H
 #define LOOM_LOG_H
@@ -21,7 +23,10 @@
  */
 void log_open(const char *program, enum log_level level);
 
-/* Closes the log: lines are dropped until it is opened again. */
+/*
+ * Writes what waits and closes the log: lines are dropped until it is opened
+ * again. No other thread may write lines meanwhile.
+ */
 void log_close(void);
 
 /* Ends the pairs of log_write(). */
--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -289,7 +289,8 @@
 /* Returns what the calls and the time say; a bad version stays bad. */
 enum mv_ramp_verdict mv_judge_ramp(struct mv_ramp *ramp, uint64_t now_ms);
 
-/* Returns why, for operators: "route r: 6 of 9 calls failed, ..." (borrowed). */
+/* Returns why, for operators: "route r: 6 of 9 calls failed, ..." (borrowed).
+ */
 const char *mv_get_ramp_reason(const struct mv_ramp *ramp);
 
 /*
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -110,7 +110,7 @@
 	 * drop its history without telling a watch that waits.
 	 */
 	bool is_cut_relisted;
-	uint32_t start_jitter_ms;   /* at most, before a watch's first list */
+	uint32_t start_jitter_ms; /* at most, before a watch's first list */
 	const struct plat_dialect *dialect;
 	uint64_t seed; /* of the jitter; must differ from process to process */
 };
--- a/src/admission/tests/test_admission.c
+++ b/src/admission/tests/test_admission.c
@@ -167,6 +167,18 @@
 	} else if (strcmp(words[0], "announce") == 0) {
 		adm_announce_target(state->gate, words[1], words[2],
 				    state->now_ms);
+	} else if (strcmp(words[0], "slots") == 0) {
+		adm_set_known_slots(state->gate, parse_number(words[1]));
+	} else if (strcmp(words[0], "cold") == 0) {
+		limits.slots = 1;
+		limits.cold_calls_per_second = parse_number(words[1]);
+		adm_set_limits(state->gate, &limits);
+		adm_set_cold(state->gate,
+			     state->now_ms + parse_number(words[2]));
+	} else if (strcmp(words[0], "down") == 0) {
+		adm_note_down(state->gate);
+	} else if (strcmp(words[0], "alive") == 0) {
+		adm_note_alive(state->gate);
 	} else if (strcmp(words[0], "drain") == 0) {
 		adm_drain_target(state->gate);
 	} else if (strcmp(words[0], "domain") == 0) {
@@ -225,6 +237,11 @@
 	run_gate_script("queue");
 }
 
+static void test_told(void)
+{
+	run_gate_script("told");
+}
+
 static void test_overload(void)
 {
 	run_gate_script("overload");
@@ -237,6 +254,7 @@
 	{ "latency floor is learned again", test_floor },
 	{ "hints only lower and expire", test_hint },
 	{ "queue is bounded by deadlines", test_queue },
+	{ "slots and cold time that the target told", test_told },
 	{ "lasting overload serves what is in time", test_overload },
 	CU_TEST_INFO_NULL,
 };
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -6,24 +6,48 @@
  * front, which is not JSON. log4c contributes the levels. It cannot be
  * initialized again after log4c_fini(), so it is initialized once a process and
  * its state is kept after log_close().
+ *
+ * Lines go through a bounded queue to a thread that writes them, so that nobody
+ * waits for a reader of the log that is slow or gone. What does not fit is
+ * counted and told of in a line of its own.
  */
 #include "loom/log.h"
 
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdatomic.h>
+#include <stdint.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 #include <jansson.h>
 #include <log4c.h>
 #include "loom/error.h"
 
 #define LOG_CATEGORY "loom"
 #define LOG_TIME_SIZE 40
+/* Lines that wait: some seconds of a busy node. */
+#define LOG_QUEUE_LINES 4096
+/* Lines are gathered so long, to be written together. */
+#define LOG_GATHER_US 50000
+/* A write of so many bytes to a pipe that polls writable does not wait. */
+#define LOG_CHUNK_BYTES 4096U
+/* How long the end of the process waits for a reader of the log. */
+#define LOG_CLOSE_TRIES 10
+#define LOG_POLL_MS 100
 
 static const char *log_program = "loom";
 static log4c_category_t *log_category;
 
+static GAsyncQueue *log_queue; /* of lines, made once */
+static pthread_t log_writer;
+static _Atomic bool is_log_closing;
+static _Atomic uint32_t log_dropped;
+
 static const char *format_line(const log4c_layout_t *layout,
 			       const log4c_logging_event_t *event)
 {
@@ -35,15 +59,19 @@
 	.format = format_line,
 };
 
-/* One call of stdio a line: lines of several threads do not mix. */
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
-	return fputs(event->evt_rendered_msg, stderr);
+	if (g_async_queue_length(log_queue) >= LOG_QUEUE_LINES)
+		atomic_fetch_add(&log_dropped, 1);
+	else
+		g_async_queue_push(log_queue,
+				   g_strdup(event->evt_rendered_msg));
+	return 0;
 }
 
 static const log4c_appender_type_t log_appender_type = {
-	.name = "loom_stderr",
+	.name = "loom_stdout",
 	.append = append_line,
 };
 
@@ -137,6 +165,65 @@
 				       log_category, get_priority(level));
 }
 
+/* Writes text whole, or drops its rest when the log ends and nobody reads. */
+static void write_text(const char *text, size_t size)
+{
+	int tries = 0;
+
+	while (size > 0) {
+		struct pollfd ready = { .fd = STDOUT_FILENO,
+					.events = POLLOUT };
+		ssize_t count = 0;
+
+		if (poll(&ready, 1, LOG_POLL_MS) > 0)
+			count = write(STDOUT_FILENO, text,
+				      MIN(size, LOG_CHUNK_BYTES));
+		if (count < 0 || (ready.revents & (POLLERR | POLLNVAL)))
+			return;
+		if (count == 0 && is_log_closing && ++tries > LOG_CLOSE_TRIES)
+			return;
+		text += count;
+		size -= (size_t)count;
+	}
+}
+
+static void add_dropped(GString *text)
+{
+	uint32_t dropped = atomic_exchange(&log_dropped, 0);
+
+	if (dropped > 0)
+		g_string_append_printf(
+			text,
+			"{\"level\":\"warning\",\"program\":\"%s\","
+			"\"module\":\"log\",\"message\":\"lines left out\","
+			"\"count\":\"%u\"}\n",
+			log_program, dropped);
+}
+
+/* Ends on an empty line, which log_close() pushes last. */
+static void *run_writer(void *data)
+{
+	GString *text = g_string_new(NULL);
+	bool is_over = false;
+
+	while (!is_over) {
+		char *line = g_async_queue_pop(log_queue);
+
+		if (!is_log_closing)
+			g_usleep(LOG_GATHER_US);
+		g_string_truncate(text, 0);
+		for (; line; line = g_async_queue_try_pop(log_queue)) {
+			is_over = is_over || !*line;
+			g_string_append(text, line);
+			g_free(line);
+		}
+		add_dropped(text);
+		write_text(text->str, text->len);
+	}
+	g_string_free(text, TRUE);
+	return NULL;
+}
+
 static log4c_category_t *make_category(void)
 {
 	log4c_category_t *category;
@@ -148,7 +235,7 @@
 	log4c_appender_type_set(&log_appender_type);
 	layout = log4c_layout_get("loom_json_line");
 	log4c_layout_set_type(layout, &log_layout_type);
-	appender = log4c_appender_get("loom_stderr");
+	appender = log4c_appender_get("loom_stdout");
 	log4c_appender_set_type(appender, &log_appender_type);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get(LOG_CATEGORY);
@@ -162,15 +249,25 @@
 	static log4c_category_t *category;
 
 	log_program = program;
-	if (!category)
+	if (!category) {
 		category = make_category();
+		log_queue = g_async_queue_new();
+	}
+	is_log_closing = false;
+	if (pthread_create(&log_writer, NULL, run_writer, NULL) != 0)
+		return;
 	log4c_category_set_priority(category, get_priority(level));
 	log_category = category;
 }
 
 void log_close(void)
 {
+	if (!log_category)
+		return;
 	log_category = NULL;
+	is_log_closing = true;
+	g_async_queue_push(log_queue, g_strdup(""));
+	pthread_join(log_writer, NULL);
 }
 
 void log_write(enum log_level level, const char *module, const char *step,
--- a/src/base/tests/test_log.c
+++ b/src/base/tests/test_log.c
@@ -1,7 +1,9 @@
 /*
- * Logs: standard error is sent to a file, and the lines in it are parsed.
+ * Logs: standard output is sent to a file, and the lines in it are parsed.
  */
 #include <pthread.h>
+#include <signal.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -13,6 +15,7 @@
 #define THREAD_COUNT 4U
 #define LINES_PER_THREAD 200U
 #define LONG_MESSAGE_BYTES 20000U
+#define SLOW_READER_LINES 20000U /* more than pipe and queue hold */
 
 struct capture {
 	FILE *file;
@@ -21,11 +24,11 @@
 
 static void begin_capture(struct capture *capture)
 {
-	fflush(stderr);
+	fflush(stdout);
 	capture->file = tmpfile();
-	capture->saved_fd = dup(STDERR_FILENO);
+	capture->saved_fd = dup(STDOUT_FILENO);
 	CU_ASSERT_FATAL(capture->file && capture->saved_fd >= 0);
-	CU_ASSERT_FATAL(dup2(fileno(capture->file), STDERR_FILENO) >= 0);
+	CU_ASSERT_FATAL(dup2(fileno(capture->file), STDOUT_FILENO) >= 0);
 }
 
 /* Returns the lines written since, each parsed: a new reference. */
@@ -35,8 +38,8 @@
 	char *line = NULL;
 	size_t size = 0;
 
-	fflush(stderr);
-	dup2(capture->saved_fd, STDERR_FILENO);
+	fflush(stdout);
+	dup2(capture->saved_fd, STDOUT_FILENO);
 	close(capture->saved_fd);
 	rewind(capture->file);
 	while (getline(&line, &size, capture->file) > 0) {
@@ -59,6 +62,13 @@
 	return text ? text : "(absent)";
 }
 
+static const char *get_count(const json_t *line)
+{
+	const char *count = json_string_value(json_object_get(line, "count"));
+
+	return count ? count : "0";
+}
+
 static void test_fields(void)
 {
 	struct capture capture;
@@ -206,6 +216,45 @@
 	json_decref(lines);
 }
 
+/* A reader that does not read: nobody waits, and the loss is told of. */
+static void test_slow_reader(void)
+{
+	int saved_fd = dup(STDOUT_FILENO);
+	uint32_t left_out = 0;
+	char *line = NULL;
+	size_t size = 0;
+	int ends[2];
+	FILE *reader;
+
+	signal(SIGPIPE, SIG_IGN);
+	CU_ASSERT_EQUAL_FATAL(pipe(ends), 0);
+	fflush(stdout);
+	dup2(ends[1], STDOUT_FILENO);
+	close(ends[1]);
+	log_open("loomtest", LOG_LEVEL_INFO);
+	for (uint32_t i = 0; i < SLOW_READER_LINES; i++)
+		log_write(LOG_LEVEL_INFO, "node", NULL, NULL, "line", LOG_END);
+	reader = fdopen(ends[0], "r");
+	while (left_out == 0 && getline(&line, &size, reader) > 0) {
+		json_t *parsed = json_loads(line, 0, NULL);
+
+		CU_ASSERT_PTR_NOT_NULL(parsed);
+		left_out =
+			(uint32_t)g_ascii_strtoull(get_count(parsed), NULL, 10);
+		json_decref(parsed);
+		/* A line more lets the loss be written. */
+		log_write(LOG_LEVEL_INFO, "node", NULL, NULL, "line", LOG_END);
+	}
+	CU_ASSERT_TRUE(left_out > 0);
+	CU_ASSERT_TRUE(left_out < SLOW_READER_LINES);
+	/* The reader is gone: the end of the log does not wait for it. */
+	fclose(reader);
+	log_close();
+	dup2(saved_fd, STDOUT_FILENO);
+	close(saved_fd);
+	free(line);
+}
+
 int main(void)
 {
 	static const CU_TestInfo tests[] = {
@@ -214,6 +263,7 @@
 		{ "errors", test_error },
 		{ "hostile texts", test_hostile_texts },
 		{ "threads", test_threads },
+		{ "a reader that does not read", test_slow_reader },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -131,6 +131,13 @@
 enum ctl_exit ctl_watch_status(struct ctl_context *context,
 			       const char *service);
 
+/*
+ * Prints what the logs in the files, or on standard input when there are none,
+ * say of a request.
+ */
+enum ctl_exit ctl_explain_request(const char *id, const char *const *files,
+				  int file_count);
+
 /* loomburn: reports service-level burn from all nodes. */
 enum ctl_exit ctl_report_burn(struct ctl_context *context);
 enum ctl_exit ctl_take_back(struct ctl_context *context, const char *service);
--- /dev/null
+++ b/src/document/tests/test_gateway.c
@@ -0,0 +1,151 @@
+/*
+ * Gateway documents by script: what is refused, which route and share a call
+ * gets, and the snapshot.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "loom/document.h"
+#include "script.h"
+
+static const char right_text[] =
+	"{\"gateway\":\"main\",\"sequence\":7,"
+	"\"services\":[{\"service\":\"orders\",\"connections\":120,"
+	"\"cold_calls_per_second\":41},"
+	"{\"service\":\"plans\",\"connections\":60}],"
+	"\"routes\":["
+	"{\"name\":\"all\",\"host\":\"a.example\",\"path\":\"/\","
+	"\"repeatable\":true,\"timeout_ms\":500,"
+	"\"shares\":[{\"service\":\"orders\",\"weight\":1}]},"
+	"{\"name\":\"deep\",\"host\":\"a.example\",\"path\":\"/x/y/\","
+	"\"repeatable\":false,\"timeout_ms\":600,\"objective_ms\":200,"
+	"\"attempts\":2,\"priority\":1,"
+	"\"shares\":[{\"service\":\"orders\",\"weight\":90},"
+	"{\"service\":\"plans\",\"weight\":10}]}],"
+	"\"limits\":{\"header_bytes\":16384,\"request_body_bytes\":1000,"
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+
+struct state {
+	struct doc_gateway *gateway;
+};
+
+static void print_problems(json_t *document, GString *output)
+{
+	struct prob_list *list = prob_new_list(NULL);
+	struct doc_gateway *gateway = doc_parse_gateway("main", document, list);
+
+	prob_print_list(list, output);
+	if (gateway)
+		g_string_append(output, "right\n");
+	CU_ASSERT_EQUAL(gateway == NULL, prob_get_count(list) > 0);
+	doc_unref_gateway(gateway);
+	talloc_free(list);
+}
+
+/* words: WHERE JSON, where WHERE is a field or ARRAY.INDEX.FIELD */
+static void print_changed(char **words, GString *output)
+{
+	json_t *document = json_loads(right_text, 0, NULL);
+	json_t *value = json_loads(words[2], JSON_DECODE_ANY, NULL);
+	char **parts = g_strsplit(words[1], ".", 3);
+	json_t *place = document;
+
+	if (parts[1])
+		place = json_array_get(json_object_get(document, parts[0]),
+				       (size_t)atoi(parts[1]));
+	json_object_set_new(place, parts[1] ? parts[2] : parts[0], value);
+	print_problems(document, output);
+	g_strfreev(parts);
+	json_decref(document);
+}
+
+static void print_route(struct state *state, char **words, GString *output)
+{
+	const struct doc_gateway_route *route =
+		doc_find_gateway_route(state->gateway, words[1], words[2]);
+
+	if (!route) {
+		g_string_append(output, "no route\n");
+		return;
+	}
+	g_string_append_printf(output, "%s %u ms objective %u attempts %u\n",
+			       route->route.name, route->route.timeout_ms,
+			       route->objective_ms, route->attempts_max);
+}
+
+static void print_shares(struct state *state, char **words, GString *output)
+{
+	const struct doc_gateway_route *route =
+		doc_find_gateway_route(state->gateway, words[1], words[2]);
+	uint32_t orders = 0;
+
+	for (uint64_t i = 0; i < 1000; i++) {
+		uint64_t hash = i * (UINT32_MAX / 1000);
+
+		if (strcmp(doc_choose_share(route, hash), "orders") == 0)
+			orders++;
+	}
+	g_string_append_printf(output, "orders %u of 1000\n", orders);
+}
+
+static void print_snapshot(struct state *state, GString *output)
+{
+	static const char *const out[] = { "b", NULL };
+	const struct doc_gateway_move move = {
+		.service = "orders",
+		.to = "v2",
+		.state = DOC_MOVE_RUNNING,
+		.share_permille = 50,
+	};
+	struct doc_snapshot *snapshot =
+		doc_build_gateway_snapshot(state->gateway, &move, 1, out);
+	const struct doc_service *orders = doc_find_service(snapshot, "orders");
+	const struct doc_service *plans = doc_find_service(snapshot, "plans");
+
+	g_string_append_printf(output,
+			       "a %s, b %s, orders from %s to %s, plans %s\n",
+			       doc_is_domain_out(snapshot, "a") ? "out" : "in",
+			       doc_is_domain_out(snapshot, "b") ? "out" : "in",
+			       orders->move->from, orders->move->to,
+			       plans->move ? "moves" : "stays");
+	doc_unref_snapshot(snapshot);
+}
+
+static bool run_step(int word_count, char **words, GString *output, void *data)
+{
+	struct state *state = data;
+
+	if (strcmp(words[0], "with") == 0)
+		print_changed(words, output);
+	else if (strcmp(words[0], "route") == 0)
+		print_route(state, words, output);
+	else if (strcmp(words[0], "shares") == 0)
+		print_shares(state, words, output);
+	else if (strcmp(words[0], "snapshot") == 0)
+		print_snapshot(state, output);
+	else
+		return false;
+	return true;
+}
+
+static void test_gateway(void)
+{
+	struct prob_list *list = prob_new_list(NULL);
+	json_t *document = json_loads(right_text, 0, NULL);
+	struct state state = { doc_parse_gateway("main", document, list) };
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(state.gateway);
+	scr_run("gateway", run_step, &state);
+	doc_unref_gateway(state.gateway);
+	json_decref(document);
+	talloc_free(list);
+}
+
+int main(void)
+{
+	static const CU_TestInfo tests[] = {
+		{ "documents, routes, shares, snapshot", test_gateway },
+		CU_TEST_INFO_NULL,
+	};
+
+	return scr_run_suite("gateway", tests);
+}
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -105,7 +105,8 @@
 	return sum;
 }
 
-/* Returns the first bucket whose calls are slow by the old version's measure. */
+/* Returns the first bucket whose calls are slow by the old version's measure.
+ */
 static uint32_t get_slow_bucket(const struct mv_counts *old)
 {
 	uint32_t good = sum_from(old->latency, 0);
@@ -121,8 +122,9 @@
 		    uint32_t new_bad, double rate)
 {
 	return new_bad >= BAD_CALLS_MIN &&
-	       new_bad > rate * evidence->new.calls &&
-	       get_chance(new_calls, new_bad, rate) < CHANCE_MAX;
+	       new_bad > rate * evidence->new.calls &&get_chance(
+					new_calls, new_bad, rate) <
+		       CHANCE_MAX;
 }
 
 static void set_reason(struct mv_ramp *ramp, const struct evidence *evidence,
@@ -131,8 +133,7 @@
 	g_snprintf(ramp->reason, sizeof(ramp->reason),
 		   "%s%s: %u of %u calls %s, %u of %u on the old version",
 		   *evidence->route ? "route " : "all routes", evidence->route,
-		   bad, calls, what, evidence->old.failed,
-		   evidence->old.calls);
+		   bad, calls, what, evidence->old.failed, evidence->old.calls);
 }
 
 static void judge_failures(struct mv_ramp *ramp,
@@ -156,8 +157,8 @@
 	if (old_good < OLD_CALLS_MIN || first >= MV_LATENCY_BUCKETS)
 		return;
 	/* A call that failed by its deadline was slow as well. */
-	new_slow = sum_from(evidence->new.latency, first) +
-		   evidence->new.failed;
+	new_slow =
+		sum_from(evidence->new.latency, first) + evidence->new.failed;
 	rate = get_old_rate(evidence->old.calls,
 			    sum_from(evidence->old.latency, first) +
 				    evidence->old.failed,
@@ -280,8 +281,7 @@
 		const json_t *item = json_array_get(value, i);
 		json_int_t number = json_integer_value(item);
 
-		if (!json_is_integer(item) || number < 0 ||
-		    number > UINT32_MAX)
+		if (!json_is_integer(item) || number < 0 || number > UINT32_MAX)
 			return false;
 		if (i == 0)
 			counts->calls = (uint32_t)number;
--- /dev/null
+++ b/src/moves/tests/test_ramp.c
@@ -0,0 +1,100 @@
+/*
+ * Ramps by script, in virtual time: what the share is, and what is found.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include "loom/moves.h"
+#include "script.h"
+
+#define FAST_US 60000U
+#define SLOW_US 480000U
+
+struct state {
+	struct mv_ramp *ramp;
+	uint64_t now_ms;
+};
+
+/* words: VERSION ROUTE GOOD [FAILED [SLOW]] */
+static void add_calls(struct state *state, int count, char **words)
+{
+	struct mv_counts counts = { 0 };
+
+	for (int i = 0; i < atoi(words[3]); i++)
+		mv_add_call(&counts, MV_OUTCOME_GOOD, FAST_US);
+	for (int i = 0; count > 4 && i < atoi(words[4]); i++)
+		mv_add_call(&counts, MV_OUTCOME_FAILED, 0);
+	for (int i = 0; count > 5 && i < atoi(words[5]); i++)
+		mv_add_call(&counts, MV_OUTCOME_GOOD, SLOW_US);
+	mv_note_ramp_counts(state->ramp, words[1], words[2], &counts,
+			    state->now_ms);
+}
+
+static void print_ramp(struct state *state, GString *output)
+{
+	static const char *const names[] = { "go on", "finish", "take back" };
+	enum mv_ramp_verdict verdict =
+		mv_judge_ramp(state->ramp, state->now_ms);
+
+	g_string_append_printf(output, "share %u, %s %s\n",
+			       mv_get_ramp_share(state->ramp, state->now_ms),
+			       names[verdict], mv_get_ramp_reason(state->ramp));
+}
+
+static bool run_step(int word_count, char **words, GString *output, void *data)
+{
+	struct state *state = data;
+
+	if (strcmp(words[0], "begin") == 0) {
+		talloc_free(state->ramp);
+		state->now_ms = 1000000;
+		state->ramp = mv_new_ramp(NULL, "v2", (uint32_t)atoi(words[1]),
+					  state->now_ms);
+	} else if (strcmp(words[0], "after") == 0) {
+		state->now_ms += (uint64_t)atoi(words[1]);
+	} else if (strcmp(words[0], "calls") == 0) {
+		add_calls(state, word_count, words);
+	} else if (strcmp(words[0], "print") == 0) {
+		print_ramp(state, output);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static void test_ramp(void)
+{
+	struct state state = { 0 };
+
+	scr_run("ramp", run_step, &state);
+	talloc_free(state.ramp);
+}
+
+static void test_counts_survive_the_way(void)
+{
+	struct mv_counts sent = { 0 };
+	struct mv_counts got;
+	json_t *value;
+
+	mv_add_call(&sent, MV_OUTCOME_GOOD, FAST_US);
+	mv_add_call(&sent, MV_OUTCOME_FAILED, 0);
+	value = mv_format_counts(&sent);
+	CU_ASSERT_TRUE(mv_parse_counts(value, &got));
+	CU_ASSERT_EQUAL(memcmp(&sent, &got, sizeof(sent)), 0);
+	json_array_set_new(value, 0, json_integer(-1));
+	CU_ASSERT_FALSE(mv_parse_counts(value, &got));
+	json_array_set_new(value, 0, json_string("2"));
+	CU_ASSERT_FALSE(mv_parse_counts(value, &got));
+	CU_ASSERT_FALSE(mv_parse_counts(NULL, &got));
+	json_decref(value);
+}
+
+int main(void)
+{
+	static const CU_TestInfo tests[] = {
+		{ "share and verdict", test_ramp },
+		{ "counts survive the way", test_counts_survive_the_way },
+		CU_TEST_INFO_NULL,
+	};
+
+	return scr_run_suite("ramp", tests);
+}
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -1,13 +1,14 @@
 /*
  * Configuration of a node by one gateway document.
  *
- * The snapshot is built anew from the gateway, the moves and the failure domains
- * that are out whenever one of them changes. Each node drives the share of a
- * move by itself; the state of a move is kept elsewhere for all nodes, and the
- * node asks for a change of it by order_fn.
+ * The snapshot is built anew from the gateway, the moves and the failure
+ * domains that are out whenever one of them changes. Each node drives the share
+ * of a move by itself; the state of a move is kept elsewhere for all nodes, and
+ * the node asks for a change of it by order_fn.
  *
- * Invariant: snapshot is set once the gateway, the moves and the failure domains
- * that are out are all known: with less, calls could go where they must not.
+ * Invariant: snapshot is set once the gateway, the moves and the failure
+ * domains that are out are all known: with less, calls could go where they must
+ * not.
  */
 #include <string.h>
 #include <xxhash.h>
@@ -66,8 +67,8 @@
 	g_hash_table_iter_init(&iter, state->moves);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		fill_move(value, &moves[count++]);
-	state->snapshot = doc_build_gateway_snapshot(
-		state->gateway, moves, count, state->domains_out);
+	state->snapshot = doc_build_gateway_snapshot(state->gateway, moves,
+						     count, state->domains_out);
 	talloc_free(moves);
 	doc_unref_snapshot(old);
 	nd_update_table(get_node(state));
@@ -111,9 +112,9 @@
 
 	if (json_array_size(move->unsent) == 0)
 		return;
-	report = json_pack("{s:s,s:I,s:O}", "service", move->order.service,
-			   "id", (json_int_t)move->order.id, "series",
-			   move->unsent);
+	report =
+		json_pack("{s:s,s:I,s:O}", "service", move->order.service, "id",
+			  (json_int_t)move->order.id, "series", move->unsent);
 	for (size_t i = 0; i < count; i++) {
 		const struct mem_self *self = &members[i].self;
 		char *judge;
@@ -284,9 +285,10 @@
 		move->wanted_ms = 0;
 	move->order.state = order->state;
 	update_share(move, tmr_get_now_ms(node->timers));
-	log_write(LOG_LEVEL_INFO, "node", "take order", NULL, "move of a service",
-		  "service", order->service, "to", order->to, "state",
-		  doc_get_move_state_name(order->state), LOG_END);
+	log_write(LOG_LEVEL_INFO, "node", "take order", NULL,
+		  "move of a service", "service", order->service, "to",
+		  order->to, "state", doc_get_move_state_name(order->state),
+		  LOG_END);
 }
 
 static bool is_given(const struct nd_order *orders, size_t count,
@@ -309,12 +311,12 @@
 	struct rls_options options = { .events = node->events,
 				       .counters = node->counters };
 
-	node->gateway.reports = rls_new_reports(node, &options, pass_over_word,
-						node, error);
+	node->gateway.reports =
+		rls_new_reports(node, &options, pass_over_word, node, error);
 	if (!node->gateway.reports)
 		return false;
-	node->gateway.moves = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    NULL, free_move);
+	node->gateway.moves =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_move);
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
 	return true;
 }
@@ -346,10 +348,10 @@
 			    &sample->counts, now_ms);
 	mv_note_ramp_counts(move->pool, sample->version, sample->route,
 			    &sample->counts, now_ms);
-	json_array_append_new(
-		move->unsent,
-		json_pack("[s,s,o]", sample->version, sample->route,
-			  mv_format_counts(&sample->counts)));
+	json_array_append_new(move->unsent,
+			      json_pack("[s,s,o]", sample->version,
+					sample->route,
+					mv_format_counts(&sample->counts)));
 }
 
 static void take_series(struct nd_move *move, const json_t *series,
--- a/src/node/heartbeat.c
+++ b/src/node/heartbeat.c
@@ -39,8 +39,7 @@
 	known->is_leaving = heartbeat->is_leaving;
 }
 
-static void announce(struct nd_node *node,
-		     const struct nd_heartbeat *heartbeat)
+static void announce(struct nd_node *node, const struct nd_heartbeat *heartbeat)
 {
 	struct nd_announcement announcement = {
 		.service = heartbeat->service,
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -50,7 +50,7 @@
 struct nd_gateway_state {
 	struct doc_gateway *gateway;   /* NULL: none yet */
 	struct doc_snapshot *snapshot; /* of gateway, moves and domains */
-	const char **domains_out; /* NULL: not known yet */
+	const char **domains_out;      /* NULL: not known yet */
 	bool are_orders_known;
 	GHashTable *moves; /* service to struct nd_move */
 	struct rls_reports *reports;
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -2,8 +2,8 @@
  * Graceful shutdown: on SIGTERM the node says goodbye to its peers, refuses new
  * work for its target, answers with "Connection: close", and ends when no call
  * is under way and the linger has passed. Callers that still come late are
- * refused, so that their calls are not cut at the limit. A second signal, or the limit in the
- * settings, ends it at once and logs how many calls that cut.
+ * refused, so that their calls are not cut at the limit. A second signal, or
+ * the limit in the settings, ends it at once and logs how many calls that cut.
  */
 #include <signal.h>
 #include <stdlib.h>
--- a/src/node/target.c
+++ b/src/node/target.c
@@ -67,17 +67,16 @@
 		nd_drain_target(node);
 		return;
 	}
-	tr_announce_target(
-			node->traffic,
-			&(struct tr_target){
-				.service = target->service,
-				.version = target->version,
-				.instance = target->instance,
-				.address = target->address,
-				.port = target->port,
-				.slots = announcement->slots,
-				.cold_left_ms = announcement->cold_left_ms,
-			});
+	tr_announce_target(node->traffic,
+			   &(struct tr_target){
+				   .service = target->service,
+				   .version = target->version,
+				   .instance = target->instance,
+				   .address = target->address,
+				   .port = target->port,
+				   .slots = announcement->slots,
+				   .cold_left_ms = announcement->cold_left_ms,
+			   });
 	mem_announce_target(node->members, target->service, target->version,
 			    target->phase);
 }
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -86,8 +86,7 @@
 	uint64_t before = watch->newest;
 
 	for (size_t i = 0; i < result->object_count; i++)
-		watch->newest =
-			MAX(watch->newest, result->objects[i].revision);
+		watch->newest = MAX(watch->newest, result->objects[i].revision);
 	return watch->newest > before;
 }
 
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -80,6 +80,13 @@
 	return ctl_take_back(context, operands[0]);
 }
 
+static enum ctl_exit run_explain(struct ctl_context *context,
+				 const char *const *operands, int operand_count)
+{
+	return ctl_explain_request(operands[0], operands + 1,
+				   operand_count - 1);
+}
+
 /* "out NAME [NODE...]" or "in NAME [NODE...]" */
 static enum ctl_exit run_failure_domain(struct ctl_context *context,
 					const char *const *operands,
@@ -121,6 +128,10 @@
 	  run_nodes },
 	{ "watch", "SERVICE", "print a service's status at each change",
 	  "loomctl watch catalogue --count 1", OPTION_COUNT, run_watch },
+	{ "explain", "REQUEST [LOG...]",
+	  "print what the nodes' logs say of a request",
+	  "loomctl explain 9c41d07be2a35f68 node1.log node2.log",
+	  OPTION_OFFLINE | OPTION_MANY, run_explain },
 	{ "failure-domain", "out|in NAME [NODE...]",
 	  "take a failure domain out, or in again",
 	  "loomctl failure-domain out kgl-a", OPTION_MANY, run_failure_domain },
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -14,6 +14,7 @@
 #include <time.h>
 #include "connection.h"
 #include "samples.h"
+#include "trace.h"
 
 uint64_t tr_get_now_us(void)
 {
@@ -89,6 +90,7 @@
 /* The caller is gone: nothing more is sent to it. */
 static void cancel_call(struct tr_call *call)
 {
+	tr_trace_call(call, "cancel", "caller hung up");
 	stop_call(call, RT_OUTCOME_CANCELLED, ADM_OUTCOME_CANCELLED);
 	cnt_add(call->thread->service->counters.cancelled[call->role], 1);
 	call->stage = TR_STAGE_ENDED;
@@ -146,6 +148,7 @@
 {
 	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
 
+	call->begun_ms = now_ms;
 	call->method = g_strdup(method);
 	tr_set_connection_call(call->connection, call);
 	read_body_headers(call);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -73,6 +73,7 @@
 	char *version;	    /* the same */
 	char *caller;	    /* service of the vm where the call began */
 	uint32_t depth;
+	uint64_t begun_ms; /* its headers were whole */
 	uint64_t deadline_ms;
 	struct tmr_subscription *deadline;
 
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -6,6 +6,7 @@
 #include "call.h"
 #include "loom/error.h"
 #include "samples.h"
+#include "trace.h"
 
 static const struct tr_names *get_names(const struct tr_call *call)
 {
@@ -219,6 +220,7 @@
 {
 	enum rt_refusal refusal = RT_REFUSAL_NONE;
 	struct rt_request *request = &call->request;
+	enum rt_retry_verdict verdict;
 	struct rt_retry retry = {
 		.outcome = outcome,
 		.is_repeatable = doc_is_repeatable(call->route, call->method),
@@ -237,8 +239,10 @@
 
 	if (!is_unsent)
 		retry.offer_count = ++call->offer_count;
-	if (rt_decide_retry(tr_get_budget(call->thread, call->service->name),
-			    &retry) != RT_RETRY_YES)
+	verdict = rt_decide_retry(
+		tr_get_budget(call->thread, call->service->name), &retry);
+	tr_trace_call(call, "decide retry", rt_get_retry_name(verdict));
+	if (verdict != RT_RETRY_YES)
 		return false;
 	if (request->tried_count < RT_TRIED_MAX)
 		request->tried[request->tried_count++] = call->chosen->address;
@@ -336,6 +340,10 @@
 	tr_note_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
 						 : RT_OUTCOME_FAILED);
 	tr_note_sample(call, get_outcome(answer));
+	if (answer->is_broken)
+		tr_trace_call(call, "relay", "answer broke off");
+	else
+		tr_trace_late_answer(call);
 	call->stage = TR_STAGE_ENDED;
 	tr_resume_call(call);
 }
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <xxhash.h>
 #include "call.h"
+#include "trace.h"
 
 /* A slot comes free within some tens of milliseconds: the work of a call. */
 #define RETRY_AFTER_MIN_MS 40U
@@ -65,6 +66,7 @@
 		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
 					"close");
 	add_load(call);
+	tr_trace_call(call, is_not_run ? "refuse" : "fail", reason);
 	cnt_add(call->thread->service->counters.refusals[call->role], 1);
 	call->stage = TR_STAGE_ENDED;
 	tr_resume_call(call);
--- a/src/traffic/samples.c
+++ b/src/traffic/samples.c
@@ -2,9 +2,9 @@
  * Counts of ended attempts on their way from the traffic threads to control.
  *
  * A thread keeps one record a series (service, route, version, target) for the
- * present slot. A few times a second, and when the slot is over, the whole table
- * is pushed on a queue, the control thread is woken, and a new table begins: no
- * lock, and no work on the control thread that grows with the calls.
+ * present slot. A few times a second, and when the slot is over, the whole
+ * table is pushed on a queue, the control thread is woken, and a new table
+ * begins: no lock, and no work on the control thread that grows with the calls.
  */
 #include "samples.h"
 
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -18,6 +18,7 @@
 #include "connection.h"
 #include "loom/error.h"
 #include "samples.h"
+#include "trace.h"
 
 #define FREE_HANDLES_MAX 256U
 #define CACHED_CONNECTIONS_MAX 2048L
@@ -212,6 +213,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->commands = g_async_queue_new();
 	tr_open_thread_samples(thread);
+	tr_open_traces(thread);
 	g_queue_init(&thread->free_handles);
 	thread->hangup_fd = -1;
 	thread->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -105,6 +105,8 @@
 	uint64_t random_state;
 	GHashTable *samples; /* of the present slot; see samples.c */
 	uint64_t sample_slot;
+	uint32_t trace_count; /* log lines about calls in this second */
+	uint32_t trace_left_out;
 	_Atomic uint32_t call_count;
 };
 
--- /dev/null
+++ b/src/traffic/trace.c
@@ -0,0 +1,122 @@
+/*
+ * Log lines about calls.
+ *
+ * Every call has a line for a refusal, a retry, a failure, a hang-up of its
+ * caller and a late answer, on each node that it crossed; calls that went well
+ * have none. Invariant: trace_count lines were written in the present second.
+ */
+#include "trace.h"
+
+#include "loom/log.h"
+
+/* Bounds what the lines of a busy node cost; see docs/OPERATIONS.md. */
+#define LINES_PER_SECOND 100U
+#define PERIOD_MS 1000U
+#define NUMBER_SIZE 24
+
+static const char *get_id(struct tr_call *call)
+{
+	const struct tr_names *names = call->thread->service->options.names;
+	const char *id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
+						     names->request_id);
+
+	return id ? id : "";
+}
+
+static bool take_line(struct tr_thread *thread)
+{
+	if (thread->trace_count < LINES_PER_SECOND) {
+		thread->trace_count++;
+		return true;
+	}
+	thread->trace_left_out++;
+	return false;
+}
+
+static void handle_second(uint64_t now_ms, void *data)
+{
+	struct tr_thread *thread = data;
+	char text[NUMBER_SIZE];
+
+	thread->trace_count = 0;
+	if (thread->trace_left_out == 0)
+		return;
+	g_snprintf(text, sizeof(text), "%u", thread->trace_left_out);
+	thread->trace_left_out = 0;
+	log_write(LOG_LEVEL_WARNING, "traffic", "trace", NULL,
+		  "lines about calls left out", "count", text, LOG_END);
+}
+
+static const char *format_number(char text[NUMBER_SIZE], int64_t number)
+{
+	g_snprintf(text, NUMBER_SIZE, "%" G_GINT64_FORMAT, number);
+	return text;
+}
+
+static const char *get_peer(const struct tr_call *call)
+{
+	if (call->role == TR_ROLE_HOP)
+		return call->thread->target_url;
+	return call->chosen ? call->chosen->address : NULL;
+}
+
+static const char *get_service(const struct tr_call *call)
+{
+	return call->service ? call->service->name : call->service_name;
+}
+
+void tr_trace_call(struct tr_call *call, const char *step, const char *outcome)
+{
+	struct tr_thread *thread = call->thread;
+	uint64_t now_ms = tmr_get_now_ms(thread->timers);
+	char elapsed[NUMBER_SIZE];
+	char left[NUMBER_SIZE];
+	char attempts[NUMBER_SIZE];
+	char sequence[NUMBER_SIZE];
+	char load[2 * NUMBER_SIZE];
+	char status[NUMBER_SIZE];
+	struct rt_load own;
+
+	if (!take_line(thread))
+		return;
+	adm_get_load(thread->gate, &own);
+	g_snprintf(load, sizeof(load), "%u/%u/%u", own.in_flight, own.limit,
+		   adm_get_waiting_count(thread->gate));
+	log_write(LOG_LEVEL_INFO, "traffic", step, get_peer(call), outcome,
+		  "request", get_id(call), "side",
+		  call->role == TR_ROLE_ENTRY ? "entry" : "hop", "service",
+		  get_service(call), "route",
+		  call->route ? call->route->name : NULL, "elapsed_ms",
+		  format_number(elapsed, (int64_t)(now_ms - call->begun_ms)),
+		  "left_ms",
+		  format_number(left,
+				call->deadline_ms
+					? (int64_t)(call->deadline_ms - now_ms)
+					: 0),
+		  "attempts", format_number(attempts, call->attempt_count),
+		  "run_possible", call->is_run_possible ? "yes" : "no",
+		  "answer_status", format_number(status, call->answer.status),
+		  "gate", load, "configuration",
+		  format_number(sequence,
+				call->table
+					? (int64_t)doc_get_manifest(
+						  rt_get_snapshot(call->table))
+						  ->sequence
+					: 0),
+		  LOG_END);
+}
+
+void tr_trace_late_answer(struct tr_call *call)
+{
+	uint64_t elapsed_ms =
+		tmr_get_now_ms(call->thread->timers) - call->begun_ms;
+
+	if (call->place && elapsed_ms > call->place->objective_ms)
+		tr_trace_call(call, "answer", "later than the objective");
+}
+
+void tr_open_traces(struct tr_thread *thread)
+{
+	tmr_subscribe_every(thread->timers, thread->timers, PERIOD_MS,
+			    handle_second, thread);
+}
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -65,7 +65,7 @@
  "drain_linger_ms":1500,"platform_url":"http://$node_platform",
  "seeds":["$base.1:7946","$base.2:7946"]${3:+,$3}}
 EOF
-	"$bin/loomnode" --settings "$work/$1.json" 2>>"$work/node$1.log" &
+	"$bin/loomnode" --settings "$work/$1.json" >>"$work/node$1.log" &
 	node_pid[$1]=$!
 }
 
--- a/tests/process/move_end_to_end.sh
+++ b/tests/process/move_end_to_end.sh
@@ -89,7 +89,7 @@
 wait_for curl -sf "$LOOM_PLATFORM/objects?prefix=x"
 for i in 1 2 3 4; do
 	write_settings "$net.$i"
-	"$bin/loomnode" --settings "$work/$net.$i.json" 2>"$work/$net.$i.log" &
+	"$bin/loomnode" --settings "$work/$net.$i.json" >"$work/$net.$i.log" &
 	pids="$pids $!"
 done
 start_target "$net.1" v1
