--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -60,6 +60,12 @@
  */
 void hc_guard_transfer(CURL *easy, uint32_t connect_timeout_ms);
 
+/*
+ * Has the connections of a guarded transfer reset when they are closed: a
+ * request that was given up and not yet read is then never read.
+ */
+void hc_reset_on_close(CURL *easy);
+
 /* Starts a transfer; the loop uses CURLOPT_PRIVATE. easy stays the caller's. */
 bool hc_add_transfer(struct hc_loop *loop, CURL *easy, hc_done_fn fn,
 		     void *data, GError **error);
--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -180,6 +180,9 @@
 	return loop->multi;
 }
 
+/* Its address marks transfers whose connections are reset. */
+static char reset_on_close;
+
 /* Without these a connection that was cut silently lives for minutes. */
 static int set_probes(void *data, curl_socket_t socket, curlsocktype purpose)
 {
@@ -188,6 +191,7 @@
 	static const int interval_s = PROBE_INTERVAL_S;
 	static const int count = PROBE_COUNT;
 	static const unsigned int timeout_ms = UNACKED_TIMEOUT_MS;
+	static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
 	setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
@@ -196,6 +200,9 @@
 	setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
 	setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 		   sizeof(timeout_ms));
+	if (data == &reset_on_close)
+		setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset,
+			   sizeof(reset));
 	return CURL_SOCKOPT_OK;
 }
 
@@ -206,6 +213,11 @@
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_probes);
 }
 
+void hc_reset_on_close(CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &reset_on_close);
+}
+
 bool hc_add_transfer(struct hc_loop *loop, CURL *easy, hc_done_fn fn,
 		     void *data, GError **error)
 {
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -24,6 +24,7 @@
 	uint32_t running_count;
 	uint32_t peak_count;
 	uint32_t hang_up_count;
+	uint32_t reset_count;
 };
 
 struct raw_connection {
@@ -254,6 +255,8 @@
 		g_string_append_len(connection->input, part, count);
 		handle_requests(connection);
 	} else if (count == 0 || errno != EAGAIN) {
+		if (count < 0 && errno == ECONNRESET)
+			connection->target->reset_count++;
 		if (connection->is_running)
 			connection->target->hang_up_count++;
 		talloc_free(connection);
@@ -325,6 +328,11 @@
 	}
 }
 
+uint32_t raw_get_reset_count(const struct raw_target *target)
+{
+	return target->reset_count;
+}
+
 uint32_t raw_get_request_count(const struct raw_target *target)
 {
 	return target->request_count;
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -33,6 +33,9 @@
 /* Answers all calls to /held that wait. */
 void raw_release_target(struct raw_target *target);
 
+/* Connections that ended by a reset. */
+uint32_t raw_get_reset_count(const struct raw_target *target);
+
 /* Requests read whole, running now, most at once, hang-ups seen. */
 uint32_t raw_get_request_count(const struct raw_target *target);
 uint32_t raw_get_running_count(const struct raw_target *target);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -140,6 +140,8 @@
 		return raw_get_hang_up_count(node->target);
 	if (strcmp(what, "partial") == 0)
 		return raw_get_partial_count(node->target);
+	if (strcmp(what, "resets") == 0)
+		return raw_get_reset_count(node->target);
 	if (strcmp(what, "peak") == 0)
 		return raw_get_peak_count(node->target);
 	if (strcmp(what, "calls") == 0)
@@ -355,6 +357,11 @@
 	run_script("broken_answers");
 }
 
+static void test_given_up(void)
+{
+	run_script("given_up");
+}
+
 static void test_admission(void)
 {
 	run_script("admission");
@@ -377,6 +384,7 @@
 	{ "refusals", test_refusals },
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
+	{ "given up", test_given_up },
 	{ "admission", test_admission },
 	{ "drain", test_drain },
 	{ "hostile callers", test_hostile_callers },
