--- a/include/loom/log.h
+++ b/include/loom/log.h
@@ -23,6 +23,9 @@
  */
 void log_open(const char *program, enum log_level level);
 
+/* Lines below level are dropped from now on. */
+void log_set_level(enum log_level level);
+
 /*
  * Writes what waits and closes the log: lines are dropped until it is opened
  * again. No other thread may write lines meanwhile.
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -260,6 +260,12 @@
 	log_category = category;
 }
 
+void log_set_level(enum log_level level)
+{
+	if (log_category)
+		log4c_category_set_priority(log_category, get_priority(level));
+}
+
 void log_close(void)
 {
 	if (!log_category)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -20,6 +20,15 @@
 struct nd_node *nd_new_node(TALLOC_CTX *ctx, struct tevent_context *events,
 			    const struct nd_settings *settings, GError **error);
 
+/*
+ * Reads settings from a file: new ones owned by ctx, or NULL with problems.
+ */
+typedef struct nd_settings *(*nd_read_fn)(TALLOC_CTX *ctx, const char *file,
+					  struct prob_list *list);
+
+/* Has the file read anew on SIGHUP and when it changes. */
+void nd_watch_settings(struct nd_node *node, const char *file, nd_read_fn read);
+
 /* Parts of a node, borrowed, for what hands its configuration over. */
 struct tevent_context *nd_get_events(struct nd_node *node);
 struct tmr_service *nd_get_timers(struct nd_node *node);
--- a/src/programs/loomnode.c
+++ b/src/programs/loomnode.c
@@ -11,7 +11,7 @@
 
 #define EXIT_BAD_SETTINGS 2
 
-static int run_node(const struct nd_settings *settings)
+static int run_node(const char *file, const struct nd_settings *settings)
 {
 	struct tevent_context *events;
 	struct nd_node *node;
@@ -22,10 +22,12 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	events = tevent_context_init(NULL);
 	node = nd_new_node(events, events, settings, &error);
-	if (node)
+	if (node) {
+		nd_watch_settings(node, file, nd_read_settings);
 		exit_code = nd_run_node(node);
-	else
+	} else {
 		log_write_error(LOG_LEVEL_ERROR, "node", error);
+	}
 	g_clear_error(&error);
 	talloc_free(events);
 	curl_global_cleanup();
@@ -47,7 +49,7 @@
 	if (!settings)
 		exit_code = EXIT_BAD_SETTINGS;
 	else if (!is_check_only)
-		exit_code = run_node(settings);
+		exit_code = run_node(file, settings);
 	talloc_free(ctx);
 	return exit_code;
 }
