Admit by priority, and in a lasting overload only what can meet its objective

The gate's queue is ordered by priority now; once it has not been empty for 100 ms, what cannot meet its objective is refused at once.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -70,22 +70,32 @@
 void adm_note_hint(struct adm_gate *gate, uint32_t bearable_calls,
 		   uint64_t now_ms);
 
+/* A call that asks for admission. */
+struct adm_call {
+	const char *service;
+	const char *version;
+	void *ticket; /* the caller's handle, see adm_take_ready() */
+	uint64_t deadline_ms;
+	uint64_t objective_ms; /* an answer by then is worth most; 0: none */
+	uint32_t priority;     /* 0 is the highest */
+};
+
 /*
- * Asks for admission of a call. ticket is the caller's handle, returned by
- * adm_take_ready() when a waiting call may run. On ADM_VERDICT_REFUSE *refusal
- * is set and the call was not run.
+ * Asks for admission of a call. On ADM_VERDICT_REFUSE *refusal is set and the
+ * call was not run. After ADM_VERDICT_WAIT a call of lower priority may have
+ * lost its place: see adm_take_expired().
  */
-enum adm_verdict adm_admit(struct adm_gate *gate, const char *service,
-			   const char *version, void *ticket, uint64_t now_ms,
-			   uint64_t deadline_ms, enum adm_refusal *refusal);
+enum adm_verdict adm_admit(struct adm_gate *gate, const struct adm_call *call,
+			   uint64_t now_ms, enum adm_refusal *refusal);
 
 /* Returns the next waiting ticket that may run now, or NULL. */
 void *adm_take_ready(struct adm_gate *gate, uint64_t now_ms);
 
 /*
  * Returns the next waiting ticket that is refused now, or NULL: its deadline
- * passed or, under lasting overload, cannot be met any more; or the gate
- * closed, and then every waiting ticket is returned in turn. None of them ran.
+ * passed or, under lasting overload, its objective cannot be met any more; or
+ * the gate closed, and then every waiting ticket is returned in turn. None of
+ * them ran.
  */
 void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms);
 
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -57,7 +57,7 @@
 	const char *address;
 	uint16_t port;
 	uint32_t slots;	       /* 0: not told */
-	uint32_t cold_left_ms; /* until it bears its full load */
+	uint32_t warm_up_ms; /* until it bears its full load */
 };
 
 struct tr_options {
@@ -104,7 +104,7 @@
 
 /* The target was heard from, with the slots and the cold time that it told. */
 void tr_note_heartbeat(struct tr_service *service, uint32_t slots,
-		       uint32_t cold_left_ms);
+		       uint32_t warm_up_ms);
 
 /* The target drains or is gone: refuse its calls from now on. */
 void tr_drain_target(struct tr_service *service);
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -84,37 +84,49 @@
 }
 
 /* Estimates when a call that joins the queue now would be answered. */
-static uint64_t estimate_end_ms(const struct adm_gate *gate, uint64_t now_ms)
+static uint64_t estimate_end_ms(const struct adm_gate *gate,
+				const struct adm_call *call, uint64_t now_ms)
 {
-	uint64_t ahead = adm_get_queue_length(&gate->queue) + 1U;
+	uint64_t ahead = adm_count_ahead(&gate->queue, call->priority) + 1U;
 	uint64_t limit = adm_get_limit(&gate->limit, now_ms);
 	uint64_t wait_us = ahead * gate->latency_us / limit;
 
 	return now_ms + (wait_us + gate->latency_us) / 1000;
 }
 
-static enum adm_refusal check_wait(const struct adm_gate *gate, uint64_t now_ms,
-				   uint64_t deadline_ms)
+/* In a lasting overload only what can meet its objective may wait. */
+static uint64_t get_latest_end_ms(const struct adm_gate *gate,
+				  const struct adm_call *call, uint64_t now_ms)
 {
-	if (adm_get_queue_length(&gate->queue) >= gate->queue_length)
-		return ADM_REFUSAL_QUEUE_FULL;
-	if (estimate_end_ms(gate, now_ms) >= deadline_ms)
+	if (call->objective_ms > 0 && call->objective_ms < call->deadline_ms &&
+	    adm_is_queue_lasting(&gate->queue, now_ms))
+		return call->objective_ms;
+	return call->deadline_ms;
+}
+
+static enum adm_refusal check_wait(struct adm_gate *gate,
+				   const struct adm_call *call, uint64_t now_ms)
+{
+	if (estimate_end_ms(gate, call, now_ms) >=
+	    get_latest_end_ms(gate, call, now_ms))
 		return ADM_REFUSAL_DEADLINE;
+	if (adm_get_queue_length(&gate->queue) >= gate->queue_length &&
+	    !adm_displace_waiting(&gate->queue, call->priority))
+		return ADM_REFUSAL_QUEUE_FULL;
 	return ADM_REFUSAL_NONE;
 }
 
 static enum adm_refusal check_open(const struct adm_gate *gate,
-				   const char *service, const char *version,
-				   uint64_t now_ms, uint64_t deadline_ms)
+				   const struct adm_call *call, uint64_t now_ms)
 {
 	enum adm_refusal refusal = get_closed_refusal(gate);
 
 	if (refusal != ADM_REFUSAL_NONE)
 		return refusal;
-	if (strcmp(gate->service, service) != 0 ||
-	    strcmp(gate->version, version) != 0)
+	if (strcmp(gate->service, call->service) != 0 ||
+	    strcmp(gate->version, call->version) != 0)
 		return ADM_REFUSAL_WRONG_TARGET;
-	if (now_ms >= deadline_ms)
+	if (now_ms >= call->deadline_ms)
 		return ADM_REFUSAL_DEADLINE;
 	return ADM_REFUSAL_NONE;
 }
@@ -243,12 +255,11 @@
 	adm_note_limit_hint(&gate->limit, bearable_calls, now_ms);
 }
 
-enum adm_verdict adm_admit(struct adm_gate *gate, const char *service,
-			   const char *version, void *ticket, uint64_t now_ms,
-			   uint64_t deadline_ms, enum adm_refusal *refusal)
+enum adm_verdict adm_admit(struct adm_gate *gate, const struct adm_call *call,
+			   uint64_t now_ms, enum adm_refusal *refusal)
 {
 	gate->now_ms = now_ms;
-	*refusal = check_open(gate, service, version, now_ms, deadline_ms);
+	*refusal = check_open(gate, call, now_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
 	if (!take_cold_credit(gate, now_ms)) {
@@ -259,10 +270,10 @@
 		gate->in_flight++;
 		return ADM_VERDICT_RUN;
 	}
-	*refusal = check_wait(gate, now_ms, deadline_ms);
+	*refusal = check_wait(gate, call, now_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
-	adm_push_waiting(&gate->queue, ticket, now_ms, deadline_ms);
+	adm_push_waiting(&gate->queue, call, now_ms);
 	return ADM_VERDICT_WAIT;
 }
 
--- a/src/admission/queue.c
+++ b/src/admission/queue.c
@@ -1,9 +1,10 @@
 /*
  * Queue of calls that wait for a slot.
  *
- * It is first in, first out. When it has not been empty for a while the
- * overload is lasting: then calls that cannot be answered before their
- * deadline any more are passed over, so that the slots go to calls that can.
+ * It is ordered by priority, and first in, first out within one. When it has
+ * not been empty for a while the overload is lasting: then calls that cannot be
+ * answered within their objective any more are passed over, so that the slots
+ * go to calls that can.
  *
  * Invariant: busy_since_ms is valid only while a call waits.
  */
@@ -14,6 +15,8 @@
 struct adm_waiting {
 	void *ticket;
 	uint64_t deadline_ms;
+	uint64_t objective_ms;
+	uint32_t priority;
 };
 
 static void *remove_link(struct adm_queue *queue, GList *link)
@@ -32,9 +35,8 @@
 {
 	if (now_ms >= waiting->deadline_ms)
 		return true;
-	if (now_ms < queue->busy_since_ms + LASTING_OVERLOAD_MS)
-		return false;
-	return now_ms + service_ms >= waiting->deadline_ms;
+	return adm_is_queue_lasting(queue, now_ms) &&
+	       now_ms + service_ms >= waiting->objective_ms;
 }
 
 void adm_init_queue(struct adm_queue *queue)
@@ -49,16 +51,60 @@
 		;
 }
 
-void adm_push_waiting(struct adm_queue *queue, void *ticket, uint64_t now_ms,
-		      uint64_t deadline_ms)
+/* Returns the last link of that priority or of a higher one, or NULL. */
+static GList *find_last(const struct adm_queue *queue, uint32_t priority)
 {
-	struct adm_waiting *waiting = g_new(struct adm_waiting, 1);
+	GList *link = queue->waiting.tail;
 
-	waiting->ticket = ticket;
-	waiting->deadline_ms = deadline_ms;
+	while (link &&
+	       ((const struct adm_waiting *)link->data)->priority > priority)
+		link = link->prev;
+	return link;
+}
+
+void adm_push_waiting(struct adm_queue *queue, const struct adm_call *call,
+		      uint64_t now_ms)
+{
+	struct adm_waiting *waiting = g_new(struct adm_waiting, 1);
+	GList *last = find_last(queue, call->priority);
+
+	waiting->ticket = call->ticket;
+	waiting->deadline_ms = call->deadline_ms;
+	waiting->objective_ms = call->deadline_ms;
+	if (call->objective_ms > 0 && call->objective_ms < call->deadline_ms)
+		waiting->objective_ms = call->objective_ms;
+	waiting->priority = call->priority;
 	if (g_queue_is_empty(&queue->waiting))
 		queue->busy_since_ms = now_ms;
-	g_queue_push_tail(&queue->waiting, waiting);
+	if (last)
+		g_queue_insert_after(&queue->waiting, last, waiting);
+	else
+		g_queue_push_head(&queue->waiting, waiting);
+}
+
+uint32_t adm_count_ahead(const struct adm_queue *queue, uint32_t priority)
+{
+	uint32_t count = 0;
+
+	for (GList *link = find_last(queue, priority); link; link = link->prev)
+		count++;
+	return count;
+}
+
+bool adm_displace_waiting(struct adm_queue *queue, uint32_t priority)
+{
+	struct adm_waiting *last = g_queue_peek_tail(&queue->waiting);
+
+	if (!last || last->priority <= priority)
+		return false;
+	last->deadline_ms = 0;
+	return true;
+}
+
+bool adm_is_queue_lasting(const struct adm_queue *queue, uint64_t now_ms)
+{
+	return !g_queue_is_empty((GQueue *)&queue->waiting) &&
+	       now_ms >= queue->busy_since_ms + LASTING_OVERLOAD_MS;
 }
 
 void *adm_take_waiting(struct adm_queue *queue, uint64_t now_ms,
--- a/src/admission/queue.h
+++ b/src/admission/queue.h
@@ -8,9 +8,10 @@
 #include <stdint.h>
 #include <glib.h>
 #include <talloc.h>
+#include "loom/admission.h"
 
 struct adm_queue {
-	GQueue waiting;		/* struct adm_waiting, oldest first */
+	GQueue waiting; /* struct adm_waiting, by priority, oldest first */
 	uint64_t busy_since_ms; /* it has not been empty since */
 };
 
@@ -20,9 +21,21 @@
 /* Drops all waiting calls. */
 void adm_clear_queue(struct adm_queue *queue);
 
-/* Appends a call. */
-void adm_push_waiting(struct adm_queue *queue, void *ticket, uint64_t now_ms,
-		      uint64_t deadline_ms);
+/* Adds a call behind those of its priority and of higher ones. */
+void adm_push_waiting(struct adm_queue *queue, const struct adm_call *call,
+		      uint64_t now_ms);
+
+/* Returns how many calls of that priority and of higher ones wait. */
+uint32_t adm_count_ahead(const struct adm_queue *queue, uint32_t priority);
+
+/*
+ * Makes the last waiting call of a priority below the given one hopeless.
+ * Returns false when there is none.
+ */
+bool adm_displace_waiting(struct adm_queue *queue, uint32_t priority);
+
+/* Returns whether calls have waited without a break for a while. */
+bool adm_is_queue_lasting(const struct adm_queue *queue, uint64_t now_ms);
 
 /*
  * Removes and returns the ticket to run next, or NULL. service_ms is the
--- a/src/admission/tests/test_admission.c
+++ b/src/admission/tests/test_admission.c
@@ -12,6 +12,8 @@
 	uint64_t now_ms;
 	uint32_t deadline_ms; /* allowed from arrival */
 	uintptr_t last_ticket;
+	uint64_t objective_ms; /* 0: none */
+	uint32_t priority;
 };
 
 static uint32_t parse_number(const char *text)
@@ -46,10 +48,18 @@
 {
 	uintptr_t ticket = ++state->last_ticket;
 	enum adm_refusal refusal;
+	struct adm_call call = {
+		.service = "orders",
+		.version = version,
+		.ticket = (void *)ticket,
+		.deadline_ms = state->now_ms + state->deadline_ms,
+		.objective_ms = state->objective_ms
+					? state->now_ms + state->objective_ms
+					: 0,
+		.priority = state->priority,
+	};
 
-	switch (adm_admit(state->gate, "orders", version, (void *)ticket,
-			  state->now_ms, state->now_ms + state->deadline_ms,
-			  &refusal)) {
+	switch (adm_admit(state->gate, &call, state->now_ms, &refusal)) {
 	case ADM_VERDICT_RUN:
 		g_string_append_printf(output, "%" PRIuPTR " runs\n", ticket);
 		break;
@@ -90,12 +100,14 @@
 		     uint32_t wanted, uint32_t latency_ms)
 {
 	enum adm_refusal refusal;
+	struct adm_call call = { .service = "orders",
+				 .version = "v1",
+				 .deadline_ms = UINT64_MAX };
 	struct rt_load load;
 
 	adm_get_load(state->gate, &load);
 	for (uint32_t i = load.in_flight; i < MIN(load.limit, wanted); i++)
-		adm_admit(state->gate, "orders", "v1", NULL, state->now_ms,
-			  UINT64_MAX, &refusal);
+		adm_admit(state->gate, &call, state->now_ms, &refusal);
 	state->now_ms += latency_ms;
 	end_call(state, outcome, latency_ms);
 }
@@ -190,6 +202,10 @@
 		state->now_ms = parse_number(words[1]);
 	} else if (strcmp(words[0], "after") == 0) {
 		state->now_ms += parse_number(words[1]);
+	} else if (strcmp(words[0], "objective") == 0) {
+		state->objective_ms = parse_number(words[1]);
+	} else if (strcmp(words[0], "priority") == 0) {
+		state->priority = parse_number(words[1]);
 	} else if (strcmp(words[0], "deadline") == 0) {
 		state->deadline_ms = parse_number(words[1]);
 	} else {
@@ -237,6 +253,11 @@
 	run_gate_script("queue");
 }
 
+static void test_priority(void)
+{
+	run_gate_script("priority");
+}
+
 static void test_told(void)
 {
 	run_gate_script("told");
@@ -254,6 +275,7 @@
 	{ "latency floor is learned again", test_floor },
 	{ "hints only lower and expire", test_hint },
 	{ "queue is bounded by deadlines", test_queue },
+	{ "priority and objective", test_priority },
 	{ "slots and cold time that the target told", test_told },
 	{ "lasting overload serves what is in time", test_overload },
 	CU_TEST_INFO_NULL,
--- a/src/node/heartbeat.c
+++ b/src/node/heartbeat.c
@@ -50,7 +50,7 @@
 		.phase = heartbeat->is_leaving ? RT_PHASE_LEAVING
 					       : RT_PHASE_SERVING,
 		.slots = heartbeat->slots,
-		.cold_left_ms = heartbeat->cold_left_ms,
+		.warm_up_ms = heartbeat->warm_up_ms,
 	};
 
 	nd_take_announcement(node, &announcement);
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -41,7 +41,7 @@
 	uint16_t port;
 	enum rt_phase phase;
 	uint32_t slots;	       /* 0: not told */
-	uint32_t cold_left_ms; /* until the target bears its full load */
+	uint32_t warm_up_ms; /* until the target bears its full load */
 };
 
 struct nd_move; /* see gateway.c */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -81,7 +81,7 @@
 	uint64_t born_ms;  /* wall clock of its start */
 	uint64_t sequence; /* rises with each heartbeat of an instance */
 	uint32_t slots;
-	uint32_t cold_left_ms;
+	uint32_t warm_up_ms;
 	bool is_leaving;
 };
 
--- a/src/node/target.c
+++ b/src/node/target.c
@@ -55,7 +55,7 @@
 		return;
 	if (is_same(target, announcement)) {
 		tr_note_heartbeat(node->traffic, announcement->slots,
-				  announcement->cold_left_ms);
+				  announcement->warm_up_ms);
 		return;
 	}
 	store_target(node, announcement);
@@ -75,7 +75,7 @@
 				   .address = target->address,
 				   .port = target->port,
 				   .slots = announcement->slots,
-				   .cold_left_ms = announcement->cold_left_ms,
+				   .warm_up_ms = announcement->warm_up_ms,
 			   });
 	mem_announce_target(node->members, target->service, target->version,
 			    target->phase);
--- a/src/routing/bench/model.c
+++ b/src/routing/bench/model.c
@@ -247,8 +247,13 @@
 		start_service(call, now_us);
 		return;
 	}
-	switch (adm_admit(target->gate, "orders", "v1", call, now_us / 1000,
-			  get_deadline_us(call) / 1000, &refusal)) {
+	switch (adm_admit(target->gate,
+			  &(struct adm_call){
+				  .service = "orders",
+				  .version = "v1",
+				  .ticket = call,
+				  .deadline_ms = get_deadline_us(call) / 1000 },
+			  now_us / 1000, &refusal)) {
 	case ADM_VERDICT_RUN:
 		start_service(call, now_us);
 		break;
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -75,6 +75,8 @@
 	uint32_t depth;
 	uint64_t begun_ms; /* its headers were whole */
 	uint64_t deadline_ms;
+	uint64_t objective_ms; /* 0: none */
+	uint32_t priority;     /* 0 is the highest */
 	struct tmr_subscription *deadline;
 
 	CURL *easy;	      /* the running attempt, or NULL */
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -39,6 +39,7 @@
 /* Every hop passes on what is left of the deadline, never more. */
 static void set_deadline(struct tr_call *call)
 {
+	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
 	uint64_t timeout_ms = call->route->timeout_ms;
 	uint64_t given_ms;
 
@@ -46,7 +47,11 @@
 			   &given_ms) &&
 	    given_ms < timeout_ms)
 		timeout_ms = given_ms;
-	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
+	call->deadline_ms = now_ms + timeout_ms;
+	if (!call->place)
+		return;
+	call->objective_ms = now_ms + call->place->objective_ms;
+	call->priority = call->place->priority;
 }
 
 static void make_headers(struct tr_call *call)
@@ -62,6 +67,14 @@
 	list = tr_append_header(list, TR_HEADER_CALLER, call->caller);
 	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth);
+	if (call->objective_ms > 0) {
+		list = tr_append_number(list, TR_HEADER_OBJECTIVE,
+					call->objective_ms > now_ms
+						? call->objective_ms - now_ms
+						: 0);
+		list = tr_append_number(list, TR_HEADER_PRIORITY,
+					call->priority);
+	}
 	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->release);
 	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
 	call->headers = list;
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -13,6 +13,8 @@
 #include "loom/traffic.h"
 
 #define TR_HEADER_DEADLINE "Loom-Deadline-Ms"
+#define TR_HEADER_OBJECTIVE "Loom-Objective-Ms"
+#define TR_HEADER_PRIORITY "Loom-Priority"
 #define TR_HEADER_DEPTH "Loom-Depth"
 #define TR_HEADER_REQUEST_ID "Loom-Request-Id"
 #define TR_HEADER_SERVICE "Loom-Service"
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -53,11 +53,19 @@
 {
 	uint64_t timeout_ms = 0;
 	uint64_t depth = 0;
+	uint64_t objective_ms = 0;
+	uint64_t priority = 0;
 
 	tr_read_number(call->mhd, TR_HEADER_DEADLINE, UINT32_MAX, &timeout_ms);
 	tr_read_number(call->mhd, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
 	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
 	call->depth = (uint32_t)depth;
+	if (tr_read_number(call->mhd, TR_HEADER_OBJECTIVE, UINT32_MAX,
+			   &objective_ms))
+		call->objective_ms =
+			tmr_get_now_ms(call->thread->timers) + objective_ms;
+	tr_read_number(call->mhd, TR_HEADER_PRIORITY, UINT32_MAX, &priority);
+	call->priority = (uint32_t)priority;
 	call->service_name = copy_header(call, TR_HEADER_SERVICE);
 	call->version = copy_header(call, TR_HEADER_VERSION);
 	call->caller = copy_header(call, TR_HEADER_CALLER);
@@ -92,15 +100,24 @@
 {
 	struct tr_thread *thread = call->thread;
 	enum adm_refusal refusal = ADM_REFUSAL_NONE;
-
-	switch (adm_admit(thread->gate, get_service(call), version, call,
-			  tmr_get_now_ms(thread->timers), call->deadline_ms,
+	struct adm_call asked = {
+		.service = get_service(call),
+		.version = version,
+		.ticket = call,
+		.deadline_ms = call->deadline_ms,
+		.objective_ms = call->objective_ms,
+		.priority = call->priority,
+	};
+
+	switch (adm_admit(thread->gate, &asked, tmr_get_now_ms(thread->timers),
 			  &refusal)) {
 	case ADM_VERDICT_RUN:
 		run_call(call);
 		break;
 	case ADM_VERDICT_WAIT:
 		call->stage = TR_STAGE_WAITING;
+		/* A call of lower priority may have lost its place. */
+		tr_run_waiting(thread);
 		break;
 	case ADM_VERDICT_REFUSE:
 		end_unadmitted(call, refusal);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -178,16 +178,16 @@
 	command.announce.url =
 		g_strdup_printf("http://%s:%u", target->address, target->port);
 	send_to_first(service, &command);
-	tr_note_heartbeat(service, target->slots, target->cold_left_ms);
+	tr_note_heartbeat(service, target->slots, target->warm_up_ms);
 }
 
 void tr_note_heartbeat(struct tr_service *service, uint32_t slots,
-		       uint32_t cold_left_ms)
+		       uint32_t warm_up_ms)
 {
 	struct tr_command command = { .kind = TR_COMMAND_HEARTBEAT };
 
 	command.heartbeat.slots = slots;
-	command.heartbeat.cold_left_ms = cold_left_ms;
+	command.heartbeat.warm_up_ms = warm_up_ms;
 	send_to_first(service, &command);
 }
 
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -81,7 +81,7 @@
 
 	adm_note_alive(thread->gate);
 	adm_set_known_slots(thread->gate, command->heartbeat.slots);
-	adm_set_cold(thread->gate, now_ms + command->heartbeat.cold_left_ms);
+	adm_set_cold(thread->gate, now_ms + command->heartbeat.warm_up_ms);
 }
 
 static void run_command(struct tr_thread *thread,
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -69,7 +69,7 @@
 		} announce;
 		struct {
 			uint32_t slots;
-			uint32_t cold_left_ms;
+			uint32_t warm_up_ms;
 		} heartbeat;
 		uint32_t bearable_calls;
 	};
