--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -56,7 +56,7 @@
 	const char *instance; /* "": not told */
 	const char *address;
 	uint16_t port;
-	uint32_t slots;	       /* 0: not told */
+	uint32_t slots;	     /* 0: not told */
 	uint32_t warm_up_ms; /* until it bears its full load */
 };
 
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -334,6 +334,7 @@
 void adm_get_load(const struct adm_gate *gate, struct rt_load *load)
 {
 	load->limit = adm_get_limit(&gate->limit, gate->now_ms);
+	load->latency_us = gate->latency_us;
 	load->in_flight = gate->in_flight + adm_get_queue_length(&gate->queue);
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
 		load->phase = RT_PHASE_LEAVING;
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -82,11 +82,9 @@
 }
 
 /* Returns how many live nodes go before the node of that address. */
-static uint32_t get_turn(struct nd_node *node, const char *service,
-			 const char *address)
+static uint32_t get_turn(const struct mem_member *members, size_t count,
+			 const char *service, const char *address)
 {
-	const struct mem_member *members;
-	size_t count = mem_list_members(node->members, &members);
 	uint64_t place = get_place(service, address);
 	uint32_t turn = 0;
 
@@ -98,9 +96,17 @@
 	return turn;
 }
 
+static uint32_t get_own_turn(struct nd_node *node, const char *service)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+
+	return get_turn(members, count, service, node->settings->address);
+}
+
 static bool is_judge(struct nd_node *node, const char *service)
 {
-	return get_turn(node, service, node->settings->address) < JUDGES;
+	return get_own_turn(node, service) < JUDGES;
 }
 
 /* Sends the counts since the last time to the judges of the move. */
@@ -121,8 +127,8 @@
 
 		if (members[i].state != MEM_STATE_ALIVE ||
 		    strcmp(self->address, node->settings->address) == 0 ||
-		    get_turn(node, move->order.service, self->address) >=
-			    JUDGES)
+		    get_turn(members, count, move->order.service,
+			     self->address) >= JUDGES)
 			continue;
 		judge = talloc_asprintf(node, "%s:%u", self->address,
 					self->admin_port);
@@ -154,9 +160,7 @@
 		move->wanted_ms = now_ms;
 		move->asked_ms = 0;
 	}
-	turn_ms = (uint64_t)get_turn(node, order.service,
-				     node->settings->address) *
-		  TURN_MS;
+	turn_ms = (uint64_t)get_own_turn(node, order.service) * TURN_MS;
 	if (wanted == DOC_MOVE_TAKEN_BACK)
 		turn_ms = is_judge(node, order.service) ? 0 : OWN_FINDING_MS;
 	if (now_ms < move->wanted_ms + turn_ms ||
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -40,7 +40,7 @@
 	const char *address; /* NULL: that of the node */
 	uint16_t port;
 	enum rt_phase phase;
-	uint32_t slots;	       /* 0: not told */
+	uint32_t slots;	     /* 0: not told */
 	uint32_t warm_up_ms; /* until the target bears its full load */
 };
 
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -171,26 +171,42 @@
 	}
 }
 
+/*
+ * Cost of a call: the latency of the target, and as much again when its limit
+ * is in use. A target without a known latency counts by its load alone.
+ */
+static double get_cost(const struct rt_memory *memory, uint32_t limit,
+		       bool is_by_latency, uint64_t now_ms)
+{
+	double load = rt_get_memory_load(memory, now_ms);
+
+	if (!is_by_latency)
+		return load / limit;
+	return rt_get_memory_latency_us(memory, now_ms) * (1 + load / limit);
+}
+
 static uint32_t pick_two_choices(struct rt_chooser *chooser, uint64_t now_ms)
 {
 	const struct rt_candidates *candidates = &chooser->candidates;
+	const struct rt_memory *members[2];
+	bool is_by_latency = true;
 	uint32_t places[2];
-	uint64_t loads[2];
+	double costs[2];
 
 	if (candidates->count == 1)
 		return 0;
 	places[0] = draw_by_limit(chooser, UINT32_MAX);
 	places[1] = draw_by_limit(chooser, places[0]);
+	for (int i = 0; i < 2; i++) {
+		members[i] = get_member(chooser, candidates->group,
+					candidates->indices[places[i]]);
+		if (rt_get_memory_latency_us(members[i], now_ms) == 0)
+			is_by_latency = false;
+	}
 	for (int i = 0; i < 2; i++)
-		loads[i] = rt_get_memory_load(
-			get_member(chooser, candidates->group,
-				   candidates->indices[places[i]]),
-			now_ms);
-	/* Compared as shares of the limits, without dividing. */
-	if (loads[1] * candidates->limits[places[0]] <
-	    loads[0] * candidates->limits[places[1]])
-		return places[1];
-	return places[0];
+		costs[i] = get_cost(members[i], candidates->limits[places[i]],
+				    is_by_latency, now_ms);
+	return costs[1] < costs[0] ? places[1] : places[0];
 }
 
 static uint32_t pick_by_policy(struct rt_chooser *chooser,
--- a/src/routing/memory.c
+++ b/src/routing/memory.c
@@ -66,6 +66,7 @@
 {
 	memory->is_reported = true;
 	memory->limit = load->limit;
+	memory->latency_us = load->latency_us;
 	memory->elsewhere = load->in_flight > memory->here
 				    ? load->in_flight - memory->here
 				    : 0;
@@ -177,6 +178,12 @@
 	return memory->here + (memory->elsewhere >> halvings);
 }
 
+uint32_t rt_get_memory_latency_us(const struct rt_memory *memory,
+				  uint64_t now_ms)
+{
+	return is_report_live(memory, now_ms) ? memory->latency_us : 0;
+}
+
 enum rt_phase rt_get_memory_phase(const struct rt_memory *memory,
 				  uint64_t now_ms)
 {
--- a/src/routing/memory.h
+++ b/src/routing/memory.h
@@ -14,7 +14,8 @@
 	uint32_t here;		 /* calls in flight from this thread */
 	bool is_reported;	 /* the fields below hold a report */
 	uint32_t limit;
-	uint32_t elsewhere; /* calls in flight of others at the report */
+	uint32_t latency_us; /* mean at the report; 0: not known */
+	uint32_t elsewhere;  /* calls in flight of others at the report */
 	enum rt_phase phase;
 	uint64_t reported_ms;
 	uint32_t failure_count; /* failures since the last answer */
@@ -56,6 +57,10 @@
 /* Returns the estimate of the calls in flight at the target. */
 uint32_t rt_get_memory_load(const struct rt_memory *memory, uint64_t now_ms);
 
+/* Returns the latency to expect of the target, 0 when it is not known. */
+uint32_t rt_get_memory_latency_us(const struct rt_memory *memory,
+				  uint64_t now_ms);
+
 /* Returns the phase: as reported, or as announced without a report. */
 enum rt_phase rt_get_memory_phase(const struct rt_memory *memory,
 				  uint64_t now_ms);
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -146,6 +146,8 @@
 		load->limit = (uint32_t)number;
 	else if (strcasecmp(name, TR_HEADER_IN_FLIGHT) == 0)
 		load->in_flight = (uint32_t)number;
+	else if (strcasecmp(name, TR_HEADER_LATENCY) == 0)
+		load->latency_us = (uint32_t)number;
 	else
 		return false;
 	return true;
@@ -164,6 +166,7 @@
 {
 	add_number(response, TR_HEADER_LIMIT, load->limit);
 	add_number(response, TR_HEADER_IN_FLIGHT, load->in_flight);
+	add_number(response, TR_HEADER_LATENCY, load->latency_us);
 	MHD_add_response_header(response, TR_HEADER_PHASE,
 				rt_get_phase_name(load->phase));
 }
