--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -96,6 +96,7 @@
 struct rt_request {
 	const struct doc_service *service;
 	uint64_t split_hash; /* decides between the versions of a move */
+	bool is_heavy;	     /* its body is dear to move far */
 	const char *tried[RT_TRIED_MAX]; /* addresses not to choose again */
 	uint32_t tried_count;
 };
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -5,7 +5,10 @@
  * entry is graded: unusable ones are never chosen, ready ones are chosen from
  * the nearest tier that has any, busy ones when no tier has a ready one, and
  * one that failed lately only when there is nothing else. Among candidates of
- * one grade the policy decides.
+ * one grade the policy decides. A ready one of a farther tier is taken when it
+ * is so much less loaded that the way is worth it: else the targets of a
+ * failure domain with much traffic would be full while those next door are
+ * idle.
  *
  * Invariant: cursors has one element for each group of the table last synced.
  */
@@ -16,6 +19,16 @@
 #include "memory.h"
 #include "version_split.h"
 
+/*
+ * By how much a target of a farther tier must be less loaded. With the square
+ * of the load in the cost, these let the nearest targets fill to about two
+ * thirds before the first call goes farther, and nearly whole for a heavy body.
+ */
+#define FAR_FACTOR 2.0
+#define FAR_HEAVY_FACTOR 3.0
+/* Cost of a target at its limit: as much as this many idle ones, less one. */
+#define FULL_COST 3.0
+
 enum rt_grade {
 	GRADE_UNUSABLE,
 	GRADE_OUT,   /* unusable only since its failure domain is out */
@@ -122,31 +135,57 @@
 	return best;
 }
 
+/* Adds an entry of the group to the candidates. */
+static void add_candidate(struct rt_chooser *chooser, uint32_t index,
+			  uint64_t now_ms)
+{
+	struct rt_candidates *candidates = &chooser->candidates;
+	uint32_t limit = rt_get_memory_limit(
+		get_member(chooser, candidates->group, index), now_ms);
+
+	candidates->indices[candidates->count] = index;
+	candidates->limits[candidates->count++] = limit;
+	candidates->limit_sum += limit;
+}
+
+static void clear_candidates(struct rt_chooser *chooser,
+			     const struct rt_group *group)
+{
+	chooser->candidates.group = group;
+	chooser->candidates.count = 0;
+	chooser->candidates.limit_sum = 0;
+}
+
 /* Takes the entries of a grade: of all tiers, or of the nearest that has it. */
 static void collect(struct rt_chooser *chooser, const struct rt_table *table,
 		    const struct rt_group *group, enum rt_grade grade,
 		    uint64_t now_ms)
 {
-	struct rt_candidates *candidates = &chooser->candidates;
 	uint32_t tier = UINT32_MAX;
 
-	candidates->group = group;
-	candidates->count = 0;
-	candidates->limit_sum = 0;
+	clear_candidates(chooser, group);
 	for (uint32_t i = 0; i < group->count; i++) {
-		uint32_t limit;
-
 		if (chooser->grades[i] != grade)
 			continue;
 		if (tier == UINT32_MAX && grade == GRADE_READY)
 			tier = table->entries[group->first + i].tier;
 		if (table->entries[group->first + i].tier > tier)
 			break;
-		limit = rt_get_memory_limit(get_member(chooser, group, i),
-					    now_ms);
-		candidates->indices[candidates->count] = i;
-		candidates->limits[candidates->count++] = limit;
-		candidates->limit_sum += limit;
+		add_candidate(chooser, i, now_ms);
+	}
+}
+
+/* Takes the ready entries of the tiers behind the given one. */
+static void collect_farther(struct rt_chooser *chooser,
+			    const struct rt_table *table,
+			    const struct rt_group *group, uint32_t tier,
+			    uint64_t now_ms)
+{
+	clear_candidates(chooser, group);
+	for (uint32_t i = 0; i < group->count; i++) {
+		if (chooser->grades[i] == GRADE_READY &&
+		    table->entries[group->first + i].tier > tier)
+			add_candidate(chooser, i, now_ms);
 	}
 }
 
@@ -172,41 +211,48 @@
 }
 
 /*
- * Cost of a call: the latency of the target, and as much again when its limit
- * is in use. A target without a known latency counts by its load alone.
+ * Cost of a call: the latency of the target, and more the fuller it is. Without
+ * a known latency of both, targets are compared by their load alone.
  */
-static double get_cost(const struct rt_memory *memory, uint32_t limit,
-		       bool is_by_latency, uint64_t now_ms)
+static double get_cost(const struct rt_memory *memory, bool is_by_latency,
+		       uint64_t now_ms)
+{
+	double part = (double)rt_get_memory_load(memory, now_ms) /
+		      rt_get_memory_limit(memory, now_ms);
+	double latency_us = 1;
+
+	if (is_by_latency)
+		latency_us = rt_get_memory_latency_us(memory, now_ms);
+	return latency_us * (1 + FULL_COST * part * part);
+}
+
+/* Returns whether b costs less than a. */
+static bool is_cheaper(const struct rt_memory *a, const struct rt_memory *b,
+		       uint64_t now_ms)
 {
-	double load = rt_get_memory_load(memory, now_ms);
+	bool is_by_latency = rt_get_memory_latency_us(a, now_ms) > 0 &&
+			     rt_get_memory_latency_us(b, now_ms) > 0;
 
-	if (!is_by_latency)
-		return load / limit;
-	return rt_get_memory_latency_us(memory, now_ms) * (1 + load / limit);
+	return get_cost(b, is_by_latency, now_ms) <
+	       get_cost(a, is_by_latency, now_ms);
 }
 
 static uint32_t pick_two_choices(struct rt_chooser *chooser, uint64_t now_ms)
 {
 	const struct rt_candidates *candidates = &chooser->candidates;
-	const struct rt_memory *members[2];
-	bool is_by_latency = true;
 	uint32_t places[2];
-	double costs[2];
 
 	if (candidates->count == 1)
 		return 0;
 	places[0] = draw_by_limit(chooser, UINT32_MAX);
 	places[1] = draw_by_limit(chooser, places[0]);
-	for (int i = 0; i < 2; i++) {
-		members[i] = get_member(chooser, candidates->group,
-					candidates->indices[places[i]]);
-		if (rt_get_memory_latency_us(members[i], now_ms) == 0)
-			is_by_latency = false;
-	}
-	for (int i = 0; i < 2; i++)
-		costs[i] = get_cost(members[i], candidates->limits[places[i]],
-				    is_by_latency, now_ms);
-	return costs[1] < costs[0] ? places[1] : places[0];
+	if (is_cheaper(get_member(chooser, candidates->group,
+				  candidates->indices[places[0]]),
+		       get_member(chooser, candidates->group,
+				  candidates->indices[places[1]]),
+		       now_ms))
+		return places[1];
+	return places[0];
 }
 
 static uint32_t pick_by_policy(struct rt_chooser *chooser,
@@ -227,6 +273,32 @@
 	return 0;
 }
 
+/* Returns the index to take in place of a near one: a farther one, or itself.
+ */
+static uint32_t look_farther(struct rt_chooser *chooser,
+			     const struct rt_table *table,
+			     const struct rt_group *group,
+			     const struct rt_request *request, uint32_t near,
+			     uint64_t now_ms)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	double factor = request->is_heavy ? FAR_HEAVY_FACTOR : FAR_FACTOR;
+	uint32_t far;
+
+	collect_farther(chooser, table, group,
+			table->entries[group->first + near].tier, now_ms);
+	if (candidates->count == 0)
+		return near;
+	far = candidates->indices[pick_two_choices(chooser, now_ms)];
+	/* By load alone: a faster target is not worth the way by itself. */
+	return get_cost(get_member(chooser, group, far), false, now_ms) *
+				       factor <
+			       get_cost(get_member(chooser, group, near), false,
+					now_ms)
+		       ? far
+		       : near;
+}
+
 static const struct rt_target *
 choose_in_version(struct rt_chooser *chooser, const struct rt_table *table,
 		  const struct rt_request *request, const char *version,
@@ -236,7 +308,7 @@
 	const struct rt_candidates *candidates = &chooser->candidates;
 	const struct rt_group *group;
 	enum rt_grade grade;
-	uint32_t place;
+	uint32_t index;
 
 	*refusal = RT_REFUSAL_NO_TARGET;
 	group = rt_find_group(table, request->service->name, version);
@@ -248,10 +320,12 @@
 	if (grade < worst)
 		return NULL;
 	collect(chooser, table, group, grade, now_ms);
-	place = pick_by_policy(chooser, table, now_ms);
+	index = candidates->indices[pick_by_policy(chooser, table, now_ms)];
+	if (grade == GRADE_READY && chooser->policy == RT_POLICY_TWO_CHOICES)
+		index = look_farther(chooser, table, group, request, index,
+				     now_ms);
 	*refusal = RT_REFUSAL_NONE;
-	return &table->entries[group->first + candidates->indices[place]]
-			.target;
+	return &table->entries[group->first + index].target;
 }
 
 static void sync_table(struct rt_chooser *chooser, const struct rt_table *table)
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -8,6 +8,9 @@
 #include "samples.h"
 #include "trace.h"
 
+/* A body beyond this is dear to move to another failure domain. */
+#define HEAVY_BYTES 16384
+
 static const struct tr_names *get_names(const struct tr_call *call)
 {
 	return call->thread->service->options.names;
@@ -211,6 +214,9 @@
 	set_deadline(call);
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
+	call->request.is_heavy = call->upload.has_body &&
+				 (call->upload.content_length < 0 ||
+				  call->upload.content_length > HEAVY_BYTES);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 tmr_get_now_ms(call->thread->timers));
 	if (is_body_short(call))
