One watch tries again for all while the store is out

One watch probes with waits of up to 1 s, the others start again when it got an answer; storms are listed every 800 ms.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -15,8 +15,8 @@
  * A gateway's change is to be in force within 2 s, also right after the store
  * was out: each of these is a fraction of that.
  */
-#define STORE_BUSY_LIST_MS 500U
-#define STORE_RETRY_WAIT_MS 500U
+#define STORE_BUSY_LIST_MS 800U
+#define STORE_RETRY_WAIT_MS 1000U
 #define STORE_START_JITTER_MS 100U
 
 static uint32_t get_distance_us(const struct nd_node *node, const char *domain)
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -31,6 +31,8 @@
 	uint32_t in_flight;
 	struct tmr_subscription *pump_timer;
 	struct cnt_counter *waiting_watches;
+	struct plat_watch *prober; /* tries again while the store is out */
+	GQueue parked;		   /* struct plat_watch that wait for it */
 	uint64_t write_count;
 };
 
@@ -290,6 +292,7 @@
 	client->floors = plat_new_floors(client);
 	g_queue_init(&client->calls);
 	g_queue_init(&client->queue);
+	g_queue_init(&client->parked);
 	plat_start_bucket(&client->bucket, options->calls_per_second,
 			  options->burst_calls, tmr_get_now_ms(timers));
 	client->waiting_watches =
@@ -355,6 +358,32 @@
 					call);
 }
 
+bool plat_begin_outage(struct plat_client *client, struct plat_watch *watch)
+{
+	if (!client->prober)
+		client->prober = watch;
+	if (client->prober == watch)
+		return true;
+	g_queue_push_tail(&client->parked, watch);
+	return false;
+}
+
+void plat_end_outage(struct plat_client *client)
+{
+	struct plat_watch *watch;
+
+	client->prober = NULL;
+	while ((watch = g_queue_pop_head(&client->parked)))
+		plat_restart_watch(watch);
+}
+
+void plat_leave_outage(struct plat_client *client, struct plat_watch *watch)
+{
+	g_queue_remove(&client->parked, watch);
+	if (client->prober == watch)
+		plat_end_outage(client);
+}
+
 GRand *plat_get_random(struct plat_client *client)
 {
 	return client->random;
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -75,6 +75,22 @@
  */
 void plat_finish_call(struct plat_call *call, GError *error);
 
+/*
+ * While the store is out, one watch of the client tries again for all. Returns
+ * whether this one does; another one is started again by plat_end_outage().
+ */
+struct plat_watch;
+bool plat_begin_outage(struct plat_client *client, struct plat_watch *watch);
+
+/* The store answered a watch: those that waited start again. */
+void plat_end_outage(struct plat_client *client);
+
+/* A watch ends; it tries again and waits no longer. */
+void plat_leave_outage(struct plat_client *client, struct plat_watch *watch);
+
+/* watch.c: starts a watch that waited for the end of an outage. */
+void plat_restart_watch(struct plat_watch *watch);
+
 /* Returns the client's random numbers, timers and options (borrowed). */
 GRand *plat_get_random(struct plat_client *client);
 struct tmr_service *plat_get_timers(struct plat_client *client);
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -12,7 +12,10 @@
  * events come in quick succession lists at that pace until a list brings
  * nothing new.
  *
- * Invariant: exactly one of call and timer is set.
+ * While the store is out one watch of the client tries again for all of them;
+ * the others are parked and list as soon as it got an answer.
+ *
+ * Invariant: exactly one of call, timer and is_parked is set.
  */
 #include "client.h"
 
@@ -37,6 +40,7 @@
 	uint64_t revision;
 	uint64_t poll_sent_ms;
 	uint64_t relist_ms; /* when to list again */
+	bool is_parked;	    /* waits for the end of an outage */
 	bool is_listed;	    /* revision is that of a list or of later events */
 	uint32_t quick_count; /* polls in quick succession */
 	uint64_t newest;      /* highest revision of an object seen */
@@ -59,6 +63,20 @@
 					  delay_ms, handle_timer, watch);
 }
 
+/* A history that is gone is an answer of the store: it is not out. */
+static void try_again(struct plat_watch *watch, bool is_answered)
+{
+	uint32_t wait_ms = plat_choose_backoff_ms(
+		&watch->backoff, plat_get_random(watch->client));
+
+	if (is_answered)
+		plat_end_outage(watch->client);
+	if (is_answered || plat_begin_outage(watch->client, watch))
+		wait_for(watch, wait_ms);
+	else
+		watch->is_parked = true;
+}
+
 /* Tells of a failure; talloc_free() of the watch within fn ends it. */
 static void handle_failure(struct plat_watch *watch,
 			   const struct plat_result *result)
@@ -73,8 +91,7 @@
 	else if (!g_error_matches(result->error, ERR_DOMAIN,
 				  ERR_UNKNOWN_OUTCOME))
 		plat_note_overload(&watch->backoff);
-	wait_for(watch, plat_choose_backoff_ms(&watch->backoff,
-					       plat_get_random(watch->client)));
+	try_again(watch, is_gone);
 	watch->fn(is_stale ? PLAT_WATCH_STALE : PLAT_WATCH_FAILED, result,
 		  watch->data);
 }
@@ -111,6 +128,7 @@
 		return;
 	}
 	plat_reset_backoff(&watch->backoff);
+	plat_end_outage(watch->client);
 	watch->revision = result->revision;
 	if (!note_newest(watch, result))
 		watch->quick_count = 0;
@@ -156,6 +174,7 @@
 		handle_failure(watch, result);
 		return;
 	}
+	plat_end_outage(watch->client);
 	/* A store that does not wait must not make a busy loop of the watch. */
 	if (is_hasty(watch, result))
 		wait_ms = plat_choose_backoff_ms(
@@ -192,6 +211,21 @@
 					  handle_list, watch);
 }
 
+static int destroy_watch(struct plat_watch *watch)
+{
+	plat_leave_outage(watch->client, watch);
+	return 0;
+}
+
+void plat_restart_watch(struct plat_watch *watch)
+{
+	watch->is_parked = false;
+	wait_for(watch, plat_choose_start_ms(
+				plat_get_random(watch->client),
+				plat_get_options(watch->client)
+					->start_jitter_ms));
+}
+
 struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
 				     struct plat_client *client,
 				     const char *prefix, plat_watch_fn fn,
@@ -203,6 +237,7 @@
 	watch->prefix = talloc_strdup(watch, prefix);
 	watch->fn = fn;
 	watch->data = data;
+	talloc_set_destructor(watch, destroy_watch);
 	plat_start_backoff(&watch->backoff,
 			   plat_get_options(client)->retry_wait_ms_max);
 	wait_for(watch, plat_choose_start_ms(
