--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -220,10 +220,10 @@
 void plat_restart_watch(struct plat_watch *watch)
 {
 	watch->is_parked = false;
-	wait_for(watch, plat_choose_start_ms(
-				plat_get_random(watch->client),
-				plat_get_options(watch->client)
-					->start_jitter_ms));
+	wait_for(watch,
+		 plat_choose_start_ms(
+			 plat_get_random(watch->client),
+			 plat_get_options(watch->client)->start_jitter_ms));
 }
 
 struct plat_watch *plat_watch_prefix(TALLOC_CTX *ctx,
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -24,8 +24,8 @@
  * of the load in the cost, these let the nearest targets fill to about two
  * thirds before the first call goes farther, and nearly whole for a heavy body.
  */
-#define FAR_FACTOR 2.0
-#define FAR_HEAVY_FACTOR 3.0
+#define FAR_FACTOR 3.0
+#define FAR_HEAVY_FACTOR 3.5
 /* Cost of a target at its limit: as much as this many idle ones, less one. */
 #define FULL_COST 3.0
 
