--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -298,7 +298,8 @@
 	/* An earlier attempt may have run although this one did not. */
 	if (!is_not_run)
 		call->is_run_possible = true;
-	if (try_again(call, outcome, is_not_run, call->answer.is_unsent))
+	if (try_again(call, outcome, is_not_run,
+		      is_not_run && call->answer.is_unsent))
 		return;
 	tr_refuse_call(call, call->answer.status, reason ? reason : "refused",
 		       !call->is_run_possible);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -357,6 +357,11 @@
 	run_script("broken_answers");
 }
 
+static void test_retry_budget(void)
+{
+	run_script("retry_budget");
+}
+
 static void test_given_up(void)
 {
 	run_script("given_up");
@@ -384,6 +389,7 @@
 	{ "refusals", test_refusals },
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
+	{ "retry budget", test_retry_budget },
 	{ "given up", test_given_up },
 	{ "admission", test_admission },
 	{ "drain", test_drain },
