--- a/include/loom/counter.h
+++ b/include/loom/counter.h
@@ -40,7 +40,22 @@
 /* Returns the present value. */
 int64_t cnt_get_value(const struct cnt_counter *counter);
 
-/* Appends all counters to text in the usual exposition format. */
+/* A histogram of durations; see counter.c for the bounds of its buckets. */
+struct cnt_histogram;
+
+/*
+ * Returns the histogram of that name and label set, made when it is new.
+ * Borrowed from the registry; all texts are copied.
+ */
+struct cnt_histogram *cnt_get_histogram(struct cnt_registry *registry,
+					const char *name, const char *labels,
+					const char *help);
+
+/* Counts one duration. */
+void cnt_observe(struct cnt_histogram *histogram, uint64_t duration_us);
+
+/* Appends all counters and histograms to text in the usual exposition format.
+ */
 void cnt_print(const struct cnt_registry *registry, GString *text);
 
 #endif
--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -342,6 +342,13 @@
 doc_find_gateway_route(const struct doc_gateway *gateway, const char *host,
 		       const char *path);
 
+/*
+ * Returns whether calls of the route give way first: no route has a lower
+ * priority, and one has a higher one.
+ */
+bool doc_is_least_urgent(const struct doc_gateway *gateway,
+			 const struct doc_gateway_route *route);
+
 /* Returns the service (borrowed) of the share that the hash falls into. */
 const char *doc_choose_share(const struct doc_gateway_route *route,
 			     uint64_t split_hash);
--- a/src/base/tests/test_base.c
+++ b/src/base/tests/test_base.c
@@ -69,6 +69,66 @@
 	talloc_free(state.service);
 }
 
+static void test_histogram(void)
+{
+	struct cnt_registry *registry = cnt_new_registry(NULL);
+	struct cnt_histogram *histogram =
+		cnt_get_histogram(registry, "t_seconds", "side=\"a\"", "Time.");
+	GString *text = g_string_new(NULL);
+
+	cnt_observe(histogram, 1000);
+	cnt_observe(histogram, 1001);
+	cnt_observe(histogram, 9000000);
+	CU_ASSERT_PTR_EQUAL(histogram,
+			    cnt_get_histogram(registry, "t_seconds",
+					      "side=\"a\"", "Time."));
+	cnt_print(registry, text);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(text->str,
+		       "# TYPE t_seconds histogram\n"
+		       "t_seconds_bucket{side=\"a\",le=\"0.001\"} 1\n"
+		       "t_seconds_bucket{side=\"a\",le=\"0.002\"} 2\n"));
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(text->str,
+		       "t_seconds_bucket{side=\"a\",le=\"5\"} 2\n"
+		       "t_seconds_bucket{side=\"a\",le=\"+Inf\"} 3\n"
+		       "t_seconds_sum{side=\"a\"} 9.002001\n"
+		       "t_seconds_count{side=\"a\"} 3\n"));
+	g_string_free(text, TRUE);
+	talloc_free(registry);
+}
+
+static void count_call(uint64_t now_ms, void *data)
+{
+	uint32_t *count = data;
+
+	(*count)++;
+}
+
+/* The real service calls what is due, in any order of subscription. */
+static void test_real_timers(void)
+{
+	struct tevent_context *events = tevent_context_init(NULL);
+	struct tmr_service *service = tmr_new(events, events);
+	uint64_t start_ms = tmr_get_now_ms(service);
+	struct tmr_subscription *cancelled;
+	uint32_t late = 0;
+	uint32_t early = 0;
+	uint32_t none = 0;
+
+	tmr_subscribe_once(events, service, 30, count_call, &late);
+	cancelled = tmr_subscribe_once(events, service, 1, count_call, &none);
+	tmr_subscribe_once(events, service, 5, count_call, &early);
+	tmr_subscribe_once(events, service, 0, count_call, &early);
+	talloc_free(cancelled);
+	while (late == 0)
+		tevent_loop_once(events);
+	CU_ASSERT_TRUE(tmr_get_now_ms(service) >= start_ms + 30);
+	CU_ASSERT_EQUAL(early, 2);
+	CU_ASSERT_EQUAL(none, 0);
+	talloc_free(events);
+}
+
 static void test_error_carries_step_and_peer(void)
 {
 	GError *error = NULL;
@@ -115,6 +175,8 @@
 	{ "timer service follows its script", test_timer_script },
 	{ "error carries step and peer", test_error_carries_step_and_peer },
 	{ "counters print in order of name", test_counters_print_in_order },
+	{ "histograms print their buckets", test_histogram },
+	{ "real timers go off", test_real_timers },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/document/gateway.c
+++ b/src/document/gateway.c
@@ -139,6 +139,15 @@
 	index_route(gateway, object, route);
 }
 
+static void note_priority(struct doc_gateway *gateway, uint32_t priority,
+			  bool is_first)
+{
+	if (is_first || priority < gateway->highest_priority)
+		gateway->highest_priority = priority;
+	if (is_first || priority > gateway->lowest_priority)
+		gateway->lowest_priority = priority;
+}
+
 static void read_routes(struct doc_gateway *gateway, struct rd_object *object)
 {
 	size_t count;
@@ -155,6 +164,7 @@
 			continue;
 		read_route(gateway, item, &gateway->routes[i]);
 		rd_close_object(item);
+		note_priority(gateway, gateway->routes[i].priority, i == 0);
 	}
 }
 
@@ -308,6 +318,13 @@
 	return route;
 }
 
+bool doc_is_least_urgent(const struct doc_gateway *gateway,
+			 const struct doc_gateway_route *route)
+{
+	return route->priority == gateway->lowest_priority &&
+	       gateway->lowest_priority > gateway->highest_priority;
+}
+
 const char *doc_choose_share(const struct doc_gateway_route *route,
 			     uint64_t split_hash)
 {
--- a/src/document/gateway.h
+++ b/src/document/gateway.h
@@ -12,6 +12,8 @@
 	atomic_uint reference_count;
 	uint64_t sequence;
 	struct doc_gateway_route *routes;
+	uint32_t highest_priority; /* the smallest number of a route */
+	uint32_t lowest_priority;  /* the largest one */
 	struct doc_gateway_service *services;
 	size_t service_count;
 	struct doc_caller_limits limits;
--- a/src/document/tests/test_gateway.c
+++ b/src/document/tests/test_gateway.c
@@ -67,9 +67,12 @@
 		g_string_append(output, "no route\n");
 		return;
 	}
-	g_string_append_printf(output, "%s %u ms objective %u attempts %u\n",
+	g_string_append_printf(output, "%s %u ms objective %u attempts %u%s\n",
 			       route->route.name, route->route.timeout_ms,
-			       route->objective_ms, route->attempts_max);
+			       route->objective_ms, route->attempts_max,
+			       doc_is_least_urgent(state->gateway, route)
+				       ? " least urgent"
+				       : "");
 }
 
 static void print_shares(struct state *state, char **words, GString *output)
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -144,7 +144,7 @@
 {
 	GString *text = g_string_new(NULL);
 
-	cnt_print(node->counters, text);
+	nd_print_metrics(node, text);
 	web_reply(request, MHD_HTTP_OK, "text/plain; version=0.0.4", text->str,
 		  text->len);
 	g_string_free(text, TRUE);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -371,6 +371,11 @@
 	return node->phase == ND_PHASE_SERVING && nd_get_snapshot(node);
 }
 
+void nd_print_metrics(const struct nd_node *node, GString *text)
+{
+	cnt_print(node->counters, text);
+}
+
 void nd_add_seed(struct nd_node *node, const char *seed)
 {
 	mem_add_seed(node->members, seed);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,6 +38,9 @@
 /* Returns whether the node serves callers: configured, and not draining. */
 bool nd_is_ready(const struct nd_node *node);
 
+/* Appends the counters in the usual text exposition. */
+void nd_print_metrics(const struct nd_node *node, GString *text);
+
 /* Another node may be met at that address and port. */
 void nd_add_seed(struct nd_node *node, const char *seed);
 
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -280,6 +280,12 @@
 	if (!call)
 		return;
 	stop_call(call, RT_OUTCOME_CANCELLED, ADM_OUTCOME_CANCELLED);
+	if (call->method)
+		cnt_observe(
+			call->thread->service->counters.durations[call->role],
+			(tmr_get_now_ms(call->thread->timers) -
+			 call->begun_ms) *
+				1000);
 	tr_set_connection_call(call->connection, NULL);
 	free_call(call);
 	*state = NULL;
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -53,8 +53,14 @@
 	call->deadline_ms = now_ms + timeout_ms;
 	if (!call->place)
 		return;
-	call->objective_ms = now_ms + call->place->objective_ms;
 	call->priority = call->place->priority;
+	/*
+	 * Only what is least urgent is given up for its objective: the failure
+	 * of a call that a target made wastes the work of its caller as well.
+	 */
+	if (doc_is_least_urgent(doc_get_gateway(rt_get_snapshot(call->table)),
+				call->place))
+		call->objective_ms = now_ms + call->place->objective_ms;
 }
 
 static void make_headers(struct tr_call *call)
@@ -70,14 +76,14 @@
 	list = tr_append_header(list, TR_HEADER_CALLER, call->caller);
 	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth);
-	if (call->objective_ms > 0) {
+	if (call->place)
+		list = tr_append_number(list, TR_HEADER_PRIORITY,
+					call->priority);
+	if (call->objective_ms > 0)
 		list = tr_append_number(list, TR_HEADER_OBJECTIVE,
 					call->objective_ms > now_ms
 						? call->objective_ms - now_ms
 						: 0);
-		list = tr_append_number(list, TR_HEADER_PRIORITY,
-					call->priority);
-	}
 	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->release);
 	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
 	call->headers = list;
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -42,6 +42,12 @@
 		  "Answers that broke off.");
 	open_pair(registry, counters->cancelled, "loom_cancelled_total",
 		  "Calls whose caller hung up.");
+	counters->durations[TR_ROLE_ENTRY] = cnt_get_histogram(
+		registry, "loom_call_duration_seconds", "side=\"entry\"",
+		"Time from a call's headers to the end of its answer.");
+	counters->durations[TR_ROLE_HOP] = cnt_get_histogram(
+		registry, "loom_call_duration_seconds", "side=\"hop\"",
+		"Time from a call's headers to the end of its answer.");
 	counters->local_calls =
 		open_single(registry, "loom_local_calls_total",
 			    "Attempts admitted without a second hop.");
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -35,6 +35,7 @@
 struct tr_counters {
 	struct cnt_counter *calls[2]; /* by enum tr_role */
 	struct cnt_counter *answers[2];
+	struct cnt_histogram *durations[2];
 	struct cnt_counter *refusals[2];
 	struct cnt_counter *broken[2];
 	struct cnt_counter *cancelled[2];
