--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -16,12 +16,14 @@
 #include <string.h>
 #include "loom/moves.h"
 
-/* Share of calls that probe the new version: half of what a bad one may get. */
-#define PROBE_SHARE_PERMILLE 50U
+/*
+ * A bad version may get a tenth of the calls of the whole time. Of these the
+ * probe takes a fifth, the first two steps less than a third; the rest bounds
+ * how long a version that is bad under load only may have the last step.
+ */
+#define PROBE_SHARE_PERMILLE 40U
 /* Part of the time for the probe: late faults show within it. */
-#define PROBE_TIME_PERCENT 55U
-/* Shares after the probe and how long each stands before the next. */
-#define STEP_MS 1000U
+#define PROBE_TIME_PERCENT 50U
 /* All calls stay with the new version so long before the ramp is finished. */
 #define FULL_MS 1500U
 /* Bound on a chance finding, for each test of each of some hundred nodes. */
@@ -38,8 +40,12 @@
 #define SLOW_QUANTILE 0.9
 #define ROUTES_MAX 32U
 
-static const uint32_t step_shares_permille[] = { 200, 500 };
-#define FULL_STEP (1U + G_N_ELEMENTS(step_shares_permille))
+/* Steps after the probe; the last is close to the load of all calls. */
+static const struct {
+	uint32_t share_permille;
+	uint32_t duration_ms;
+} steps[] = { { 200, 600 }, { 500, 700 }, { 800, 1000 } };
+#define FULL_STEP (1U + G_N_ELEMENTS(steps))
 
 struct evidence {
 	char route[MV_NAME_SIZE]; /* "": all routes */
@@ -175,20 +181,26 @@
 
 static uint64_t get_full_ms(const struct mv_ramp *ramp)
 {
-	return get_probe_ms(ramp) +
-	       (uint64_t)G_N_ELEMENTS(step_shares_permille) * STEP_MS;
+	uint64_t full_ms = get_probe_ms(ramp);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
+		full_ms += steps[i].duration_ms;
+	return full_ms;
 }
 
 /* Returns the step in force; one behind the last has all calls. */
 static uint32_t get_step(const struct mv_ramp *ramp, uint64_t now_ms)
 {
 	uint64_t elapsed_ms = now_ms - ramp->start_ms;
+	uint64_t end_ms = get_probe_ms(ramp);
+	uint32_t step = 0;
 
-	if (elapsed_ms < get_probe_ms(ramp))
-		return 0;
-	if (elapsed_ms >= get_full_ms(ramp))
-		return FULL_STEP;
-	return 1 + (uint32_t)((elapsed_ms - get_probe_ms(ramp)) / STEP_MS);
+	while (elapsed_ms >= end_ms && step < FULL_STEP) {
+		if (step < G_N_ELEMENTS(steps))
+			end_ms += steps[step].duration_ms;
+		step++;
+	}
+	return step;
 }
 
 static void begin_step(struct mv_ramp *ramp, uint32_t step)
@@ -244,7 +256,7 @@
 	if (step == 0)
 		return PROBE_SHARE_PERMILLE;
 	return step == FULL_STEP ? DOC_SHARE_ALL_PERMILLE
-				 : step_shares_permille[step - 1];
+				 : steps[step - 1].share_permille;
 }
 
 enum mv_ramp_verdict mv_judge_ramp(struct mv_ramp *ramp, uint64_t now_ms)
