--- a/src/base/log.c
+++ b/src/base/log.c
@@ -43,7 +43,9 @@
 static const char *log_program = "loom";
 static log4c_category_t *log_category;
 
-static GAsyncQueue *log_queue; /* of lines, made once */
+static GQueue log_queue = G_QUEUE_INIT; /* of lines, under log_lock */
+static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t log_filled = PTHREAD_COND_INITIALIZER;
 static pthread_t log_writer;
 static _Atomic bool is_log_closing;
 static _Atomic uint32_t log_dropped;
@@ -59,14 +61,45 @@
 	.format = format_line,
 };
 
+static void push_line(const char *text)
+{
+	pthread_mutex_lock(&log_lock);
+	g_queue_push_tail(&log_queue, g_strdup(text));
+	pthread_cond_signal(&log_filled);
+	pthread_mutex_unlock(&log_lock);
+}
+
+/* Returns the next line (stolen); NULL when there is none and is_waiting not
+ * set. */
+static char *pop_line(bool is_waiting)
+{
+	char *line;
+
+	pthread_mutex_lock(&log_lock);
+	while (is_waiting && g_queue_is_empty(&log_queue))
+		pthread_cond_wait(&log_filled, &log_lock);
+	line = g_queue_pop_head(&log_queue);
+	pthread_mutex_unlock(&log_lock);
+	return line;
+}
+
+static bool is_queue_full(void)
+{
+	bool is_full;
+
+	pthread_mutex_lock(&log_lock);
+	is_full = g_queue_get_length(&log_queue) >= LOG_QUEUE_LINES;
+	pthread_mutex_unlock(&log_lock);
+	return is_full;
+}
+
 static int append_line(log4c_appender_t *appender,
 		       const log4c_logging_event_t *event)
 {
-	if (g_async_queue_length(log_queue) >= LOG_QUEUE_LINES)
+	if (is_queue_full())
 		atomic_fetch_add(&log_dropped, 1);
 	else
-		g_async_queue_push(log_queue,
-				   g_strdup(event->evt_rendered_msg));
+		push_line(event->evt_rendered_msg);
 	return 0;
 }
 
@@ -207,12 +240,12 @@
 	bool is_over = false;
 
 	while (!is_over) {
-		char *line = g_async_queue_pop(log_queue);
+		char *line = pop_line(true);
 
 		if (!is_log_closing)
 			g_usleep(LOG_GATHER_US);
 		g_string_truncate(text, 0);
-		for (; line; line = g_async_queue_try_pop(log_queue)) {
+		for (; line; line = pop_line(false)) {
 			is_over = is_over || !*line;
 			g_string_append(text, line);
 			g_free(line);
@@ -249,10 +282,8 @@
 	static log4c_category_t *category;
 
 	log_program = program;
-	if (!category) {
+	if (!category)
 		category = make_category();
-		log_queue = g_async_queue_new();
-	}
 	is_log_closing = false;
 	if (pthread_create(&log_writer, NULL, run_writer, NULL) != 0)
 		return;
@@ -272,7 +303,7 @@
 		return;
 	log_category = NULL;
 	is_log_closing = true;
-	g_async_queue_push(log_queue, g_strdup(""));
+	push_line("");
 	pthread_join(log_writer, NULL);
 }
 
