Serve pipelined requests of a connection at the same time

Change: callers' and nodes' calls are served by hx_, a server of exchanges on http_parser (Debian) and one edge-triggered epoll set a listener. Exchanges of a connection run at the same time, sixteen at most; answers keep the order of the requests. A request that must not run twice begins only when no earlier answer of its connection is due. Only the last answer closes a connection; what follows it is not read. The request target goes to the target as it came (CURLOPT_REQUEST_TARGET). libmicrohttpd stays for the administration, control and readiness servers.

--- a/cmake/loom.cmake
+++ b/cmake/loom.cmake
@@ -7,6 +7,8 @@
   libcurl log4c jansson libxxhash glib-2.0 argtable2)
 pkg_check_modules(LOOM_CUNIT REQUIRED cunit)
 find_package(Threads REQUIRED)
+# http_parser comes without a pkg-config file.
+find_library(LOOM_HTTP_PARSER http_parser REQUIRED)
 
 add_library(loom_options INTERFACE)
 target_compile_definitions(loom_options INTERFACE _GNU_SOURCE)
@@ -16,7 +18,7 @@
   ${LOOM_LIBS_CFLAGS})
 target_include_directories(loom_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
 target_link_libraries(loom_options INTERFACE ${LOOM_LIBS_LDFLAGS}
-  Threads::Threads m)
+  ${LOOM_HTTP_PARSER} Threads::Threads m)
 if(LOOM_SANITIZE)
   target_compile_options(loom_options INTERFACE -fsanitize=${LOOM_SANITIZE}
     -fno-sanitize-recover=all)
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -1,11 +1,10 @@
 /*
- * Relays the answer from curl to MHD.
+ * Relays the answer from curl to the caller's exchange.
  *
  * Header lines are collected until the head is complete. A refusal is not
  * relayed by the entry side, which may make another attempt: its body is
  * dropped. A short answer is buffered whole before it is relayed. A longer one
- * is streamed through a bounded buffer: a full buffer pauses the transfer, an
- * empty one suspends the connection.
+ * is streamed: the transfer pauses while too many bytes wait to be sent.
  */
 #include <assert.h>
 #include <string.h>
@@ -13,7 +12,6 @@
 #include "call.h"
 
 #define ANSWER_HEADER_BYTES_MAX 65536U
-#define ANSWER_BLOCK_BYTES 32768U
 
 void tr_open_answer(struct tr_answer *answer)
 {
@@ -91,8 +89,7 @@
 	} else if (is_same_name(name, names->stamp)) {
 		answer->has_stamp = true;
 	} else if (is_same_name(name, names->request_id)) {
-		id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
-						 names->request_id);
+		id = hx_get_header(call->exchange, names->request_id);
 		answer->is_foreign = id && strcmp(id, value) != 0;
 	}
 }
@@ -256,59 +253,19 @@
 			tr_relay_answer(call);
 		return size * count;
 	}
-	if (tr_get_buffer_size(&answer->body) >= TR_STREAM_BYTES_MAX) {
+	if (hx_get_unsent_size(call->exchange) >= TR_STREAM_BYTES_MAX) {
 		answer->is_paused = true;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	tr_append_buffer(&answer->body, part, size * count, 0);
-	tr_resume_call(call);
+	hx_add_answer_body(call->exchange, part, size * count);
 	return size * count;
 }
 
-static ssize_t read_answer(void *data, uint64_t position, char *target,
-			   size_t size)
+void tr_continue_answer(struct tr_call *call)
 {
-	struct tr_call *call = data;
-	struct tr_answer *answer = &call->answer;
-	size_t count = tr_read_buffer(&answer->body, target, size);
-
-	if (answer->is_paused &&
-	    tr_get_buffer_size(&answer->body) < TR_STREAM_BYTES_MAX / 2)
+	if (call->answer.is_paused &&
+	    hx_get_unsent_size(call->exchange) < TR_STREAM_BYTES_MAX / 2)
 		tr_continue_attempt(call);
-	if (count > 0)
-		return (ssize_t)count;
-	if (answer->is_broken)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (answer->is_whole)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	call->is_suspended = true;
-	MHD_suspend_connection(call->mhd);
-	return 0;
-}
-
-static bool has_no_body(const struct tr_call *call)
-{
-	return call->answer.status == MHD_HTTP_NO_CONTENT ||
-	       call->answer.status == MHD_HTTP_NOT_MODIFIED;
-}
-
-static struct MHD_Response *make_response(struct tr_call *call)
-{
-	uint64_t size = MHD_SIZE_UNKNOWN;
-
-	if (has_no_body(call))
-		return MHD_create_response_from_buffer(0, NULL,
-						       MHD_RESPMEM_PERSISTENT);
-	/* The call owns the body and outlives the response. */
-	if (call->answer.is_whole)
-		return MHD_create_response_from_buffer(
-			tr_get_buffer_size(&call->answer.body),
-			tr_get_buffer_bytes(&call->answer.body),
-			MHD_RESPMEM_PERSISTENT);
-	if (call->answer.content_length >= 0)
-		size = (uint64_t)call->answer.content_length;
-	return MHD_create_response_from_callback(size, ANSWER_BLOCK_BYTES,
-						 read_answer, call, NULL);
 }
 
 static void add_headers(struct tr_call *call)
@@ -319,29 +276,38 @@
 		const char *name = headers->pdata[i];
 
 		if (tr_is_forwarded(name, call->answer.connection))
-			MHD_add_response_header(call->reply, name,
-						headers->pdata[i + 1]);
+			hx_add_answer_header(call->exchange, name,
+					     headers->pdata[i + 1]);
 	}
 	if (call->answer.is_not_run)
-		MHD_add_response_header(call->reply, TR_HEADER_NOT_RUN, "true");
+		hx_add_answer_header(call->exchange, TR_HEADER_NOT_RUN, "true");
 	if (call->answer.refused)
-		MHD_add_response_header(call->reply, TR_HEADER_REFUSED,
-					call->answer.refused);
-	if (call->thread->is_draining)
-		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
-					"close");
+		hx_add_answer_header(call->exchange, TR_HEADER_REFUSED,
+				     call->answer.refused);
 	tr_add_hop_headers(call);
 }
 
+/* Returns the length of the body of the answer to the caller, -1: unknown. */
+static int64_t get_relayed_length(const struct tr_call *call)
+{
+	if (call->answer.is_whole)
+		return (int64_t)tr_get_buffer_size(&call->answer.body);
+	return call->answer.content_length;
+}
+
 void tr_relay_answer(struct tr_call *call)
 {
-	assert(!call->reply);
-	call->reply = make_response(call);
-	call->reply_status = call->answer.status;
+	struct tr_buffer *body = &call->answer.body;
+
+	assert(!call->is_answer_begun);
+	call->is_answer_begun = true;
+	hx_start_answer(call->exchange, call->answer.status,
+			get_relayed_length(call));
 	add_headers(call);
+	hx_add_answer_body(call->exchange, tr_get_buffer_bytes(body),
+			   tr_get_buffer_size(body));
 	cnt_add(call->thread->service->counters.answers[call->role], 1);
 	call->stage = TR_STAGE_RELAYING;
-	tr_resume_call(call);
 }
 
 void tr_relay_buffered_answer(struct tr_call *call)
@@ -354,3 +320,12 @@
 	answer->is_whole = strcmp(call->method, MHD_HTTP_METHOD_HEAD) != 0;
 	tr_relay_answer(call);
 }
+
+void tr_end_relayed_answer(struct tr_call *call)
+{
+	call->stage = TR_STAGE_ENDED;
+	if (call->answer.is_broken)
+		hx_abort_answer(call->exchange);
+	else
+		hx_end_answer(call->exchange);
+}
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -22,7 +22,7 @@
 	size_t moved = tr_read_buffer(&upload->buffer, target, size * count);
 
 	if (moved > 0) {
-		tr_resume_call(call);
+		hx_resume_body(call->exchange);
 		return moved;
 	}
 	if (upload->is_whole)
@@ -99,12 +99,11 @@
 static void set_options(struct tr_call *call, const char *base_url)
 {
 	CURL *easy = call->easy;
-	char *url = g_strconcat(base_url, call->uri, NULL);
 
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	g_free(url);
+	curl_easy_setopt(easy, CURLOPT_URL, base_url);
+	/* Sent as it was received: curl would drop a fragment. */
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, call->uri);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
 	hc_set_peer_timeouts(easy, CONNECT_TIMEOUT_MS);
 	hc_reset_on_close(easy);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -13,8 +13,8 @@
 #include "thread.h"
 
 #define TR_DEPTH_MAX 32U
-#define TR_REPLAY_BYTES_MAX 65536U /* request body kept for a retry */
-#define TR_STREAM_BYTES_MAX 65536U /* unread bytes between MHD and curl */
+#define TR_REPLAY_BYTES_MAX 65536U	    /* request body kept for a retry */
+#define TR_STREAM_BYTES_MAX 65536U	    /* unread bytes in one direction */
 #define TR_BUFFERED_ANSWER_BYTES_MAX 32768U /* answer buffered until whole */
 
 enum tr_stage {
@@ -23,7 +23,7 @@
 	TR_STAGE_WAITING,    /* queued at the admission gate */
 	TR_STAGE_SENDING,    /* transfer runs, nothing relayed yet */
 	TR_STAGE_RELAYING,   /* answer head relayed, body in progress */
-	TR_STAGE_ENDED,	     /* MHD has the whole answer or a node's reply */
+	TR_STAGE_ENDED,	     /* the exchange has the whole answer */
 };
 
 /* The answer to the current attempt. */
@@ -39,21 +39,16 @@
 	bool is_not_run;   /* the answer states that the request was not run */
 	bool is_unsent;	   /* refused by a gate: no target received it */
 	bool has_stamp;
-	/*
-	 * Would hold whether the answer has the id of a request. It is never
-	 * set, and no code reads it.
-	 */
-	bool has_id;
 	bool is_foreign; /* carries the id of another request */
 	char *refused;	 /* reason for a refusal, or NULL */
 	struct tr_buffer body;
-	bool is_paused; /* the transfer waits until MHD has read more */
+	bool is_paused; /* the transfer waits until more was sent */
 	bool is_whole;
 	bool is_broken;
 	uint64_t head_us; /* when the head was complete; 0: not yet */
 };
 
-/* The request body between MHD and curl. */
+/* The request body between the exchange and curl. */
 struct tr_upload {
 	struct tr_buffer buffer;
 	bool has_body;
@@ -65,12 +60,11 @@
 
 struct tr_call {
 	struct tr_thread *thread;
-	struct tr_connection *connection;
-	struct MHD_Connection *mhd;
+	struct hx_exchange *exchange;
 	enum tr_role role;
 	enum tr_stage stage;
-	char *uri;
-	char *method;
+	const char *uri;    /* borrowed from the exchange */
+	const char *method; /* the same; NULL until the call has begun */
 	struct tr_upload upload;
 
 	struct rt_table *table; /* a reference held by the call */
@@ -102,28 +96,11 @@
 	bool has_slot;	      /* occupies a slot of the gate */
 	struct tr_answer answer;
 
-	struct MHD_Response *reply; /* passed to MHD once is_queued */
-	uint32_t reply_status;
-	bool is_queued;
-	bool is_suspended;
-	bool is_aborted;
+	bool is_answer_begun; /* the exchange has at least the head */
 };
 
-/* call.c: MHD callbacks of a listener; data is the struct tr_listener. */
-void *tr_handle_request_line(void *data, const char *uri,
-			     struct MHD_Connection *connection);
-enum MHD_Result tr_handle_access(void *data, struct MHD_Connection *connection,
-				 const char *url, const char *method,
-				 const char *version, const char *upload,
-				 size_t *upload_size, void **state);
-void tr_handle_completed(void *data, struct MHD_Connection *connection,
-			 void **state, enum MHD_RequestTerminationCode code);
-
-/* Handles a caller that closed its connection: cancels the call. */
-void tr_handle_disconnect(struct tr_call *call);
-
-/* Resumes the call's MHD connection if it is suspended. */
-void tr_resume_call(struct tr_call *call);
+/* call.c: drives calls; its data is the struct tr_listener. */
+extern const struct hx_handler tr_call_handler;
 
 /*
  * Returns whether the body is short enough to be buffered before a target is
@@ -143,6 +120,8 @@
 
 /* entry.c: handles a call of a caller when its headers are complete. */
 void tr_route_call(struct tr_call *call);
+/* Returns whether the request, not yet begun, may be sent to a target twice. */
+bool tr_is_repeatable_request(struct tr_call *call);
 /* Called when the body of a call in TR_STAGE_COLLECTING is complete. */
 void tr_route_collected_call(struct tr_call *call);
 /* Handles the end of the transfer: relays the answer or retries the call. */
@@ -188,6 +167,10 @@
 void tr_relay_answer(struct tr_call *call);
 /* Relays a complete, buffered answer, unless it is a refusal. */
 void tr_relay_buffered_answer(struct tr_call *call);
+/* Ends or aborts the relayed answer, as is_broken says. */
+void tr_end_relayed_answer(struct tr_call *call);
+/* Continues a paused transfer when enough of the answer was sent. */
+void tr_continue_answer(struct tr_call *call);
 /* Returns whether the answer is a refusal or a failure reported by a node. */
 bool tr_is_refused(const struct tr_answer *answer);
 
--- a/src/traffic/call_log.c
+++ b/src/traffic/call_log.c
@@ -19,8 +19,7 @@
 {
 	const struct tr_header_names *names =
 		call->thread->service->options.names;
-	const char *id = MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND,
-						     names->request_id);
+	const char *id = hx_get_header(call->exchange, names->request_id);
 
 	return id ? id : "";
 }
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -24,8 +24,7 @@
 /* Returns the name in the Host header, without a port (new). */
 static char *get_host_name(struct tr_call *call)
 {
-	const char *host = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST);
+	const char *host = hx_get_header(call->exchange, MHD_HTTP_HEADER_HOST);
 
 	if (!host)
 		return g_strdup("");
@@ -34,8 +33,8 @@
 
 static uint64_t get_split_hash(struct tr_call *call)
 {
-	const char *id = MHD_lookup_connection_value(
-		call->mhd, MHD_HEADER_KIND, get_names(call)->request_id);
+	const char *id =
+		hx_get_header(call->exchange, get_names(call)->request_id);
 
 	if (id)
 		return XXH3_64bits(id, strlen(id));
@@ -50,15 +49,15 @@
  */
 static void set_deadline(struct tr_call *call)
 {
-	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
+	uint64_t from_ms = hx_get_received_ms(call->exchange);
 	uint64_t timeout_ms = call->route->timeout_ms;
 	uint64_t given_ms;
 
-	if (tr_read_number(call->mhd, get_names(call)->deadline, UINT32_MAX,
-			   &given_ms) &&
+	if (tr_read_number(call->exchange, get_names(call)->deadline,
+			   UINT32_MAX, &given_ms) &&
 	    given_ms < timeout_ms)
 		timeout_ms = given_ms;
-	call->deadline_ms = now_ms + timeout_ms;
+	call->deadline_ms = from_ms + timeout_ms;
 	if (!call->gateway_route)
 		return;
 	call->priority = call->gateway_route->priority;
@@ -70,7 +69,8 @@
 	if (doc_has_lowest_priority(
 		    doc_get_gateway(rt_get_snapshot(call->table)),
 		    call->gateway_route))
-		call->objective_ms = now_ms + call->gateway_route->objective_ms;
+		call->objective_ms =
+			from_ms + call->gateway_route->objective_ms;
 }
 
 static void make_headers(struct tr_call *call)
@@ -81,7 +81,7 @@
 	struct curl_slist *list = NULL;
 
 	curl_slist_free_all(call->headers);
-	list = tr_copy_headers(list, call->mhd, get_names(call));
+	list = tr_copy_headers(list, call->exchange, get_names(call));
 	list = tr_append_header(list, TR_HEADER_SERVICE, call->service->name);
 	list = tr_append_header(list, TR_HEADER_CALLER, call->caller);
 	list = tr_append_number(list, TR_HEADER_DEADLINE, left_ms);
@@ -136,48 +136,68 @@
 	g_free(base_url);
 }
 
-/*
- * Finds the gateway route of the call, and the service among its shares that
- * receives the call.
- */
-static void find_gateway_route(struct tr_call *call,
-			       struct doc_snapshot *snapshot, const char *host)
+/* Where a table sends a request; members are NULL when it has no way. */
+struct way {
+	const struct doc_service *service;
+	const struct doc_route *route;
+	const struct doc_gateway_route *gateway_route; /* NULL: no gateway */
+};
+
+static struct way find_way(struct tr_call *call, struct doc_snapshot *snapshot)
 {
-	call->gateway_route = doc_find_gateway_route(doc_get_gateway(snapshot),
-						     host, call->uri);
-	if (!call->gateway_route)
-		return;
-	call->service = doc_find_service(
+	const struct doc_gateway *gateway = doc_get_gateway(snapshot);
+	const char *path = hx_get_target(call->exchange);
+	char *host = get_host_name(call);
+	struct way way = { 0 };
+
+	if (!gateway) {
+		way.service = doc_find_service(snapshot, host);
+		if (way.service)
+			way.route = doc_find_route(
+				way.service, hx_get_method(call->exchange),
+				path);
+		goto done;
+	}
+	way.gateway_route = doc_find_gateway_route(gateway, host, path);
+	if (!way.gateway_route)
+		goto done;
+	way.service = doc_find_service(
 		snapshot,
-		doc_choose_share(call->gateway_route, get_split_hash(call)));
-	call->route = &call->gateway_route->route;
+		doc_choose_share(way.gateway_route, get_split_hash(call)));
+	way.route = &way.gateway_route->route;
+done:
+	g_free(host);
+	return way;
 }
 
-static bool find_route(struct tr_call *call)
+bool tr_is_repeatable_request(struct tr_call *call)
 {
-	struct doc_snapshot *snapshot = rt_get_snapshot(call->table);
-	char *name = get_host_name(call);
+	struct rt_table *table = call->thread->table;
+	struct way way;
+
+	/* Without a table the request is refused at once. */
+	if (!table)
+		return true;
+	way = find_way(call, rt_get_snapshot(table));
+	return !way.route ||
+	       doc_is_repeatable(way.route, hx_get_method(call->exchange));
+}
 
-	if (doc_get_gateway(snapshot))
-		find_gateway_route(call, snapshot, name);
-	else
-		call->service = doc_find_service(snapshot, name);
-	g_free(name);
-	if (!call->service) {
-		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
-			       rt_get_refusal_name(RT_REFUSAL_NO_SERVICE),
-			       true);
-		return false;
-	}
-	if (!call->gateway_route)
-		call->route =
-			doc_find_route(call->service, call->method, call->uri);
-	if (!call->route) {
-		tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
-			       rt_get_refusal_name(RT_REFUSAL_NO_ROUTE), true);
-		return false;
-	}
-	return true;
+static bool find_route(struct tr_call *call)
+{
+	struct way way = find_way(call, rt_get_snapshot(call->table));
+
+	call->service = way.service;
+	call->route = way.route;
+	call->gateway_route = way.gateway_route;
+	if (call->service && call->route)
+		return true;
+	tr_refuse_call(call, MHD_HTTP_NOT_FOUND,
+		       rt_get_refusal_name(call->service
+						   ? RT_REFUSAL_NO_ROUTE
+						   : RT_REFUSAL_NO_SERVICE),
+		       true);
+	return false;
 }
 
 static void start_first_attempt(struct tr_call *call)
@@ -208,7 +228,7 @@
 	call->table = rt_ref_table(call->thread->table);
 	if (!find_route(call))
 		return;
-	tr_read_number(call->mhd, TR_HEADER_DEPTH, UINT32_MAX, &depth);
+	tr_read_number(call->exchange, TR_HEADER_DEPTH, UINT32_MAX, &depth);
 	if (depth > TR_DEPTH_MAX) {
 		tr_refuse_call(call, MHD_HTTP_LOOP_DETECTED, "too_deep", true);
 		return;
@@ -276,7 +296,7 @@
 		.sent_max = call->gateway_route
 				    ? call->gateway_route->attempts_max
 				    : RT_SENT_MAX,
-		.is_answer_begun = call->reply != NULL,
+		.is_answer_begun = call->is_answer_begun,
 		.is_body_kept = call->upload.buffer.is_rewindable,
 		.attempt_count = call->attempt_count,
 		.depth = call->depth,
@@ -408,6 +428,5 @@
 		tr_log_call(call, "relay", "answer incomplete");
 	else
 		tr_log_late_answer(call);
-	call->stage = TR_STAGE_ENDED;
-	tr_resume_call(call);
+	tr_end_relayed_answer(call);
 }
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -7,12 +7,6 @@
 #include <string.h>
 #include <strings.h>
 
-struct copy_state {
-	struct curl_slist *list;
-	const char *connection;
-	const struct tr_header_names *names;
-};
-
 static bool is_listed(const char *name, const char *connection)
 {
 	bool is_found = false;
@@ -96,30 +90,21 @@
 	       is_same_name(name, names->caller);
 }
 
-static enum MHD_Result copy_header(void *data, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
-{
-	struct copy_state *state = data;
-
-	if (!tr_is_forwarded(name, state->connection))
-		return MHD_YES;
-	if (is_set_by_nodes(name, state->names))
-		return MHD_YES;
-	state->list = tr_append_header(state->list, name, value ? value : "");
-	return MHD_YES;
-}
-
 struct curl_slist *tr_copy_headers(struct curl_slist *list,
-				   struct MHD_Connection *connection,
+				   const struct hx_exchange *exchange,
 				   const struct tr_header_names *names)
 {
-	struct copy_state state = { .list = list, .names = names };
-
-	state.connection = MHD_lookup_connection_value(
-		connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONNECTION);
-	MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
-				  &state);
-	return state.list;
+	const char *connection = hx_get_header(exchange, "Connection");
+	const char *name;
+	const char *value;
+
+	for (uint32_t i = 0; hx_get_header_at(exchange, i, &name, &value);
+	     i++) {
+		if (tr_is_forwarded(name, connection) &&
+		    !is_set_by_nodes(name, names))
+			list = tr_append_header(list, name, value);
+	}
+	return list;
 }
 
 static bool parse_number(const char *text, uint64_t max, uint64_t *value)
@@ -128,12 +113,10 @@
 	       g_ascii_string_to_unsigned(text, 10, 0, max, value, NULL);
 }
 
-bool tr_read_number(struct MHD_Connection *connection, const char *name,
+bool tr_read_number(const struct hx_exchange *exchange, const char *name,
 		    uint64_t max, uint64_t *value)
 {
-	return parse_number(
-		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name),
-		max, value);
+	return parse_number(hx_get_header(exchange, name), max, value);
 }
 
 bool tr_read_load(const char *name, const char *value, struct rt_load *load)
@@ -157,21 +140,21 @@
 	return true;
 }
 
-static void add_number(struct MHD_Response *response, const char *name,
+static void add_number(struct hx_exchange *exchange, const char *name,
 		       uint32_t value)
 {
 	char text[16];
 
 	g_snprintf(text, sizeof(text), "%u", value);
-	MHD_add_response_header(response, name, text);
+	hx_add_answer_header(exchange, name, text);
 }
 
-void tr_add_load(struct MHD_Response *response, const struct rt_load *load)
+void tr_add_load(struct hx_exchange *exchange, const struct rt_load *load)
 {
-	add_number(response, TR_HEADER_LIMIT, load->limit);
-	add_number(response, TR_HEADER_IN_FLIGHT, load->in_flight);
-	add_number(response, TR_HEADER_LATENCY, load->latency_us);
-	add_number(response, TR_HEADER_FAILURES, load->failure_permille);
-	MHD_add_response_header(response, TR_HEADER_PHASE,
-				rt_get_phase_name(load->phase));
+	add_number(exchange, TR_HEADER_LIMIT, load->limit);
+	add_number(exchange, TR_HEADER_IN_FLIGHT, load->in_flight);
+	add_number(exchange, TR_HEADER_LATENCY, load->latency_us);
+	add_number(exchange, TR_HEADER_FAILURES, load->failure_permille);
+	hx_add_answer_header(exchange, TR_HEADER_PHASE,
+			     rt_get_phase_name(load->phase));
 }
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -8,7 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <curl/curl.h>
-#include <microhttpd.h>
+#include "loom/exchange.h"
 #include "loom/routing.h"
 #include "loom/traffic.h"
 
@@ -49,7 +49,7 @@
  * themselves. Takes ownership of list and returns the new head.
  */
 struct curl_slist *tr_copy_headers(struct curl_slist *list,
-				   struct MHD_Connection *connection,
+				   const struct hx_exchange *exchange,
 				   const struct tr_header_names *names);
 
 /* Append "name: value". Take ownership of list and return the new head. */
@@ -62,13 +62,13 @@
  * Reads a decimal request header. Returns false, and leaves value unchanged,
  * when it is absent, malformed or larger than max.
  */
-bool tr_read_number(struct MHD_Connection *connection, const char *name,
+bool tr_read_number(const struct hx_exchange *exchange, const char *name,
 		    uint64_t max, uint64_t *value);
 
 /* Stores a load header in load; returns false for any other header. */
 bool tr_read_load(const char *name, const char *value, struct rt_load *load);
 
-/* Adds all load headers to a response. */
-void tr_add_load(struct MHD_Response *response, const struct rt_load *load);
+/* Adds all load headers to an answer. */
+void tr_add_load(struct hx_exchange *exchange, const struct rt_load *load);
 
 #endif
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -24,7 +24,7 @@
 	struct curl_slist *list = NULL;
 
 	curl_slist_free_all(call->headers);
-	list = tr_copy_headers(list, call->mhd, names);
+	list = tr_copy_headers(list, call->exchange, names);
 	list = tr_append_number(list, names->deadline, left_ms);
 	list = tr_append_number(list, TR_HEADER_DEPTH, call->depth + 1);
 	if (*call->thread->target_instance)
@@ -46,8 +46,7 @@
 /* Returns a new copy of a request header, "" when it is absent. */
 static char *copy_header(const struct tr_call *call, const char *name)
 {
-	const char *value =
-		MHD_lookup_connection_value(call->mhd, MHD_HEADER_KIND, name);
+	const char *value = hx_get_header(call->exchange, name);
 
 	return g_strdup(value ? value : "");
 }
@@ -59,15 +58,17 @@
 	uint64_t objective_ms = 0;
 	uint64_t priority = 0;
 
-	tr_read_number(call->mhd, TR_HEADER_DEADLINE, UINT32_MAX, &timeout_ms);
-	tr_read_number(call->mhd, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
+	tr_read_number(call->exchange, TR_HEADER_DEADLINE, UINT32_MAX,
+		       &timeout_ms);
+	tr_read_number(call->exchange, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
 	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
 	call->depth = (uint32_t)depth;
-	if (tr_read_number(call->mhd, TR_HEADER_OBJECTIVE, UINT32_MAX,
+	if (tr_read_number(call->exchange, TR_HEADER_OBJECTIVE, UINT32_MAX,
 			   &objective_ms))
 		call->objective_ms =
 			tmr_get_now_ms(call->thread->timers) + objective_ms;
-	tr_read_number(call->mhd, TR_HEADER_PRIORITY, UINT32_MAX, &priority);
+	tr_read_number(call->exchange, TR_HEADER_PRIORITY, UINT32_MAX,
+		       &priority);
 	call->priority = (uint32_t)priority;
 	call->service_name = copy_header(call, TR_HEADER_SERVICE);
 	call->version = copy_header(call, TR_HEADER_VERSION);
@@ -215,8 +216,7 @@
 	if (call->stage == TR_STAGE_RELAYING) {
 		call->answer.is_whole = code == CURLE_OK;
 		call->answer.is_broken = code != CURLE_OK;
-		call->stage = TR_STAGE_ENDED;
-		tr_resume_call(call);
+		tr_end_relayed_answer(call);
 	} else {
 		call->is_run_possible = !is_not_run;
 		tr_refuse_call(call,
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -2,6 +2,7 @@
  * Replies that the node itself generates: refusals and failures.
  */
 #include <assert.h>
+#include <stdlib.h>
 #include <string.h>
 #include <jansson.h>
 #include <xxhash.h>
@@ -26,7 +27,7 @@
 					 sizeof(thread->random_state)) %
 			     spread_ms);
 	g_snprintf(text, sizeof(text), "0.%03u", wait_ms);
-	MHD_add_response_header(call->reply, MHD_HTTP_HEADER_RETRY_AFTER, text);
+	hx_add_answer_header(call->exchange, MHD_HTTP_HEADER_RETRY_AFTER, text);
 }
 
 void tr_add_hop_headers(struct tr_call *call)
@@ -37,11 +38,11 @@
 	if (call->role != TR_ROLE_HOP)
 		return;
 	adm_get_load(call->thread->gate, &load);
-	tr_add_load(call->reply, &load);
+	tr_add_load(call->exchange, &load);
 	g_snprintf(spent, sizeof(spent), "%" G_GUINT64_FORMAT,
 		   (tmr_get_now_ms(call->thread->timers) - call->begun_ms) *
 			   1000);
-	MHD_add_response_header(call->reply, TR_HEADER_SPENT, spent);
+	hx_add_answer_header(call->exchange, TR_HEADER_SPENT, spent);
 }
 
 void tr_refuse_call(struct tr_call *call, uint32_t status, const char *reason,
@@ -50,29 +51,26 @@
 	json_t *object;
 	char *body;
 
-	assert(!call->reply);
+	assert(!call->is_answer_begun);
 	assert(!is_not_run || !call->is_run_possible);
+	call->is_answer_begun = true;
 	object = json_pack("{s:s,s:b}", "error", reason, "not_run",
 			   (int)is_not_run);
-
 	body = json_dumps(object, JSON_COMPACT);
 	json_decref(object);
-	call->reply = MHD_create_response_from_buffer(strlen(body), body,
-						      MHD_RESPMEM_MUST_FREE);
-	call->reply_status = status;
-	MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONTENT_TYPE,
-				"application/json");
-	MHD_add_response_header(call->reply, TR_HEADER_REFUSED, reason);
+	hx_start_answer(call->exchange, status, (int64_t)strlen(body));
+	hx_add_answer_header(call->exchange, MHD_HTTP_HEADER_CONTENT_TYPE,
+			     "application/json");
+	hx_add_answer_header(call->exchange, TR_HEADER_REFUSED, reason);
 	if (is_not_run)
-		MHD_add_response_header(call->reply, TR_HEADER_NOT_RUN, "true");
+		hx_add_answer_header(call->exchange, TR_HEADER_NOT_RUN, "true");
 	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		add_retry_after(call);
-	if (call->thread->is_draining)
-		MHD_add_response_header(call->reply, MHD_HTTP_HEADER_CONNECTION,
-					"close");
 	tr_add_hop_headers(call);
+	hx_add_answer_body(call->exchange, body, strlen(body));
+	hx_end_answer(call->exchange);
+	free(body);
 	tr_log_call(call, is_not_run ? "refuse" : "fail", reason);
 	cnt_add(call->thread->service->counters.refusals[call->role], 1);
 	call->stage = TR_STAGE_ENDED;
-	tr_resume_call(call);
 }
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -239,6 +239,13 @@
 	mesh_run_until(mesh, is_command_taken, node);
 }
 
+void mesh_tell_slots(struct mesh *mesh, struct mesh_node *node, uint32_t slots)
+{
+	node->command_count++;
+	tr_handle_heartbeat(node->traffic, slots, 0);
+	mesh_run_until(mesh, is_command_taken, node);
+}
+
 void mesh_drain_target(struct mesh *mesh, struct mesh_node *node)
 {
 	node->command_count++;
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -83,6 +83,9 @@
 void mesh_send_heartbeats(struct mesh *mesh, struct mesh_node *node,
 			  uint32_t count);
 
+/* Sends a heartbeat that tells how many calls the target runs at once. */
+void mesh_tell_slots(struct mesh *mesh, struct mesh_node *node, uint32_t slots);
+
 /* Send the command to the node and wait until its thread has processed it. */
 void mesh_drain_target(struct mesh *mesh, struct mesh_node *node);
 void mesh_drain_node(struct mesh *mesh, struct mesh_node *node);
--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #define READ_BYTES 65536
+#define BODY_LISTED_MAX 80
 
 static int destroy_caller(struct raw_caller *caller)
 {
@@ -75,21 +76,54 @@
 	tevent_fd_set_flags(caller->fde, is_reading ? TEVENT_FD_READ : 0);
 }
 
+/*
+ * Returns the end of the answer that begins at *at and sets *body and its size,
+ * or NULL when it is not complete.
+ */
+static const char *find_answer_end(const struct raw_caller *caller,
+				   const char *at, const char **body,
+				   size_t *size)
+{
+	const char *end = caller->input->str + caller->input->len;
+	const char *length = strcasestr(at, "\r\nContent-Length: ");
+
+	*body = strstr(at, "\r\n\r\n");
+	if (!*body || !length || length > *body)
+		return NULL;
+	*body += 4;
+	*size = strtoul(length + 18, NULL, 10);
+	return *size <= (size_t)(end - *body) ? *body + *size : NULL;
+}
+
 uint32_t raw_count_answers(const struct raw_caller *caller)
 {
 	const char *at = caller->input->str;
-	const char *end = at + caller->input->len;
+	const char *body;
+	size_t size;
 	uint32_t count = 0;
 
-	while (at < end) {
-		const char *body = strstr(at, "\r\n\r\n");
-		const char *length = strcasestr(at, "\r\nContent-Length: ");
+	while ((at = find_answer_end(caller, at, &body, &size)))
+		count++;
+	return count;
+}
+
+void raw_list_answers(const struct raw_caller *caller, GString *output)
+{
+	const char *at = caller->input->str;
+	const char *body;
+	const char *next;
+	size_t size;
+
+	for (; (next = find_answer_end(caller, at, &body, &size)); at = next) {
+		const char *close = strstr(at, "\r\nConnection: close");
 
-		if (!body || !length || length > body)
-			break;
-		at = body + 4 + strtoul(length + 18, NULL, 10);
-		if (at <= end)
-			count++;
+		g_string_append_len(output, at + 9, 3);
+		if (size > BODY_LISTED_MAX)
+			g_string_append_printf(output, " %zu bytes", size);
+		else
+			g_string_append_printf(output, " %.*s", (int)size,
+					       body);
+		g_string_append(output,
+				close && close < body ? " (close)\n" : "\n");
 	}
-	return count;
 }
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -32,4 +32,7 @@
 /* Returns the number of complete answers with a Content-Length received. */
 uint32_t raw_count_answers(const struct raw_caller *caller);
 
+/* Appends a line with status and body of each of these answers. */
+void raw_list_answers(const struct raw_caller *caller, GString *output);
+
 #endif
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -205,6 +205,9 @@
 	} else if (strcmp(words[0], "heartbeats") == 0) {
 		mesh_send_heartbeats(mesh, mesh_get_node(mesh, words[1]),
 				     (uint32_t)atoi(words[2]));
+	} else if (strcmp(words[0], "slots") == 0) {
+		mesh_tell_slots(mesh, mesh_get_node(mesh, words[1]),
+				(uint32_t)atoi(words[2]));
 	} else if (strcmp(words[0], "leave") == 0) {
 		mesh_get_node(mesh, words[1])->phase = RT_PHASE_LEAVING;
 		mesh_publish(mesh);
@@ -245,6 +248,8 @@
 		text = g_strescape(caller->input->str, NULL);
 		g_string_append_printf(output, "%s\n", text);
 		g_free(text);
+	} else if (strcmp(words[0], "answers") == 0) {
+		raw_list_answers(caller, output);
 	} else if (strcmp(words[0], "has") == 0) {
 		g_string_append(output, strstr(caller->input->str, words[2])
 						? "yes\n"
@@ -404,6 +409,36 @@
 	run_script("hostile_callers");
 }
 
+static void test_pipeline(void)
+{
+	run_script("pipeline");
+}
+
+static void test_pipeline_once(void)
+{
+	run_script("pipeline_once");
+}
+
+static void test_pipeline_drain(void)
+{
+	run_script("pipeline_drain");
+}
+
+static void test_pipeline_broken(void)
+{
+	run_script("pipeline_broken");
+}
+
+static void test_pipeline_hostile(void)
+{
+	run_script("pipeline_hostile");
+}
+
+static void test_early_refusal(void)
+{
+	run_script("early_refusal");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -418,6 +453,12 @@
 	{ "given up", test_given_up },
 	{ "admission", test_admission },
 	{ "drain", test_drain },
+	{ "pipeline", test_pipeline },
+	{ "pipeline_once", test_pipeline_once },
+	{ "pipeline_drain", test_pipeline_drain },
+	{ "pipeline_broken", test_pipeline_broken },
+	{ "pipeline_hostile", test_pipeline_hostile },
+	{ "early_refusal", test_early_refusal },
 	{ "hostile callers", test_hostile_callers },
 	CU_TEST_INFO_NULL,
 };
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -16,14 +16,12 @@
 #include <unistd.h>
 #include "call.h"
 #include "call_log.h"
-#include "connection.h"
 #include "loom/error.h"
 #include "samples.h"
 
 #define FREE_HANDLES_MAX 256U
 #define CACHED_CONNECTIONS_MAX 2048L
-/* Memory per connection for MHD's own use and the head of the answer. */
-#define MHD_EXTRA_MEMORY_BYTES 16384U
+#define SWEEP_PERIOD_MS 1000U
 
 /* Applies the limits in the document of the local target's service. */
 static void set_target_limits(struct tr_thread *thread)
@@ -102,7 +100,9 @@
 				     tmr_get_now_ms(thread->timers));
 		break;
 	case TR_COMMAND_BEGIN_DRAIN:
-		thread->is_draining = true;
+		hx_begin_drain(thread->entry.server);
+		if (thread->hop.server)
+			hx_begin_drain(thread->hop.server);
 		break;
 	case TR_COMMAND_REFUSE_CALLERS:
 		thread->is_refusing = true;
@@ -168,31 +168,33 @@
 			  uint16_t port, GError **error)
 {
 	const struct tr_options *options = &thread->service->options;
-	struct sockaddr_in address;
+	struct hx_options server_options = {
+		.address = options->address,
+		.port = port,
+		.connections_max = options->connections_max,
+		.head_bytes_max = options->header_bytes_max,
+		.handler = &tr_call_handler,
+		.data = listener,
+		.closed_early = thread->service->counters.connections_closed,
+	};
 
 	listener->thread = thread;
 	listener->role = role;
-	if (!hs_parse_address(options->address, port, &address, error))
-		return false;
-	listener->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL,
-		tr_handle_access, listener, MHD_OPTION_SOCK_ADDR, &address,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-		MHD_OPTION_URI_LOG_CALLBACK, tr_handle_request_line, listener,
-		MHD_OPTION_NOTIFY_COMPLETED, tr_handle_completed, listener,
-		MHD_OPTION_NOTIFY_CONNECTION, tr_handle_connection, listener,
-		MHD_OPTION_CONNECTION_LIMIT, options->connections_max + 64U,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)options->header_bytes_max + MHD_EXTRA_MEMORY_BYTES,
-		MHD_OPTION_END);
-	if (!listener->daemon) {
-		err_set(error, ERR_UNAVAILABLE, "open listener",
-			options->address, "cannot listen on port %u", port);
-		return false;
-	}
-	listener->loop = hs_attach_daemon(thread->events, thread->events,
-					  listener->daemon);
-	return true;
+	listener->server =
+		hx_new_server(thread->events, thread->events, thread->timers,
+			      &server_options, error);
+	return listener->server != NULL;
+}
+
+static void sweep_connections(uint64_t now_ms, void *data)
+{
+	struct tr_thread *thread = data;
+	uint32_t idle_ms = thread->service->idle_timeout_ms;
+	uint32_t header_ms = thread->service->header_timeout_ms;
+
+	hx_sweep(thread->entry.server, idle_ms, header_ms);
+	if (thread->hop.server)
+		hx_sweep(thread->hop.server, idle_ms, header_ms);
 }
 
 static bool open_clients(struct tr_thread *thread, GError **error)
@@ -228,7 +230,6 @@
 	tr_open_thread_samples(thread);
 	tr_open_call_log(thread);
 	g_queue_init(&thread->free_handles);
-	thread->disconnect_epoll_fd = -1;
 	thread->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	tevent_add_fd(thread->events, thread->events, thread->wake_fd,
 		      TEVENT_FD_READ, handle_wake, thread);
@@ -239,7 +240,7 @@
 	const struct tr_options *options = &thread->service->options;
 
 	open_state(thread);
-	if (!tr_open_connections(thread, error) || !open_clients(thread, error))
+	if (!open_clients(thread, error))
 		return false;
 	if (!open_listener(thread, &thread->entry, TR_ROLE_ENTRY,
 			   options->call_port, error))
@@ -248,6 +249,8 @@
 	    !open_listener(thread, &thread->hop, TR_ROLE_HOP, options->hop_port,
 			   error))
 		return false;
+	tmr_subscribe_every(thread->timers, thread->timers, SWEEP_PERIOD_MS,
+			    sweep_connections, thread);
 	if (pthread_create(&thread->handle, NULL, run_thread, thread) != 0) {
 		err_set(error, ERR_INTERNAL, "start thread", NULL,
 			"pthread_create failed");
@@ -273,30 +276,6 @@
 	tr_wake_thread(thread);
 }
 
-static void close_listener(struct tr_listener *listener)
-{
-	if (!listener->daemon)
-		return;
-	TALLOC_FREE(listener->loop);
-	MHD_stop_daemon(listener->daemon);
-	listener->daemon = NULL;
-}
-
-/* Resumes all connections: MHD must not be stopped while one is suspended. */
-static void cancel_calls(struct tr_thread *thread)
-{
-	GList *link = thread->connections.head;
-
-	for (; link; link = link->next) {
-		struct tr_connection *connection = link->data;
-
-		if (!connection->call)
-			continue;
-		tr_handle_disconnect(connection->call);
-		tr_resume_call(connection->call);
-	}
-}
-
 void tr_join_thread(struct tr_thread *thread)
 {
 	struct rt_table *table;
@@ -306,9 +285,9 @@
 		return;
 	if (thread->is_running)
 		pthread_join(thread->handle, NULL);
-	cancel_calls(thread);
-	close_listener(&thread->entry);
-	close_listener(&thread->hop);
+	/* Ends all calls, which use the loops and the gate. */
+	TALLOC_FREE(thread->entry.server);
+	TALLOC_FREE(thread->hop.server);
 	g_queue_clear_full(&thread->free_handles, curl_easy_cleanup);
 	while ((command = take_command(thread)))
 		free_command(command);
@@ -321,7 +300,6 @@
 	if (thread->table)
 		rt_unref_table(thread->table);
 	TALLOC_FREE(thread->events);
-	tr_close_connections(thread);
 	g_free(thread->target_url);
 	g_free(thread->target_service);
 	g_free(thread->target_instance);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -9,15 +9,14 @@
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
-#include <microhttpd.h>
 #include <tevent.h>
 #include "loom/admission.h"
+#include "loom/exchange.h"
 #include "loom/http.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
 
 struct tr_call;
-struct tr_connection;
 
 /* Which listener a call came in on. */
 enum tr_role {
@@ -28,8 +27,7 @@
 struct tr_listener {
 	struct tr_thread *thread;
 	enum tr_role role;
-	struct MHD_Daemon *daemon;
-	struct hs_loop *loop;
+	struct hx_server *server;
 };
 
 /* Metrics of all threads. */
@@ -102,9 +100,6 @@
 	/* No GMutex: ThreadSanitizer does not detect its locks. */
 	pthread_mutex_t command_lock;
 	int wake_fd;
-	int disconnect_epoll_fd; /* see connection.c */
-	GQueue connections;	 /* struct tr_connection, longest idle first */
-	bool is_draining;
 	bool is_refusing; /* new calls of callers are refused */
 	bool is_stopped;
 	uint64_t random_state;
