Judge a ramp's rare routes by all steps, and stop a bad move at every node

Each step of a ramp judged from zero, so that no step had enough calls of the route, and only the evaluators knew a verdict: while the store was out the other nodes raised the share on.

Change: each call of the new version is compared with the old version's rate of its own step, and the calls of all steps are tested together beside those of the current step. The probe has 5 % for 43 % of the time, then 15 % for 1.5 s, so that more calls come before the large steps. The calls of all nodes are tested at 1e-4 (those of one at 1e-5 as before). When the new version has all calls, only a series that was already suspect is judged on. An evaluator names the moves it has stopped in its answers to reports, and the reporting node drops the share at once. Only nodes of the first four ranks request the end of a move. Reports are sent every 4 ms per live node, so that the load of an evaluator does not grow with the nodes.

Tests: ramp.script (rare route, common fault, suspect series); the old code takes the rare route's version to all calls.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -283,6 +283,12 @@
  */
 struct mv_ramp;
 
+/* Whose calls a ramp counts. */
+enum mv_ramp_scope {
+	MV_RAMP_OWN_CALLS, /* those of one node */
+	MV_RAMP_ALL_CALLS, /* those of all nodes */
+};
+
 enum mv_ramp_verdict {
 	MV_RAMP_CONTINUE,
 	MV_RAMP_FINISH,	   /* the new version had all calls for long enough */
@@ -294,12 +300,9 @@
  * to is the new version; counts of any other version are those of the old one.
  */
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
-			    uint64_t now_ms);
+			    enum mv_ramp_scope scope, uint64_t now_ms);
 
-/*
- * Adds finished calls of one version and route. Calls are ignored once the new
- * version has all of them, since there are no old calls to compare with.
- */
+/* Adds finished calls of one version and route. */
 void mv_record_ramp_counts(struct mv_ramp *ramp, const char *version,
 			   const char *route, const struct mv_counts *counts,
 			   uint64_t now_ms);
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -4,13 +4,16 @@
  * For the first part of the time a small share of the calls probes the new
  * version. Then the share rises in a few steps, so that a version that is bad
  * only under load is found before it has all calls. Evidence is kept per route
- * and for all routes together, and starts from zero with each step: calls of
- * the old version from before a fault of both versions would make the new one
- * look worse by comparison. The new version is bad when its number of failed or
- * slow calls would be very unlikely at the rate of the old version.
+ * and for all routes together, by step. The new version is bad when its number
+ * of failed or slow calls would be very unlikely at the rates of the old
+ * version. Two sets of calls are tested: those of the current step, since good
+ * calls of earlier steps would hide a fault under load, and those of all steps,
+ * since a step alone has too few calls of a rare route. Each call is compared
+ * with the old version's rate in the same step, so that a fault of both
+ * versions that began with a step does not count against the new one.
  *
- * Invariants: evidence[0] counts all routes; all evidence belongs to the
- * current step; once reason is set, the ramp stays taken back.
+ * Invariants: evidence[0] counts all routes; evidence of steps after the
+ * current one is zero; once reason is set, the ramp stays taken back.
  */
 #include <math.h>
 #include <string.h>
@@ -22,16 +25,24 @@
  * rest bounds how long a version that is bad only under load can stay at the
  * last step.
  */
-#define PROBE_SHARE_PERMILLE 40U
+#define PROBE_SHARE_PERMILLE 50U
 /* Part of the time used by the probe, long enough to find late faults. */
-#define PROBE_TIME_PERCENT 50U
+#define PROBE_TIME_PERCENT 43U
 /* Time for which the new version has all calls before the ramp finishes. */
-#define FULL_SHARE_MS 1500U
+#define FULL_SHARE_MS 1200U
 /*
- * Bound on the false-alarm probability of each test. It is this small because
- * some hundred nodes each run many tests.
+ * Bounds on the false-alarm probability of each test. The one for a single
+ * node's calls is smaller because some hundred nodes each run many tests.
  */
-#define FALSE_ALARM_PROBABILITY 1e-5
+#define OWN_FALSE_ALARM_PROBABILITY 1e-5
+#define ALL_FALSE_ALARM_PROBABILITY 1e-4
+/*
+ * When the new version has all calls there is no old one to compare with, and a
+ * fault of a called service looks like a bad version. Only a series that was
+ * already this unlikely before is judged further, by the old version's rates
+ * until then.
+ */
+#define SUSPICION_PROBABILITY 1e-2
 #define BAD_CALLS_MIN 4U
 /* Rates below these are acceptable, whatever the rate of the old version. */
 #define FAILED_RATE_MIN 0.03
@@ -48,20 +59,34 @@
 static const struct {
 	uint32_t share_permille;
 	uint32_t duration_ms;
-} steps[] = { { 200, 600 }, { 500, 700 }, { 800, 1000 } };
+} steps[] = { { 150, 1500 }, { 400, 600 }, { 800, 1300 } };
 #define FULL_STEP (1U + G_N_ELEMENTS(steps))
 
-struct evidence {
-	char route[MV_NAME_SIZE]; /* "": all routes */
+/* Calls of one step. */
+struct step_counts {
 	struct mv_counts old;
 	struct mv_counts new;
 };
 
+struct evidence {
+	char route[MV_NAME_SIZE]; /* "": all routes */
+	struct step_counts steps[FULL_STEP + 1];
+};
+
+/* The sums that a test compares. */
+struct comparison {
+	uint32_t new_calls;
+	uint32_t new_bad;
+	double expected_bad; /* at the rates of the old version */
+	uint32_t old_calls;
+	uint32_t old_bad;
+};
+
 struct mv_ramp {
 	char to[MV_NAME_SIZE];
 	uint64_t start_ms;
 	uint32_t limit_ms;
-	uint32_t step; /* step of the evidence; 0: probe */
+	double false_alarm_probability;
 	uint32_t evidence_count;
 	struct evidence evidence[ROUTES_MAX + 1];
 	char reason[256]; /* "": not taken back */
@@ -132,56 +157,115 @@
 	return bucket + SLOW_SHIFT_BUCKETS;
 }
 
-static bool is_significant(const struct evidence *evidence, uint32_t new_calls,
-			   uint32_t new_bad, double rate)
+/*
+ * Returns whether the bad calls are less likely than a probability. Each call's
+ * chance to be bad differs between the steps; the binomial tail at their mean
+ * bounds the tail of the sum from above (Hoeffding 1956).
+ */
+static bool is_unlikely(const struct comparison *sums, double probability)
 {
-	return new_bad >= BAD_CALLS_MIN &&
-	       new_bad > rate * evidence->new.calls &&get_tail_probability(
-					new_calls, new_bad, rate) <
-		       FALSE_ALARM_PROBABILITY;
+	return sums->new_bad > sums->expected_bad &&
+	       get_tail_probability(sums->new_calls, sums->new_bad,
+				    sums->expected_bad / sums->new_calls) <
+		       probability;
 }
 
 static void set_reason(struct mv_ramp *ramp, const struct evidence *evidence,
-		       const char *what, uint32_t bad, uint32_t calls)
+		       const char *what, const struct comparison *sums)
 {
 	g_snprintf(ramp->reason, sizeof(ramp->reason),
 		   "%s%s: %u of %u calls %s, %u of %u on the old version",
 		   *evidence->route ? "route " : "all routes", evidence->route,
-		   bad, calls, what, evidence->old.failed, evidence->old.calls);
+		   sums->new_bad, sums->new_calls, what, sums->old_bad,
+		   sums->old_calls);
 }
 
-static void evaluate_failures(struct mv_ramp *ramp,
-			      const struct evidence *evidence)
+static void add_comparison(struct comparison *sums, uint32_t new_calls,
+			   uint32_t new_bad, uint32_t old_calls,
+			   uint32_t old_bad, double least_rate)
 {
-	double rate = get_old_rate(evidence->old.calls, evidence->old.failed,
-				   FAILED_RATE_MIN);
+	sums->new_calls += new_calls;
+	sums->new_bad += new_bad;
+	sums->old_calls += old_calls;
+	sums->old_bad += old_bad;
+	sums->expected_bad +=
+		new_calls * get_old_rate(old_calls, old_bad, least_rate);
+}
 
-	if (is_significant(evidence, evidence->new.calls, evidence->new.failed,
-			   rate))
-		set_reason(ramp, evidence, "failed", evidence->new.failed,
-			   evidence->new.calls);
+static void compare_failures(const struct step_counts *counts,
+			     struct comparison *sums)
+{
+	add_comparison(sums, counts->new.calls, counts->new.failed,
+		       counts->old.calls, counts->old.failed, FAILED_RATE_MIN);
 }
 
-static void evaluate_latency(struct mv_ramp *ramp,
-			     const struct evidence *evidence)
+static void compare_latency(const struct step_counts *counts,
+			    struct comparison *sums)
 {
-	uint32_t old_good = sum_from(evidence->old.latency, 0);
-	uint32_t first = get_slow_bucket(&evidence->old);
-	uint32_t new_slow;
-	double rate;
+	uint32_t first = get_slow_bucket(&counts->old);
 
-	if (old_good < OLD_CALLS_MIN || first >= MV_LATENCY_BUCKETS)
+	if (sum_from(counts->old.latency, 0) < OLD_CALLS_MIN ||
+	    first >= MV_LATENCY_BUCKETS)
 		return;
 	/* A failed call may have missed its deadline, so it counts as slow. */
-	new_slow =
-		sum_from(evidence->new.latency, first) + evidence->new.failed;
-	rate = get_old_rate(evidence->old.calls,
-			    sum_from(evidence->old.latency, first) +
-				    evidence->old.failed,
-			    SLOW_RATE_MIN);
-	if (is_significant(evidence, evidence->new.calls, new_slow, rate))
-		set_reason(ramp, evidence, "slow or failed", new_slow,
-			   evidence->new.calls);
+	add_comparison(
+		sums, counts->new.calls,
+		sum_from(counts->new.latency, first) + counts->new.failed,
+		counts->old.calls,
+		sum_from(counts->old.latency, first) + counts->old.failed,
+		SLOW_RATE_MIN);
+}
+
+/* Sums up the calls of the steps from first to last. */
+static void compare_steps(const struct evidence *evidence, uint32_t first,
+			  uint32_t last, struct comparison *failures,
+			  struct comparison *latency)
+{
+	*failures = (struct comparison){ 0 };
+	*latency = (struct comparison){ 0 };
+	for (uint32_t i = first; i <= last; i++) {
+		compare_failures(&evidence->steps[i], failures);
+		compare_latency(&evidence->steps[i], latency);
+	}
+}
+
+static bool is_significant(const struct mv_ramp *ramp,
+			   const struct comparison *sums)
+{
+	return sums->new_bad >= BAD_CALLS_MIN &&
+	       is_unlikely(sums, ramp->false_alarm_probability);
+}
+
+/* Tests the calls of the steps from first to last together. */
+static void evaluate_steps(struct mv_ramp *ramp,
+			   const struct evidence *evidence, uint32_t first,
+			   uint32_t last)
+{
+	struct comparison failures;
+	struct comparison latency;
+
+	compare_steps(evidence, first, last, &failures, &latency);
+	if (is_significant(ramp, &failures))
+		set_reason(ramp, evidence, "failed", &failures);
+	else if (is_significant(ramp, &latency))
+		set_reason(ramp, evidence, "slow or failed", &latency);
+}
+
+/* Tests all calls, with those of the full share, of a suspected series. */
+static void evaluate_full_share(struct mv_ramp *ramp, struct evidence *evidence)
+{
+	struct step_counts *full = &evidence->steps[FULL_STEP];
+	struct comparison failures;
+	struct comparison latency;
+
+	compare_steps(evidence, 0, FULL_STEP - 1, &failures, &latency);
+	if (!is_unlikely(&failures, SUSPICION_PROBABILITY) &&
+	    !is_unlikely(&latency, SUSPICION_PROBABILITY))
+		return;
+	memset(&full->old, 0, sizeof(full->old));
+	for (uint32_t i = 0; i < FULL_STEP; i++)
+		mv_add_counts(&full->old, &evidence->steps[i].old);
+	evaluate_steps(ramp, evidence, 0, FULL_STEP);
 }
 
 static uint64_t get_probe_ms(const struct mv_ramp *ramp)
@@ -213,31 +297,25 @@
 	return step;
 }
 
-static void begin_step(struct mv_ramp *ramp, uint32_t step)
-{
-	if (ramp->step == step)
-		return;
-	ramp->step = step;
-	memset(ramp->evidence, 0, sizeof(ramp->evidence));
-	ramp->evidence_count = 1;
-}
-
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
-			    uint64_t now_ms)
+			    enum mv_ramp_scope scope, uint64_t now_ms)
 {
 	struct mv_ramp *ramp = talloc_zero(ctx, struct mv_ramp);
 
 	g_strlcpy(ramp->to, to, sizeof(ramp->to));
 	ramp->limit_ms = limit_ms;
+	ramp->false_alarm_probability = scope == MV_RAMP_OWN_CALLS
+						? OWN_FALSE_ALARM_PROBABILITY
+						: ALL_FALSE_ALARM_PROBABILITY;
 	ramp->start_ms = now_ms;
 	ramp->evidence_count = 1;
 	return ramp;
 }
 
-static void add_counts(struct evidence *evidence, bool is_new,
+static void add_counts(struct step_counts *step, bool is_new,
 		       const struct mv_counts *counts)
 {
-	mv_add_counts(is_new ? &evidence->new : &evidence->old, counts);
+	mv_add_counts(is_new ? &step->new : &step->old, counts);
 }
 
 void mv_record_ramp_counts(struct mv_ramp *ramp, const char *version,
@@ -248,13 +326,13 @@
 	uint32_t step = get_step(ramp, now_ms);
 	struct evidence *evidence;
 
-	if (step == FULL_STEP)
+	/* Calls of the old version that began before the full share. */
+	if (step == FULL_STEP && !is_new)
 		return;
-	begin_step(ramp, step);
 	evidence = get_evidence(ramp, route);
-	add_counts(&ramp->evidence[0], is_new, counts);
+	add_counts(&ramp->evidence[0].steps[step], is_new, counts);
 	if (evidence)
-		add_counts(evidence, is_new, counts);
+		add_counts(&evidence->steps[step], is_new, counts);
 }
 
 uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms)
@@ -269,13 +347,24 @@
 				 : steps[step - 1].share_permille;
 }
 
-enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
+static void evaluate(struct mv_ramp *ramp, struct evidence *evidence,
+		     uint32_t step)
 {
-	for (uint32_t i = 0; i < ramp->evidence_count && !*ramp->reason; i++) {
-		evaluate_failures(ramp, &ramp->evidence[i]);
-		if (!*ramp->reason)
-			evaluate_latency(ramp, &ramp->evidence[i]);
+	if (step == FULL_STEP) {
+		evaluate_full_share(ramp, evidence);
+		return;
 	}
+	evaluate_steps(ramp, evidence, step, step);
+	if (!*ramp->reason && step > 0)
+		evaluate_steps(ramp, evidence, 0, step);
+}
+
+enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint32_t step = get_step(ramp, now_ms);
+
+	for (uint32_t i = 0; i < ramp->evidence_count && !*ramp->reason; i++)
+		evaluate(ramp, &ramp->evidence[i], step);
 	if (*ramp->reason)
 		return MV_RAMP_TAKE_BACK;
 	if (now_ms - ramp->start_ms >=
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -48,6 +48,8 @@
 		talloc_free(state->ramp);
 		state->now_ms = 1000000;
 		state->ramp = mv_new_ramp(NULL, "v2", (uint32_t)atoi(words[1]),
+					  word_count > 2 ? MV_RAMP_ALL_CALLS
+							 : MV_RAMP_OWN_CALLS,
 					  state->now_ms);
 	} else if (strcmp(words[0], "after") == 0) {
 		state->now_ms += (uint64_t)atoi(words[1]);
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -161,6 +161,7 @@
 {
 	size_t size;
 	const char *body;
+	json_t *answer;
 	json_t *json;
 
 	if (node->release) {
@@ -169,9 +170,9 @@
 	}
 	body = web_get_body(request, &size);
 	json = json_loadb(body, size, 0, NULL);
-	nd_apply_reports(node, json);
+	answer = nd_apply_reports(node, json);
 	json_decref(json);
-	web_reply_json(request, MHD_HTTP_OK, json_object());
+	web_reply_json(request, MHD_HTTP_OK, answer);
 }
 
 static void handle_changes(struct nd_node *node, struct web_request *request)
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -25,6 +25,17 @@
 #define RANK_DELAY_MS 700U
 /* Nodes that evaluate a move by all nodes' calls; one may fail meanwhile. */
 #define EVALUATORS 2U
+/*
+ * Nodes that may request the end of a move. The others know neither all calls
+ * nor, at once, that an evaluator has stopped the move.
+ */
+#define FINISHERS 4U
+/*
+ * Time between reports to the evaluators: this much per live node, so that the
+ * load of an evaluator does not grow with their number.
+ */
+#define REPORT_MS_PER_NODE 4U
+#define REPORT_MAX_MS 1000U
 /* Delay before a node that is not an evaluator requests a rollback. */
 #define FALLBACK_DELAY_MS 1500U
 /* A request that caused no change of state is repeated after this time. */
@@ -35,6 +46,8 @@
 	struct mv_ramp *own_ramp;    /* calls of this node */
 	struct mv_ramp *pooled_ramp; /* calls of all nodes, on evaluators */
 	json_t *unreported;	     /* counts not yet sent to the evaluators */
+	uint64_t reported_ms;	     /* when counts were last sent */
+	bool is_stopped;	     /* an evaluator has found it bad */
 	uint32_t share_permille;     /* share in the snapshot */
 	uint64_t wanted_since_ms;    /* 0: no change wanted */
 	enum doc_move_state wanted_state;
@@ -114,14 +127,18 @@
 }
 
 /* Sends the counts collected since the last report to the evaluators. */
-static void report_move(struct nd_node *node, struct nd_move *move)
+static void report_move(struct nd_node *node, struct nd_move *move,
+			uint64_t now_ms)
 {
 	const struct mem_member *members;
 	size_t count = mem_list_members(node->members, &members);
+	uint64_t period_ms = MIN(count * REPORT_MS_PER_NODE, REPORT_MAX_MS);
 	json_t *report;
 
-	if (json_array_size(move->unreported) == 0)
+	if (json_array_size(move->unreported) == 0 ||
+	    now_ms < move->reported_ms + period_ms)
 		return;
+	move->reported_ms = now_ms;
 	report = json_pack("{s:s,s:I,s:O}", "service", move->request.service,
 			   "id", (json_int_t)move->request.id, "series",
 			   move->unreported);
@@ -189,7 +206,7 @@
 	case DOC_MOVE_WAITING:
 	case DOC_MOVE_RUNNING:
 	case DOC_MOVE_SOAKING:
-		if (*mv_get_ramp_reason(move->pooled_ramp))
+		if (move->is_stopped || *mv_get_ramp_reason(move->pooled_ramp))
 			return 0;
 		return mv_get_ramp_share(move->own_ramp, now_ms);
 	case DOC_MOVE_DONE:
@@ -208,17 +225,20 @@
 	if (move->request.state == DOC_MOVE_DONE ||
 	    move->request.state == DOC_MOVE_TAKEN_BACK)
 		return;
-	report_move(node, move);
+	report_move(node, move, now_ms);
 	verdict = mv_evaluate_ramp(move->own_ramp, now_ms);
 	if (is_evaluator(node, move->request.service) &&
 	    mv_evaluate_ramp(move->pooled_ramp, now_ms) == MV_RAMP_TAKE_BACK)
 		verdict = MV_RAMP_TAKE_BACK;
+	if (move->is_stopped)
+		verdict = MV_RAMP_TAKE_BACK;
 	switch (verdict) {
 	case MV_RAMP_TAKE_BACK:
 		request_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
 		break;
 	case MV_RAMP_FINISH:
-		request_state(node, move, DOC_MOVE_DONE, now_ms);
+		if (get_own_rank(node, move->request.service) < FINISHERS)
+			request_state(node, move, DOC_MOVE_DONE, now_ms);
 		break;
 	case MV_RAMP_CONTINUE:
 		if (move->request.state == DOC_MOVE_NONE)
@@ -276,10 +296,10 @@
 	move->request = *request;
 	move->request.service = talloc_strdup(move, request->service);
 	move->request.to = talloc_strdup(move, request->to);
-	move->own_ramp =
-		mv_new_ramp(move, request->to, request->limit_ms, now_ms);
-	move->pooled_ramp =
-		mv_new_ramp(move, request->to, request->limit_ms, now_ms);
+	move->own_ramp = mv_new_ramp(move, request->to, request->limit_ms,
+				     MV_RAMP_OWN_CALLS, now_ms);
+	move->pooled_ramp = mv_new_ramp(move, request->to, request->limit_ms,
+					MV_RAMP_ALL_CALLS, now_ms);
 	move->unreported = json_array();
 	talloc_set_destructor(move, destroy_move);
 	return move;
@@ -342,9 +362,45 @@
 	return true;
 }
 
-/* Notices of the lease holder matter only for moves of documents. */
-static void ignore_lease_holder(const char *service, void *data)
+/* Returns the move of that id, as a report or its answer names it, or NULL. */
+static struct nd_move *find_move(struct nd_node *node, const json_t *named)
 {
+	const char *service =
+		json_string_value(json_object_get(named, "service"));
+	json_int_t id = json_integer_value(json_object_get(named, "id"));
+	struct nd_move *move = NULL;
+
+	if (service)
+		move = g_hash_table_lookup(node->gateway.moves, service);
+	return move && move->request.id == (uint64_t)id ? move : NULL;
+}
+
+/*
+ * An evaluator names the moves that it has found bad. The share is lowered at
+ * once: the state in the store may take long when the store is out.
+ */
+static void stop_moves(const json_t *answer, void *data)
+{
+	struct nd_node *node = data;
+	const json_t *named;
+	bool is_changed = false;
+	size_t i;
+
+	json_array_foreach(json_object_get(answer, "stopped"), i, named)
+	{
+		struct nd_move *move = find_move(node, named);
+
+		if (!move || move->is_stopped)
+			continue;
+		move->is_stopped = true;
+		is_changed |= update_share(move, tmr_get_now_ms(node->timers));
+		log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
+			  "another node has found the version bad", "service",
+			  move->request.service, "to", move->request.to,
+			  LOG_END);
+	}
+	if (is_changed)
+		build_snapshot(&node->gateway);
 }
 
 bool nd_open_gateway(struct nd_node *node, GError **error)
@@ -352,8 +408,8 @@
 	struct rls_options options = { .events = node->events,
 				       .counters = node->counters };
 
-	node->gateway.reports = rls_new_reports(
-		node, &options, ignore_lease_holder, node, error);
+	node->gateway.reports =
+		rls_new_reports(node, &options, stop_moves, node, error);
 	if (!node->gateway.reports)
 		return false;
 	node->gateway.moves =
@@ -409,34 +465,38 @@
 				      &counts, now_ms);
 }
 
-static void apply_report(struct nd_node *node, const json_t *report)
+/* Adds a report's counts, and its move to stopped if it was found bad. */
+static void apply_report(struct nd_node *node, const json_t *report,
+			 json_t *stopped)
 {
-	const char *service =
-		json_string_value(json_object_get(report, "service"));
-	json_int_t id = json_integer_value(json_object_get(report, "id"));
-	struct nd_move *move = NULL;
+	struct nd_move *move = find_move(node, report);
 	const json_t *series;
 	size_t i;
 
-	if (service)
-		move = g_hash_table_lookup(node->gateway.moves, service);
-	if (!move || move->request.id != (uint64_t)id)
+	if (!move)
 		return;
+	if (move->is_stopped || *get_reason(move))
+		json_array_append_new(stopped,
+				      json_pack("{s:s,s:I}", "service",
+						move->request.service, "id",
+						(json_int_t)move->request.id));
 	json_array_foreach(json_object_get(report, "series"), i, series)
 	{
 		record_series(move, series, tmr_get_now_ms(node->timers));
 	}
 }
 
-void nd_apply_reports(struct nd_node *node, const json_t *body)
+json_t *nd_apply_reports(struct nd_node *node, const json_t *body)
 {
+	json_t *stopped = json_array();
 	const json_t *report;
 	size_t i;
 
 	json_array_foreach(json_object_get(body, "reports"), i, report)
 	{
-		apply_report(node, report);
+		apply_report(node, report, stopped);
 	}
+	return json_pack("{s:o}", "stopped", stopped);
 }
 
 const char *nd_get_version_class(const struct nd_node *node,
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -169,9 +169,10 @@
 
 /*
  * gateway.c: adds the call counts that other nodes report for the moves that
- * this node evaluates.
+ * this node evaluates. Returns the answer as new JSON; it names those of these
+ * moves whose version was found bad: {"stopped": [{"service", "id"}]}.
  */
-void nd_apply_reports(struct nd_node *node, const json_t *body);
+json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
 /*
  * gateway.c: returns new JSON with the move requests, or with the failure
--- a/src/release/reports.c
+++ b/src/release/reports.c
@@ -21,7 +21,7 @@
 	uint32_t in_flight;
 	struct cnt_counter *sent;
 	struct cnt_counter *dropped;
-	rls_contact_fn fn;
+	rls_answer_fn fn;
 	void *data;
 };
 
@@ -40,17 +40,12 @@
 {
 	struct rls_reports *reports = data;
 	json_t *value = NULL;
-	size_t index;
-	json_t *name;
 
 	reports->in_flight--;
 	if (!answer->error && answer->status == MHD_HTTP_OK)
 		value = json_loadb(answer->body, answer->body_size, 0, NULL);
-	json_array_foreach(json_object_get(value, "held"), index, name)
-	{
-		if (json_is_string(name))
-			reports->fn(json_string_value(name), reports->data);
-	}
+	if (value)
+		reports->fn(value, reports->data);
 	json_decref(value);
 }
 
@@ -79,7 +74,7 @@
 
 struct rls_reports *rls_new_reports(TALLOC_CTX *ctx,
 				    const struct rls_options *options,
-				    rls_contact_fn fn, void *data,
+				    rls_answer_fn fn, void *data,
 				    GError **error)
 {
 	struct rls_reports *reports = talloc_zero(ctx, struct rls_reports);
--- a/src/release/reports.h
+++ b/src/release/reports.h
@@ -8,8 +8,8 @@
 
 struct rls_reports;
 
-/* Called when the receiver of a report holds the lease of its service. */
-typedef void (*rls_contact_fn)(const char *service, void *data);
+/* Receives the answer to a batch of reports (borrowed). */
+typedef void (*rls_answer_fn)(const json_t *answer, void *data);
 
 /*
  * Returns a new sender owned by ctx, or NULL with *error set. fn is called with
@@ -17,7 +17,7 @@
  */
 struct rls_reports *rls_new_reports(TALLOC_CTX *ctx,
 				    const struct rls_options *options,
-				    rls_contact_fn fn, void *data,
+				    rls_answer_fn fn, void *data,
 				    GError **error);
 
 /*
--- a/src/release/service.c
+++ b/src/release/service.c
@@ -232,15 +232,24 @@
 	schedule_reports(service);
 }
 
-static void record_contact(const char *name, void *data)
+/* The receiver names the services whose leases it holds. */
+static void record_contacts(const json_t *answer, void *data)
 {
 	struct rls_service *service = data;
-	struct rls_collector *collector =
-		g_hash_table_lookup(service->collectors, name);
-
-	if (collector)
-		rls_record_contact(collector,
-				   tmr_get_wall_ms(service->options.timers));
+	uint64_t now_ms = tmr_get_wall_ms(service->options.timers);
+	struct rls_collector *collector;
+	const json_t *name;
+	size_t i;
+
+	json_array_foreach(json_object_get(answer, "held"), i, name)
+	{
+		if (!json_is_string(name))
+			continue;
+		collector = g_hash_table_lookup(service->collectors,
+						json_string_value(name));
+		if (collector)
+			rls_record_contact(collector, now_ms);
+	}
 }
 
 static int destroy_service(struct rls_service *service)
@@ -261,7 +270,7 @@
 	service->options = *options;
 	service->node = talloc_strdup(service, options->node);
 	service->members = rls_copy_members(service, NULL, 0);
-	service->reports = rls_new_reports(service, options, record_contact,
+	service->reports = rls_new_reports(service, options, record_contacts,
 					   service, error);
 	if (!service->reports) {
 		talloc_free(service);
