--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -227,6 +227,13 @@
 		compare_failures(&evidence->steps[i], failures);
 		compare_latency(&evidence->steps[i], latency);
 	}
+	/* The old calls that the full share is compared with were counted. */
+	if (last == FULL_STEP) {
+		failures->old_calls /= 2;
+		failures->old_bad /= 2;
+		latency->old_calls /= 2;
+		latency->old_bad /= 2;
+	}
 }
 
 static bool is_significant(const struct mv_ramp *ramp,
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -2,10 +2,7 @@
  * Configuration of a node from one gateway document.
  *
  * The snapshot is rebuilt from the gateway, the moves and the failure domains
- * taken out of service whenever one of them changes. Each node advances the
- * traffic share of a move by itself. The state of a move is stored outside the
- * node, once for all nodes; a node requests a change of it through
- * move_state_fn.
+ * taken out of service whenever one of them changes.
  *
  * Invariant: snapshot is set only when the gateway, the moves and the failure
  * domains taken out of service are all known. Without one of them, calls could
@@ -13,46 +10,12 @@
  */
 #include <malloc.h>
 #include <string.h>
-#include <xxhash.h>
 #include "internal.h"
 #include "loom/log.h"
-#include "reports.h"
 
 #define TICK_MS 200U
 /* Memory is trimmed after this time: no call uses the previous gateway then. */
 #define TRIM_MS 2000U
-/* Delay per rank of a change of state, which usually only rank 0 requests. */
-#define RANK_DELAY_MS 700U
-/* Nodes that evaluate a move by all nodes' calls; one may fail meanwhile. */
-#define EVALUATORS 2U
-/*
- * Nodes that may request the end of a move. The others know neither all calls
- * nor, at once, that an evaluator has stopped the move.
- */
-#define FINISHERS 4U
-/*
- * Time between reports to the evaluators: this much per live node, so that the
- * load of an evaluator does not grow with their number.
- */
-#define REPORT_MS_PER_NODE 4U
-#define REPORT_MAX_MS 1000U
-/* Delay before a node that is not an evaluator requests a rollback. */
-#define FALLBACK_DELAY_MS 1500U
-/* A request that caused no change of state is repeated after this time. */
-#define REQUEST_RETRY_MS 1500U
-
-struct nd_move {
-	struct nd_move_request request;
-	struct mv_ramp *own_ramp;    /* calls of this node */
-	struct mv_ramp *pooled_ramp; /* calls of all nodes, on evaluators */
-	json_t *unreported;	     /* counts not yet sent to the evaluators */
-	uint64_t reported_ms;	     /* when counts were last sent */
-	bool is_stopped;	     /* an evaluator has found it bad */
-	uint32_t share_permille;     /* share in the snapshot */
-	uint64_t wanted_since_ms;    /* 0: no change wanted */
-	enum doc_move_state wanted_state;
-	uint64_t requested_ms; /* 0: not requested yet */
-};
 
 static struct nd_node *get_node(struct nd_gateway_state *state)
 {
@@ -60,30 +23,15 @@
 				  offsetof(struct nd_node, gateway));
 }
 
-static void fill_move(const struct nd_move *move,
-		      struct doc_gateway_move *filled)
-{
-	filled->service = move->request.service;
-	filled->to = move->request.to;
-	filled->state = move->request.state;
-	filled->share_permille = move->share_permille;
-}
-
-static void build_snapshot(struct nd_gateway_state *state)
+void nd_build_snapshot(struct nd_gateway_state *state)
 {
 	struct doc_gateway_move *moves;
 	struct doc_snapshot *old = state->snapshot;
-	GHashTableIter iter;
-	gpointer value;
-	size_t count = 0;
+	size_t count;
 
 	if (!state->gateway || !state->domains_out || !state->are_moves_known)
 		return;
-	moves = talloc_zero_array(NULL, struct doc_gateway_move,
-				  g_hash_table_size(state->moves));
-	g_hash_table_iter_init(&iter, state->moves);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		fill_move(value, &moves[count++]);
+	count = nd_list_moves(get_node(state), NULL, &moves);
 	state->snapshot = doc_build_gateway_snapshot(state->gateway, moves,
 						     count, state->domains_out);
 	talloc_free(moves);
@@ -91,264 +39,15 @@
 	nd_update_table(get_node(state));
 }
 
-/* Hash by which the nodes are ranked; the order differs between services. */
-static uint64_t hash_node(const char *service, const char *address)
-{
-	return XXH3_64bits_withSeed(address, strlen(address),
-				    XXH3_64bits(service, strlen(service)));
-}
-
-/* Returns how many live nodes rank before the node of that address. */
-static uint32_t get_rank(const struct mem_member *members, size_t count,
-			 const char *service, const char *address)
-{
-	uint64_t hash = hash_node(service, address);
-	uint32_t rank = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		if (members[i].state == MEM_STATE_ALIVE &&
-		    hash_node(service, members[i].self.address) < hash)
-			rank++;
-	}
-	return rank;
-}
-
-static uint32_t get_own_rank(struct nd_node *node, const char *service)
-{
-	const struct mem_member *members;
-	size_t count = mem_list_members(node->members, &members);
-
-	return get_rank(members, count, service, node->settings->address);
-}
-
-static bool is_evaluator(struct nd_node *node, const char *service)
-{
-	return get_own_rank(node, service) < EVALUATORS;
-}
-
-/* Sends the counts collected since the last report to the evaluators. */
-static void report_move(struct nd_node *node, struct nd_move *move,
-			uint64_t now_ms)
-{
-	const struct mem_member *members;
-	size_t count = mem_list_members(node->members, &members);
-	uint64_t period_ms = MIN(count * REPORT_MS_PER_NODE, REPORT_MAX_MS);
-	json_t *report;
-
-	if (json_array_size(move->unreported) == 0 ||
-	    now_ms < move->reported_ms + period_ms)
-		return;
-	move->reported_ms = now_ms;
-	report = json_pack("{s:s,s:I,s:O}", "service", move->request.service,
-			   "id", (json_int_t)move->request.id, "series",
-			   move->unreported);
-	for (size_t i = 0; i < count; i++) {
-		const struct mem_announcement *self = &members[i].self;
-		char *evaluator;
-
-		if (members[i].state != MEM_STATE_ALIVE ||
-		    strcmp(self->address, node->settings->address) == 0 ||
-		    get_rank(members, count, move->request.service,
-			     self->address) >= EVALUATORS)
-			continue;
-		evaluator = talloc_asprintf(node, "%s:%u", self->address,
-					    self->admin_port);
-		rls_add_report(node->gateway.reports, evaluator,
-			       json_incref(report));
-		talloc_free(evaluator);
-	}
-	json_decref(report);
-	json_decref(move->unreported);
-	move->unreported = json_array();
-}
-
-static const char *get_reason(const struct nd_move *move)
-{
-	const char *reason = mv_get_ramp_reason(move->pooled_ramp);
-
-	return *reason ? reason : mv_get_ramp_reason(move->own_ramp);
-}
-
-/* Requests a state after this node's delay, and repeatedly until it is set. */
-static void request_state(struct nd_node *node, struct nd_move *move,
-			  enum doc_move_state wanted_state, uint64_t now_ms)
-{
-	struct nd_move_request request = move->request;
-	uint64_t delay_ms;
-
-	if (move->wanted_since_ms == 0 || move->wanted_state != wanted_state) {
-		move->wanted_state = wanted_state;
-		move->wanted_since_ms = now_ms;
-		move->requested_ms = 0;
-	}
-	delay_ms =
-		(uint64_t)get_own_rank(node, request.service) * RANK_DELAY_MS;
-	if (wanted_state == DOC_MOVE_TAKEN_BACK)
-		delay_ms = is_evaluator(node, request.service)
-				   ? 0
-				   : FALLBACK_DELAY_MS;
-	if (now_ms < move->wanted_since_ms + delay_ms ||
-	    (move->requested_ms > 0 &&
-	     now_ms < move->requested_ms + REQUEST_RETRY_MS))
-		return;
-	move->requested_ms = now_ms;
-	request.state = wanted_state;
-	if (node->gateway.move_state_fn)
-		node->gateway.move_state_fn(&request, get_reason(move),
-					    node->gateway.move_state_data);
-}
-
-/* Returns the traffic share, in permille, for the move's state and ramp. */
-static uint32_t get_share(struct nd_move *move, uint64_t now_ms)
-{
-	switch (move->request.state) {
-	case DOC_MOVE_NONE:
-	case DOC_MOVE_WAITING:
-	case DOC_MOVE_RUNNING:
-	case DOC_MOVE_SOAKING:
-		if (move->is_stopped || *mv_get_ramp_reason(move->pooled_ramp))
-			return 0;
-		return mv_get_ramp_share(move->own_ramp, now_ms);
-	case DOC_MOVE_DONE:
-		return DOC_SHARE_ALL_PERMILLE;
-	case DOC_MOVE_TAKEN_BACK:
-		return 0;
-	}
-	return 0;
-}
-
-static void evaluate_move(struct nd_node *node, struct nd_move *move,
-			  uint64_t now_ms)
-{
-	enum mv_ramp_verdict verdict;
-
-	if (move->request.state == DOC_MOVE_DONE ||
-	    move->request.state == DOC_MOVE_TAKEN_BACK)
-		return;
-	report_move(node, move, now_ms);
-	verdict = mv_evaluate_ramp(move->own_ramp, now_ms);
-	if (is_evaluator(node, move->request.service) &&
-	    mv_evaluate_ramp(move->pooled_ramp, now_ms) == MV_RAMP_TAKE_BACK)
-		verdict = MV_RAMP_TAKE_BACK;
-	if (move->is_stopped)
-		verdict = MV_RAMP_TAKE_BACK;
-	switch (verdict) {
-	case MV_RAMP_TAKE_BACK:
-		request_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
-		break;
-	case MV_RAMP_FINISH:
-		if (get_own_rank(node, move->request.service) < FINISHERS)
-			request_state(node, move, DOC_MOVE_DONE, now_ms);
-		break;
-	case MV_RAMP_CONTINUE:
-		if (move->request.state == DOC_MOVE_NONE)
-			request_state(node, move, DOC_MOVE_RUNNING, now_ms);
-		break;
-	}
-}
-
-static bool update_share(struct nd_move *move, uint64_t now_ms)
-{
-	uint32_t share_permille = get_share(move, now_ms);
-
-	if (share_permille == move->share_permille)
-		return false;
-	move->share_permille = share_permille;
-	return true;
-}
-
 static void handle_tick(uint64_t due_ms, void *data)
 {
 	struct nd_node *node = data;
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	bool is_changed = false;
-	GHashTableIter iter;
-	gpointer value;
 
-	g_hash_table_iter_init(&iter, node->gateway.moves);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		evaluate_move(node, value, now_ms);
-		is_changed |= update_share(value, now_ms);
-	}
-	rls_send_reports(node->gateway.reports, false);
-	if (is_changed)
-		build_snapshot(&node->gateway);
+	if (nd_update_moves(node))
+		nd_build_snapshot(&node->gateway);
 	nd_update_relay(node);
 }
 
-static int destroy_move(struct nd_move *move)
-{
-	json_decref(move->unreported);
-	return 0;
-}
-
-static void free_move(gpointer data)
-{
-	talloc_free(data);
-}
-
-static struct nd_move *new_move(struct nd_node *node,
-				const struct nd_move_request *request)
-{
-	struct nd_move *move = talloc_zero(node, struct nd_move);
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-
-	move->request = *request;
-	move->request.service = talloc_strdup(move, request->service);
-	move->request.to = talloc_strdup(move, request->to);
-	move->own_ramp = mv_new_ramp(move, request->to, request->limit_ms,
-				     MV_RAMP_OWN_CALLS, now_ms);
-	move->pooled_ramp = mv_new_ramp(move, request->to, request->limit_ms,
-					MV_RAMP_ALL_CALLS, now_ms);
-	move->unreported = json_array();
-	talloc_set_destructor(move, destroy_move);
-	return move;
-}
-
-static bool is_same_request(const struct nd_move_request *a,
-			    const struct nd_move_request *b)
-{
-	return a->id == b->id && strcmp(a->to, b->to) == 0 &&
-	       a->state == b->state && a->version == b->version;
-}
-
-/* Returns whether the request differs from the known one. */
-static bool apply_move_request(struct nd_node *node,
-			       const struct nd_move_request *request)
-{
-	GHashTable *moves = node->gateway.moves;
-	struct nd_move *move = g_hash_table_lookup(moves, request->service);
-
-	if (move && is_same_request(&move->request, request))
-		return false;
-	if (!move || move->request.id != request->id ||
-	    strcmp(move->request.to, request->to) != 0) {
-		move = new_move(node, request);
-		g_hash_table_replace(moves, (gpointer)move->request.service,
-				     move);
-	}
-	if (move->request.state != request->state)
-		move->wanted_since_ms = 0;
-	move->request.state = request->state;
-	move->request.version = request->version;
-	update_share(move, tmr_get_now_ms(node->timers));
-	log_write(LOG_LEVEL_INFO, "node", "take order", NULL,
-		  "move request applied", "service", request->service, "to",
-		  request->to, "state", doc_get_move_state_name(request->state),
-		  LOG_END);
-	return true;
-}
-
-static bool is_listed(const struct nd_move_request *requests, size_t count,
-		      const char *service)
-{
-	for (size_t i = 0; i < count; i++) {
-		if (strcmp(requests[i].service, service) == 0)
-			return true;
-	}
-	return false;
-}
-
 static bool are_names_same(const char *const *a, const char *const *b)
 {
 	size_t count = g_strv_length((char **)b);
@@ -362,58 +61,10 @@
 	return true;
 }
 
-/* Returns the move of that id, as a report or its answer names it, or NULL. */
-static struct nd_move *find_move(struct nd_node *node, const json_t *named)
-{
-	const char *service =
-		json_string_value(json_object_get(named, "service"));
-	json_int_t id = json_integer_value(json_object_get(named, "id"));
-	struct nd_move *move = NULL;
-
-	if (service)
-		move = g_hash_table_lookup(node->gateway.moves, service);
-	return move && move->request.id == (uint64_t)id ? move : NULL;
-}
-
-/*
- * An evaluator names the moves that it has found bad. The share is lowered at
- * once: the state in the store may take long when the store is out.
- */
-static void stop_moves(const json_t *answer, void *data)
-{
-	struct nd_node *node = data;
-	const json_t *named;
-	bool is_changed = false;
-	size_t i;
-
-	json_array_foreach(json_object_get(answer, "stopped"), i, named)
-	{
-		struct nd_move *move = find_move(node, named);
-
-		if (!move || move->is_stopped)
-			continue;
-		move->is_stopped = true;
-		is_changed |= update_share(move, tmr_get_now_ms(node->timers));
-		log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
-			  "another node has found the version bad", "service",
-			  move->request.service, "to", move->request.to,
-			  LOG_END);
-	}
-	if (is_changed)
-		build_snapshot(&node->gateway);
-}
-
 bool nd_open_gateway(struct nd_node *node, GError **error)
 {
-	struct rls_options options = { .events = node->events,
-				       .counters = node->counters };
-
-	node->gateway.reports =
-		rls_new_reports(node, &options, stop_moves, node, error);
-	if (!node->gateway.reports)
+	if (!nd_open_moves(node, error))
 		return false;
-	node->gateway.moves =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_move);
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
 	return nd_open_relay(node, error);
 }
@@ -430,117 +81,6 @@
 	nd_close_relay(node);
 }
 
-void nd_record_gateway_sample(struct nd_node *node,
-			      const struct tr_sample *sample)
-{
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	struct nd_move *move;
-
-	if (!node->gateway.moves || sample->counts.calls == 0)
-		return;
-	move = g_hash_table_lookup(node->gateway.moves, sample->service);
-	if (!move || move->request.state == DOC_MOVE_DONE ||
-	    move->request.state == DOC_MOVE_TAKEN_BACK)
-		return;
-	mv_record_ramp_counts(move->own_ramp, sample->version, sample->route,
-			      &sample->counts, now_ms);
-	mv_record_ramp_counts(move->pooled_ramp, sample->version, sample->route,
-			      &sample->counts, now_ms);
-	json_array_append_new(move->unreported,
-			      json_pack("[s,s,o]", sample->version,
-					sample->route,
-					mv_format_counts(&sample->counts)));
-}
-
-static void record_series(struct nd_move *move, const json_t *series,
-			  uint64_t now_ms)
-{
-	const char *version = json_string_value(json_array_get(series, 0));
-	const char *route = json_string_value(json_array_get(series, 1));
-	struct mv_counts counts;
-
-	if (version && route &&
-	    mv_parse_counts(json_array_get(series, 2), &counts))
-		mv_record_ramp_counts(move->pooled_ramp, version, route,
-				      &counts, now_ms);
-}
-
-/* Adds a report's counts, and its move to stopped if it was found bad. */
-static void apply_report(struct nd_node *node, const json_t *report,
-			 json_t *stopped)
-{
-	struct nd_move *move = find_move(node, report);
-	const json_t *series;
-	size_t i;
-
-	if (!move)
-		return;
-	if (move->is_stopped || *get_reason(move))
-		json_array_append_new(stopped,
-				      json_pack("{s:s,s:I}", "service",
-						move->request.service, "id",
-						(json_int_t)move->request.id));
-	json_array_foreach(json_object_get(report, "series"), i, series)
-	{
-		record_series(move, series, tmr_get_now_ms(node->timers));
-	}
-}
-
-json_t *nd_apply_reports(struct nd_node *node, const json_t *body)
-{
-	json_t *stopped = json_array();
-	const json_t *report;
-	size_t i;
-
-	json_array_foreach(json_object_get(body, "reports"), i, report)
-	{
-		apply_report(node, report, stopped);
-	}
-	return json_pack("{s:o}", "stopped", stopped);
-}
-
-const char *nd_get_version_class(const struct nd_node *node,
-				 const char *service, const char *version)
-{
-	const struct nd_move *move;
-
-	if (node->settings->source != ND_SOURCE_GATEWAY)
-		return version;
-	move = g_hash_table_lookup(node->gateway.moves, service);
-	if (move && strcmp(move->request.to, version) == 0)
-		return move->request.to;
-	return DOC_VERSION_ANY;
-}
-
-void nd_set_move_state_fn(struct nd_node *node, nd_move_state_fn fn, void *data)
-{
-	node->gateway.move_state_fn = fn;
-	node->gateway.move_state_data = data;
-}
-
-json_t *nd_make_move_requests(const struct nd_node *node)
-{
-	json_t *requests = json_array();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->gateway.moves);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct nd_move_request *request =
-			&((const struct nd_move *)value)->request;
-
-		json_array_append_new(
-			requests,
-			json_pack("{s:s,s:s,s:I,s:I,s:s,s:I}", "service",
-				  request->service, "to", request->to, "id",
-				  (json_int_t)request->id, "limit_ms",
-				  (json_int_t)request->limit_ms, "state",
-				  doc_get_move_state_name(request->state),
-				  "version", (json_int_t)request->version));
-	}
-	return requests;
-}
-
 json_t *nd_make_domains_out(const struct nd_node *node)
 {
 	const char **name = node->gateway.domains_out;
@@ -576,7 +116,7 @@
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, sequence);
 	log_write(LOG_LEVEL_INFO, "node", "adopt gateway", NULL,
 		  "gateway in force", "sequence", text, LOG_END);
-	build_snapshot(state);
+	nd_build_snapshot(state);
 	tr_set_caller_limits(node->traffic, doc_get_caller_limits(gateway));
 	nd_announce_progress(node);
 	if (!state->trim)
@@ -604,7 +144,7 @@
 	log_write(LOG_LEVEL_INFO, "node", "set failure domains", NULL,
 		  "failure domains taken out of service", "first",
 		  count ? names[0] : "none", LOG_END);
-	build_snapshot(state);
+	nd_build_snapshot(state);
 out:
 	nd_announce_progress(node);
 }
@@ -614,39 +154,3 @@
 {
 	nd_apply_domains_out(node, names, revision, false);
 }
-
-void nd_apply_move_requests(struct nd_node *node,
-			    const struct nd_move_request *requests,
-			    size_t count, uint64_t revision, bool is_from_peer)
-{
-	struct nd_gateway_state *state = &node->gateway;
-	bool is_changed = !state->are_moves_known;
-	GHashTableIter iter;
-	gpointer key;
-
-	if (!nd_accept_state(&state->moves_revision, revision, is_from_peer))
-		goto out;
-	for (size_t i = 0; i < count; i++)
-		is_changed |= apply_move_request(node, &requests[i]);
-	g_hash_table_iter_init(&iter, state->moves);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (is_listed(requests, count, key))
-			continue;
-		g_hash_table_iter_remove(&iter);
-		is_changed = true;
-	}
-	state->are_moves_known = true;
-	if (!is_changed)
-		goto out;
-	nd_announce_difference(&state->moves_revision);
-	build_snapshot(state);
-out:
-	nd_announce_progress(node);
-}
-
-void nd_set_move_requests(struct nd_node *node,
-			  const struct nd_move_request *requests, size_t count,
-			  uint64_t revision)
-{
-	nd_apply_move_requests(node, requests, count, revision, false);
-}
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -46,7 +46,7 @@
 	uint32_t warm_up_ms; /* time until the target can take its full load */
 };
 
-struct nd_move; /* see gateway.c */
+struct nd_move; /* see moves.c */
 
 /* State of a node that takes its configuration from a gateway document. */
 struct nd_gateway_state {
@@ -160,31 +160,45 @@
 
 /*
  * gateway.c: initializes and frees the gateway state.
- * nd_record_gateway_sample() counts calls for the moves in progress.
+ * moves.c: nd_record_gateway_sample() counts calls for the moves in progress.
  */
 bool nd_open_gateway(struct nd_node *node, GError **error);
 void nd_close_gateway(struct nd_node *node);
 void nd_record_gateway_sample(struct nd_node *node,
 			      const struct tr_sample *sample);
 
+/* gateway.c: builds the snapshot of the parts in force, if all are known. */
+void nd_build_snapshot(struct nd_gateway_state *state);
+
+/*
+ * moves.c: opens the moves; returns false with *error set. nd_update_moves()
+ * evaluates them and returns whether a share has changed. nd_list_moves() sets
+ * *moves to a new array owned by ctx, whose texts are borrowed, and returns its
+ * length.
+ */
+bool nd_open_moves(struct nd_node *node, GError **error);
+bool nd_update_moves(struct nd_node *node);
+size_t nd_list_moves(struct nd_node *node, TALLOC_CTX *ctx,
+		     struct doc_gateway_move **moves);
+
 /*
- * gateway.c: adds the call counts that other nodes report for the moves that
+ * moves.c: adds the call counts that other nodes report for the moves that
  * this node evaluates. Returns the answer as new JSON; it names those of these
  * moves whose version was found bad: {"stopped": [{"service", "id"}]}.
  */
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
 /*
- * gateway.c: returns new JSON with the move requests, or with the failure
- * domains taken out of service, as sent to other nodes.
+ * moves.c and gateway.c: return new JSON with the move requests, or with the
+ * failure domains taken out of service, as sent to other nodes.
  */
 json_t *nd_make_move_requests(const struct nd_node *node);
 json_t *nd_make_domains_out(const struct nd_node *node);
 
 /*
- * gateway.c: as nd_set_move_requests() and nd_set_domains_out(), for a state
- * from the store or from a peer. A state from a peer always raises the
- * announced revision; one from the store raises it only when the content
+ * moves.c and gateway.c: as nd_set_move_requests() and nd_set_domains_out(),
+ * for a state from the store or from a peer. A state from a peer always raises
+ * the announced revision; one from the store raises it only when the content
  * differs.
  */
 void nd_apply_move_requests(struct nd_node *node,
@@ -241,7 +255,7 @@
 void nd_handle_changes(struct nd_node *node, struct web_request *request);
 
 /*
- * gateway.c: returns the version by which the calls of a target are split
+ * moves.c: returns the version by which the calls of a target are split
  * (borrowed): its own version, or with a gateway either the version that a
  * move goes to or DOC_VERSION_ANY.
  */
