Keep calls with large answers at the nearest targets

Change: a thread keeps the mean answer size of each route; a call whose body or expected answer exceeds 16 kB is bulky and waits at the nearest tier until half as many calls wait there as run. Body uploads follow the same rule.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -101,11 +101,14 @@
  */
 #define RT_SENT_MAX 3U
 
+/* A body longer than this is costly to send to another failure domain. */
+#define RT_BULKY_BYTES 16384U
+
 /* Input of a choice. */
 struct rt_request {
 	const struct doc_service *service;
 	uint64_t split_hash; /* selects one of the two versions of a move */
-	bool has_large_body; /* costly to send to a distant domain */
+	bool is_bulky;	     /* its body or its answer exceeds RT_BULKY_BYTES */
 	const char *tried[RT_TRIED_MAX]; /* addresses to exclude */
 	uint32_t tried_count;
 	/* Failure domains that a tried target reported as taken out. */
@@ -149,6 +152,22 @@
 	RT_OUTCOME_CANCELLED,
 };
 
+/* Mean answer size of each route, as seen by one thread. */
+struct rt_answer_sizes;
+
+/* Returns a new object (owned by ctx) that knows no route. */
+struct rt_answer_sizes *rt_new_answer_sizes(TALLOC_CTX *ctx);
+
+/* Records the size of the body of a whole answer. */
+void rt_record_answer_size(struct rt_answer_sizes *sizes, const char *route,
+			   uint64_t bytes);
+
+/*
+ * Returns whether the answers of the route exceed RT_BULKY_BYTES in the mean;
+ * false for a route without an answer yet.
+ */
+bool rt_is_answer_large(const struct rt_answer_sizes *sizes, const char *route);
+
 /* Records the start of a call to address. */
 void rt_record_start(struct rt_chooser *chooser, const char *address);
 
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -8,7 +8,8 @@
  * grade. A ready entry of a farther tier is chosen if its cost is lower by a
  * factor that makes up for the distance. Without this the targets of a failure
  * domain with much traffic would be full while those of neighbouring domains
- * are idle.
+ * are idle. A bulky call rather waits at the nearest tier: its bytes would fill
+ * the links between failure domains.
  *
  * Invariant: cursors has one element for each group of the last synced table.
  */
@@ -22,11 +23,11 @@
 /*
  * Factor by which a farther target must be cheaper. The cost grows with the
  * square of the utilization, so with these values the nearest targets fill to
- * about two thirds before the first call goes to a farther tier, and almost
- * completely if the call has a large body.
+ * about two thirds before the first call goes to a farther tier. A bulky call
+ * goes there when half as many calls wait at the nearest target as run there.
  */
 #define FAR_FACTOR 3.0
-#define FAR_LARGE_BODY_FACTOR 3.5
+#define FAR_BULKY_FACTOR 8.0
 /*
  * A target at its limit costs 1 + LOAD_COST_FACTOR times as much as an idle
  * one.
@@ -180,13 +181,39 @@
 }
 
 /*
- * Collects the entries of a grade: for GRADE_READY those of the nearest tier
- * that has any, otherwise those of all tiers.
+ * Returns the best grade of the nearest tier that has a ready or busy entry, or
+ * best when there is no such tier.
+ */
+static enum rt_grade get_nearest_grade(const struct rt_chooser *chooser,
+				       const struct rt_table *table,
+				       const struct rt_group *group,
+				       enum rt_grade best)
+{
+	enum rt_grade nearest = GRADE_UNUSABLE;
+	uint32_t tier = 0;
+
+	for (uint32_t i = 0; i < group->count; i++) {
+		uint32_t entry_tier = table->entries[group->first + i].tier;
+
+		if (chooser->grades[i] < GRADE_BUSY)
+			continue;
+		if (nearest != GRADE_UNUSABLE && entry_tier > tier)
+			break;
+		tier = entry_tier;
+		nearest = MAX(nearest, chooser->grades[i]);
+	}
+	return nearest == GRADE_UNUSABLE ? best : nearest;
+}
+
+/*
+ * Collects the entries of a grade: those of the nearest tier that has any when
+ * is_near is set, otherwise those of all tiers.
  */
 static void collect_candidates(struct rt_chooser *chooser,
 			       const struct rt_table *table,
 			       const struct rt_group *group,
-			       enum rt_grade grade, uint64_t now_ms)
+			       enum rt_grade grade, bool is_near,
+			       uint64_t now_ms)
 {
 	uint32_t tier = UINT32_MAX;
 
@@ -194,7 +221,7 @@
 	for (uint32_t i = 0; i < group->count; i++) {
 		if (chooser->grades[i] != grade)
 			continue;
-		if (tier == UINT32_MAX && grade == GRADE_READY)
+		if (tier == UINT32_MAX && is_near)
 			tier = table->entries[group->first + i].tier;
 		if (table->entries[group->first + i].tier > tier)
 			break;
@@ -348,8 +375,7 @@
 			       uint64_t now_ms)
 {
 	const struct rt_candidates *candidates = &chooser->candidates;
-	double factor =
-		request->has_large_body ? FAR_LARGE_BODY_FACTOR : FAR_FACTOR;
+	double factor = request->is_bulky ? FAR_BULKY_FACTOR : FAR_FACTOR;
 	const struct rt_target_state *near_state =
 		get_entry_state(chooser, group, near);
 	const struct rt_target_state *far_state;
@@ -379,6 +405,7 @@
 	const struct rt_candidates *candidates = &chooser->candidates;
 	const struct rt_group *group;
 	enum rt_grade grade;
+	bool is_near;
 	uint32_t index;
 
 	*refusal = RT_REFUSAL_NO_TARGET;
@@ -390,9 +417,14 @@
 		*refusal = RT_REFUSAL_DOMAINS_OUT;
 	if (grade < min_grade)
 		return NULL;
-	collect_candidates(chooser, table, group, grade, now_ms);
+	is_near = grade == GRADE_READY;
+	if (request->is_bulky && grade >= GRADE_BUSY) {
+		grade = get_nearest_grade(chooser, table, group, grade);
+		is_near = true;
+	}
+	collect_candidates(chooser, table, group, grade, is_near, now_ms);
 	index = candidates->indices[pick_by_policy(chooser, table, now_ms)];
-	if (grade == GRADE_READY && chooser->policy == RT_POLICY_TWO_CHOICES)
+	if (is_near && chooser->policy == RT_POLICY_TWO_CHOICES)
 		index = choose_farther(chooser, table, group, request, index,
 				       now_ms);
 	*refusal = RT_REFUSAL_NONE;
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -170,6 +170,10 @@
 	} else if (strcmp(words[0], "choose") == 0) {
 		fill_request(state, word_count, words, &request);
 		g_string_append_printf(output, "%s\n", choose(state, &request));
+	} else if (strcmp(words[0], "choose-bulky") == 0) {
+		fill_request(state, word_count, words, &request);
+		request.is_bulky = true;
+		g_string_append_printf(output, "%s\n", choose(state, &request));
 	} else if (strcmp(words[0], "many") == 0) {
 		print_choices(state, parse_number(words[1]), output);
 	} else if (strcmp(words[0], "start") == 0) {
@@ -217,6 +221,29 @@
 	run_chooser_script("domains");
 }
 
+static void test_bulky(void)
+{
+	run_chooser_script("bulky");
+}
+
+static void test_answer_sizes(void)
+{
+	struct rt_answer_sizes *sizes = rt_new_answer_sizes(NULL);
+
+	CU_ASSERT_FALSE(rt_is_answer_large(sizes, "r"));
+	rt_record_answer_size(sizes, "r", 90000);
+	rt_record_answer_size(sizes, "other", 0);
+	CU_ASSERT_TRUE(rt_is_answer_large(sizes, "r"));
+	CU_ASSERT_FALSE(rt_is_answer_large(sizes, "other"));
+	/* One short answer does not outweigh the long ones. */
+	rt_record_answer_size(sizes, "r", 100);
+	CU_ASSERT_TRUE(rt_is_answer_large(sizes, "r"));
+	for (int i = 0; i < 20; i++)
+		rt_record_answer_size(sizes, "r", 100);
+	CU_ASSERT_FALSE(rt_is_answer_large(sizes, "r"));
+	talloc_free(sizes);
+}
+
 static void test_versions(void)
 {
 	run_chooser_script("versions");
@@ -402,6 +429,8 @@
 	{ "a target that fails a share of its calls", test_partial_failure },
 	{ "a target behind a saturated link", test_slow_link },
 	{ "failure domains taken out", test_domains },
+	{ "bulky", test_bulky },
+	{ "answer sizes", test_answer_sizes },
 	{ "versions of a move", test_versions },
 	{ "a limit on the share", test_limits },
 	{ "baseline policies", test_baselines },
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -59,6 +59,8 @@
 		answer->is_unsent = strcmp(value, TR_REASON_SHED) != 0;
 	} else if (strcasecmp(name, TR_HEADER_SPENT) == 0) {
 		answer->spent_us = g_ascii_strtoull(value, NULL, 10);
+	} else if (strcasecmp(name, TR_HEADER_RUN) == 0) {
+		answer->run_us = g_ascii_strtoull(value, NULL, 10);
 	} else if (tr_read_load(name, value, &answer->load)) {
 		answer->has_load = true;
 	}
@@ -246,6 +248,7 @@
 	/* The body of a refusal that is not relayed is dropped. */
 	if (call->stage != TR_STAGE_RELAYING && tr_is_refused(answer))
 		return size * count;
+	answer->body_bytes += size * count;
 	if (call->stage != TR_STAGE_RELAYING) {
 		tr_append_buffer(&answer->body, part, size * count, 0);
 		if (tr_get_buffer_size(&answer->body) >
@@ -255,6 +258,7 @@
 	}
 	if (hx_get_unsent_size(call->exchange) >= TR_STREAM_BYTES_MAX) {
 		answer->is_paused = true;
+		answer->body_bytes -= size * count;
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	hx_add_answer_body(call->exchange, part, size * count);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -36,13 +36,15 @@
 	struct rt_load load;
 	bool has_load;
 	uint64_t spent_us; /* time that the call took on the target's node */
+	uint64_t run_us;   /* part of it until the target's head; 0: unknown */
 	bool is_not_run;   /* the answer states that the request was not run */
 	bool is_unsent;	   /* refused by a gate: no target received it */
 	bool has_stamp;
-	bool is_foreign; /* carries the id of another request */
-	char *refused;	 /* reason for a refusal, or NULL */
-	struct tr_buffer body;
-	bool is_paused; /* the transfer waits until more was sent */
+	bool is_foreign;       /* carries the id of another request */
+	char *refused;	       /* reason for a refusal, or NULL */
+	struct tr_buffer body; /* received, not yet relayed */
+	uint64_t body_bytes;   /* received so far */
+	bool is_paused;	       /* the transfer waits until more was sent */
 	bool is_whole;
 	bool is_broken;
 	uint64_t head_us; /* when the head was complete; 0: not yet */
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -13,9 +13,6 @@
 #include "loom/error.h"
 #include "samples.h"
 
-/* A longer body is expensive to send to another failure domain. */
-#define HEAVY_BODY_BYTES 16384
-
 static const struct tr_header_names *get_names(const struct tr_call *call)
 {
 	return call->thread->service->options.names;
@@ -211,6 +208,17 @@
 			       rt_get_refusal_name(refusal), true);
 }
 
+static bool is_bulky(const struct tr_call *call)
+{
+	const struct tr_upload *upload = &call->upload;
+
+	if (upload->has_body && (upload->content_length < 0 ||
+				 upload->content_length > RT_BULKY_BYTES))
+		return true;
+	return rt_is_answer_large(call->thread->answer_sizes,
+				  call->route->name);
+}
+
 void tr_route_call(struct tr_call *call)
 {
 	uint64_t depth = 0;
@@ -244,10 +252,7 @@
 	set_deadline(call);
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
-	call->request.has_large_body =
-		call->upload.has_body &&
-		(call->upload.content_length < 0 ||
-		 call->upload.content_length > HEAVY_BODY_BYTES);
+	call->request.is_bulky = is_bulky(call);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 tmr_get_now_ms(call->thread->timers));
 	if (tr_is_body_short(call))
@@ -419,6 +424,9 @@
 	}
 	answer->is_whole = code == CURLE_OK;
 	answer->is_broken = code != CURLE_OK;
+	if (answer->is_whole)
+		rt_record_answer_size(call->thread->answer_sizes,
+				      call->route->name, answer->body_bytes);
 	if (answer->is_broken)
 		cnt_add(call->thread->service->counters.broken[call->role], 1);
 	tr_report_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -88,6 +88,7 @@
 	struct hc_loop *target_loop; /* connections to the local target */
 	GQueue free_handles;	     /* CURL handles for reuse */
 	struct rt_chooser *chooser;
+	struct rt_answer_sizes *answer_sizes;
 	GHashTable *budgets; /* service name to struct rt_budget */
 	struct rt_table *table;
 	/* Set by the control thread. */
