Let the evaluators of a ramp decide on its steps

Steps went by the clock of each node: while the old version failed 67 % of its calls, or before the slow calls of the new version had ended, the share rose on.

Change: the evaluators' ramp of all calls takes the steps, one at a time, and tells step and share in its answers to reports; other nodes follow. While more than a fifth of the old version's calls fail, the share is that of the probe; a move that can't end in time for that is taken back 0.7 s before its limit. The larger steps wait for 25 calls of the new version, as far as the limit allows. A service of few calls is probed with up to 10 %. Versions are compared by the time at the target (Loom-Run-Us), without the wait at its gate.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -277,9 +277,9 @@
 		       const struct doc_move *move, GString *text);
 
 /*
- * A ramp is a move that has to finish within seconds. Its share depends on the
- * time since its start only, and each node evaluates it from the calls that the
- * node sent itself.
+ * A ramp is a move that has to finish within seconds. The share of the new
+ * version rises in steps, which the ramp of all nodes' calls decides on; each
+ * node also evaluates a ramp of its own calls.
  */
 struct mv_ramp;
 
@@ -316,8 +316,24 @@
 /* Fills counts from such an array; returns false when value is not valid. */
 bool mv_parse_counts(const json_t *value, struct mv_counts *counts);
 
-/* Returns the share of the new version; 0 once it has been found bad. */
-uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms);
+/*
+ * Returns the share of the new version in permille; 0 once it has been found
+ * bad.
+ */
+uint32_t mv_get_ramp_share(struct mv_ramp *ramp, uint64_t now_ms);
+
+/* Returns the step, 0 for the probe. */
+uint32_t mv_get_ramp_step(const struct mv_ramp *ramp);
+
+/*
+ * Sets the step and share of a ramp from those that the ramp of all calls has
+ * on another node. From then on the ramp takes no step by itself.
+ */
+void mv_follow_ramp(struct mv_ramp *ramp, uint32_t step,
+		    uint32_t share_permille, uint64_t now_ms);
+
+/* Begins a later step, which the ramp of another node has reached already. */
+void mv_resume_ramp(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms);
 
 /*
  * Evaluates the calls and the time so far. Once MV_RAMP_TAKE_BACK was returned,
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -12,6 +12,14 @@
  * with the old version's rate in the same step, so that a fault of both
  * versions that began with a step does not count against the new one.
  *
+ * While the old version fails often, a bad new one cannot be told from it. The
+ * share then falls back to that of the probe, and the step begins anew when the
+ * failures are over. A move that can no longer finish in time for that is taken
+ * back at the end of its time.
+ *
+ * The ramp of all nodes' calls decides on the steps; ramps of single nodes
+ * follow it.
+ *
  * Invariants: evidence[0] counts all routes; evidence of steps after the
  * current one is zero; once reason is set, the ramp stays taken back.
  */
@@ -26,10 +34,26 @@
  * last step.
  */
 #define PROBE_SHARE_PERMILLE 50U
+/*
+ * A service of few calls is probed with a larger share, so that this many calls
+ * reach the new version.
+ */
+#define PROBE_CALLS 40.0
+#define PROBE_SHARE_MAX_PERMILLE 100U
+/* Time after which the rate of calls is known well enough for that. */
+#define RATE_KNOWN_MS 500U
 /* Part of the time used by the probe, long enough to find late faults. */
 #define PROBE_TIME_PERCENT 43U
 /* Time for which the new version has all calls before the ramp finishes. */
-#define FULL_SHARE_MS 1200U
+#define FULL_SHARE_MS 1600U
+/* Time at the end of the limit in which the end of the move is recorded. */
+#define END_MARGIN_MS 700U
+/* Steps may take this much less time after an interruption. */
+#define SHORTEST_STEP 0.5
+/* The old version fails too often to be compared with. */
+#define NOISY_RATE 0.2
+/* Length of the windows in which that is counted. */
+#define NOISE_WINDOW_MS 1000U
 /*
  * Bounds on the false-alarm probability of each test. The one for a single
  * node's calls is smaller because some hundred nodes each run many tests.
@@ -54,6 +78,12 @@
 #define SLOW_SHIFT_BUCKETS 2U
 #define SLOW_QUANTILE 0.9
 #define ROUTES_MAX 32U
+/*
+ * Calls of the new version, from before the old one failed often or after, that
+ * have ended before the larger shares: a slow call ends late, and after a noisy
+ * probe hardly any have ended when the steps begin.
+ */
+#define CALLS_BEFORE_LARGE_STEPS 25U
 
 /* Steps after the probe; the load of the last is close to that of all calls. */
 static const struct {
@@ -86,6 +116,15 @@
 	char to[MV_NAME_SIZE];
 	uint64_t start_ms;
 	uint32_t limit_ms;
+	uint32_t step; /* FULL_STEP: the new version has all calls */
+	uint64_t step_start_ms;
+	bool is_following;	/* steps are decided by another ramp */
+	uint32_t told_permille; /* share of that one */
+	/* Calls of the old version in this window and the one before. */
+	struct mv_counts noise[2];
+	uint64_t noise_start_ms;
+	uint32_t quiet_calls; /* of the new version, while it was not noisy */
+	bool was_noisy;
 	double false_alarm_probability;
 	uint32_t evidence_count;
 	struct evidence evidence[ROUTES_MAX + 1];
@@ -275,33 +314,135 @@
 	evaluate_steps(ramp, evidence, 0, FULL_STEP);
 }
 
-static uint64_t get_probe_ms(const struct mv_ramp *ramp)
+static uint32_t get_probe_ms(const struct mv_ramp *ramp)
 {
-	return (uint64_t)ramp->limit_ms * PROBE_TIME_PERCENT / 100;
+	return (uint32_t)((uint64_t)ramp->limit_ms * PROBE_TIME_PERCENT / 100);
 }
 
-static uint64_t get_full_share_after_ms(const struct mv_ramp *ramp)
+/* Returns the usual duration of a step. */
+static uint32_t get_duration_ms(const struct mv_ramp *ramp, uint32_t step)
 {
-	uint64_t full_ms = get_probe_ms(ramp);
+	if (step == 0)
+		return get_probe_ms(ramp);
+	return step == FULL_STEP ? FULL_SHARE_MS : steps[step - 1].duration_ms;
+}
 
-	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
-		full_ms += steps[i].duration_ms;
-	return full_ms;
+/* Returns the usual time from the beginning of a step to the full share. */
+static uint32_t get_remaining_ms(const struct mv_ramp *ramp, uint32_t step)
+{
+	uint32_t remaining_ms = 0;
+
+	for (uint32_t i = step; i < FULL_STEP; i++)
+		remaining_ms += get_duration_ms(ramp, i);
+	return remaining_ms;
 }
 
-/* Returns the current step; FULL_STEP when the new version has all calls. */
-static uint32_t get_step(const struct mv_ramp *ramp, uint64_t now_ms)
+/* Returns how long the current step lasts so that the ramp ends in time. */
+static double get_step_ms(const struct mv_ramp *ramp)
 {
-	uint64_t elapsed_ms = now_ms - ramp->start_ms;
-	uint64_t end_ms = get_probe_ms(ramp);
-	uint32_t step = 0;
+	double elapsed_ms = (double)(ramp->step_start_ms - ramp->start_ms);
+	double left_ms =
+		ramp->limit_ms - elapsed_ms - FULL_SHARE_MS - END_MARGIN_MS;
+	double usual_ms = get_remaining_ms(ramp, ramp->step);
+
+	return get_duration_ms(ramp, ramp->step) *
+	       fmin(fmax(left_ms / usual_ms, SHORTEST_STEP), 1);
+}
+
+static bool can_end_in_time(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	double shortest_ms = ramp->step == 0
+				     ? get_remaining_ms(ramp, 1)
+				     : get_remaining_ms(ramp, ramp->step);
+
+	return (double)(now_ms - ramp->start_ms) + SHORTEST_STEP * shortest_ms +
+		       FULL_SHARE_MS + END_MARGIN_MS <=
+	       ramp->limit_ms;
+}
+
+static void turn_noise_window(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	while (now_ms >= ramp->noise_start_ms + NOISE_WINDOW_MS) {
+		ramp->noise[1] = ramp->noise[0];
+		memset(&ramp->noise[0], 0, sizeof(ramp->noise[0]));
+		ramp->noise_start_ms += NOISE_WINDOW_MS;
+	}
+}
+
+/* Returns whether the old version failed often in the last two windows. */
+static bool is_noisy(const struct mv_ramp *ramp)
+{
+	uint32_t calls = ramp->noise[0].calls + ramp->noise[1].calls;
+	uint32_t failed = ramp->noise[0].failed + ramp->noise[1].failed;
+
+	return calls >= OLD_CALLS_MIN && failed > calls * NOISY_RATE;
+}
+
+static void begin_step(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms)
+{
+	ramp->step = step;
+	ramp->step_start_ms = now_ms;
+}
+
+static bool has_few_calls(const struct mv_ramp *ramp)
+{
+	return ramp->quiet_calls < CALLS_BEFORE_LARGE_STEPS;
+}
+
+/* Returns whether the step may take longer without delaying the end. */
+static bool can_wait(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	return (double)(now_ms - ramp->start_ms) +
+		       get_remaining_ms(ramp, ramp->step + 1) + FULL_SHARE_MS +
+		       END_MARGIN_MS <
+	       ramp->limit_ms;
+}
+
+static bool is_step_over(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	if ((double)(now_ms - ramp->step_start_ms) < get_step_ms(ramp))
+		return false;
+	if (ramp->step == 0)
+		return can_end_in_time(ramp, now_ms);
+	return !has_few_calls(ramp) ||
+	       (!ramp->was_noisy && !can_wait(ramp, now_ms));
+}
 
-	while (elapsed_ms >= end_ms && step < FULL_STEP) {
-		if (step < G_N_ELEMENTS(steps))
-			end_ms += steps[step].duration_ms;
-		step++;
+/*
+ * Advances by one step at most, so that a node that stood still for a while
+ * does not pass over a step.
+ */
+static void advance_step(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	turn_noise_window(ramp, now_ms);
+	if (ramp->step == FULL_STEP)
+		return;
+	if (is_noisy(ramp)) {
+		ramp->was_noisy = true;
+		/* The probe goes on; its time is not lost. */
+		if (ramp->step > 0)
+			begin_step(ramp, ramp->step, now_ms);
+	} else if (is_step_over(ramp, now_ms)) {
+		begin_step(ramp, ramp->step + 1, now_ms);
 	}
-	return step;
+}
+
+/* Returns the share of the probe, in permille, by the rate of calls. */
+static uint32_t get_probe_permille(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint64_t elapsed_ms = now_ms - ramp->start_ms;
+	double calls = 0;
+	double permille;
+
+	for (uint32_t i = 0; i <= FULL_STEP; i++)
+		calls += ramp->evidence[0].steps[i].old.calls +
+			 ramp->evidence[0].steps[i].new.calls;
+	if (elapsed_ms < RATE_KNOWN_MS || calls == 0)
+		return PROBE_SHARE_PERMILLE;
+	permille = 1000 * PROBE_CALLS * (double)elapsed_ms /
+		   (calls * get_probe_ms(ramp));
+	return (uint32_t)fmin(fmax(permille, PROBE_SHARE_PERMILLE),
+			      PROBE_SHARE_MAX_PERMILLE);
 }
 
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
@@ -315,6 +456,8 @@
 						? OWN_FALSE_ALARM_PROBABILITY
 						: ALL_FALSE_ALARM_PROBABILITY;
 	ramp->start_ms = now_ms;
+	ramp->step_start_ms = now_ms;
+	ramp->noise_start_ms = now_ms;
 	ramp->evidence_count = 1;
 	return ramp;
 }
@@ -330,52 +473,88 @@
 			   uint64_t now_ms)
 {
 	bool is_new = strcmp(version, ramp->to) == 0;
-	uint32_t step = get_step(ramp, now_ms);
 	struct evidence *evidence;
 
+	turn_noise_window(ramp, now_ms);
+	if (!ramp->is_following)
+		advance_step(ramp, now_ms);
 	/* Calls of the old version that began before the full share. */
-	if (step == FULL_STEP && !is_new)
+	if (ramp->step == FULL_STEP && !is_new)
 		return;
+	if (!is_new)
+		mv_add_counts(&ramp->noise[0], counts);
+	else if (!is_noisy(ramp))
+		ramp->quiet_calls += counts->calls;
 	evidence = get_evidence(ramp, route);
-	add_counts(&ramp->evidence[0].steps[step], is_new, counts);
+	add_counts(&ramp->evidence[0].steps[ramp->step], is_new, counts);
 	if (evidence)
-		add_counts(&evidence->steps[step], is_new, counts);
+		add_counts(&evidence->steps[ramp->step], is_new, counts);
+}
+
+void mv_follow_ramp(struct mv_ramp *ramp, uint32_t step,
+		    uint32_t share_permille, uint64_t now_ms)
+{
+	ramp->is_following = true;
+	ramp->told_permille = share_permille;
+	if (step != ramp->step && step <= FULL_STEP)
+		begin_step(ramp, step, now_ms);
 }
 
-uint32_t mv_get_ramp_share(const struct mv_ramp *ramp, uint64_t now_ms)
+void mv_resume_ramp(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms)
 {
-	uint32_t step = get_step(ramp, now_ms);
+	if (step > ramp->step && step <= FULL_STEP)
+		begin_step(ramp, step, now_ms);
+}
+
+uint32_t mv_get_ramp_step(const struct mv_ramp *ramp)
+{
+	return ramp->step;
+}
+
+uint32_t mv_get_ramp_share(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint32_t probe_permille;
 
 	if (*ramp->reason)
 		return 0;
-	if (step == 0)
-		return PROBE_SHARE_PERMILLE;
-	return step == FULL_STEP ? DOC_SHARE_ALL_PERMILLE
-				 : steps[step - 1].share_permille;
+	if (ramp->is_following)
+		return ramp->told_permille;
+	advance_step(ramp, now_ms);
+	probe_permille = get_probe_permille(ramp, now_ms);
+	if (ramp->step == FULL_STEP)
+		return DOC_SHARE_ALL_PERMILLE;
+	if (ramp->step == 0 || is_noisy(ramp))
+		return probe_permille;
+	return MAX(steps[ramp->step - 1].share_permille, 2 * probe_permille);
 }
 
-static void evaluate(struct mv_ramp *ramp, struct evidence *evidence,
-		     uint32_t step)
+static void evaluate(struct mv_ramp *ramp, struct evidence *evidence)
 {
-	if (step == FULL_STEP) {
+	if (ramp->step == FULL_STEP) {
 		evaluate_full_share(ramp, evidence);
 		return;
 	}
-	evaluate_steps(ramp, evidence, step, step);
-	if (!*ramp->reason && step > 0)
-		evaluate_steps(ramp, evidence, 0, step);
+	evaluate_steps(ramp, evidence, ramp->step, ramp->step);
+	if (!*ramp->reason && ramp->step > 0)
+		evaluate_steps(ramp, evidence, 0, ramp->step);
 }
 
 enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
 {
-	uint32_t step = get_step(ramp, now_ms);
-
 	for (uint32_t i = 0; i < ramp->evidence_count && !*ramp->reason; i++)
-		evaluate(ramp, &ramp->evidence[i], step);
+		evaluate(ramp, &ramp->evidence[i]);
+	if (!ramp->is_following)
+		advance_step(ramp, now_ms);
+	if (!*ramp->reason && ramp->step < FULL_STEP && !ramp->is_following &&
+	    now_ms - ramp->start_ms + END_MARGIN_MS >= ramp->limit_ms)
+		g_strlcpy(ramp->reason,
+			  "out of time: the old version failed too often to "
+			  "compare",
+			  sizeof(ramp->reason));
 	if (*ramp->reason)
 		return MV_RAMP_TAKE_BACK;
-	if (now_ms - ramp->start_ms >=
-	    get_full_share_after_ms(ramp) + FULL_SHARE_MS)
+	if (ramp->step == FULL_STEP &&
+	    now_ms - ramp->step_start_ms >= FULL_SHARE_MS)
 		return MV_RAMP_FINISH;
 	return MV_RAMP_CONTINUE;
 }
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -8,6 +8,7 @@
 
 #define FAST_US 60000U
 #define SLOW_US 480000U
+#define TICK_MS 200U
 
 struct state {
 	struct mv_ramp *ramp;
@@ -40,6 +41,18 @@
 			       names[verdict], mv_get_ramp_reason(state->ramp));
 }
 
+/* A node evaluates its ramps every TICK_MS. */
+static void pass_time(struct state *state, uint32_t time_ms)
+{
+	while (time_ms > 0) {
+		uint32_t part_ms = MIN(time_ms, TICK_MS);
+
+		state->now_ms += part_ms;
+		time_ms -= part_ms;
+		mv_evaluate_ramp(state->ramp, state->now_ms);
+	}
+}
+
 static bool run_step(int word_count, char **words, GString *output, void *data)
 {
 	struct state *state = data;
@@ -52,7 +65,7 @@
 							 : MV_RAMP_OWN_CALLS,
 					  state->now_ms);
 	} else if (strcmp(words[0], "after") == 0) {
-		state->now_ms += (uint64_t)atoi(words[1]);
+		pass_time(state, (uint32_t)atoi(words[1]));
 	} else if (strcmp(words[0], "calls") == 0) {
 		add_calls(state, word_count, words);
 	} else if (strcmp(words[0], "print") == 0) {
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -183,8 +183,8 @@
 
 /*
  * moves.c: adds the call counts that other nodes report for the moves that
- * this node evaluates. Returns the answer as new JSON; it names those of these
- * moves whose version was found bad: {"stopped": [{"service", "id"}]}.
+ * this node evaluates. Returns the answer as new JSON: {"moves": [{"service",
+ * "id", "is_stopped", "rank", "step", "share"}]}.
  */
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -1,17 +1,17 @@
 /*
  * Moves of a node that takes its configuration from a gateway document.
  *
- * Each node advances the traffic share of a move by itself. The nodes of the
- * first ranks, the evaluators, get the counts of all nodes. The state of a move
- * is stored outside the node, once for all nodes; a node requests a change of
- * it through move_state_fn.
+ * The nodes of the first ranks, the evaluators, get the counts of all nodes and
+ * decide on the traffic share; the others learn it from the answers to their
+ * reports. The state of a move is stored outside the node, once for all nodes;
+ * a node requests a change of it through move_state_fn.
  *
  * Invariant: the moves are those of the last state applied.
  */
 #include <string.h>
-#include <xxhash.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "ranks.h"
 #include "reports.h"
 
 /* Delay per rank of a change of state, which usually only rank 0 requests. */
@@ -28,7 +28,12 @@
  * load of an evaluator does not grow with their number.
  */
 #define REPORT_MS_PER_NODE 4U
-#define REPORT_MAX_MS 1000U
+#define REPORT_MAX_MS 500U
+/*
+ * A node takes a step from an evaluator of a lower rank when the one before it
+ * has told none for this time.
+ */
+#define EVALUATOR_SILENT_MS 1500U
 /* Delay before a node that is not an evaluator requests a rollback. */
 #define FALLBACK_DELAY_MS 1500U
 /* A request that caused no change of state is repeated after this time. */
@@ -41,6 +46,8 @@
 	json_t *unreported;	     /* counts not yet sent to the evaluators */
 	uint64_t reported_ms;	     /* when counts were last sent */
 	bool is_stopped;	     /* an evaluator has found it bad */
+	uint64_t told_ms;	     /* when an evaluator last told a step */
+	uint32_t told_rank;	     /* rank of that evaluator */
 	uint32_t share_permille;     /* share in the snapshot */
 	uint64_t wanted_since_ms;    /* 0: no change wanted */
 	enum doc_move_state wanted_state;
@@ -56,34 +63,18 @@
 	filled->share_permille = move->share_permille;
 }
 
-/* Hash by which the nodes are ranked; the order differs between services. */
-static uint64_t hash_node(const char *service, const char *address)
-{
-	return XXH3_64bits_withSeed(address, strlen(address),
-				    XXH3_64bits(service, strlen(service)));
-}
-
-/* Returns how many live nodes rank before the node of that address. */
-static uint32_t get_rank(const struct mem_member *members, size_t count,
-			 const char *service, const char *address)
-{
-	uint64_t hash = hash_node(service, address);
-	uint32_t rank = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		if (members[i].state == MEM_STATE_ALIVE &&
-		    hash_node(service, members[i].self.address) < hash)
-			rank++;
-	}
-	return rank;
-}
-
 static uint32_t get_own_rank(struct nd_node *node, const char *service)
 {
 	const struct mem_member *members;
 	size_t count = mem_list_members(node->members, &members);
 
-	return get_rank(members, count, service, node->settings->address);
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(members[i].self.address, node->settings->address) ==
+		    0)
+			return nd_get_rank(members, count, service,
+					   &members[i].self);
+	}
+	return UINT32_MAX;
 }
 
 static bool is_evaluator(struct nd_node *node, const char *service)
@@ -113,8 +104,8 @@
 
 		if (members[i].state != MEM_STATE_ALIVE ||
 		    strcmp(self->address, node->settings->address) == 0 ||
-		    get_rank(members, count, move->request.service,
-			     self->address) >= EVALUATORS)
+		    nd_get_rank(members, count, move->request.service, self) >=
+			    EVALUATORS)
 			continue;
 		evaluator = talloc_asprintf(node, "%s:%u", self->address,
 					    self->admin_port);
@@ -182,22 +173,42 @@
 	return 0;
 }
 
-static void evaluate_move(struct nd_node *node, struct nd_move *move,
-			  uint64_t now_ms)
+/* Evaluates the calls of all nodes; the own ramp follows. */
+static enum mv_ramp_verdict evaluate_all_calls(struct nd_move *move,
+					       uint64_t now_ms)
 {
 	enum mv_ramp_verdict verdict;
 
+	/* This node may have become an evaluator in the middle of the move. */
+	mv_resume_ramp(move->pooled_ramp, mv_get_ramp_step(move->own_ramp),
+		       now_ms);
+	verdict = mv_evaluate_ramp(move->pooled_ramp, now_ms);
+	mv_follow_ramp(move->own_ramp, mv_get_ramp_step(move->pooled_ramp),
+		       mv_get_ramp_share(move->pooled_ramp, now_ms), now_ms);
+	return verdict;
+}
+
+static enum mv_ramp_verdict get_verdict(struct nd_node *node,
+					struct nd_move *move, uint64_t now_ms)
+{
+	enum mv_ramp_verdict verdict = mv_evaluate_ramp(move->own_ramp, now_ms);
+
+	if (move->is_stopped)
+		verdict = MV_RAMP_TAKE_BACK;
+	if (verdict == MV_RAMP_TAKE_BACK ||
+	    !is_evaluator(node, move->request.service))
+		return verdict;
+	return evaluate_all_calls(move, now_ms);
+}
+
+static void evaluate_move(struct nd_node *node, struct nd_move *move,
+			  uint64_t now_ms)
+{
 	if (move->request.state == DOC_MOVE_DONE ||
 	    move->request.state == DOC_MOVE_TAKEN_BACK)
 		return;
 	report_move(node, move, now_ms);
-	verdict = mv_evaluate_ramp(move->own_ramp, now_ms);
-	if (is_evaluator(node, move->request.service) &&
-	    mv_evaluate_ramp(move->pooled_ramp, now_ms) == MV_RAMP_TAKE_BACK)
-		verdict = MV_RAMP_TAKE_BACK;
-	if (move->is_stopped)
-		verdict = MV_RAMP_TAKE_BACK;
-	switch (verdict) {
+	switch (get_verdict(node, move, now_ms)) {
 	case MV_RAMP_TAKE_BACK:
 		request_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
 		break;
@@ -246,6 +257,9 @@
 				     MV_RAMP_OWN_CALLS, now_ms);
 	move->pooled_ramp = mv_new_ramp(move, request->to, request->limit_ms,
 					MV_RAMP_ALL_CALLS, now_ms);
+	/* Until an evaluator tells a step, the share is that of the probe. */
+	mv_follow_ramp(move->own_ramp, 0,
+		       mv_get_ramp_share(move->pooled_ramp, now_ms), now_ms);
 	move->unreported = json_array();
 	talloc_set_destructor(move, destroy_move);
 	return move;
@@ -308,29 +322,59 @@
 	return move && move->request.id == (uint64_t)id ? move : NULL;
 }
 
+/* Handles what an evaluator tells of a move; returns whether a share changed.
+ */
+static bool follow_evaluator(struct nd_node *node, const json_t *told)
+{
+	struct nd_move *move = find_move(node, told);
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
+	json_int_t rank = json_integer_value(json_object_get(told, "rank"));
+	json_int_t step = json_integer_value(json_object_get(told, "step"));
+	json_int_t share = json_integer_value(json_object_get(told, "share"));
+
+	if (!move || is_evaluator(node, move->request.service))
+		return false;
+	if (rank > move->told_rank &&
+	    now_ms < move->told_ms + EVALUATOR_SILENT_MS)
+		return false;
+	if (rank < 0 || step < 0 || step > UINT32_MAX || share < 0 ||
+	    share > DOC_SHARE_ALL_PERMILLE)
+		return false;
+	move->told_rank = (uint32_t)rank;
+	move->told_ms = now_ms;
+	mv_follow_ramp(move->own_ramp, (uint32_t)step, (uint32_t)share, now_ms);
+	return update_share(move, now_ms);
+}
+
 /*
- * An evaluator names the moves that it has found bad. The share is lowered at
- * once: the state in the store may take long when the store is out.
+ * Lowers the share of a move that an evaluator has found bad at once: the state
+ * in the store may take long when the store is out.
  */
-static void stop_moves(const json_t *answer, void *data)
+static bool stop_move(struct nd_node *node, const json_t *told)
+{
+	struct nd_move *move = find_move(node, told);
+
+	if (!move || move->is_stopped ||
+	    !json_is_true(json_object_get(told, "is_stopped")))
+		return false;
+	move->is_stopped = true;
+	log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
+		  "another node has found the version bad", "service",
+		  move->request.service, "to", move->request.to, LOG_END);
+	return update_share(move, tmr_get_now_ms(node->timers));
+}
+
+static void handle_report_answer(const json_t *answer, void *data)
 {
 	struct nd_node *node = data;
-	const json_t *named;
+	const json_t *told;
 	bool is_changed = false;
 	size_t i;
 
-	json_array_foreach(json_object_get(answer, "stopped"), i, named)
+	json_array_foreach(json_object_get(answer, "moves"), i, told)
 	{
-		struct nd_move *move = find_move(node, named);
-
-		if (!move || move->is_stopped)
-			continue;
-		move->is_stopped = true;
-		is_changed |= update_share(move, tmr_get_now_ms(node->timers));
-		log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
-			  "another node has found the version bad", "service",
-			  move->request.service, "to", move->request.to,
-			  LOG_END);
+		is_changed |= stop_move(node, told);
+		is_changed |= follow_evaluator(node, told);
 	}
 	if (is_changed)
 		nd_build_snapshot(&node->gateway);
@@ -371,9 +415,23 @@
 				      &counts, now_ms);
 }
 
-/* Adds a report's counts, and its move to stopped if it was found bad. */
+/* Returns what this evaluator tells of a move, as new JSON. */
+static json_t *make_told(struct nd_node *node, struct nd_move *move)
+{
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
+
+	return json_pack(
+		"{s:s,s:I,s:b,s:I,s:I,s:I}", "service", move->request.service,
+		"id", (json_int_t)move->request.id, "is_stopped",
+		(int)(move->is_stopped || *get_reason(move)), "rank",
+		(json_int_t)get_own_rank(node, move->request.service), "step",
+		(json_int_t)mv_get_ramp_step(move->pooled_ramp), "share",
+		(json_int_t)mv_get_ramp_share(move->pooled_ramp, now_ms));
+}
+
+/* Adds a report's counts, and what is known of its move to told. */
 static void apply_report(struct nd_node *node, const json_t *report,
-			 json_t *stopped)
+			 json_t *told)
 {
 	struct nd_move *move = find_move(node, report);
 	const json_t *series;
@@ -381,28 +439,25 @@
 
 	if (!move)
 		return;
-	if (move->is_stopped || *get_reason(move))
-		json_array_append_new(stopped,
-				      json_pack("{s:s,s:I}", "service",
-						move->request.service, "id",
-						(json_int_t)move->request.id));
 	json_array_foreach(json_object_get(report, "series"), i, series)
 	{
 		record_series(move, series, tmr_get_now_ms(node->timers));
 	}
+	if (is_evaluator(node, move->request.service))
+		json_array_append_new(told, make_told(node, move));
 }
 
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body)
 {
-	json_t *stopped = json_array();
+	json_t *told = json_array();
 	const json_t *report;
 	size_t i;
 
 	json_array_foreach(json_object_get(body, "reports"), i, report)
 	{
-		apply_report(node, report, stopped);
+		apply_report(node, report, told);
 	}
-	return json_pack("{s:o}", "stopped", stopped);
+	return json_pack("{s:o}", "moves", told);
 }
 
 const char *nd_get_version_class(const struct nd_node *node,
@@ -519,8 +574,8 @@
 	struct rls_options options = { .events = node->events,
 				       .counters = node->counters };
 
-	node->gateway.reports =
-		rls_new_reports(node, &options, stop_moves, node, error);
+	node->gateway.reports = rls_new_reports(
+		node, &options, handle_report_answer, node, error);
 	if (!node->gateway.reports)
 		return false;
 	node->gateway.moves =
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -30,19 +30,29 @@
 	hx_add_answer_header(call->exchange, MHD_HTTP_HEADER_RETRY_AFTER, text);
 }
 
+static void add_duration(struct tr_call *call, const char *name,
+			 uint64_t duration_us)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, duration_us);
+	hx_add_answer_header(call->exchange, name, text);
+}
+
 void tr_add_hop_headers(struct tr_call *call)
 {
 	struct rt_load load;
-	char spent[24];
 
 	if (call->role != TR_ROLE_HOP)
 		return;
 	adm_get_load(call->thread->gate, &load);
 	tr_add_load(call->exchange, &load);
-	g_snprintf(spent, sizeof(spent), "%" G_GUINT64_FORMAT,
-		   (tmr_get_now_ms(call->thread->timers) - call->begun_ms) *
-			   1000);
-	hx_add_answer_header(call->exchange, TR_HEADER_SPENT, spent);
+	add_duration(call, TR_HEADER_SPENT,
+		     (tmr_get_now_ms(call->thread->timers) - call->begun_ms) *
+			     1000);
+	if (call->answer.head_us)
+		add_duration(call, TR_HEADER_RUN,
+			     call->answer.head_us - call->attempt_us);
 }
 
 void tr_refuse_call(struct tr_call *call, uint32_t status, const char *reason,
--- a/src/traffic/samples.c
+++ b/src/traffic/samples.c
@@ -136,6 +136,17 @@
 	return record;
 }
 
+/*
+ * Returns the latency by which versions are compared: the time at the target.
+ * The wait at its gate says more about the load than about the version.
+ */
+static uint64_t get_run_us(const struct tr_call *call, uint64_t latency_us)
+{
+	if (call->is_local || call->answer.run_us == 0)
+		return latency_us;
+	return call->answer.run_us;
+}
+
 void tr_count_sample(struct tr_call *call, enum mv_outcome outcome)
 {
 	uint64_t end_us =
@@ -149,7 +160,8 @@
 	record = get_record(call->thread, call);
 	if (!record)
 		return;
-	mv_add_call(&record->sample.counts, outcome, (uint32_t)latency_us);
+	mv_add_call(&record->sample.counts, outcome,
+		    (uint32_t)get_run_us(call, latency_us));
 	if (outcome == MV_OUTCOME_GOOD &&
 	    latency_us > call->service->objective.latency_ms * 1000ULL)
 		record->sample.slow++;
