Hand the progress of a ramp to new evaluators

Change: an evaluator tells the age of the move and of its step and the calls seen beside step and share; a node that becomes an evaluator goes on from there.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -322,18 +322,32 @@
  */
 uint32_t mv_get_ramp_share(struct mv_ramp *ramp, uint64_t now_ms);
 
-/* Returns the step, 0 for the probe. */
-uint32_t mv_get_ramp_step(const struct mv_ramp *ramp);
+/* How far a ramp is, as told to other nodes. */
+struct mv_ramp_progress {
+	uint32_t step; /* 0: the probe */
+	uint32_t share_permille;
+	uint32_t age_ms;
+	uint32_t step_age_ms;
+	uint32_t new_calls; /* see CALLS_BEFORE_LARGE_STEPS in ramp.c */
+};
+
+/* Fills in the progress of a ramp. */
+void mv_get_ramp_progress(struct mv_ramp *ramp, uint64_t now_ms,
+			  struct mv_ramp_progress *progress);
 
 /*
- * Sets the step and share of a ramp from those that the ramp of all calls has
- * on another node. From then on the ramp takes no step by itself.
+ * Sets a ramp to the progress that the ramp of all calls has on another node.
+ * From then on the ramp takes no step by itself.
  */
-void mv_follow_ramp(struct mv_ramp *ramp, uint32_t step,
-		    uint32_t share_permille, uint64_t now_ms);
+void mv_follow_ramp(struct mv_ramp *ramp,
+		    const struct mv_ramp_progress *progress, uint64_t now_ms);
 
-/* Begins a later step, which the ramp of another node has reached already. */
-void mv_resume_ramp(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms);
+/*
+ * Continues a ramp of all calls from the progress that another node had told,
+ * if that is further than its own.
+ */
+void mv_resume_ramp(struct mv_ramp *ramp,
+		    const struct mv_ramp_progress *progress, uint64_t now_ms);
 
 /*
  * Evaluates the calls and the time so far. Once MV_RAMP_TAKE_BACK was returned,
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -491,24 +491,42 @@
 		add_counts(&evidence->steps[ramp->step], is_new, counts);
 }
 
-void mv_follow_ramp(struct mv_ramp *ramp, uint32_t step,
-		    uint32_t share_permille, uint64_t now_ms)
+static void set_progress(struct mv_ramp *ramp,
+			 const struct mv_ramp_progress *progress,
+			 uint64_t now_ms)
 {
-	ramp->is_following = true;
-	ramp->told_permille = share_permille;
-	if (step != ramp->step && step <= FULL_STEP)
-		begin_step(ramp, step, now_ms);
+	ramp->start_ms = now_ms - MIN(progress->age_ms, now_ms);
+	ramp->quiet_calls = MAX(ramp->quiet_calls, progress->new_calls);
+	begin_step(ramp, MIN(progress->step, FULL_STEP),
+		   now_ms - MIN(progress->step_age_ms, now_ms));
 }
 
-void mv_resume_ramp(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms)
+void mv_get_ramp_progress(struct mv_ramp *ramp, uint64_t now_ms,
+			  struct mv_ramp_progress *progress)
 {
-	if (step > ramp->step && step <= FULL_STEP)
-		begin_step(ramp, step, now_ms);
+	*progress = (struct mv_ramp_progress){
+		.share_permille = mv_get_ramp_share(ramp, now_ms),
+		.step = ramp->step,
+		.age_ms = (uint32_t)(now_ms - ramp->start_ms),
+		.step_age_ms = (uint32_t)(now_ms - ramp->step_start_ms),
+		.new_calls = ramp->quiet_calls,
+	};
 }
 
-uint32_t mv_get_ramp_step(const struct mv_ramp *ramp)
+void mv_follow_ramp(struct mv_ramp *ramp,
+		    const struct mv_ramp_progress *progress, uint64_t now_ms)
 {
-	return ramp->step;
+	ramp->is_following = true;
+	ramp->told_permille = progress->share_permille;
+	set_progress(ramp, progress, now_ms);
+}
+
+void mv_resume_ramp(struct mv_ramp *ramp,
+		    const struct mv_ramp_progress *progress, uint64_t now_ms)
+{
+	if (progress->step > ramp->step ||
+	    progress->age_ms > now_ms - ramp->start_ms)
+		set_progress(ramp, progress, now_ms);
 }
 
 uint32_t mv_get_ramp_share(struct mv_ramp *ramp, uint64_t now_ms)
@@ -559,38 +577,6 @@
 	return MV_RAMP_CONTINUE;
 }
 
-json_t *mv_format_counts(const struct mv_counts *counts)
-{
-	json_t *array = json_array();
-
-	json_array_append_new(array, json_integer(counts->calls));
-	json_array_append_new(array, json_integer(counts->failed));
-	for (uint32_t i = 0; i < MV_LATENCY_BUCKETS; i++)
-		json_array_append_new(array, json_integer(counts->latency[i]));
-	return array;
-}
-
-bool mv_parse_counts(const json_t *value, struct mv_counts *counts)
-{
-	memset(counts, 0, sizeof(*counts));
-	if (json_array_size(value) != 2 + MV_LATENCY_BUCKETS)
-		return false;
-	for (size_t i = 0; i < json_array_size(value); i++) {
-		const json_t *item = json_array_get(value, i);
-		json_int_t number = json_integer_value(item);
-
-		if (!json_is_integer(item) || number < 0 || number > UINT32_MAX)
-			return false;
-		if (i == 0)
-			counts->calls = (uint32_t)number;
-		else if (i == 1)
-			counts->failed = (uint32_t)number;
-		else
-			counts->latency[i - 2] = (uint32_t)number;
-	}
-	return counts->failed <= counts->calls;
-}
-
 const char *mv_get_ramp_reason(const struct mv_ramp *ramp)
 {
 	return ramp->reason;
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -184,7 +184,8 @@
 /*
  * moves.c: adds the call counts that other nodes report for the moves that
  * this node evaluates. Returns the answer as new JSON: {"moves": [{"service",
- * "id", "is_stopped", "rank", "step", "share"}]}.
+ * "id", "is_stopped", "rank", "step", "share", "age_ms", "step_age_ms",
+ * "new_calls"}]}.
  */
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "progress.h"
 #include "ranks.h"
 #include "reports.h"
 
@@ -177,14 +178,15 @@
 static enum mv_ramp_verdict evaluate_all_calls(struct nd_move *move,
 					       uint64_t now_ms)
 {
+	struct mv_ramp_progress progress;
 	enum mv_ramp_verdict verdict;
 
 	/* This node may have become an evaluator in the middle of the move. */
-	mv_resume_ramp(move->pooled_ramp, mv_get_ramp_step(move->own_ramp),
-		       now_ms);
+	mv_get_ramp_progress(move->own_ramp, now_ms, &progress);
+	mv_resume_ramp(move->pooled_ramp, &progress, now_ms);
 	verdict = mv_evaluate_ramp(move->pooled_ramp, now_ms);
-	mv_follow_ramp(move->own_ramp, mv_get_ramp_step(move->pooled_ramp),
-		       mv_get_ramp_share(move->pooled_ramp, now_ms), now_ms);
+	mv_get_ramp_progress(move->pooled_ramp, now_ms, &progress);
+	mv_follow_ramp(move->own_ramp, &progress, now_ms);
 	return verdict;
 }
 
@@ -249,6 +251,7 @@
 {
 	struct nd_move *move = talloc_zero(node, struct nd_move);
 	uint64_t now_ms = tmr_get_now_ms(node->timers);
+	struct mv_ramp_progress progress;
 
 	move->request = *request;
 	move->request.service = talloc_strdup(move, request->service);
@@ -258,8 +261,8 @@
 	move->pooled_ramp = mv_new_ramp(move, request->to, request->limit_ms,
 					MV_RAMP_ALL_CALLS, now_ms);
 	/* Until an evaluator tells a step, the share is that of the probe. */
-	mv_follow_ramp(move->own_ramp, 0,
-		       mv_get_ramp_share(move->pooled_ramp, now_ms), now_ms);
+	mv_get_ramp_progress(move->pooled_ramp, now_ms, &progress);
+	mv_follow_ramp(move->own_ramp, &progress, now_ms);
 	move->unreported = json_array();
 	talloc_set_destructor(move, destroy_move);
 	return move;
@@ -328,21 +331,19 @@
 {
 	struct nd_move *move = find_move(node, told);
 	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	json_int_t rank = json_integer_value(json_object_get(told, "rank"));
-	json_int_t step = json_integer_value(json_object_get(told, "step"));
-	json_int_t share = json_integer_value(json_object_get(told, "share"));
+	struct mv_ramp_progress progress;
+	uint32_t rank;
 
-	if (!move || is_evaluator(node, move->request.service))
+	if (!move || is_evaluator(node, move->request.service) ||
+	    !nd_read_number(told, "rank", &rank) ||
+	    !nd_read_progress(told, &progress))
 		return false;
 	if (rank > move->told_rank &&
 	    now_ms < move->told_ms + EVALUATOR_SILENT_MS)
 		return false;
-	if (rank < 0 || step < 0 || step > UINT32_MAX || share < 0 ||
-	    share > DOC_SHARE_ALL_PERMILLE)
-		return false;
-	move->told_rank = (uint32_t)rank;
+	move->told_rank = rank;
 	move->told_ms = now_ms;
-	mv_follow_ramp(move->own_ramp, (uint32_t)step, (uint32_t)share, now_ms);
+	mv_follow_ramp(move->own_ramp, &progress, now_ms);
 	return update_share(move, now_ms);
 }
 
@@ -418,15 +419,23 @@
 /* Returns what this evaluator tells of a move, as new JSON. */
 static json_t *make_told(struct nd_node *node, struct nd_move *move)
 {
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-
-	return json_pack(
-		"{s:s,s:I,s:b,s:I,s:I,s:I}", "service", move->request.service,
-		"id", (json_int_t)move->request.id, "is_stopped",
-		(int)(move->is_stopped || *get_reason(move)), "rank",
-		(json_int_t)get_own_rank(node, move->request.service), "step",
-		(json_int_t)mv_get_ramp_step(move->pooled_ramp), "share",
-		(json_int_t)mv_get_ramp_share(move->pooled_ramp, now_ms));
+	struct mv_ramp_progress progress;
+	json_t *told;
+
+	mv_get_ramp_progress(move->pooled_ramp, tmr_get_now_ms(node->timers),
+			     &progress);
+	told = nd_format_progress(&progress);
+	json_object_set_new(told, "service",
+			    json_string(move->request.service));
+	json_object_set_new(told, "id",
+			    json_integer((json_int_t)move->request.id));
+	json_object_set_new(
+		told, "is_stopped",
+		json_boolean(move->is_stopped || *get_reason(move)));
+	json_object_set_new(
+		told, "rank",
+		json_integer(get_own_rank(node, move->request.service)));
+	return told;
 }
 
 /* Adds a report's counts, and what is known of its move to told. */
--- /dev/null
+++ b/src/node/progress.c
@@ -0,0 +1,36 @@
+/*
+ * Progress of a ramp in JSON.
+ */
+#include "progress.h"
+
+json_t *nd_format_progress(const struct mv_ramp_progress *progress)
+{
+	return json_pack("{s:I,s:I,s:I,s:I,s:I}", "step",
+			 (json_int_t)progress->step, "share",
+			 (json_int_t)progress->share_permille, "age_ms",
+			 (json_int_t)progress->age_ms, "step_age_ms",
+			 (json_int_t)progress->step_age_ms, "new_calls",
+			 (json_int_t)progress->new_calls);
+}
+
+bool nd_read_number(const json_t *object, const char *name, uint32_t *number)
+{
+	const json_t *value = json_object_get(object, name);
+	json_int_t read = json_integer_value(value);
+
+	if (!json_is_integer(value) || read < 0 || read > INT32_MAX)
+		return false;
+	*number = (uint32_t)read;
+	return true;
+}
+
+bool nd_read_progress(const json_t *told, struct mv_ramp_progress *progress)
+{
+	return nd_read_number(told, "step", &progress->step) &&
+	       nd_read_number(told, "share", &progress->share_permille) &&
+	       nd_read_number(told, "age_ms", &progress->age_ms) &&
+	       nd_read_number(told, "step_age_ms", &progress->step_age_ms) &&
+	       nd_read_number(told, "new_calls", &progress->new_calls) &&
+	       progress->share_permille <= DOC_SHARE_ALL_PERMILLE &&
+	       progress->step_age_ms <= progress->age_ms;
+}
