Start a node with one cheap read of the store

It then has its configuration confirmed by a watcher, or by any live node, and follows the store only when the members are known well enough to take itself for a watcher (1.5 s) or it has no configuration 0.4 s after the seeds are known.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -50,6 +50,7 @@
 	const char *after; /* list: starts after this key; or NULL */
 	uint64_t revision; /* watch: return changes after this revision */
 	uint32_t wait_ms;  /* watch: time limit of the long poll */
+	bool may_be_stale; /* list: an older state will do, if it is cheaper */
 	uint64_t expected_version; /* for writes; 0: object absent */
 	const json_t *value;	   /* for put and put status */
 };
@@ -166,6 +167,15 @@
 				    const char *prefix, plat_result_fn fn,
 				    void *data);
 
+/*
+ * As plat_list_objects(), but the state may be seconds old. Nothing is learned
+ * from it about versions. A dialect without such reads makes a usual list.
+ */
+struct plat_call *plat_list_stale_objects(TALLOC_CTX *ctx,
+					  struct plat_client *client,
+					  const char *prefix, plat_result_fn fn,
+					  void *data);
+
 /*
  * Writes an object if its current version is expected_version (0: absent).
  * value must be an object with a "write_id" unique to this write: if the
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -94,6 +94,9 @@
 	void *follow_data;
 	bool is_following;     /* this node follows the store */
 	bool is_store_reached; /* it also has the store's current state */
+	uint64_t start_ms;
+	uint64_t settle_ms; /* end of the wait for a first configuration from
+			       another node; 0: seeds not known yet */
 	struct hc_loop *client;
 	struct poll *poll;  /* long poll of a watcher */
 	struct poll *fetch; /* request to a node with a newer configuration */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -122,6 +122,9 @@
 		rls_set_members(node->release, members, count);
 	}
 	nd_update_table(node);
+	/* A node that has started waits for members. */
+	if (node->members && node->gateway.moves)
+		nd_update_relay(node);
 }
 
 static void handle_limits(void *data)
@@ -389,6 +392,23 @@
 	cnt_print(node->counters, text);
 }
 
+bool nd_is_alone(struct nd_node *node)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+	uint32_t live = 0;
+
+	for (size_t i = 0; i < count; i++)
+		live += members[i].state == MEM_STATE_ALIVE;
+	return live <= 1;
+}
+
+void nd_schedule_once(struct nd_node *node, uint32_t delay_ms, tmr_fn fn,
+		      void *data)
+{
+	tmr_subscribe_once(node, node->timers, delay_ms, fn, data);
+}
+
 void nd_add_seed(struct nd_node *node, const char *seed)
 {
 	mem_add_seed(node->members, seed);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -54,6 +54,20 @@
  */
 void nd_add_seed(struct nd_node *node, const char *seed);
 
+/*
+ * Tells a node that the first seeds are known, or that there are none. A node
+ * with a gateway takes its first configuration from another node if it can, and
+ * decides only then whether to follow the store.
+ */
+void nd_end_discovery(struct nd_node *node);
+
+/* Returns whether no other live node is known. */
+bool nd_is_alone(struct nd_node *node);
+
+/* Calls fn once after delay_ms, on the node's timers. */
+void nd_schedule_once(struct nd_node *node, uint32_t delay_ms, tmr_fn fn,
+		      void *data);
+
 /*
  * Applies a gateway (takes a reference). Does nothing unless its sequence is
  * above that of the current one.
@@ -102,8 +116,7 @@
 
 /*
  * Sets a function to be called when the node starts or stops following the
- * store itself. At first it follows the store; later it may take the
- * configuration from other nodes.
+ * store itself. At first it does not.
  */
 typedef void (*nd_follow_fn)(bool is_following, void *data);
 void nd_set_follow_fn(struct nd_node *node, nd_follow_fn fn, void *data);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -5,9 +5,11 @@
  * holds a long poll at one of them, which is answered as soon as something is
  * newer than what the node has, and after POLL_WAIT_MS at the latest. A node
  * whose watcher fails polls another one at once, and follows the store itself
- * when there is none. In addition, the membership protocol announces the
- * progress of each node, and a node that is behind fetches the changes from a
- * node that is ahead.
+ * when there is none. A node that has just started reads the store once, a
+ * state that may be old, and has it confirmed by another node, so that a start
+ * costs the store next to nothing. In addition, the membership protocol
+ * announces the progress of each node, and a node that is behind fetches the
+ * changes from a node that is ahead.
  *
  * Invariants: at most one request to a watcher and one to a node that is ahead
  * are pending. Each waiter has a timer that answers it. history holds the last
@@ -29,12 +31,25 @@
 #define POLL_GRACE_MS 400U
 /* A peer that failed gets no further request for this time. */
 #define PEER_BACKOFF_MS 2000U
+/* The same after the start of this node, when others may have started, too. */
+#define START_BACKOFF_MS 300U
+#define START_MS 4000U
 /*
  * Delay before a request to a node that is ahead, to give its own watcher time.
  * During a burst of changes a watcher that lists objects may be behind other
  * watchers by the interval between its list requests.
  */
 #define FETCH_DELAY_MS 700U
+/* Wait for a first configuration, once seeds are known. */
+#define SETTLE_MS 400U
+/* The same when no seeds could be read. */
+#define DISCOVERY_MS_MAX 3000U
+/*
+ * Until then the members known to a node that has started may be few, and it
+ * would wrongly take itself for a watcher. Short enough for a change that all
+ * nodes missed because they were started anew.
+ */
+#define MEMBERS_KNOWN_MS 1500U
 #define ANSWER_BYTES_MAX (4U * 1024U * 1024U)
 #define WAIT_MS_MAX 10000U
 
@@ -155,11 +170,19 @@
 	answer_waiters(node);
 }
 
+static bool has_configuration(const struct nd_node *node)
+{
+	return node->gateway.snapshot != NULL;
+}
+
 static void start_backoff(struct nd_node *node, const char *peer)
 {
 	uint64_t *until_ms = g_new(uint64_t, 1);
 
-	*until_ms = get_now_ms(node) + PEER_BACKOFF_MS;
+	*until_ms = get_now_ms(node) +
+		    (get_now_ms(node) < node->relay.start_ms + START_MS
+			     ? START_BACKOFF_MS
+			     : PEER_BACKOFF_MS);
 	g_hash_table_replace(node->relay.backoff_until, g_strdup(peer),
 			     until_ms);
 }
@@ -269,29 +292,71 @@
 				handle_changes, poll);
 }
 
-/* Polls a watcher, or follows the store when there is none. */
-static void poll_or_follow(struct nd_node *node)
+/* Returns whether a node that has started still waits for other nodes. */
+static bool is_settling(const struct nd_node *node)
+{
+	const struct nd_relay *relay = &node->relay;
+	uint64_t now_ms = get_now_ms(node);
+
+	if (relay->is_following || has_configuration(node))
+		return false;
+	if (relay->settle_ms == 0)
+		return now_ms < relay->start_ms + DISCOVERY_MS_MAX;
+	return now_ms < relay->settle_ms;
+}
+
+/* Returns any other live member (borrowed) that is not excluded, or NULL. */
+static const struct mem_member *find_live_member(struct nd_node *node)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+
+	for (size_t i = 0; i < count; i++) {
+		if (members[i].state == MEM_STATE_ALIVE &&
+		    strcmp(members[i].self.address, node->settings->address) !=
+			    0 &&
+		    !is_excluded(&members[i], node))
+			return &members[i];
+	}
+	return NULL;
+}
+
+/* Returns the node (borrowed) to take the configuration from, or NULL. */
+static const struct mem_member *choose_source(struct nd_node *node)
 {
+	const struct nd_relay *relay = &node->relay;
+	bool is_new = !relay->is_following &&
+		      get_now_ms(node) < relay->start_ms + MEMBERS_KNOWN_MS &&
+		      has_configuration(node);
 	const struct mem_member *members;
 	const struct mem_member *watcher;
 	size_t count;
-	char *peer;
 
-	if (node->relay.poll || node->phase != ND_PHASE_SERVING)
-		return;
-	if (is_own_watcher(node)) {
-		follow_store(node, true);
-		return;
-	}
+	if (!is_new && is_own_watcher(node))
+		return NULL;
 	count = mem_list_members(node->members, &members);
 	watcher = nd_choose_watcher(members, count, node->settings->address,
 				    is_excluded, node);
-	if (!watcher) {
+	return watcher || !is_new ? watcher : find_live_member(node);
+}
+
+/* Polls a watcher, or follows the store when there is none. */
+static void poll_or_follow(struct nd_node *node)
+{
+	struct nd_relay *relay = &node->relay;
+	const struct mem_member *source;
+	uint32_t wait_ms = has_configuration(node) ? POLL_WAIT_MS : 0;
+	char *peer;
+
+	if (relay->poll || node->phase != ND_PHASE_SERVING || is_settling(node))
+		return;
+	source = choose_source(node);
+	if (!source) {
 		follow_store(node, true);
 		return;
 	}
-	peer = format_peer(node, watcher);
-	start_poll(node, &node->relay.poll, peer, POLL_WAIT_MS);
+	peer = format_peer(node, source);
+	start_poll(node, &relay->poll, peer, wait_ms);
 	talloc_free(peer);
 }
 
@@ -373,7 +438,7 @@
 {
 	struct nd_relay *relay = &node->relay;
 
-	relay->is_following = true;
+	relay->start_ms = get_now_ms(node);
 	g_queue_init(&relay->waiters);
 	relay->backoff_until = g_hash_table_new_full(g_str_hash, g_str_equal,
 						     g_free, free_backoff);
@@ -381,6 +446,15 @@
 	return relay->client != NULL;
 }
 
+void nd_end_discovery(struct nd_node *node)
+{
+	struct nd_relay *relay = &node->relay;
+
+	if (relay->settle_ms == 0)
+		relay->settle_ms = get_now_ms(node) + SETTLE_MS;
+	poll_or_follow(node);
+}
+
 void nd_close_relay(struct nd_node *node)
 {
 	struct nd_relay *relay = &node->relay;
--- a/src/platform/objects.c
+++ b/src/platform/objects.c
@@ -169,7 +169,8 @@
 {
 	switch (answer->outcome) {
 	case PLAT_DONE:
-		if (!note_versions(call, answer))
+		if (!call->operation.may_be_stale &&
+		    !note_versions(call, answer))
 			retry_stale(call, answer);
 		else if (add_page(call, answer))
 			finish_with_answer(call, answer);
@@ -362,6 +363,21 @@
 	return new_read(ctx, client, PLAT_CALL_LIST, prefix, fn, data);
 }
 
+struct plat_call *plat_list_stale_objects(TALLOC_CTX *ctx,
+					  struct plat_client *client,
+					  const char *prefix, plat_result_fn fn,
+					  void *data)
+{
+	struct plat_operation operation = { .kind = PLAT_CALL_LIST,
+					    .key = prefix,
+					    .may_be_stale = true };
+	struct plat_call *call =
+		plat_new_call(ctx, client, &operation, handle_read, fn, data);
+
+	plat_queue_try(call, PLAT_CALL_LIST, 0);
+	return call;
+}
+
 static struct plat_call *new_write(TALLOC_CTX *ctx, struct plat_client *client,
 				   const struct plat_operation *operation,
 				   plat_result_fn fn, void *data)
