--- a/src/platform/answer.c
+++ b/src/platform/answer.c
@@ -5,6 +5,8 @@
 #include "answer.h"
 
 #include "loom/error.h"
+#include "loom/log.h"
+#include "salvage.h"
 
 static const char *const outcome_names[PLAT_OUTCOME_COUNT] = {
 	"done",	    "absent",  "conflict", "history_gone",
@@ -44,12 +46,24 @@
 	return outcome_names[outcome];
 }
 
+static void log_dropped(const struct plat_operation *operation,
+			uint32_t dropped)
+{
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%u", dropped);
+	log_write(LOG_LEVEL_WARNING, "platform", "read objects", operation->key,
+		  "objects cannot be read and are ignored", "count", text,
+		  LOG_END);
+}
+
 struct plat_answer *plat_parse_answer(TALLOC_CTX *ctx,
 				      const struct plat_dialect *dialect,
 				      const struct plat_operation *operation,
 				      const struct hc_answer *http)
 {
 	struct plat_answer *answer = talloc_zero(ctx, struct plat_answer);
+	uint32_t dropped = 0;
 	bool is_read = false;
 
 	talloc_set_destructor(answer, destroy_answer);
@@ -59,7 +73,9 @@
 			      http->status >= 500;
 	if (!http->body)
 		return answer;
-	answer->root = json_loadb(http->body, http->body_size, 0, NULL);
+	answer->root = plat_parse_list(http->body, http->body_size, &dropped);
+	if (dropped > 0)
+		log_dropped(operation, dropped);
 	if (answer->outcome == PLAT_CONFLICT || answer->outcome == PLAT_DONE)
 		is_read = dialect->parse_body(answer, operation, answer->root,
 					      &answer->parsed);
