Require the request's id on successes of the users' targets; test floods and copies

The reports of other operators: bytes that are no answer without end, and a second copy of an answer on a connection in use again. Tests: flood (head, header line, chunk size, body, garbage; at the target's node and beyond it: a 502 or the end at the route's time, the slot freed) and second_copy (in the same segment, late on an idle connection, late while the next request runs). Neither fault was found with ids. A late copy without an id would have been taken for the next answer; targets of the users' platform always echo the id, so that a success without it is now no answer there. This one is not seen failing: the test's own dialect has no such duty.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -93,6 +93,7 @@
 	} else if (is_same_name(name, names->request_id)) {
 		id = hx_get_header(call->exchange, names->request_id);
 		answer->is_foreign = id && strcmp(id, value) != 0;
+		answer->has_id = true;
 	}
 }
 
@@ -152,9 +153,16 @@
 		answer->refused = g_strdup(TR_REASON_SHED);
 }
 
+static bool has_request_id(const struct tr_call *call)
+{
+	return hx_get_header(call->exchange,
+			     call->thread->service->options.names->request_id);
+}
+
 /*
  * Returns whether the answer belongs to the call's request: it names no other
- * request, and a success carries the target's stamp if stamps are in use.
+ * request, and a success carries the target's stamp, and the id of a request
+ * that has one, if stamps are in use.
  */
 static bool belongs_to_request(const struct tr_call *call)
 {
@@ -163,8 +171,11 @@
 	const struct tr_answer *answer = &call->answer;
 	bool is_success = answer->status >= 200 && answer->status < 300;
 
-	return !answer->is_foreign &&
-	       (!names->stamp || !is_success || answer->has_stamp);
+	if (answer->is_foreign)
+		return false;
+	if (!names->stamp || !is_success)
+		return true;
+	return answer->has_stamp && (answer->has_id || !has_request_id(call));
 }
 
 /*
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -40,6 +40,7 @@
 	bool is_not_run;   /* the answer states that the request was not run */
 	bool is_unsent;	   /* refused by a gate: no target received it */
 	bool has_stamp;
+	bool has_id;
 	bool is_foreign;       /* carries the id of another request */
 	char *refused;	       /* reason for a refusal, or NULL */
 	struct tr_buffer body; /* received, not yet relayed */
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #define READ_BYTES 65536
+#define FLOOD_BYTES 65536 /* kept ready to be written */
 
 struct raw_target {
 	struct tevent_context *events;
@@ -27,6 +28,16 @@
 	uint32_t reset_count;
 };
 
+/* What a connection sends without end, until it is closed. */
+enum flood {
+	FLOOD_NONE,
+	FLOOD_HEADERS,
+	FLOOD_LINE,
+	FLOOD_BODY,
+	FLOOD_CHUNK_SIZE,
+	FLOOD_GARBAGE,
+};
+
 struct raw_connection {
 	struct raw_target *target;
 	int socket;
@@ -36,6 +47,8 @@
 	bool is_closing; /* when the output has been written */
 	bool is_running; /* a request was not answered yet */
 	bool is_held;
+	char *again; /* answer to send once more; NULL: none */
+	enum flood flood;
 };
 
 static int destroy_connection(struct raw_connection *connection)
@@ -49,6 +62,7 @@
 	close(connection->socket);
 	g_string_free(connection->input, TRUE);
 	g_string_free(connection->output, TRUE);
+	g_free(connection->again);
 	return 0;
 }
 
@@ -59,6 +73,29 @@
 	return 0;
 }
 
+static void add_flood(struct raw_connection *connection)
+{
+	GString *output = connection->output;
+
+	if (output->len >= FLOOD_BYTES)
+		return;
+	switch (connection->flood) {
+	case FLOOD_NONE:
+		return;
+	case FLOOD_HEADERS:
+		while (output->len < FLOOD_BYTES)
+			g_string_append(output, "X-More: and more\r\n");
+		return;
+	case FLOOD_LINE:
+	case FLOOD_BODY:
+	case FLOOD_CHUNK_SIZE:
+	case FLOOD_GARBAGE:
+		while (output->len < FLOOD_BYTES)
+			g_string_append_c(output, '0');
+		return;
+	}
+}
+
 static void write_output(struct raw_connection *connection)
 {
 	GString *output = connection->output;
@@ -67,6 +104,7 @@
 
 	if (count > 0)
 		g_string_erase(output, 0, count);
+	add_flood(connection);
 	if (output->len > 0) {
 		TEVENT_FD_WRITEABLE(connection->fde);
 		return;
@@ -141,9 +179,71 @@
 	connection->is_closing = true;
 }
 
+static void start_flood(struct raw_connection *connection, enum flood flood,
+			const char *text)
+{
+	end_request(connection);
+	g_string_append(connection->output, text);
+	connection->flood = flood;
+	add_flood(connection);
+}
+
+/* Returns whether the path asks for bytes without end. */
+static bool answer_flood(struct raw_connection *connection, const char *path)
+{
+	static const char ok[] = "HTTP/1.1 200 OK\r\n";
+
+	if (g_str_has_prefix(path, "/flood/headers"))
+		start_flood(connection, FLOOD_HEADERS, ok);
+	else if (g_str_has_prefix(path, "/flood/line"))
+		start_flood(connection, FLOOD_LINE,
+			    "HTTP/1.1 200 OK\r\nX-Long: ");
+	else if (g_str_has_prefix(path, "/flood/chunk"))
+		start_flood(connection, FLOOD_CHUNK_SIZE,
+			    "HTTP/1.1 200 OK\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n");
+	else if (g_str_has_prefix(path, "/flood/garbage"))
+		start_flood(connection, FLOOD_GARBAGE, "");
+	else if (g_str_has_prefix(path, "/never/flood/body"))
+		start_flood(connection, FLOOD_BODY, "HTTP/1.1 200 OK\r\n\r\n");
+	else
+		return false;
+	return true;
+}
+
+/*
+ * Answers with the request's id, and sends the answer once more: at once with
+ * "/twice", by raw_answer_held_requests() with "/again".
+ */
+static bool answer_again(struct raw_connection *connection, const char *head,
+			 const char *path)
+{
+	bool is_late = g_str_has_prefix(path, "/again");
+	char *id = get_header(head, "Loom-Request-Id");
+	char *header;
+	size_t start = connection->output->len;
+
+	if (!is_late && !g_str_has_prefix(path, "/twice")) {
+		g_free(id);
+		return false;
+	}
+	header = g_strdup_printf("Loom-Request-Id: %s\r\n", id ? id : "");
+	answer(connection, "200 OK", id ? header : "", path, strlen(path));
+	g_free(connection->again);
+	connection->again = g_strdup(connection->output->str + start);
+	if (!is_late)
+		g_string_append(connection->output, connection->again);
+	g_free(header);
+	g_free(id);
+	return true;
+}
+
 static void answer_path(struct raw_connection *connection, const char *head,
 			const char *path, size_t body_size)
 {
+	if (answer_flood(connection, path) ||
+	    answer_again(connection, head, path))
+		return;
 	if (g_str_has_prefix(path, "/close") &&
 	    !g_str_has_prefix(path, "/closing"))
 		answer_broken(connection, "");
@@ -320,6 +420,13 @@
 		struct raw_connection *connection = link->data;
 
 		link = link->next;
+		if (connection->again) {
+			g_string_append(connection->output, connection->again);
+			g_free(connection->again);
+			connection->again = NULL;
+			write_output(connection);
+			continue;
+		}
 		if (!connection->is_held)
 			continue;
 		connection->is_held = false;
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -14,6 +14,10 @@
  *   /lie       200 with Loom-Not-Run and Loom-Limit, which nodes must ignore
  *   /bytes/N   200 with N bytes
  *   /closing   200, then closes the connection without "Connection: close"
+ *   /twice     200 with the request's id, two times in a row
+ *   /again     the same, the second copy by raw_answer_held_requests()
+ *   /flood/headers, /flood/line, /flood/chunk, /flood/garbage and
+ *   /never/flood/body  bytes without end until the connection is closed
  */
 #ifndef RAW_TARGET_H
 #define RAW_TARGET_H
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -439,6 +439,16 @@
 	run_script("early_refusal");
 }
 
+static void test_flood(void)
+{
+	run_script("flood");
+}
+
+static void test_second_copy(void)
+{
+	run_script("second_copy");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -459,6 +469,8 @@
 	{ "pipeline_broken", test_pipeline_broken },
 	{ "pipeline_hostile", test_pipeline_hostile },
 	{ "early_refusal", test_early_refusal },
+	{ "flood", test_flood },
+	{ "second_copy", test_second_copy },
 	{ "hostile callers", test_hostile_callers },
 	CU_TEST_INFO_NULL,
 };
