Let refused callers come back when room is expected

Change: the time in which the target that refused the call last works off what it has, by its reported latency, load and limit, times 0.5 to 1.5.

Test: return of refused callers (test_routing), without network.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -226,6 +226,14 @@
 enum rt_retry_verdict rt_decide_retry(struct rt_budget *budget,
 				      const struct rt_retry *retry);
 
+/*
+ * Returns after how many milliseconds a refused caller may come back: about
+ * when the target that refused it last, with that load (NULL: unknown), has
+ * worked off what it has. Differs with random, so that callers do not all come
+ * back at once.
+ */
+uint32_t rt_choose_return_ms(const struct rt_load *load, uint64_t random);
+
 /* Returns the machine-readable name of a verdict, such as "budget" (static). */
 const char *rt_get_retry_name(enum rt_retry_verdict verdict);
 
--- a/src/routing/retry.c
+++ b/src/routing/retry.c
@@ -26,6 +26,12 @@
 	uint32_t repeats; /* retries of calls that may have run */
 };
 
+/* Bounds of the return of a refused caller when the load is not known. */
+#define RETURN_MIN_MS 40U
+#define RETURN_MAX_MS 200U
+/* Longest work ahead for which a caller is held off. */
+#define RETURN_LIMIT_MS 2000U
+
 struct rt_budget {
 	struct rt_slice slices[SLICE_COUNT];
 	uint64_t slice_number; /* slice of the last event */
@@ -118,3 +124,18 @@
 		return RT_RETRY_YES;
 	return spend_budget(budget, retry) ? RT_RETRY_YES : RT_RETRY_BUDGET;
 }
+
+uint32_t rt_choose_return_ms(const struct rt_load *load, uint64_t random)
+{
+	uint64_t expected_ms = 0;
+	uint64_t least_ms;
+	uint64_t most_ms;
+
+	if (load && load->limit > 0)
+		expected_ms = (uint64_t)load->latency_us * load->in_flight /
+			      load->limit / 1000;
+	expected_ms = MIN(expected_ms, RETURN_LIMIT_MS);
+	least_ms = MAX(expected_ms / 2, RETURN_MIN_MS);
+	most_ms = MAX(expected_ms * 3 / 2, RETURN_MAX_MS);
+	return (uint32_t)(least_ms + random % (most_ms - least_ms));
+}
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -244,6 +244,39 @@
 	talloc_free(sizes);
 }
 
+static void check_return(const struct rt_load *load, uint32_t least_ms,
+			 uint32_t most_ms)
+{
+	uint32_t lowest = UINT32_MAX;
+	uint32_t highest = 0;
+
+	for (uint64_t i = 0; i < 10000; i++) {
+		uint32_t wait_ms =
+			rt_choose_return_ms(load, XXH3_64bits(&i, sizeof(i)));
+
+		lowest = MIN(lowest, wait_ms);
+		highest = MAX(highest, wait_ms);
+	}
+	CU_ASSERT_EQUAL(lowest, least_ms);
+	CU_ASSERT_EQUAL(highest, most_ms - 1);
+}
+
+/* Refused callers come back when there may be room, not into the same queue. */
+static void test_return_of_refused(void)
+{
+	struct rt_load load = { .limit = 6, .latency_us = 220000 };
+
+	check_return(NULL, 40, 200);
+	check_return(&load, 40, 200);
+	/* Six calls run and twelve wait: 660 ms of work. */
+	load.in_flight = 18;
+	check_return(&load, 330, 990);
+	load.latency_us = 20000000;
+	check_return(&load, 1000, 3000);
+	load.limit = 0;
+	check_return(&load, 40, 200);
+}
+
 static void test_versions(void)
 {
 	run_chooser_script("versions");
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -9,24 +9,20 @@
 #include "call.h"
 #include "call_log.h"
 
-/* A slot becomes free within the duration of a call, some tens of ms. */
-#define RETRY_AFTER_MIN_MS 40U
-#define RETRY_AFTER_MAX_MS 200U
-
-/* Adds a random delay, so that refused callers do not all retry at once. */
 static void add_retry_after(struct tr_call *call)
 {
+	const struct tr_answer *answer = &call->answer;
 	struct tr_thread *thread = call->thread;
-	uint32_t spread_ms = RETRY_AFTER_MAX_MS - RETRY_AFTER_MIN_MS;
 	uint32_t wait_ms;
 	char text[16];
 
 	thread->random_state++;
-	wait_ms = RETRY_AFTER_MIN_MS +
-		  (uint32_t)(XXH3_64bits(&thread->random_state,
-					 sizeof(thread->random_state)) %
-			     spread_ms);
-	g_snprintf(text, sizeof(text), "0.%03u", wait_ms);
+	wait_ms =
+		rt_choose_return_ms(answer->has_load ? &answer->load : NULL,
+				    XXH3_64bits(&thread->random_state,
+						sizeof(thread->random_state)));
+	g_snprintf(text, sizeof(text), "%u.%03u", wait_ms / 1000,
+		   wait_ms % 1000);
 	hx_add_answer_header(call->exchange, MHD_HTTP_HEADER_RETRY_AFTER, text);
 }
 
