--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -464,6 +464,7 @@
 	{ "failure domains taken out", test_domains },
 	{ "bulky", test_bulky },
 	{ "answer sizes", test_answer_sizes },
+	{ "return of refused callers", test_return_of_refused },
 	{ "versions of a move", test_versions },
 	{ "a limit on the share", test_limits },
 	{ "baseline policies", test_baselines },
