Take a download in ahead of a slow link

Cause: an answer on its way to another node waited at 64 kB unsent, so that a download over a 10 Mbit/s link kept its target's slot until the link had taken it.

Change: on the target's node up to 512 kB of an answer are taken in.

Test: slow_download (a caller that reads nothing; one slot): fails on the code before.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -251,6 +251,16 @@
 	return is_usable ? length : 0;
 }
 
+/*
+ * On the target's node an answer is taken in ahead of a slow link, so that it
+ * frees the target's slot as soon as the target has sent it.
+ */
+static size_t get_unsent_max(const struct tr_call *call)
+{
+	return call->role == TR_ROLE_HOP ? TR_HOP_STREAM_BYTES_MAX
+					 : TR_STREAM_BYTES_MAX;
+}
+
 size_t tr_receive_answer_body(char *part, size_t size, size_t count, void *data)
 {
 	struct tr_call *call = data;
@@ -267,7 +277,7 @@
 			tr_relay_answer(call);
 		return size * count;
 	}
-	if (hx_get_unsent_size(call->exchange) >= TR_STREAM_BYTES_MAX) {
+	if (hx_get_unsent_size(call->exchange) >= get_unsent_max(call)) {
 		answer->is_paused = true;
 		answer->body_bytes -= size * count;
 		return CURL_WRITEFUNC_PAUSE;
@@ -279,7 +289,7 @@
 void tr_continue_answer(struct tr_call *call)
 {
 	if (call->answer.is_paused &&
-	    hx_get_unsent_size(call->exchange) < TR_STREAM_BYTES_MAX / 2)
+	    hx_get_unsent_size(call->exchange) < get_unsent_max(call) / 2)
 		tr_continue_attempt(call);
 }
 
--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -42,7 +42,8 @@
 
 struct raw_caller *raw_new_caller(TALLOC_CTX *ctx,
 				  struct tevent_context *events,
-				  const char *address, uint16_t port)
+				  const char *address, uint16_t port,
+				  int receive_bytes)
 {
 	struct raw_caller *caller = talloc_zero(ctx, struct raw_caller);
 	struct sockaddr_in other = { .sin_family = AF_INET,
@@ -52,6 +53,9 @@
 	caller->input = g_string_new(NULL);
 	caller->is_reading = true;
 	caller->socket = socket(AF_INET, SOCK_STREAM, 0);
+	if (receive_bytes > 0)
+		setsockopt(caller->socket, SOL_SOCKET, SO_RCVBUF,
+			   &receive_bytes, sizeof(receive_bytes));
 	if (connect(caller->socket, (struct sockaddr *)&other, sizeof(other))) {
 		perror("raw caller");
 		abort();
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -18,10 +18,14 @@
 	bool is_reading;
 };
 
-/* Returns a new, connected caller owned by ctx; aborts on failure. */
+/*
+ * Returns a new, connected caller owned by ctx; aborts on failure.
+ * receive_bytes limits what its kernel takes in unread; 0: as usual.
+ */
 struct raw_caller *raw_new_caller(TALLOC_CTX *ctx,
 				  struct tevent_context *events,
-				  const char *address, uint16_t port);
+				  const char *address, uint16_t port,
+				  int receive_bytes);
 
 /* Sends bytes; returns false when the connection is closed or backed up. */
 bool raw_send(struct raw_caller *caller, const char *bytes, size_t size);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -230,7 +230,8 @@
 
 		caller = raw_new_caller(
 			state->mesh, state->mesh->events, node->address,
-			count > 3 ? MESH_HOP_PORT : MESH_CALL_PORT);
+			count > 3 ? MESH_HOP_PORT : MESH_CALL_PORT,
+			count > 4 ? atoi(words[4]) : 0);
 		g_hash_table_replace(state->callers, g_strdup(words[1]),
 				     caller);
 		return true;
@@ -248,6 +249,8 @@
 		text = g_strescape(caller->input->str, NULL);
 		g_string_append_printf(output, "%s\n", text);
 		g_free(text);
+	} else if (strcmp(words[0], "read") == 0) {
+		raw_set_reading(caller, strcmp(words[2], "on") == 0);
 	} else if (strcmp(words[0], "answers") == 0) {
 		raw_list_answers(caller, output);
 	} else if (strcmp(words[0], "has") == 0) {
@@ -444,6 +447,11 @@
 	run_script("flood");
 }
 
+static void test_slow_download(void)
+{
+	run_script("slow_download");
+}
+
 static void test_second_copy(void)
 {
 	run_script("second_copy");
@@ -470,6 +478,7 @@
 	{ "pipeline_hostile", test_pipeline_hostile },
 	{ "early_refusal", test_early_refusal },
 	{ "flood", test_flood },
+	{ "slow_download", test_slow_download },
 	{ "second_copy", test_second_copy },
 	{ "hostile callers", test_hostile_callers },
 	CU_TEST_INFO_NULL,
