--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -13,8 +13,8 @@
 #include "thread.h"
 
 #define TR_DEPTH_MAX 32U
-#define TR_REPLAY_BYTES_MAX 65536U	    /* request body kept for a retry */
-#define TR_STREAM_BYTES_MAX 65536U	    /* unread bytes in one direction */
+#define TR_REPLAY_BYTES_MAX 65536U	/* request body kept for a retry */
+#define TR_STREAM_BYTES_MAX 65536U	/* unread bytes in one direction */
 #define TR_HOP_STREAM_BYTES_MAX 524288U /* the same of an answer on its way */
 #define TR_BUFFERED_ANSWER_BYTES_MAX 32768U /* answer buffered until whole */
 
