--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -352,6 +352,7 @@
 	const struct rt_candidates *candidates = &chooser->candidates;
 	uint32_t *cursor;
 
+	assert(candidates->count > 0);
 	switch (chooser->policy) {
 	case RT_POLICY_TWO_CHOICES:
 		return pick_two_choices(chooser, now_ms);
