Drop the sent part of an answer while the rest waits

Cause, found by reading: bytes of an answer were dropped only once all that waited was sent, so that a long answer that is always a little ahead of its reader kept all of its bytes in memory. No test measures it.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -357,9 +357,11 @@
 static void remove_sent_bytes(struct hx_exchange *exchange, size_t size)
 {
 	exchange->sent_size += size;
-	if (exchange->sent_size < exchange->output->len)
+	/* A long answer may always have a part that is unsent. */
+	if (exchange->sent_size * 2 < exchange->output->len)
 		return;
-	g_byte_array_set_size(exchange->output, 0);
+	g_byte_array_remove_range(exchange->output, 0,
+				  (guint)exchange->sent_size);
 	exchange->sent_size = 0;
 }
 
