Bound what is read after the last answer of a connection

Cause, found by reading: a peer that sends without end behind the last answer could hold the thread that drops its bytes. After 1 MB the connection is closed.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -19,7 +19,7 @@
  * long: a close with unread bytes would reset it and destroy the answer.
  */
 #define LINGER_MS 2000U
-/* Bytes of request bodies read in vain before a connection is closed. */
+/* Bytes read in vain, after an answer, before a connection is closed. */
 #define DISCARD_BYTES_MAX (1024U * 1024U)
 
 static uint64_t get_now_ms(const struct hx_connection *connection)
@@ -340,9 +340,11 @@
 
 static void discard_input(struct hx_connection *connection)
 {
-	while (connection->socket >= 0 && connection->is_readable)
-		receive_bytes(connection);
-	if (connection->is_hung_up)
+	while (connection->socket >= 0 && connection->is_readable &&
+	       connection->discarded_bytes <= DISCARD_BYTES_MAX)
+		connection->discarded_bytes += receive_bytes(connection);
+	if (connection->is_hung_up ||
+	    connection->discarded_bytes > DISCARD_BYTES_MAX)
 		hx_close_connection(connection);
 }
 
