Hand samples to the control thread under a lock that ThreadSanitizer sees

Samples went through a GAsyncQueue, whose GMutex ThreadSanitizer doesn't detect.

Change: mbx_, a mailbox under a pthread_mutex_t, replaces the GAsyncQueue and the command queue of the traffic threads.

--- a/src/traffic/samples.c
+++ b/src/traffic/samples.c
@@ -12,9 +12,8 @@
 
 #include <errno.h>
 #include <string.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include "call.h"
+#include "loom/error.h"
 
 #define FLUSH_PERIOD_MS 250U
 /* More series than this in a slot are not counted; 130 services need fewer. */
@@ -72,15 +71,10 @@
 
 static void flush_samples(struct tr_thread *thread)
 {
-	struct tr_service *service = thread->service;
-	uint64_t one = 1;
-
 	if (g_hash_table_size(thread->samples) == 0)
 		return;
-	g_async_queue_push(service->batches, thread->samples);
+	mbx_post(thread->service->batches, thread->samples);
 	thread->samples = new_table();
-	if (write(service->batch_fd, &one, sizeof(one)) < 0)
-		g_assert(errno == EAGAIN);
 }
 
 static void flush_ended_slot(struct tr_thread *thread)
@@ -182,37 +176,32 @@
 	g_hash_table_destroy(batch);
 }
 
-static void handle_batches(struct tevent_context *events, struct tevent_fd *fde,
-			   uint16_t flags, void *data)
+static void handle_batches(void *data)
 {
 	struct tr_service *service = data;
 	GHashTable *batch;
-	uint64_t count;
 
-	if (read(service->batch_fd, &count, sizeof(count)) < 0)
-		return;
-	while ((batch = g_async_queue_try_pop(service->batches)))
+	while ((batch = mbx_take(service->batches)))
 		deliver_batch(service, batch);
 }
 
-void tr_open_samples(struct tr_service *service, struct tevent_context *events)
+bool tr_open_samples(struct tr_service *service, struct tevent_context *events,
+		     GError **error)
 {
-	service->batches = g_async_queue_new();
-	service->batch_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	service->batch_fde =
-		tevent_add_fd(events, service, service->batch_fd,
-			      TEVENT_FD_READ, handle_batches, service);
+	service->batches =
+		mbx_new(service, events, handle_batches,
+			(GDestroyNotify)g_hash_table_destroy, service);
+	if (!service->batches) {
+		err_set(error, ERR_INTERNAL, "open samples", NULL,
+			"eventfd: %s", g_strerror(errno));
+		return false;
+	}
+	return true;
 }
 
 void tr_close_samples(struct tr_service *service)
 {
-	GHashTable *batch;
-
-	while ((batch = g_async_queue_try_pop(service->batches)))
-		g_hash_table_destroy(batch);
-	g_async_queue_unref(service->batches);
-	TALLOC_FREE(service->batch_fde);
-	close(service->batch_fd);
+	TALLOC_FREE(service->batches);
 }
 
 void tr_open_thread_samples(struct tr_thread *thread)
--- a/src/traffic/samples.h
+++ b/src/traffic/samples.h
@@ -6,8 +6,9 @@
 
 #include "thread.h"
 
-/* Create and destroy the queue to the control thread. */
-void tr_open_samples(struct tr_service *service, struct tevent_context *events);
+/* Create and destroy the mailbox of the control thread, which runs events. */
+bool tr_open_samples(struct tr_service *service, struct tevent_context *events,
+		     GError **error);
 void tr_close_samples(struct tr_service *service);
 
 /* Starts counting in a thread and the periodic transfer of its counts. */
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -132,19 +132,21 @@
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
-	tr_open_samples(service, events);
 	talloc_set_destructor(service, destroy_service);
+	if (!tr_open_samples(service, events, error))
+		goto out_free;
 	for (uint32_t i = 0; i < options->thread_count; i++) {
 		struct tr_thread *thread = &service->threads[i];
 
 		thread->service = service;
 		thread->index = i;
-		if (!tr_start_thread(thread, error)) {
-			talloc_free(service);
-			return NULL;
-		}
+		if (!tr_start_thread(thread, error))
+			goto out_free;
 	}
 	return service;
+out_free:
+	talloc_free(service);
+	return NULL;
 }
 
 void tr_set_table(struct tr_service *service, struct rt_table *table)
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -8,11 +8,9 @@
  */
 #include "thread.h"
 
-#include <assert.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
-#include <sys/eventfd.h>
 #include <unistd.h>
 #include "call.h"
 #include "call_log.h"
@@ -113,8 +111,10 @@
 	}
 }
 
-static void free_command(struct tr_command *command)
+static void free_command(gpointer data)
 {
+	struct tr_command *command = data;
+
 	if (command->kind == TR_COMMAND_ANNOUNCE) {
 		g_free(command->announce.service);
 		g_free(command->announce.version);
@@ -124,28 +124,13 @@
 	g_free(command);
 }
 
-/* Returns the next command (new), or NULL. */
-static struct tr_command *take_command(struct tr_thread *thread)
-{
-	struct tr_command *command;
-
-	pthread_mutex_lock(&thread->command_lock);
-	command = g_queue_pop_head(&thread->commands);
-	pthread_mutex_unlock(&thread->command_lock);
-	return command;
-}
-
-static void handle_wake(struct tevent_context *events, struct tevent_fd *fde,
-			uint16_t flags, void *data)
+static void handle_wake(void *data)
 {
 	struct tr_thread *thread = data;
 	struct tr_command *command;
-	uint64_t count;
 
-	if (read(thread->wake_fd, &count, sizeof(count)) < 0)
-		return;
 	apply_table(thread);
-	while ((command = take_command(thread))) {
+	while ((command = mbx_take(thread->commands))) {
 		run_command(thread, command);
 		cnt_add(thread->service->counters.commands, 1);
 		free_command(command);
@@ -226,14 +211,21 @@
 	thread->gate = adm_new_gate(thread->events);
 	thread->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	g_queue_init(&thread->commands);
-	pthread_mutex_init(&thread->command_lock, NULL);
 	tr_open_thread_samples(thread);
 	tr_open_call_log(thread);
 	g_queue_init(&thread->free_handles);
-	thread->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	tevent_add_fd(thread->events, thread->events, thread->wake_fd,
-		      TEVENT_FD_READ, handle_wake, thread);
+}
+
+static bool open_commands(struct tr_thread *thread, GError **error)
+{
+	thread->commands = mbx_new(thread->events, thread->events, handle_wake,
+				   free_command, thread);
+	if (!thread->commands) {
+		err_set(error, ERR_INTERNAL, "start thread", NULL,
+			"eventfd: %s", g_strerror(errno));
+		return false;
+	}
+	return true;
 }
 
 bool tr_start_thread(struct tr_thread *thread, GError **error)
@@ -241,6 +233,8 @@
 	const struct tr_options *options = &thread->service->options;
 
 	open_state(thread);
+	if (!open_commands(thread, error))
+		return false;
 	if (!open_clients(thread, error))
 		return false;
 	if (!open_listener(thread, &thread->entry, TR_ROLE_ENTRY,
@@ -263,24 +257,17 @@
 
 void tr_wake_thread(struct tr_thread *thread)
 {
-	uint64_t one = 1;
-
-	if (write(thread->wake_fd, &one, sizeof(one)) < 0)
-		assert(errno == EAGAIN);
+	mbx_wake(thread->commands);
 }
 
 void tr_send_command(struct tr_thread *thread, struct tr_command *command)
 {
-	pthread_mutex_lock(&thread->command_lock);
-	g_queue_push_tail(&thread->commands, command);
-	pthread_mutex_unlock(&thread->command_lock);
-	tr_wake_thread(thread);
+	mbx_post(thread->commands, command);
 }
 
 void tr_join_thread(struct tr_thread *thread)
 {
 	struct rt_table *table;
-	struct tr_command *command;
 
 	if (!thread->events)
 		return;
@@ -290,9 +277,6 @@
 	TALLOC_FREE(thread->entry.server);
 	TALLOC_FREE(thread->hop.server);
 	g_queue_clear_full(&thread->free_handles, curl_easy_cleanup);
-	while ((command = take_command(thread)))
-		free_command(command);
-	pthread_mutex_destroy(&thread->command_lock);
 	g_hash_table_destroy(thread->budgets);
 	g_hash_table_destroy(thread->samples);
 	table = atomic_exchange(&thread->pending_table, NULL);
@@ -304,7 +288,6 @@
 	g_free(thread->target_url);
 	g_free(thread->target_service);
 	g_free(thread->target_instance);
-	close(thread->wake_fd);
 }
 
 CURL *tr_take_handle(struct tr_thread *thread)
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -13,6 +13,7 @@
 #include "loom/admission.h"
 #include "loom/exchange.h"
 #include "loom/http.h"
+#include "loom/mailbox.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
 
@@ -97,11 +98,8 @@
 	char *target_service;
 	char *target_instance;
 	char *target_url;
-	GQueue commands; /* struct tr_command, under command_lock */
-	/* No GMutex: ThreadSanitizer does not detect its locks. */
-	pthread_mutex_t command_lock;
-	int wake_fd;
-	bool is_refusing; /* new calls of callers are refused */
+	struct mbx_mailbox *commands; /* of struct tr_command */
+	bool is_refusing;	      /* new calls of callers are refused */
 	bool is_stopped;
 	uint64_t random_state;
 	GHashTable *samples; /* samples of the current slot; see samples.c */
@@ -119,9 +117,7 @@
 	const char *hop_address; /* "ADDRESS:PORT" of this node in tables */
 	struct tr_counters counters;
 	struct tr_thread *threads;
-	GAsyncQueue *batches; /* samples for the control thread */
-	int batch_fd;
-	struct tevent_fd *batch_fde;
+	struct mbx_mailbox *batches; /* samples for the control thread */
 };
 
 /*
