Choose a target again soon after its node could not connect to it

A node that couldn't connect to its target reported the phase "leaving" with its refusals. An entry node believes that for 10 s and never chooses such a target, so a target that was killed and started again got no calls for up to 10 s from each entry node that had been refused once.

Change: unreachable is reported by a header of its own and ejects the target for 200 ms, doubled each time. A report of leaving is believed for 2 s.

The scripts restarted_target and unreachable were written first; the former got no_target before.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -81,6 +81,7 @@
 	uint32_t latency_us; /* mean latency of its answers; 0: no answer yet */
 	uint32_t failure_permille; /* share of its recent calls that failed */
 	enum rt_phase phase;
+	bool is_unreachable; /* its node cannot connect to it for now */
 };
 
 /*
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -358,7 +358,9 @@
 	load->failure_permille =
 		adm_get_failure_permille(&gate->health, gate->now_ms);
 	load->in_flight = gate->in_flight + adm_get_queue_length(&gate->queue);
-	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
+	load->is_unreachable = get_closed_refusal(gate) == ADM_REFUSAL_DOWN;
+	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE &&
+	    !load->is_unreachable)
 		load->phase = RT_PHASE_LEAVING;
 	else if (adm_is_limit_starting(&gate->limit, gate->now_ms))
 		load->phase = RT_PHASE_STARTING;
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -26,6 +26,8 @@
 #define EJECTION_MAX_MS 5000U
 #define EJECTION_DOUBLINGS_MAX 5U
 #define REFUSED_MS 50U
+/* By then the target has announced that it leaves, or a new one has started. */
+#define LEAVING_LIFE_MS 2000U
 
 static int destroy_set(struct rt_state_set *set)
 {
@@ -200,6 +202,10 @@
 		clear_failures(state);
 		break;
 	case RT_OUTCOME_REFUSED:
+		if (load && load->is_unreachable) {
+			eject_target(state, now_ms);
+			break;
+		}
 		clear_failures(state);
 		state->refused_until_ms = now_ms + REFUSED_MS;
 		break;
@@ -261,6 +267,10 @@
 {
 	if (state->announced_phase == RT_PHASE_LEAVING)
 		return RT_PHASE_LEAVING;
-	return is_report_fresh(state, now_ms) ? state->phase
-					      : state->announced_phase;
+	if (!is_report_fresh(state, now_ms))
+		return state->announced_phase;
+	if (state->phase == RT_PHASE_LEAVING &&
+	    now_ms >= state->reported_ms + LEAVING_LIFE_MS)
+		return state->announced_phase;
+	return state->phase;
 }
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -98,7 +98,11 @@
 	if (word_count >= 6) {
 		load.limit = parse_number(words[3]);
 		load.in_flight = parse_number(words[4]);
-		rt_parse_phase(words[5], &load.phase);
+		load.is_unreachable = strcmp(words[5], "unreachable") == 0;
+		if (load.is_unreachable)
+			load.phase = RT_PHASE_SERVING;
+		else
+			rt_parse_phase(words[5], &load.phase);
 		if (word_count >= 7)
 			load.failure_permille = parse_number(words[6]);
 		if (word_count == 9) {
@@ -206,6 +210,11 @@
 	run_chooser_script("health");
 }
 
+static void test_unreachable(void)
+{
+	run_chooser_script("unreachable");
+}
+
 static void test_partial_failure(void)
 {
 	run_chooser_script("partial_failure");
@@ -459,6 +468,7 @@
 static const CU_TestInfo tests[] = {
 	{ "choice by load, limit and distance", test_choice },
 	{ "phases, failures and refusals", test_health },
+	{ "unreachable targets", test_unreachable },
 	{ "a target that fails a share of its calls", test_partial_failure },
 	{ "a target behind a saturated link", test_slow_link },
 	{ "failure domains taken out", test_domains },
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -125,6 +125,10 @@
 
 	if (strcasecmp(name, TR_HEADER_PHASE) == 0)
 		return rt_parse_phase(value, &load->phase);
+	if (strcasecmp(name, TR_HEADER_UNREACHABLE) == 0) {
+		load->is_unreachable = strcmp(value, "true") == 0;
+		return true;
+	}
 	if (!parse_number(value, UINT32_MAX, &number))
 		return false;
 	if (strcasecmp(name, TR_HEADER_LIMIT) == 0)
@@ -157,4 +161,6 @@
 	add_number(exchange, TR_HEADER_FAILURES, load->failure_permille);
 	hx_add_answer_header(exchange, TR_HEADER_PHASE,
 			     rt_get_phase_name(load->phase));
+	if (load->is_unreachable)
+		hx_add_answer_header(exchange, TR_HEADER_UNREACHABLE, "true");
 }
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -27,6 +27,7 @@
 #define TR_HEADER_LATENCY "Loom-Latency-Us"
 #define TR_HEADER_FAILURES "Loom-Failures-Permille"
 #define TR_HEADER_PHASE "Loom-Phase"
+#define TR_HEADER_UNREACHABLE "Loom-Unreachable"
 #define TR_HEADER_SPENT "Loom-Spent-Us"
 #define TR_HEADER_RUN "Loom-Run-Us"
 #define TR_HEADER_REFUSED "Loom-Refused"
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -457,6 +457,11 @@
 	run_script("second_copy");
 }
 
+static void test_restarted_target(void)
+{
+	run_script("restarted_target");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -480,6 +485,7 @@
 	{ "flood", test_flood },
 	{ "slow_download", test_slow_download },
 	{ "second_copy", test_second_copy },
+	{ "restarted_target", test_restarted_target },
 	{ "hostile callers", test_hostile_callers },
 	CU_TEST_INFO_NULL,
 };
