Count calls lost together as one failure of a target

Cause: the ejection of a target doubles with each failed call, up to 5 s. Five calls in flight at a target that fails for a moment are five failures, so it was ejected for 5 s instead of 200 ms.

Change: a failure during an ejection doesn't prolong it.

--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -122,12 +122,15 @@
 	state->reported_ms = now_ms;
 }
 
+/* Failures during an ejection are those of calls that began before it. */
 static void eject_target(struct rt_target_state *state, uint64_t now_ms)
 {
 	uint32_t doublings = MIN(state->failure_count, EJECTION_DOUBLINGS_MAX);
 	uint32_t ejection_ms =
 		MIN(EJECTION_FIRST_MS << doublings, EJECTION_MAX_MS);
 
+	if (now_ms < state->ejected_until_ms)
+		return;
 	state->failure_count++;
 	state->ejected_until_ms = now_ms + ejection_ms;
 }
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -215,6 +215,11 @@
 	run_chooser_script("unreachable");
 }
 
+static void test_ejection(void)
+{
+	run_chooser_script("ejection");
+}
+
 static void test_partial_failure(void)
 {
 	run_chooser_script("partial_failure");
@@ -469,6 +474,7 @@
 	{ "choice by load, limit and distance", test_choice },
 	{ "phases, failures and refusals", test_health },
 	{ "unreachable targets", test_unreachable },
+	{ "length of an ejection", test_ejection },
 	{ "a target that fails a share of its calls", test_partial_failure },
 	{ "a target behind a saturated link", test_slow_link },
 	{ "failure domains taken out", test_domains },
