Let the old version's failures on a rare route excuse the new one

With fewer than 20 calls of the old version a ramp took the highest acceptable rate, 3 %, for its rate, although all of them had failed (these calls have a deadline of 400 ms, which nobody meets).

Change: failures of the old version count, however few its calls are. Without any, the acceptable rate is taken as before.

Measured: ramp.script, where that case was taken back first; a rare route that fails on the new version only is still found by four calls.

--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -166,9 +166,10 @@
 	return sum;
 }
 
+/* Few calls of the old version may excuse the new one, but never accuse it. */
 static double get_old_rate(uint32_t calls, uint32_t bad, double least)
 {
-	if (calls < OLD_CALLS_MIN)
+	if (bad == 0)
 		return least;
 	return fmin(0.9, fmax(least, OLD_RATE_FACTOR * bad / calls));
 }
