Bound the calls of an unjudged version while the old one fails often

Its targets are cold for the first half of the probe, when calls tell nothing, so that the larger shares begin with few calls that ended; then the old version fails often, and the share falls back to that of the probe for the rest of the time, whatever the new version has had.

Change: during the probe the share is chosen by the calls that still have to end, and while the old version fails often the new one gets no calls beyond 6 % of all calls since the start.

--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -40,6 +40,11 @@
  */
 #define PROBE_CALLS 40.0
 #define PROBE_SHARE_MAX_PERMILLE 100U
+/*
+ * While the old version fails often, the new one gets no calls beyond this part
+ * of all calls since the start: the rest may be needed for larger shares.
+ */
+#define HOLD_EXPOSURE_PERMILLE 60U
 /* Time after which the rate of calls is known well enough for that. */
 #define RATE_KNOWN_MS 500U
 /* Part of the time used by the probe, long enough to find late faults. */
@@ -428,24 +433,67 @@
 	}
 }
 
-/* Returns the share of the probe, in permille, by the rate of calls. */
-static uint32_t get_probe_permille(const struct mv_ramp *ramp, uint64_t now_ms)
+/* Sums up the calls of all routes and steps. */
+static struct step_counts sum_calls(const struct mv_ramp *ramp)
+{
+	struct step_counts sums = { 0 };
+
+	for (uint32_t i = 0; i <= FULL_STEP; i++) {
+		mv_add_counts(&sums.old, &ramp->evidence[0].steps[i].old);
+		mv_add_counts(&sums.new, &ramp->evidence[0].steps[i].new);
+	}
+	return sums;
+}
+
+/*
+ * Returns the share, in permille, at which wanted calls reach the new version
+ * within time_ms.
+ */
+static uint32_t get_share_for(const struct mv_ramp *ramp, uint64_t now_ms,
+			      double wanted, double time_ms)
 {
+	struct step_counts sums = sum_calls(ramp);
 	uint64_t elapsed_ms = now_ms - ramp->start_ms;
-	double calls = 0;
+	double calls = (double)sums.old.calls + sums.new.calls;
 	double permille;
 
-	for (uint32_t i = 0; i <= FULL_STEP; i++)
-		calls += ramp->evidence[0].steps[i].old.calls +
-			 ramp->evidence[0].steps[i].new.calls;
 	if (elapsed_ms < RATE_KNOWN_MS || calls == 0)
 		return PROBE_SHARE_PERMILLE;
-	permille = 1000 * PROBE_CALLS * (double)elapsed_ms /
-		   (calls * get_probe_ms(ramp));
+	permille = 1000 * wanted * (double)elapsed_ms / (calls * time_ms);
 	return (uint32_t)fmin(fmax(permille, PROBE_SHARE_PERMILLE),
 			      PROBE_SHARE_MAX_PERMILLE);
 }
 
+/* Returns the share of the probe, in permille, by the rate of calls. */
+static uint32_t get_probe_permille(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	return get_share_for(ramp, now_ms, PROBE_CALLS, get_probe_ms(ramp));
+}
+
+/*
+ * Returns the share during the probe. Calls to a cold target tell nothing, so
+ * that the rest of the time may have to make up for them.
+ */
+static uint32_t get_first_permille(const struct mv_ramp *ramp, uint64_t now_ms)
+{
+	double elapsed_ms = (double)(now_ms - ramp->start_ms);
+	double left_ms = fmax(get_probe_ms(ramp) - elapsed_ms, RATE_KNOWN_MS);
+
+	return get_share_for(ramp, now_ms,
+			     PROBE_CALLS - sum_calls(ramp).new.calls, left_ms);
+}
+
+/* Returns whether the new version has had as many calls as a probe may take. */
+static bool is_exposed(const struct mv_ramp *ramp)
+{
+	struct step_counts sums = sum_calls(ramp);
+	uint32_t new_calls = sums.new.calls + sums.new.cold + sums.new.lost;
+	uint32_t old_calls = sums.old.calls + sums.old.cold + sums.old.lost;
+
+	return new_calls * 1000ULL >
+	       (new_calls + old_calls) * (uint64_t)HOLD_EXPOSURE_PERMILLE;
+}
+
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
 			    enum mv_ramp_scope scope, uint64_t now_ms)
 {
@@ -542,8 +590,10 @@
 	probe_permille = get_probe_permille(ramp, now_ms);
 	if (ramp->step == FULL_STEP)
 		return DOC_SHARE_ALL_PERMILLE;
-	if (ramp->step == 0 || is_noisy(ramp))
-		return probe_permille;
+	if (is_noisy(ramp))
+		return is_exposed(ramp) ? 0 : probe_permille;
+	if (ramp->step == 0)
+		return get_first_permille(ramp, now_ms);
 	return MAX(steps[ramp->step - 1].share_permille, 2 * probe_permille);
 }
 
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -15,7 +15,7 @@
 	uint64_t now_ms;
 };
 
-/* "calls VERSION ROUTE GOOD [FAILED [SLOW]]" */
+/* "calls VERSION ROUTE GOOD [FAILED [SLOW [COLD]]]" */
 static void add_calls(struct state *state, int count, char **words)
 {
 	struct mv_counts counts = { 0 };
@@ -26,6 +26,8 @@
 		mv_add_call(&counts, MV_OUTCOME_FAILED, 0);
 	for (int i = 0; count > 5 && i < atoi(words[5]); i++)
 		mv_add_call(&counts, MV_OUTCOME_GOOD, SLOW_US);
+	for (int i = 0; count > 6 && i < atoi(words[6]); i++)
+		mv_add_call(&counts, MV_OUTCOME_COLD, FAST_US);
 	mv_record_ramp_counts(state->ramp, words[1], words[2], &counts,
 			      state->now_ms);
 }
