Compare few calls of a step with the old version's calls of all steps

Cause: since failures of few old calls excuse the new version, one or two chance failures among the first calls of a step ("2 of 17") hid a bad version: 4 of 5 failed calls were no longer enough.

Change: a step's own few calls count from three failures on; otherwise the old version's calls of all steps are compared with.

--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -79,6 +79,7 @@
 /* Tolerated excess over the old rate: targets differ by chance. */
 #define OLD_RATE_FACTOR 1.5
 #define OLD_CALLS_MIN 20U
+#define OLD_FAILED_MIN 3U
 /* Slow: two buckets (a factor of 2.25) above the 90th percentile of old. */
 #define SLOW_SHIFT_BUCKETS 2U
 #define SLOW_QUANTILE 0.9
@@ -171,7 +172,6 @@
 	return sum;
 }
 
-/* Few calls of the old version may excuse the new one, but never accuse it. */
 static double get_old_rate(uint32_t calls, uint32_t bad, double least)
 {
 	if (bad == 0)
@@ -225,40 +225,45 @@
 		   sums->old_calls);
 }
 
-static void add_comparison(struct comparison *sums, uint32_t new_calls,
-			   uint32_t new_bad, uint32_t old_calls,
-			   uint32_t old_bad, double least_rate)
-{
-	sums->new_calls += new_calls;
-	sums->new_bad += new_bad;
-	sums->old_calls += old_calls;
-	sums->old_bad += old_bad;
-	sums->expected_bad +=
-		new_calls * get_old_rate(old_calls, old_bad, least_rate);
-}
-
+/*
+ * Compares with the old version's calls of the step or, when they are few and
+ * show no fault of that version, with those of all steps.
+ */
 static void compare_failures(const struct step_counts *counts,
+			     const struct mv_counts *all_old,
 			     struct comparison *sums)
 {
-	add_comparison(sums, counts->new.calls, counts->new.failed,
-		       counts->old.calls, counts->old.failed, FAILED_RATE_MIN);
+	const struct mv_counts *old = &counts->old;
+
+	if (old->calls < OLD_CALLS_MIN && old->failed < OLD_FAILED_MIN)
+		old = all_old;
+	sums->new_calls += counts->new.calls;
+	sums->new_bad += counts->new.failed;
+	sums->old_calls += counts->old.calls;
+	sums->old_bad += counts->old.failed;
+	sums->expected_bad += counts->new.calls *get_old_rate(
+		old->calls, old->failed, FAILED_RATE_MIN);
 }
 
 static void compare_latency(const struct step_counts *counts,
 			    struct comparison *sums)
 {
 	uint32_t first = get_slow_bucket(&counts->old);
+	uint32_t new_bad;
+	uint32_t old_bad;
 
 	if (sum_from(counts->old.latency, 0) < OLD_CALLS_MIN ||
 	    first >= MV_LATENCY_BUCKETS)
 		return;
 	/* A failed call may have missed its deadline, so it counts as slow. */
-	add_comparison(
-		sums, counts->new.calls,
-		sum_from(counts->new.latency, first) + counts->new.failed,
-		counts->old.calls,
-		sum_from(counts->old.latency, first) + counts->old.failed,
-		SLOW_RATE_MIN);
+	new_bad = sum_from(counts->new.latency, first) + counts->new.failed;
+	old_bad = sum_from(counts->old.latency, first) + counts->old.failed;
+	sums->new_calls += counts->new.calls;
+	sums->new_bad += new_bad;
+	sums->old_calls += counts->old.calls;
+	sums->old_bad += old_bad;
+	sums->expected_bad += counts->new.calls *get_old_rate(
+		counts->old.calls, old_bad, SLOW_RATE_MIN);
 }
 
 /* Sums up the calls of the steps from first to last. */
@@ -266,10 +271,14 @@
 			  uint32_t last, struct comparison *failures,
 			  struct comparison *latency)
 {
+	struct mv_counts all_old = { 0 };
+
+	for (uint32_t i = 0; i < FULL_STEP; i++)
+		mv_add_counts(&all_old, &evidence->steps[i].old);
 	*failures = (struct comparison){ 0 };
 	*latency = (struct comparison){ 0 };
 	for (uint32_t i = first; i <= last; i++) {
-		compare_failures(&evidence->steps[i], failures);
+		compare_failures(&evidence->steps[i], &all_old, failures);
 		compare_latency(&evidence->steps[i], latency);
 	}
 	/* The old calls that the full share is compared with were counted. */
