Don't bring back members that left while this node was paused

Cause: a node that was paused, and lost datagrams, while another one left still has that member alive. A node that has restarted since, or has forgotten the record of the leave after 10 min, took it from the paused node as news and spread it: the operators' report of servers in use again that had left.

Change: after a pause longer than a suspicion lasts, a node doubts all members until it hears of each again. It doesn't report those that it doubts.

--- a/src/membership/machine.c
+++ b/src/membership/machine.c
@@ -302,6 +302,19 @@
 	}
 }
 
+/*
+ * After a pause that was long enough for members to leave, what this node knows
+ * of them is doubted, once and before it answers anyone.
+ */
+static void handle_long_pause(struct mem_machine *machine, uint64_t now_ms)
+{
+	if (now_ms <= machine->last_tick_ms + machine->suspicion_ms ||
+	    machine->doubted_tick_ms == machine->last_tick_ms)
+		return;
+	machine->doubted_tick_ms = machine->last_tick_ms;
+	mem_doubt_members(machine);
+}
+
 static void update_sender_sequence(struct mem_machine *machine,
 				   const char *address,
 				   const mem_wire_update *update)
@@ -383,6 +396,14 @@
 	}
 }
 
+static void leave_out_unconfirmed(struct mem_entry **entries, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (entries[i] && entries[i]->is_unconfirmed)
+			entries[i] = NULL;
+	}
+}
+
 static void answer_message(struct mem_machine *machine, const char *address,
 			   uint16_t port, const struct mem_message *message)
 {
@@ -396,6 +417,7 @@
 			included[1] = mem_get_self(machine->table);
 			mem_choose_peers(machine, JOIN_RECORD_COUNT, NULL,
 					 &included[2]);
+			leave_out_unconfirmed(&included[2], JOIN_RECORD_COUNT);
 		}
 		mem_add_send(machine, MEM_ACK, message->xid, address, port,
 			     included, G_N_ELEMENTS(included));
@@ -493,6 +515,7 @@
 				     uint64_t now_ms)
 {
 	begin_step(machine, now_ms);
+	handle_long_pause(machine, now_ms);
 	if (now_ms > machine->last_tick_ms + get_pause_ms(machine))
 		restart_timeouts(machine);
 	machine->last_tick_ms = now_ms;
@@ -510,6 +533,8 @@
 					uint64_t now_ms)
 {
 	begin_step(machine, now_ms);
+	handle_long_pause(machine, now_ms);
+	mem_confirm_sender(machine, address);
 	mem_apply_records(machine, message);
 	update_sender_sequence(machine, address, &message->update);
 	answer_message(machine, address, port, message);
--- a/src/membership/machine.h
+++ b/src/membership/machine.h
@@ -69,6 +69,7 @@
 	struct mem_table *table;
 	uint64_t now_ms;
 	uint64_t last_tick_ms;
+	uint64_t doubted_tick_ms; /* last tick before the last long pause */
 	uint64_t next_probe_ms;
 	uint64_t next_dead_probe_ms;
 	uint64_t next_seed_ms;
--- a/src/membership/merge.c
+++ b/src/membership/merge.c
@@ -96,6 +96,7 @@
 		      record->state);
 	entry->state_deadline_ms = get_state_deadline(machine, record->state);
 	entry->is_reported_dead = false;
+	entry->is_unconfirmed = false;
 	mark_changed(machine);
 }
 
@@ -132,6 +133,9 @@
 		apply_self_record(machine, record);
 		return;
 	}
+	if (mem_is_live(record->state) &&
+	    record->incarnation == entry->member.incarnation)
+		entry->is_unconfirmed = false;
 	if (!is_superseding(record, &entry->member))
 		return;
 	if (is_page && is_unconfirmed_death(record, &entry->member)) {
@@ -158,14 +162,56 @@
 	       strcmp(record->target_version, self->version) == 0;
 }
 
+/*
+ * A page contains all members of a bucket, unless they fill several pages. The
+ * unconfirmed ones that it lacks are probed next.
+ */
+static void check_bucket(struct mem_machine *machine, const char *address)
+{
+	const struct mem_entry *entry = mem_find_entry(machine->table, address);
+	const GPtrArray *bucket;
+
+	if (!entry)
+		return;
+	bucket = machine->table->buckets[entry->bucket];
+	for (guint i = 0; i < bucket->len; i++) {
+		struct mem_entry *other = g_ptr_array_index(bucket, i);
+
+		if (other->is_unconfirmed)
+			other->is_reported_dead = true;
+	}
+}
+
 void mem_apply_records(struct mem_machine *machine,
 		       const struct mem_message *message)
 {
 	const mem_wire_update *update = &message->update;
+	bool is_page = message->procedure == MEM_PAGE;
 
 	for (u_int i = 0; i < update->records.records_len; i++)
-		apply_record(machine, &update->records.records_val[i],
-			     message->procedure == MEM_PAGE);
+		apply_record(machine, &update->records.records_val[i], is_page);
+	for (u_int i = 0; is_page && i < update->records.records_len; i++)
+		check_bucket(machine, update->records.records_val[i].address);
+}
+
+void mem_confirm_sender(struct mem_machine *machine, const char *address)
+{
+	struct mem_entry *entry = mem_find_entry(machine->table, address);
+
+	if (entry)
+		entry->is_unconfirmed = false;
+}
+
+void mem_doubt_members(struct mem_machine *machine)
+{
+	const GPtrArray *entries = machine->table->entries;
+
+	for (guint i = 1; i < entries->len; i++) {
+		struct mem_entry *entry = g_ptr_array_index(entries, i);
+
+		entry->is_unconfirmed = mem_is_live(entry->member.state);
+	}
+	mem_unqueue_alive(machine->table);
 }
 
 void mem_set_member_state(struct mem_machine *machine, struct mem_entry *entry,
@@ -177,7 +223,9 @@
 		machine->statistics.deaths++;
 	mem_set_entry(machine->table, entry, &entry->member.self,
 		      entry->member.incarnation, state);
-	mem_queue_entry(machine->table, entry);
+	/* To nodes that have forgotten the member a suspicion would be news. */
+	if (!entry->is_unconfirmed)
+		mem_queue_entry(machine->table, entry);
 	entry->state_deadline_ms = get_state_deadline(machine, state);
 	entry->is_reported_dead = false;
 	mark_changed(machine);
--- a/src/membership/merge.h
+++ b/src/membership/merge.h
@@ -15,6 +15,12 @@
 void mem_apply_records(struct mem_machine *machine,
 		       const struct mem_message *message);
 
+/* Notes that a member has been heard of by a message of its own. */
+void mem_confirm_sender(struct mem_machine *machine, const char *address);
+
+/* Makes all live members unconfirmed: this process stood still for long. */
+void mem_doubt_members(struct mem_machine *machine);
+
 /*
  * Sets the state that this node has determined for a member and queues the
  * update.
--- a/src/membership/send.c
+++ b/src/membership/send.c
@@ -314,6 +314,8 @@
 		mem_wire_record record;
 		size_t size;
 
+		if (entry->is_unconfirmed)
+			continue;
 		mem_fill_record(entry, &record);
 		size = mem_get_record_size(&record);
 		if (!pages->send || size > pages->bytes_left ||
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -24,6 +24,12 @@
 	struct mem_member member;   /* texts are owned by the entry */
 	uint64_t state_deadline_ms; /* when the state ends */
 	bool is_reported_dead; /* a page reported it dead; it is probed next */
+	/*
+	 * Known from before a pause of this process and not heard of since: it
+	 * may have left, and the others may have forgotten that. It is not
+	 * reported to others.
+	 */
+	bool is_unconfirmed;
 	uint32_t bucket;
 	GList link; /* in queues[send_count] */
 	uint32_t send_count;
--- a/src/membership/tests/test_membership_mesh.c
+++ b/src/membership/tests/test_membership_mesh.c
@@ -129,6 +129,57 @@
 	}
 }
 
+/* Condition: a running node other than *data has node 5 as a live member. */
+static bool is_left_node_back(struct mesh *mesh, const void *data)
+{
+	const uint32_t *paused = data;
+
+	for (uint32_t i = 0; i < mesh->count; i++) {
+		const struct mem_member *member;
+
+		if (!mesh->nodes[i].machine || i == *paused || i == 5)
+			continue;
+		member = mesh_find_member(mesh, i, 5);
+		if (member && (member->state == MEM_STATE_ALIVE ||
+			       member->state == MEM_STATE_SUSPECT))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A node that was paused while another one left does not bring it back to the
+ * others, nor to one that restarts, however long it was paused.
+ */
+static void test_left_node_stays_away(void)
+{
+	const uint32_t pauses_ms[] = { 30000, 11 * 60 * 1000 };
+	const uint32_t paused = 9;
+
+	for (uint32_t i = 0; i < 2 * SEED_COUNT; i++) {
+		struct mesh *mesh = join_mesh(16, i / 2 + 1);
+		struct mem_machine *machine = mesh->nodes[5].machine;
+
+		/* It loses the news, too: its socket's buffer is full. */
+		mesh_pause(mesh, paused);
+		mesh->nodes[paused].group = 1;
+		mesh_execute_step(mesh, 5,
+				  mem_step_leave(machine, mesh->now_ms));
+		mesh_run(mesh, 1000);
+		mesh_stop(mesh, 5);
+		mesh_run(mesh, pauses_ms[i % 2]);
+		CU_ASSERT_FALSE(is_left_node_back(mesh, &paused));
+		mesh_stop(mesh, 7);
+		mesh_start(mesh, 7);
+		mesh->nodes[paused].group = 0;
+		mesh_resume(mesh, paused);
+		CU_ASSERT_EQUAL(mesh_run_until(mesh, is_left_node_back, &paused,
+					       LEAVING_LIMIT_MS * 4),
+				MESH_NEVER);
+		talloc_free(mesh);
+	}
+}
+
 /*
  * Condition: in all tables the restarted node 5 is alive at its own
  * incarnation.
@@ -423,6 +474,7 @@
 	const CU_TestInfo tests[] = {
 		{ "leaving is known in time", test_leaving_is_known },
 		{ "death is known in time", test_death_is_known },
+		{ "left node stays away", test_left_node_stays_away },
 		{ "restarted node rejoins", test_restarted_node_rejoins },
 		{ "paused node refutes its death", test_paused_node_refutes },
 		{ "pause restarts suspicions", test_pause_restarts_suspicion },
