Bound the counts that a node takes from a ramp report

A report with 4 * 10^9 calls was taken. Where all terms of the binomial tail are below what a double holds, the sum ran over every count: 0.9 s for 10^8 calls, and without end at UINT32_MAX, where the counter wraps. All that time the node does nothing else.

Change: numbers above 10^6 make a series invalid, and the sum ends at terms of zero.

Measured: test_ramp (absurd counts), which failed first.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -313,7 +313,13 @@
  */
 json_t *mv_format_counts(const struct mv_counts *counts);
 
-/* Fills counts from such an array; returns false when value is not valid. */
+/* Most calls of one series in a report; a node sends two reports a second. */
+#define MV_COUNT_MAX 1000000U
+
+/*
+ * Fills counts from such an array; returns false when value is not valid or has
+ * a number above MV_COUNT_MAX.
+ */
 bool mv_parse_counts(const json_t *value, struct mv_counts *counts);
 
 /*
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -166,7 +166,8 @@
 				  (calls - k) * log1p(-rate));
 
 		sum += term;
-		if (term < sum * 1e-6)
+		/* Equal when both are zero: too unlikely for a double. */
+		if (term <= sum * 1e-6)
 			break;
 	}
 	return sum;
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -10,6 +10,9 @@
 #define SLOW_US 480000U
 #define TICK_MS 200U
 
+/* A node must not stand still for longer than between two ticks. */
+#define ABSURD_LIMIT_US 250000
+
 struct state {
 	struct mv_ramp *ramp;
 	uint64_t now_ms;
@@ -105,12 +108,45 @@
 	json_decref(value);
 }
 
+/*
+ * Reports of another node with numbers that no node counts: such a report is
+ * dropped, and the largest that is not keeps the node busy for no time.
+ */
+static void test_absurd_counts(void)
+{
+	const json_int_t numbers[] = { UINT32_MAX, MV_COUNT_MAX + 1U,
+				       MV_COUNT_MAX };
+	struct mv_counts counts = { 0 };
+	struct state state = { .now_ms = 1000000 };
+	int64_t begun_us = g_get_monotonic_time();
+
+	state.ramp = mv_new_ramp(NULL, "v2", 14000, MV_RAMP_ALL_CALLS,
+				 state.now_ms);
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		json_t *value = mv_format_counts(&counts);
+
+		json_array_set_new(value, 0, json_integer(numbers[i]));
+		json_array_set_new(value, 1,
+				   json_integer(numbers[i] / 10 * 9));
+		CU_ASSERT_EQUAL(mv_parse_counts(value, &counts),
+				numbers[i] <= MV_COUNT_MAX);
+		json_decref(value);
+	}
+	for (int i = 0; i < 100; i++)
+		mv_record_ramp_counts(state.ramp, "v2", "r", &counts,
+				      state.now_ms);
+	mv_evaluate_ramp(state.ramp, state.now_ms);
+	CU_ASSERT_TRUE(g_get_monotonic_time() - begun_us < ABSURD_LIMIT_US);
+	talloc_free(state.ramp);
+}
+
 int main(void)
 {
 	static const CU_TestInfo tests[] = {
 		{ "share and verdict", test_ramp },
 		{ "counts survive encoding and decoding",
 		  test_counts_round_trip },
+		{ "absurd counts", test_absurd_counts },
 		CU_TEST_INFO_NULL,
 	};
 
