Bound the counts of the other reports as those of ramps

A report with failed calls was taken; since sums saturate it ended nothing, but outweighed all other nodes in that slot. Numbers above MV_COUNT_MAX are refused.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -313,7 +313,10 @@
  */
 json_t *mv_format_counts(const struct mv_counts *counts);
 
-/* Most calls of one series in a report; a node sends two reports a second. */
+/*
+ * Most calls of one series in a report; a node sends two reports a second. So
+ * no report outweighs those of all other nodes.
+ */
 #define MV_COUNT_MAX 1000000U
 
 /*
--- a/src/moves/report.c
+++ b/src/moves/report.c
@@ -54,7 +54,7 @@
 {
 	json_int_t number = json_integer_value(value);
 
-	if (!json_is_integer(value) || number < 0 || number > UINT32_MAX)
+	if (!json_is_integer(value) || number < 0 || number > MV_COUNT_MAX)
 		return false;
 	*count = (uint32_t)number;
 	return true;
