Let nodes that start at once follow the store in turn

The lists that may be stale had returned no configuration yet, and nodes without one did not wait until they knew the other members.

Change: such a node follows the store after a turn within 1.5 s that ranks nodes as the election of watchers does, unless it is alone, and asks the watchers that it knows of meanwhile.

--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -50,6 +50,11 @@
  * nodes missed because they were started anew.
  */
 #define MEMBERS_KNOWN_MS 1500U
+/*
+ * Nodes that start at the same time without a configuration follow the store in
+ * turn, within this time; the first ones then have it for the others.
+ */
+#define TURNS_MS 1500U
 #define ANSWER_BYTES_MAX (4U * 1024U * 1024U)
 #define WAIT_MS_MAX 10000U
 
@@ -305,6 +310,13 @@
 	return now_ms < relay->settle_ms;
 }
 
+static bool is_other_alive(const struct nd_node *node,
+			   const struct mem_member *member)
+{
+	return member->state == MEM_STATE_ALIVE &&
+	       strcmp(member->self.address, node->settings->address) != 0;
+}
+
 /* Returns any other live member (borrowed) that is not excluded, or NULL. */
 static const struct mem_member *find_live_member(struct nd_node *node)
 {
@@ -312,32 +324,60 @@
 	size_t count = mem_list_members(node->members, &members);
 
 	for (size_t i = 0; i < count; i++) {
-		if (members[i].state == MEM_STATE_ALIVE &&
-		    strcmp(members[i].self.address, node->settings->address) !=
-			    0 &&
+		if (is_other_alive(node, &members[i]) &&
 		    !is_excluded(&members[i], node))
 			return &members[i];
 	}
 	return NULL;
 }
 
-/* Returns the node (borrowed) to take the configuration from, or NULL. */
-static const struct mem_member *choose_source(struct nd_node *node)
+static bool is_alone(struct nd_node *node)
+{
+	const struct mem_member *members;
+	size_t count = mem_list_members(node->members, &members);
+
+	for (size_t i = 0; i < count; i++) {
+		if (is_other_alive(node, &members[i]))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Returns whether this node has started so recently that it does not follow the
+ * store as long as other nodes live.
+ */
+static bool is_new(const struct nd_node *node)
 {
 	const struct nd_relay *relay = &node->relay;
-	bool is_new = !relay->is_following &&
-		      get_now_ms(node) < relay->start_ms + MEMBERS_KNOWN_MS &&
-		      has_configuration(node);
+	uint32_t wait_ms = MEMBERS_KNOWN_MS;
+
+	if (relay->is_following)
+		return false;
+	if (!has_configuration(node))
+		wait_ms = SETTLE_MS +
+			  nd_get_turn(node->settings->address, TURNS_MS);
+	return get_now_ms(node) < relay->start_ms + wait_ms;
+}
+
+/*
+ * Returns the node (borrowed) to take the configuration from, or NULL. Without
+ * a configuration only a watcher is asked: the others have none either.
+ */
+static const struct mem_member *choose_source(struct nd_node *node)
+{
 	const struct mem_member *members;
 	const struct mem_member *watcher;
 	size_t count;
 
-	if (!is_new && is_own_watcher(node))
+	if (!is_new(node) && is_own_watcher(node))
 		return NULL;
 	count = mem_list_members(node->members, &members);
 	watcher = nd_choose_watcher(members, count, node->settings->address,
 				    is_excluded, node);
-	return watcher || !is_new ? watcher : find_live_member(node);
+	if (watcher || !is_new(node) || !has_configuration(node))
+		return watcher;
+	return find_live_member(node);
 }
 
 /* Polls a watcher, or follows the store when there is none. */
@@ -352,7 +392,8 @@
 		return;
 	source = choose_source(node);
 	if (!source) {
-		follow_store(node, true);
+		if (!is_new(node) || is_alone(node))
+			follow_store(node, true);
 		return;
 	}
 	peer = format_peer(node, source);
--- a/src/node/tests/test_watchers.c
+++ b/src/node/tests/test_watchers.c
@@ -112,6 +112,35 @@
 	g_tree_destroy(counts);
 }
 
+/*
+ * Prints how many members of a failure domain have their turn in each fifth of
+ * the time, and whether all of its watchers come before the other members.
+ */
+static void print_turns(struct state *state, char **words, GString *output)
+{
+	uint32_t max_ms = (uint32_t)atoi(words[2]);
+	uint32_t last_watcher_ms = 0;
+	uint32_t first_other_ms = max_ms;
+	uint32_t fifths[5] = { 0 };
+
+	for (size_t i = 0; i < state->count; i++) {
+		const struct mem_announcement *self = &state->members[i].self;
+		uint32_t turn_ms = nd_get_turn(self->address, max_ms);
+
+		if (strcmp(self->failure_domain, words[1]) != 0)
+			continue;
+		fifths[turn_ms * 5 / max_ms]++;
+		if (nd_is_watcher(state->members, state->count, self->address))
+			last_watcher_ms = MAX(last_watcher_ms, turn_ms);
+		else
+			first_other_ms = MIN(first_other_ms, turn_ms);
+	}
+	g_string_append_printf(
+		output, "%u %u %u %u %u, watchers %s\n", fifths[0], fifths[1],
+		fifths[2], fifths[3], fifths[4],
+		last_watcher_ms < first_other_ms ? "first" : "not first");
+}
+
 static bool run_step(int word_count, char **words, GString *output, void *data)
 {
 	struct state *state = data;
@@ -126,6 +155,8 @@
 			choose(state, words[1], word_count, words));
 	else if (strcmp(words[0], "spread") == 0)
 		print_spread(state, words, output);
+	else if (strcmp(words[0], "turns") == 0)
+		print_turns(state, words, output);
 	else
 		return false;
 	return true;
--- a/src/node/watchers.c
+++ b/src/node/watchers.c
@@ -112,6 +112,11 @@
 				    hash_address(address));
 }
 
+uint32_t nd_get_turn(const char *address, uint32_t max_ms)
+{
+	return (uint32_t)((hash_address(address) >> 32) * max_ms >> 32);
+}
+
 bool nd_is_watcher(const struct mem_member *members, size_t count,
 		   const char *address)
 {
--- a/src/node/watchers.h
+++ b/src/node/watchers.h
@@ -28,4 +28,11 @@
 					   nd_excluded_fn is_excluded,
 					   void *data);
 
+/*
+ * Returns a delay below max_ms after which a node follows the store when many
+ * start at once. Among nodes of the same capacity, those that rank first as
+ * watchers have the shortest delays.
+ */
+uint32_t nd_get_turn(const char *address, uint32_t max_ms);
+
 #endif
