Elect one watcher for 64 nodes of a failure domain

Cause: each watcher costs the store three lists and three watches, and a list each 0.8 s while configurations come quickly. The large site, with 39 nodes in each failure domain, had ten.

Change: a second watcher from 65 nodes on. Five remain there, above the least number of four.

--- a/src/node/watchers.c
+++ b/src/node/watchers.c
@@ -20,7 +20,7 @@
  */
 #define WATCHERS_MIN 4U
 /* Keeps the load of the polls that a watcher serves below 1 % of a core. */
-#define NODES_PER_WATCHER 32U
+#define NODES_PER_WATCHER 64U
 
 static uint64_t hash_address(const char *address)
 {
