--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -235,15 +235,16 @@
 			     struct comparison *sums)
 {
 	const struct mv_counts *old = &counts->old;
+	double rate;
 
 	if (old->calls < OLD_CALLS_MIN && old->failed < OLD_FAILED_MIN)
 		old = all_old;
+	rate = get_old_rate(old->calls, old->failed, FAILED_RATE_MIN);
 	sums->new_calls += counts->new.calls;
 	sums->new_bad += counts->new.failed;
 	sums->old_calls += counts->old.calls;
 	sums->old_bad += counts->old.failed;
-	sums->expected_bad += counts->new.calls *get_old_rate(
-		old->calls, old->failed, FAILED_RATE_MIN);
+	sums->expected_bad += rate * counts->new.calls;
 }
 
 static void compare_latency(const struct step_counts *counts,
@@ -252,6 +253,7 @@
 	uint32_t first = get_slow_bucket(&counts->old);
 	uint32_t new_bad;
 	uint32_t old_bad;
+	double rate;
 
 	if (sum_from(counts->old.latency, 0) < OLD_CALLS_MIN ||
 	    first >= MV_LATENCY_BUCKETS)
@@ -259,12 +261,12 @@
 	/* A failed call may have missed its deadline, so it counts as slow. */
 	new_bad = sum_from(counts->new.latency, first) + counts->new.failed;
 	old_bad = sum_from(counts->old.latency, first) + counts->old.failed;
+	rate = get_old_rate(counts->old.calls, old_bad, SLOW_RATE_MIN);
 	sums->new_calls += counts->new.calls;
 	sums->new_bad += new_bad;
 	sums->old_calls += counts->old.calls;
 	sums->old_bad += old_bad;
-	sums->expected_bad += counts->new.calls *get_old_rate(
-		counts->old.calls, old_bad, SLOW_RATE_MIN);
+	sums->expected_bad += rate * counts->new.calls;
 }
 
 /* Sums up the calls of the steps from first to last. */
@@ -493,15 +495,17 @@
 			     PROBE_CALLS - sum_calls(ramp).new.calls, left_ms);
 }
 
-/* Returns whether the new version has had as many calls as a probe may take. */
+/* Returns whether the new version has had its part of the calls for now. */
 static bool is_exposed(const struct mv_ramp *ramp)
 {
 	struct step_counts sums = sum_calls(ramp);
-	uint32_t new_calls = sums.new.calls + sums.new.cold + sums.new.lost;
-	uint32_t old_calls = sums.old.calls + sums.old.cold + sums.old.lost;
+	uint64_t new_calls =
+		(uint64_t)sums.new.calls + sums.new.cold + sums.new.lost;
+	uint64_t old_calls =
+		(uint64_t)sums.old.calls + sums.old.cold + sums.old.lost;
 
-	return new_calls * 1000ULL >
-	       (new_calls + old_calls) * (uint64_t)HOLD_EXPOSURE_PERMILLE;
+	return new_calls * 1000 >
+	       (new_calls + old_calls) * HOLD_EXPOSURE_PERMILLE;
 }
 
 struct mv_ramp *mv_new_ramp(TALLOC_CTX *ctx, const char *to, uint32_t limit_ms,
