Cut no call that is accepted at the end of a drain

A draining node ends when it is idle; a request that a traffic thread read between the control thread's look at the count and its order to stop was passed on and cut.

Change: an idle node first makes its threads refuse new calls, and looks at the count once all of them do.

--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -137,6 +137,12 @@
 /* Refuses new calls of callers from now on; running calls continue. */
 void tr_refuse_callers(struct tr_service *service);
 
+/*
+ * Returns whether all threads refuse new calls of callers. A call that a thread
+ * accepted before is then part of tr_get_call_count().
+ */
+bool tr_are_callers_refused(const struct tr_service *service);
+
 /* Returns the number of calls in progress in all threads. */
 uint32_t tr_get_call_count(const struct tr_service *service);
 
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -1,9 +1,10 @@
 /*
  * Graceful shutdown. On SIGTERM or SIGINT the node announces to its peers that
  * it is leaving, accepts no new work for its target, and answers with
- * "Connection: close". It ends when no call is in progress and drain_linger_ms
- * have passed. After drain_refuse_ms it refuses the calls of callers that
- * still arrive, because these could be cut at the limit. A second signal, or
+ * "Connection: close". When drain_linger_ms have passed and no call is in
+ * progress, it refuses the calls that still arrive and ends; a call that a
+ * thread accepted just before is finished first. After drain_refuse_ms it
+ * refuses them too, because they could be cut at the limit. A second signal, or
  * shutdown_limit_ms, ends it at once; the number of calls cut is logged.
  */
 #include <signal.h>
@@ -31,15 +32,18 @@
 	struct nd_node *node = data;
 	uint64_t elapsed_ms =
 		tmr_get_now_ms(node->timers) - node->drain_start_ms;
-	bool is_idle = tr_get_call_count(node->traffic) == 0;
 	bool has_lingered = elapsed_ms >= node->settings->drain_linger_ms;
+	/* In this order: what is accepted until then is counted. */
+	bool is_refusing = tr_are_callers_refused(node->traffic);
+	bool is_idle = tr_get_call_count(node->traffic) == 0;
 
 	if (!node->is_refusing &&
-	    elapsed_ms >= node->settings->drain_refuse_ms) {
+	    ((is_idle && has_lingered) ||
+	     elapsed_ms >= node->settings->drain_refuse_ms)) {
 		node->is_refusing = true;
 		tr_refuse_callers(node->traffic);
 	}
-	if ((is_idle && has_lingered) ||
+	if ((is_refusing && is_idle && has_lingered) ||
 	    elapsed_ms >= node->settings->shutdown_limit_ms)
 		end_node(node);
 }
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -235,6 +235,15 @@
 	send_to_all_threads(service, TR_COMMAND_REFUSE_CALLERS);
 }
 
+bool tr_are_callers_refused(const struct tr_service *service)
+{
+	for (uint32_t i = 0; i < service->options.thread_count; i++) {
+		if (!service->threads[i].is_refusing)
+			return false;
+	}
+	return true;
+}
+
 uint32_t tr_get_call_count(const struct tr_service *service)
 {
 	uint32_t count = 0;
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -11,7 +11,6 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
-#include <unistd.h>
 #include "call.h"
 #include "call_log.h"
 #include "loom/error.h"
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -99,7 +99,7 @@
 	char *target_instance;
 	char *target_url;
 	struct mbx_mailbox *commands; /* of struct tr_command */
-	bool is_refusing;	      /* new calls of callers are refused */
+	_Atomic bool is_refusing;     /* new calls of callers are refused */
 	bool is_stopped;
 	uint64_t random_state;
 	GHashTable *samples; /* samples of the current slot; see samples.c */
