--- a/src/moves/counts.c
+++ b/src/moves/counts.c
@@ -24,7 +24,8 @@
 		const json_t *item = json_array_get(value, i);
 		json_int_t number = json_integer_value(item);
 
-		if (!json_is_integer(item) || number < 0 || number > MV_COUNT_MAX)
+		if (!json_is_integer(item) || number < 0 ||
+		    number > MV_COUNT_MAX)
 			return false;
 		if (i == 0)
 			counts->calls = (uint32_t)number;
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -120,14 +120,13 @@
 	struct state state = { .now_ms = 1000000 };
 	int64_t begun_us = g_get_monotonic_time();
 
-	state.ramp = mv_new_ramp(NULL, "v2", 14000, MV_RAMP_ALL_CALLS,
-				 state.now_ms);
+	state.ramp =
+		mv_new_ramp(NULL, "v2", 14000, MV_RAMP_ALL_CALLS, state.now_ms);
 	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
 		json_t *value = mv_format_counts(&counts);
 
 		json_array_set_new(value, 0, json_integer(numbers[i]));
-		json_array_set_new(value, 1,
-				   json_integer(numbers[i] / 10 * 9));
+		json_array_set_new(value, 1, json_integer(numbers[i] / 10 * 9));
 		CU_ASSERT_EQUAL(mv_parse_counts(value, &counts),
 				numbers[i] <= MV_COUNT_MAX);
 		json_decref(value);
