Check syntax and framing of answers before they are used

Cause: the node relayed what libcurl made of an answer. libcurl is lenient: it takes the last of two lengths, the digits before the first other character of a length or a chunk size, and a head that ends after its status line for whole. For chunks beside a Content-Length it hands over the whole body, but the node relayed the length and cut the body there.

What fails is a 502, or is broken off when a part was relayed. An answer ends well only when its head and body are whole by these checks. What an interim head said no longer counts for the final one. Bytes behind the last chunk end the connection. loom_malformed_answers_total and a log line of the step "read answer" tell what was dropped.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -10,12 +10,13 @@
 #include <string.h>
 #include <strings.h>
 #include "call.h"
+#include "call_log.h"
 
 #define ANSWER_HEADER_BYTES_MAX 65536U
 
 void tr_open_answer(struct tr_answer *answer)
 {
-	*answer = (struct tr_answer){ .content_length = -1 };
+	*answer = (struct tr_answer){ 0 };
 	answer->headers = g_ptr_array_new_with_free_func(g_free);
 	tr_open_buffer(&answer->body, false);
 }
@@ -38,14 +39,36 @@
 	tr_open_answer(answer);
 }
 
-static void begin_answer_head(struct tr_answer *answer, const char *line)
+/* What an interim answer said does not count for the final one. */
+static void clear_answer_head(struct tr_answer *answer)
 {
-	const char *status = strchr(line, ' ');
-
 	g_ptr_array_set_size(answer->headers, 0);
-	answer->content_length = -1;
-	answer->status =
-		status ? (uint32_t)g_ascii_strtoull(status + 1, NULL, 10) : 0;
+	g_free(answer->connection);
+	answer->connection = NULL;
+	g_free(answer->refused);
+	answer->refused = NULL;
+	answer->has_load = false;
+	answer->spent_us = 0;
+	answer->run_us = 0;
+	answer->is_not_run = false;
+	answer->is_unsent = false;
+	answer->has_stamp = false;
+	answer->has_id = false;
+	answer->is_foreign = false;
+}
+
+/* Returns false when the status line is malformed. */
+static bool begin_answer_head(struct tr_answer *answer, const char *line,
+			      size_t size)
+{
+	bool is_http10;
+
+	clear_answer_head(answer);
+	if (!tr_parse_status_line(line, size, &answer->status, &is_http10))
+		return false;
+	tr_open_framing(&answer->framing, is_http10);
+	answer->is_head_begun = true;
+	return true;
 }
 
 static void read_internal_header(struct tr_answer *answer, const char *name,
@@ -92,7 +115,8 @@
 		answer->has_stamp = true;
 	} else if (is_same_name(name, names->request_id)) {
 		id = hx_get_header(call->exchange, names->request_id);
-		answer->is_foreign = id && strcmp(id, value) != 0;
+		if (id && strcmp(id, value) != 0)
+			answer->is_foreign = true;
 		answer->has_id = true;
 	}
 }
@@ -104,8 +128,6 @@
 
 	if (is_from_target(call))
 		read_target_header(call, name, value);
-	if (strcasecmp(name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
-		answer->content_length = g_ascii_strtoll(value, NULL, 10);
 	if (strcasecmp(name, MHD_HTTP_HEADER_CONNECTION) == 0) {
 		g_free(answer->connection);
 		answer->connection = g_strdup(value);
@@ -118,14 +140,25 @@
 	g_ptr_array_add(answer->headers, g_strdup(value));
 }
 
-static void read_header_line(struct tr_call *call, char *line)
+/* Records a malformed answer. Returns false, for the caller to return. */
+static bool reject_answer(struct tr_call *call, const char *reason)
 {
-	char *colon = strchr(line, ':');
+	cnt_add(call->thread->service->counters.malformed[call->role], 1);
+	tr_log_call(call, "read answer", reason);
+	return false;
+}
 
-	if (!colon)
-		return;
-	*colon = '\0';
-	read_header(call, g_strstrip(line), g_strstrip(colon + 1));
+static bool read_header_line(struct tr_call *call, char *line, size_t size)
+{
+	char *name;
+	char *value;
+
+	if (!tr_split_header_line(line, size, &name, &value))
+		return reject_answer(call, "malformed header");
+	if (!tr_add_framing_header(&call->answer.framing, name, value))
+		return reject_answer(call, "invalid or contradictory framing");
+	read_header(call, name, value);
+	return true;
 }
 
 static bool is_not_run_allowed(uint32_t status)
@@ -178,6 +211,12 @@
 	return answer->has_stamp && (answer->has_id || !has_request_id(call));
 }
 
+/* Returns -1 when the head does not tell: chunks count, not a length. */
+static int64_t get_body_length(const struct tr_answer *answer)
+{
+	return answer->framing.is_chunked ? -1 : answer->framing.content_length;
+}
+
 /*
  * Returns whether the answer is buffered until it is whole. If it breaks off,
  * the call can still be retried, and head and body are sent to the caller
@@ -186,7 +225,7 @@
  */
 static bool should_buffer_whole(const struct tr_call *call)
 {
-	return call->answer.content_length <=
+	return get_body_length(&call->answer) <=
 	       (int64_t)TR_BUFFERED_ANSWER_BYTES_MAX;
 }
 
@@ -196,16 +235,20 @@
 }
 
 /*
- * Handles the end of the answer's head. Returns false when the answer belongs
- * to another request; the transfer then fails.
+ * Handles the end of the answer's head. Returns false when the answer must not
+ * be used; the transfer then fails.
  */
 static bool end_answer_head(struct tr_call *call)
 {
 	struct tr_answer *answer = &call->answer;
 
+	if (answer->status == MHD_HTTP_SWITCHING_PROTOCOLS)
+		return reject_answer(call, "unrequested change of protocol");
 	/* An interim answer (such as 100 Continue) precedes the final one. */
-	if (answer->status < 200)
+	if (answer->status < 200) {
+		answer->is_head_begun = false;
 		return true;
+	}
 	answer->head_us = tr_get_now_us();
 	if (is_from_target(call)) {
 		discard_untrusted_headers(answer);
@@ -225,13 +268,36 @@
 	return true;
 }
 
+static bool read_head_line(struct tr_call *call, char *line, size_t size)
+{
+	struct tr_answer *answer = &call->answer;
+
+	if (!answer->is_head_begun)
+		return begin_answer_head(answer, line, size) ||
+		       reject_answer(call, "malformed status line");
+	if (size == 0)
+		return end_answer_head(call);
+	return read_header_line(call, line, size);
+}
+
+/* Returns the size of a line without its line end. */
+static size_t get_text_size(const char *line, size_t size)
+{
+	if (size > 0 && line[size - 1] == '\n')
+		size--;
+	if (size > 0 && line[size - 1] == '\r')
+		size--;
+	return size;
+}
+
 size_t tr_receive_answer_header(char *line, size_t size, size_t count,
 				void *data)
 {
 	struct tr_call *call = data;
 	struct tr_answer *answer = &call->answer;
 	size_t length = size * count;
-	bool is_usable = true;
+	size_t text_size = get_text_size(line, length);
+	bool is_usable;
 	char *text;
 
 	answer->header_bytes += length;
@@ -240,13 +306,8 @@
 	/* Trailers follow the body and are not relayed. */
 	if (answer->head_us)
 		return length;
-	text = g_strstrip(g_strndup(line, length));
-	if (g_str_has_prefix(text, "HTTP/"))
-		begin_answer_head(answer, text);
-	else if (*text == '\0')
-		is_usable = end_answer_head(call);
-	else
-		read_header_line(call, text);
+	text = g_strndup(line, text_size);
+	is_usable = read_head_line(call, text, text_size);
 	g_free(text);
 	return is_usable ? length : 0;
 }
@@ -261,29 +322,89 @@
 					 : TR_STREAM_BYTES_MAX;
 }
 
-size_t tr_receive_answer_body(char *part, size_t size, size_t count, void *data)
+static void receive_content(struct tr_call *call, const char *part, size_t size)
 {
-	struct tr_call *call = data;
 	struct tr_answer *answer = &call->answer;
 
+	answer->body_bytes += size;
+	if (call->stage == TR_STAGE_RELAYING) {
+		hx_add_answer_body(call->exchange, part, size);
+		return;
+	}
 	/* The body of a refusal that is not relayed is dropped. */
-	if (call->stage != TR_STAGE_RELAYING && tr_is_refused(answer))
-		return size * count;
-	answer->body_bytes += size * count;
-	if (call->stage != TR_STAGE_RELAYING) {
-		tr_append_buffer(&answer->body, part, size * count, 0);
-		if (tr_get_buffer_size(&answer->body) >
-		    TR_BUFFERED_ANSWER_BYTES_MAX)
-			tr_relay_answer(call);
-		return size * count;
+	if (tr_is_refused(answer))
+		return;
+	tr_append_buffer(&answer->body, part, size, 0);
+	if (tr_get_buffer_size(&answer->body) > TR_BUFFERED_ANSWER_BYTES_MAX)
+		tr_relay_answer(call);
+}
+
+static bool receive_chunks(struct tr_call *call, const char *bytes, size_t size)
+{
+	struct tr_chunks *chunks = &call->answer.chunks;
+	const char *part = NULL;
+	size_t part_size;
+	size_t taken;
+
+	while (size > 0 && chunks->state != TR_CHUNK_END) {
+		taken = tr_decode_chunks(chunks, bytes, size, &part,
+					 &part_size);
+		if (part_size > 0)
+			receive_content(call, part, part_size);
+		if (chunks->state == TR_CHUNK_MALFORMED)
+			return reject_answer(call, "malformed chunk");
+		bytes += taken;
+		size -= taken;
 	}
-	if (hx_get_unsent_size(call->exchange) >= get_unsent_max(call)) {
+	/* More may follow, which belongs to no request. */
+	if (size > 0)
+		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	return true;
+}
+
+size_t tr_receive_answer_body(char *part, size_t size, size_t count, void *data)
+{
+	struct tr_call *call = data;
+	struct tr_answer *answer = &call->answer;
+	size_t length = size * count;
+
+	if (call->stage == TR_STAGE_RELAYING &&
+	    hx_get_unsent_size(call->exchange) >= get_unsent_max(call)) {
 		answer->is_paused = true;
-		answer->body_bytes -= size * count;
 		return CURL_WRITEFUNC_PAUSE;
 	}
-	hx_add_answer_body(call->exchange, part, size * count);
-	return size * count;
+	if (answer->framing.is_chunked)
+		return receive_chunks(call, part, length) ? length : 0;
+	receive_content(call, part, length);
+	return length;
+}
+
+static bool has_no_body(const struct tr_call *call)
+{
+	uint32_t status = call->answer.status;
+
+	return strcmp(call->method, MHD_HTTP_METHOD_HEAD) == 0 ||
+	       status == MHD_HTTP_NO_CONTENT || status == MHD_HTTP_NOT_MODIFIED;
+}
+
+CURLcode tr_check_answer_end(const struct tr_call *call, CURLcode code)
+{
+	const struct tr_answer *answer = &call->answer;
+	int64_t length = get_body_length(answer);
+	bool is_whole = true;
+
+	if (code != CURLE_OK)
+		return code;
+	/* curl takes a head that breaks off after its status line for whole. */
+	if (!answer->head_us)
+		is_whole = false;
+	else if (has_no_body(call))
+		is_whole = true;
+	else if (answer->framing.is_chunked)
+		is_whole = answer->chunks.state == TR_CHUNK_END;
+	else if (length >= 0)
+		is_whole = answer->body_bytes == (uint64_t)length;
+	return is_whole ? CURLE_OK : CURLE_PARTIAL_FILE;
 }
 
 void tr_continue_answer(struct tr_call *call)
@@ -317,7 +438,7 @@
 {
 	if (call->answer.is_whole)
 		return (int64_t)tr_get_buffer_size(&call->answer.body);
-	return call->answer.content_length;
+	return get_body_length(&call->answer);
 }
 
 void tr_relay_answer(struct tr_call *call)
@@ -342,7 +463,7 @@
 	if (!answer->head_us || tr_is_refused(answer))
 		return;
 	/* The answer to HEAD has a Content-Length but no body. */
-	answer->is_whole = strcmp(call->method, MHD_HTTP_METHOD_HEAD) != 0;
+	answer->is_whole = !has_no_body(call);
 	tr_relay_answer(call);
 }
 
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -58,6 +58,7 @@
 	assert(call->easy == easy);
 	tr_return_handle(call->thread, easy);
 	call->easy = NULL;
+	code = tr_check_answer_end(call, code);
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
 		if (call->is_local)
@@ -116,6 +117,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION,
 			 tr_receive_answer_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	/* Chunks are decoded by tr_receive_answer_body(). */
+	curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, tr_receive_answer_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, prevent_resend);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -9,6 +9,7 @@
 #define TR_CALL_H
 
 #include "buffer.h"
+#include "framing.h"
 #include "headers.h"
 #include "thread.h"
 
@@ -33,7 +34,9 @@
 	GPtrArray *headers; /* names and values, alternating; owned */
 	char *connection;   /* value of its Connection header, or NULL */
 	size_t header_bytes;
-	int64_t content_length; /* -1: unknown */
+	bool is_head_begun; /* the status line was read */
+	struct tr_framing framing;
+	struct tr_chunks chunks;
 	struct rt_load load;
 	bool has_load;
 	uint64_t spent_us; /* time that the call took on the target's node */
@@ -167,6 +170,11 @@
 				void *data);
 size_t tr_receive_answer_body(char *part, size_t size, size_t count,
 			      void *data);
+/*
+ * Returns the code with which the transfer counts as ended: an error when curl
+ * takes an answer for complete whose head or body is not.
+ */
+CURLcode tr_check_answer_end(const struct tr_call *call, CURLcode code);
 /* Starts the relay of an answer whose head is complete. */
 void tr_relay_answer(struct tr_call *call);
 /* Relays a complete, buffered answer, unless it is a refusal. */
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -41,6 +41,9 @@
 	open_counter_pair(registry, counters->broken,
 			  "loom_broken_answers_total",
 			  "Answers that broke off.");
+	open_counter_pair(registry, counters->malformed,
+			  "loom_malformed_answers_total",
+			  "Answers dropped for their syntax or framing.");
 	open_counter_pair(registry, counters->cancelled, "loom_cancelled_total",
 			  "Calls whose caller hung up.");
 	counters->durations[TR_ROLE_ENTRY] = cnt_get_histogram(
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -16,6 +16,7 @@
 
 #define READ_BYTES 65536
 #define FLOOD_BYTES 65536 /* kept ready to be written */
+#define LONG_BYTES 61440  /* 0xf000; longer than a node buffers */
 
 struct raw_target {
 	struct tevent_context *events;
@@ -26,6 +27,8 @@
 	uint32_t peak_count;
 	uint32_t disconnect_count;
 	uint32_t reset_count;
+	char *reply; /* bytes of the answer to "/reply"; NULL: none */
+	bool is_reply_last;
 };
 
 /* What a connection sends without end, until it is closed. */
@@ -70,6 +73,7 @@
 {
 	while (target->connections.head)
 		talloc_free(target->connections.head->data);
+	g_free(target->reply);
 	return 0;
 }
 
@@ -238,11 +242,46 @@
 	return true;
 }
 
+/* Replaces each occurrence of from in text (stolen); returns new text. */
+static char *replace_all(char *text, const char *from, const char *to)
+{
+	char **parts = g_strsplit(text, from, -1);
+	char *replaced = g_strjoinv(to, parts);
+
+	g_strfreev(parts);
+	g_free(text);
+	return replaced;
+}
+
+static bool answer_reply(struct raw_connection *connection, const char *head,
+			 const char *path)
+{
+	char *id;
+	char *filler;
+	char *bytes;
+
+	if (!g_str_has_prefix(path, "/reply"))
+		return false;
+	id = get_header(head, "Loom-Request-Id");
+	filler = g_strnfill(LONG_BYTES, 'b');
+	bytes = replace_all(g_strdup(connection->target->reply), "@",
+			    id ? id : "");
+	bytes = replace_all(bytes, "#", filler);
+	end_request(connection);
+	g_string_append(connection->output, bytes);
+	connection->is_closing = connection->target->is_reply_last;
+	g_free(bytes);
+	g_free(filler);
+	g_free(id);
+	return true;
+}
+
 static void answer_path(struct raw_connection *connection, const char *head,
 			const char *path, size_t body_size)
 {
 	if (answer_flood(connection, path) ||
-	    answer_again(connection, head, path))
+	    answer_again(connection, head, path) ||
+	    answer_reply(connection, head, path))
 		return;
 	if (g_str_has_prefix(path, "/close") &&
 	    !g_str_has_prefix(path, "/closing"))
@@ -435,6 +474,13 @@
 	}
 }
 
+void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last)
+{
+	g_free(target->reply);
+	target->reply = g_strdup(bytes);
+	target->is_reply_last = is_last;
+}
+
 uint32_t raw_get_reset_count(const struct raw_target *target)
 {
 	return target->reset_count;
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -16,6 +16,7 @@
  *   /closing   200, then closes the connection without "Connection: close"
  *   /twice     200 with the request's id, two times in a row
  *   /again     the same, the second copy by raw_answer_held_requests()
+ *   /reply     the bytes of raw_set_reply()
  *   /flood/headers, /flood/line, /flood/chunk, /flood/garbage and
  *   /never/flood/body  bytes without end until the connection is closed
  */
@@ -37,6 +38,12 @@
 /* Answers all waiting calls to /held. */
 void raw_answer_held_requests(struct raw_target *target);
 
+/*
+ * Sets the answer to /reply; "@" stands for the request's id and "#" for 61440
+ * bytes. is_last: the target then closes the connection.
+ */
+void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last);
+
 /* Returns the number of connections that ended with a TCP reset. */
 uint32_t raw_get_reset_count(const struct raw_target *target);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -8,7 +8,7 @@
 #include "mesh.h"
 #include "script.h"
 
-#define CALLS_MAX 64
+#define CALLS_MAX 128
 #define ANSWER_BYTES_MAX (16U * 1024U * 1024U)
 #define PRINTED_BYTES_MAX 120U
 #define CALL_TIMEOUT_MS 25000U
@@ -172,6 +172,14 @@
 		wait->node = mesh_get_node(state->mesh, name);
 }
 
+static void set_reply(struct mesh_node *node, const char *escaped, bool is_last)
+{
+	char *bytes = g_strcompress(escaped);
+
+	raw_set_reply(node->target, bytes, is_last);
+	g_free(bytes);
+}
+
 /* Runs the steps that change the mesh. */
 static bool run_mesh_step(struct state *state, int count, char **words)
 {
@@ -213,6 +221,9 @@
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "release") == 0) {
 		raw_answer_held_requests(mesh_get_node(mesh, words[1])->target);
+	} else if (strcmp(words[0], "reply") == 0) {
+		set_reply(mesh_get_node(mesh, words[1]), words[2],
+			  count > 3 && strcmp(words[3], "close") == 0);
 	} else {
 		return false;
 	}
@@ -387,6 +398,11 @@
 	run_script("broken_answers");
 }
 
+static void test_malformed_answers(void)
+{
+	run_script("malformed_answers");
+}
+
 static void test_retry_budget(void)
 {
 	run_script("retry_budget");
@@ -472,6 +488,7 @@
 	{ "slow_hop_upload", test_slow_hop_upload },
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
+	{ "malformed answers", test_malformed_answers },
 	{ "retry budget", test_retry_budget },
 	{ "given up", test_given_up },
 	{ "admission", test_admission },
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -38,6 +38,7 @@
 	struct cnt_histogram *durations[2];
 	struct cnt_counter *refusals[2];
 	struct cnt_counter *broken[2];
+	struct cnt_counter *malformed[2];
 	struct cnt_counter *cancelled[2];
 	struct cnt_counter *local_calls;
 	struct cnt_counter *retries;
