Reset a connection whose answer of unknown length breaks off

What callers saw: an HTTP/1.0 caller takes a part of a body for all of it when the target breaks off.

Cause: an answer without length or chunks ends with its connection, and the connection was closed in the same way for a whole and a broken answer.

Change: hx_close_connection() resets the connection while such an answer is not whole or not sent. The test prints 1 reset for the broken answer now, and 0 for the whole one.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -53,10 +53,31 @@
 	hx_schedule_advance(connection->server);
 }
 
+/* Returns whether an orderly close would make a partial answer look whole. */
+static bool must_reset(const struct hx_connection *connection)
+{
+	const GList *link = connection->exchanges.head;
+	const struct hx_exchange *first = link ? link->data : NULL;
+
+	return first && first->status != 0 &&
+	       first->framing == HX_FRAMING_UNTIL_CLOSE &&
+	       (!first->is_ended || first->is_aborted ||
+		hx_get_unsent_size(first) > 0);
+}
+
+static void reset_on_close(int socket)
+{
+	static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 void hx_close_connection(struct hx_connection *connection)
 {
 	if (connection->socket < 0)
 		return;
+	if (must_reset(connection))
+		reset_on_close(connection->socket);
 	close(connection->socket);
 	connection->socket = -1;
 	hx_mark_dirty(connection);
--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -37,6 +37,7 @@
 	if (count < 0 && errno == EAGAIN)
 		return;
 	caller->is_closed = true;
+	caller->is_reset = count < 0;
 	TALLOC_FREE(caller->fde);
 }
 
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -15,6 +15,7 @@
 	struct tevent_fd *fde;
 	GString *input; /* everything received so far */
 	bool is_closed; /* the peer closed the connection */
+	bool is_reset;	/* by a TCP reset */
 	bool is_reading;
 };
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -127,6 +127,8 @@
 		return raw_count_answers(caller);
 	if (strcmp(quantity, "closed") == 0)
 		return caller->is_closed;
+	if (strcmp(quantity, "resets") == 0)
+		return caller->is_reset;
 	g_error("a caller has no %s", quantity);
 }
 
