Keep the departure of a target in the store

Cause: that an instance has left was known to one process only. After a kill, the new process took the first heartbeat, which was older than the departure, for the state of the server. A deregistration that came before the first heartbeat was acknowledged and not recorded.

Evidence: the log of the node has "target announced", phase serving, at the late heartbeat, after the restart; no other node reaches the server but through this gate.

Change: the departure is written to the store before it is acknowledged, at the latest after 0.6 s, and read at the start before a heartbeat is accepted. While the store does not answer a new process, it accepts a target after a further heartbeat.

Costs one read a start and one write a departure.

--- /dev/null
+++ b/src/node/departures.c
@@ -0,0 +1,290 @@
+/*
+ * Departures of the local target, which outlive the process.
+ *
+ * The newest instance that has announced that it leaves is kept in the store,
+ * and its announcement is acknowledged when the store has it, or after
+ * ACKNOWLEDGE_MS_MAX. A node that has started reads it before it accepts a
+ * target: a heartbeat that was sent before the departure may arrive at a
+ * process that was started after it.
+ *
+ * Invariants: is_busy is true exactly while a call to the store is in progress
+ * or due. held is set only while is_known is false. is_stored concerns the
+ * instance in nd_node. waiters is empty unless a departure is to be stored.
+ */
+#include <string.h>
+#include "internal.h"
+#include "loom/error.h"
+#include "loom/log.h"
+
+#define KEY_PREFIX "loom-departures/"
+/* Heartbeats have to be acknowledged within a second. */
+#define ACKNOWLEDGE_MS_MAX 600U
+#define RETRY_MS 1000U
+/*
+ * When the store does not answer for this time, a target counts as running if
+ * it has sent a further heartbeat since.
+ */
+#define READ_MS_MAX 1000U
+
+struct waiter {
+	struct nd_node *node;
+	nd_acknowledge_fn fn;
+	void *data;
+	struct tmr_subscription *timer;
+	GList link;
+};
+
+static void read_departure(struct nd_node *node);
+
+static char *make_key(TALLOC_CTX *ctx, const struct nd_node *node)
+{
+	return talloc_asprintf(ctx, KEY_PREFIX "%s", node->settings->address);
+}
+
+static int destroy_waiter(struct waiter *waiter)
+{
+	g_queue_unlink(&waiter->node->departures.waiters, &waiter->link);
+	return 0;
+}
+
+static void acknowledge(struct waiter *waiter)
+{
+	waiter->fn(waiter->data);
+	talloc_free(waiter);
+}
+
+static void handle_wait_timeout(uint64_t due_ms, void *data)
+{
+	struct waiter *waiter = data;
+
+	waiter->timer = NULL;
+	log_write(LOG_LEVEL_WARNING, "node", "store departure",
+		  waiter->node->instance.id,
+		  "departure is acknowledged before the store has it", LOG_END);
+	acknowledge(waiter);
+}
+
+static void acknowledge_all(struct nd_node *node)
+{
+	while (node->departures.waiters.head)
+		acknowledge(node->departures.waiters.head->data);
+}
+
+static void handle_retry(uint64_t due_ms, void *data)
+{
+	read_departure(data);
+}
+
+/* What the store has is not known after a failure, so it is read again. */
+static void retry_later(struct nd_node *node, const GError *error)
+{
+	log_write_error(LOG_LEVEL_WARNING, "node", error);
+	node->departures.is_busy = true;
+	tmr_subscribe_once(node, node->timers, RETRY_MS, handle_retry, node);
+}
+
+static void handle_written(const struct plat_result *result, void *data)
+{
+	struct nd_node *node = data;
+	struct nd_departures *departures = &node->departures;
+
+	departures->is_busy = false;
+	if (result->error &&
+	    g_error_matches(result->error, ERR_DOMAIN, ERR_CONFLICT)) {
+		read_departure(node);
+		return;
+	}
+	if (result->error) {
+		retry_later(node, result->error);
+		return;
+	}
+	departures->version = result->version;
+	/* Another instance may have followed meanwhile. */
+	if (departures->written_ms != node->instance.started_ms) {
+		nd_store_departure(node);
+		return;
+	}
+	departures->is_stored = true;
+	log_write(LOG_LEVEL_INFO, "node", "store departure", node->instance.id,
+		  "departure is stored", LOG_END);
+	acknowledge_all(node);
+}
+
+static void write_departure(struct nd_node *node)
+{
+	struct nd_departures *departures = &node->departures;
+	const struct nd_instance *left = &node->instance;
+	TALLOC_CTX *scratch = talloc_new(node);
+	json_t *value = json_pack(
+		"{s:s,s:I,s:s}", "instance", left->id, "started_ms",
+		(json_int_t)left->started_ms, "write_id",
+		plat_make_write_id(scratch, node->platform, left->id));
+
+	departures->is_busy = true;
+	departures->written_ms = left->started_ms;
+	plat_put_object(node, node->platform, make_key(scratch, node), value,
+			departures->version, handle_written, node);
+	json_decref(value);
+	talloc_free(scratch);
+}
+
+/* Takes over a departure that the store has, unless a later one is known. */
+static void apply_stored(struct nd_node *node, const char *id,
+			 uint64_t started_ms)
+{
+	struct nd_instance *known = &node->instance;
+
+	if (known->id && known->started_ms > started_ms)
+		return;
+	node->departures.is_stored = true;
+	if (known->id && known->is_leaving && known->started_ms == started_ms)
+		return;
+	log_write(LOG_LEVEL_INFO, "node", "read departure", id,
+		  "instance left before this start", LOG_END);
+	talloc_free(known->id);
+	*known = (struct nd_instance){
+		.id = talloc_strdup(node, id),
+		.started_ms = started_ms,
+		.is_leaving = true,
+	};
+	nd_drain_target(node);
+}
+
+static void read_stored(struct nd_node *node, const struct plat_object *object)
+{
+	const char *id =
+		json_string_value(json_object_get(object->value, "instance"));
+	json_int_t started_ms = json_integer_value(
+		json_object_get(object->value, "started_ms"));
+
+	node->departures.version = object->version;
+	if (id && started_ms > 0)
+		apply_stored(node, id, (uint64_t)started_ms);
+	else
+		log_write(LOG_LEVEL_WARNING, "node", "read departure",
+			  object->key, "departure is invalid", LOG_END);
+}
+
+static void set_known(struct nd_node *node)
+{
+	struct nd_departures *departures = &node->departures;
+	struct nd_heartbeat *held = departures->held;
+
+	departures->is_known = true;
+	departures->held = NULL;
+	if (held)
+		nd_handle_heartbeat(node, held);
+	talloc_free(held);
+}
+
+static void handle_read(const struct plat_result *result, void *data)
+{
+	struct nd_node *node = data;
+	struct nd_departures *departures = &node->departures;
+	bool is_absent =
+		g_error_matches(result->error, ERR_DOMAIN, ERR_NOT_FOUND);
+
+	departures->is_busy = false;
+	if (result->error && !is_absent) {
+		retry_later(node, result->error);
+		return;
+	}
+	departures->version = 0;
+	if (!is_absent && result->object_count > 0)
+		read_stored(node, &result->objects[0]);
+	if (!departures->is_known)
+		set_known(node);
+	if (departures->is_stored)
+		acknowledge_all(node);
+	else
+		nd_store_departure(node);
+}
+
+static void read_departure(struct nd_node *node)
+{
+	TALLOC_CTX *scratch = talloc_new(node);
+
+	node->departures.is_busy = true;
+	plat_get_object(node, node->platform, make_key(scratch, node),
+			handle_read, node);
+	talloc_free(scratch);
+}
+
+void nd_open_departures(struct nd_node *node)
+{
+	g_queue_init(&node->departures.waiters);
+	read_departure(node);
+}
+
+void nd_store_departure(struct nd_node *node)
+{
+	struct nd_departures *departures = &node->departures;
+
+	if (!node->instance.id || !node->instance.is_leaving)
+		return;
+	if (!departures->is_busy)
+		write_departure(node);
+}
+
+static void hold_heartbeat(struct nd_node *node,
+			   const struct nd_heartbeat *heartbeat)
+{
+	struct nd_heartbeat *held = talloc(node, struct nd_heartbeat);
+
+	talloc_free(node->departures.held);
+	*held = *heartbeat;
+	held->instance = talloc_strdup(held, heartbeat->instance);
+	held->service = talloc_strdup(held, heartbeat->service);
+	held->version = talloc_strdup(held, heartbeat->version);
+	held->address = talloc_strdup(held, heartbeat->address);
+	node->departures.held = held;
+}
+
+bool nd_hold_heartbeat(struct nd_node *node,
+		       const struct nd_heartbeat *heartbeat)
+{
+	struct nd_departures *departures = &node->departures;
+	const struct nd_heartbeat *held = departures->held;
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
+
+	if (departures->is_known || heartbeat->is_leaving)
+		return false;
+	if (!held || strcmp(held->instance, heartbeat->instance) != 0) {
+		departures->held_ms = now_ms;
+		hold_heartbeat(node, heartbeat);
+		return true;
+	}
+	if (heartbeat->sequence <= held->sequence)
+		return true;
+	if (now_ms < departures->held_ms + READ_MS_MAX) {
+		hold_heartbeat(node, heartbeat);
+		return true;
+	}
+	log_write(LOG_LEVEL_WARNING, "node", "read departure",
+		  heartbeat->instance,
+		  "heartbeat is accepted before the store has answered",
+		  LOG_END);
+	departures->is_known = true;
+	TALLOC_FREE(departures->held);
+	return false;
+}
+
+void nd_await_departure(struct nd_node *node, nd_acknowledge_fn fn, void *data)
+{
+	struct waiter *waiter;
+
+	if (!node->instance.is_leaving || node->departures.is_stored) {
+		fn(data);
+		return;
+	}
+	waiter = talloc_zero(node, struct waiter);
+	waiter->node = node;
+	waiter->fn = fn;
+	waiter->data = data;
+	waiter->link.data = waiter;
+	g_queue_push_tail_link(&node->departures.waiters, &waiter->link);
+	talloc_set_destructor(waiter, destroy_waiter);
+	waiter->timer =
+		tmr_subscribe_once(waiter, node->timers, ACKNOWLEDGE_MS_MAX,
+				   handle_wait_timeout, waiter);
+}
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -66,6 +66,7 @@
 	if (!nd_open_moves(node, error))
 		return false;
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
+	nd_open_departures(node);
 	return nd_open_relay(node, error);
 }
 
--- a/src/node/heartbeat.c
+++ b/src/node/heartbeat.c
@@ -4,8 +4,8 @@
  * Invariant: instance is the most recently started instance that sent a
  * heartbeat. Heartbeats of an instance that started earlier, and heartbeats
  * that the same instance sent earlier, are ignored. An instance that has
- * announced that it is leaving never returns, but one that starts later may
- * use the same id.
+ * announced that it is leaving never returns, also to a process that starts
+ * later (departures.c), but an instance that starts later may use the same id.
  */
 #include <string.h>
 #include "internal.h"
@@ -27,19 +27,25 @@
 	return known->id && heartbeat->started_ms < known->started_ms;
 }
 
-static void record_instance(struct nd_node *node,
-			    const struct nd_heartbeat *heartbeat)
+static void set_instance(struct nd_node *node, const char *id,
+			 uint64_t started_ms)
 {
 	struct nd_instance *known = &node->instance;
 
-	if (!is_same_instance(known, heartbeat->instance,
-			      heartbeat->started_ms)) {
-		talloc_free(known->id);
-		known->id = talloc_strdup(node, heartbeat->instance);
-		known->started_ms = heartbeat->started_ms;
-	}
-	known->sequence = heartbeat->sequence;
-	known->is_leaving = heartbeat->is_leaving;
+	if (is_same_instance(known, id, started_ms))
+		return;
+	talloc_free(known->id);
+	*known = (struct nd_instance){
+		.id = talloc_strdup(node, id),
+		.started_ms = started_ms,
+	};
+	node->departures.is_stored = false;
+}
+
+static void record_departure(struct nd_node *node)
+{
+	node->instance.is_leaving = true;
+	nd_store_departure(node);
 }
 
 static void announce(struct nd_node *node, const struct nd_heartbeat *heartbeat)
@@ -68,18 +74,30 @@
 			  "ignored: older than the last heartbeat", LOG_END);
 		return;
 	}
-	record_instance(node, heartbeat);
+	if (nd_hold_heartbeat(node, heartbeat))
+		return;
+	set_instance(node, heartbeat->instance, heartbeat->started_ms);
+	node->instance.sequence = heartbeat->sequence;
+	if (heartbeat->is_leaving)
+		record_departure(node);
 	announce(node, heartbeat);
 }
 
-void nd_handle_departure(struct nd_node *node, const char *instance,
+bool nd_handle_departure(struct nd_node *node, const char *instance,
 			 uint64_t started_ms)
 {
 	struct nd_instance *known = &node->instance;
+	bool is_same_id = known->id && strcmp(known->id, instance) == 0;
 
-	if (!known->id || strcmp(known->id, instance) != 0 ||
-	    (started_ms > 0 && started_ms != known->started_ms))
-		return;
-	known->is_leaving = true;
+	if (started_ms == 0 && !is_same_id)
+		return false;
+	if (started_ms == 0)
+		started_ms = known->started_ms;
+	/* An instance that started later runs here, so this one has left. */
+	if (known->id && started_ms < known->started_ms)
+		return true;
+	set_instance(node, instance, started_ms);
+	record_departure(node);
 	nd_drain_target(node);
+	return true;
 }
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -118,10 +118,23 @@
 	bool is_leaving;
 };
 
+/* State of the departures of the target that the store keeps. */
+struct nd_departures {
+	bool is_known;		   /* what the store had at the start */
+	bool is_busy;		   /* reads or writes */
+	bool is_stored;		   /* the store has that the instance leaves */
+	uint64_t version;	   /* of the object in the store; 0: absent */
+	uint64_t written_ms;	   /* start of the instance in the last write */
+	struct nd_heartbeat *held; /* not accepted yet; NULL: none */
+	uint64_t held_ms;	   /* when the first one was held */
+	GQueue waiters;
+};
+
 struct nd_node {
 	struct nd_gateway_state gateway;
 	struct nd_relay relay;
 	struct nd_instance instance;
+	struct nd_departures departures;
 	const struct nd_settings *settings;
 	struct tevent_context *events;
 	struct tmr_service *timers;
@@ -266,6 +279,20 @@
 const char *nd_get_version_class(const struct nd_node *node,
 				 const char *service, const char *version);
 
+/*
+ * departures.c: reads the last departure of this vm's target from the store,
+ * and has that of the instance in nd_node stored, if it leaves.
+ */
+void nd_open_departures(struct nd_node *node);
+void nd_store_departure(struct nd_node *node);
+
+/*
+ * departures.c: keeps a copy of the heartbeat of a target that may have left,
+ * until the store has answered. Returns false when it may be used now.
+ */
+bool nd_hold_heartbeat(struct nd_node *node,
+		       const struct nd_heartbeat *heartbeat);
+
 /* shutdown.c: handles SIGTERM and SIGINT by a graceful shutdown. */
 void nd_watch_signals(struct nd_node *node);
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -147,10 +147,20 @@
 void nd_handle_heartbeat(struct nd_node *node,
 			 const struct nd_heartbeat *heartbeat);
 
-/* Handles the deregistration of an instance. started_ms is 0 when unknown. */
-void nd_handle_departure(struct nd_node *node, const char *instance,
+/*
+ * Handles the deregistration of an instance. started_ms is 0 when unknown.
+ * Returns false when it cannot be told which start of a target leaves.
+ */
+bool nd_handle_departure(struct nd_node *node, const char *instance,
 			 uint64_t started_ms);
 
+/*
+ * Calls fn when an announcement of a target that it leaves may be acknowledged:
+ * at once, or when the departure is stored for later processes of the node.
+ */
+typedef void (*nd_acknowledge_fn)(void *data);
+void nd_await_departure(struct nd_node *node, nd_acknowledge_fn fn, void *data);
+
 /* Runs the event loop until a shutdown has ended. Returns the exit code. */
 int nd_run_node(struct nd_node *node);
 
