Notice within 1.1 s that the store no longer answers

Cause: a long poll that waits looks the same whether the store is idle or silent, for 30 s and more. Until then the watcher claimed to have the current state, and the other nodes had no other source.

Evidence: with the code before, no node turned to the store during the silence, and no watcher logged a failed watch; nodes do turn to the store as soon as their watchers say that they are unfit.

Change: a probe reads a small kind of objects, which may be stale, when no call was answered for 0.6 s, and gives it 0.5 s. On a failure the watches are paused and waiting polls of other nodes are answered; the watches list when the store answers again.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -239,6 +239,24 @@
  */
 void plat_relist_watch(struct plat_watch *watch);
 
+struct plat_probe;
+
+/* Called when the store has become silent, and when it answers again. */
+typedef void (*plat_probe_fn)(bool is_answering, void *data);
+
+/*
+ * Probes whether the store answers this client, also while only long polls are
+ * pending. A silent store is detected within 1.1 s. prefix is read for that; it
+ * should have few objects. The probe is stopped at first, and takes the store
+ * for answering when it is started. Returns a new probe owned by ctx, to be
+ * freed before its client.
+ */
+struct plat_probe *plat_new_probe(TALLOC_CTX *ctx, struct plat_client *client,
+				  const char *prefix, plat_probe_fn fn,
+				  void *data);
+void plat_start_probe(struct plat_probe *probe);
+void plat_stop_probe(struct plat_probe *probe);
+
 struct plat_lease;
 
 #define PLAT_LEASE_DURATION_MS_MIN 30U
--- a/src/node/watchers.c
+++ b/src/node/watchers.c
@@ -15,8 +15,8 @@
 #include <xxhash.h>
 
 /*
- * Watchers in all failure domains together. The store may reject a third of
- * the nodes at once, and even then one watcher must receive a change.
+ * Watchers in all failure domains together. The store may reject all of them at
+ * once; they find that out and tell the other nodes, which then follow it.
  */
 #define WATCHERS_MIN 4U
 /* Keeps the load of the polls that a watcher serves below 1 % of a core. */
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -36,6 +36,7 @@
 	struct plat_watch *prober; /* retries while the store is unavailable */
 	GQueue parked; /* struct plat_watch; wait until the prober succeeds */
 	uint64_t write_count;
+	uint64_t answered_ms; /* when the store last answered a call */
 };
 
 static const char *const kind_names[PLAT_CALL_KIND_COUNT] = {
@@ -57,6 +58,24 @@
 	talloc_free(labels);
 }
 
+static bool is_answered(const struct plat_answer *answer)
+{
+	switch (answer->outcome) {
+	case PLAT_DONE:
+	case PLAT_ABSENT:
+	case PLAT_CONFLICT:
+	case PLAT_HISTORY_GONE:
+		return true;
+	case PLAT_REJECTED:
+	case PLAT_REFUSED:
+	case PLAT_NOT_SENT:
+	case PLAT_LOST:
+	case PLAT_OUTCOME_COUNT:
+		break;
+	}
+	return false;
+}
+
 static void clear_request(struct plat_call *call)
 {
 	call->request = NULL;
@@ -98,6 +117,8 @@
 
 	clear_request(call);
 	count_try(client, call->operation.kind, answer->outcome);
+	if (is_answered(answer))
+		client->answered_ms = tmr_get_now_ms(client->timers);
 	if (answer->is_overload)
 		plat_note_overload(&call->backoff);
 	call->try_fn(call, answer);
@@ -403,6 +424,11 @@
 	return &client->options;
 }
 
+uint64_t plat_get_answered_ms(const struct plat_client *client)
+{
+	return client->answered_ms;
+}
+
 struct plat_floors *plat_get_floors(struct plat_client *client)
 {
 	return client->floors;
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -112,6 +112,9 @@
 struct tmr_service *plat_get_timers(struct plat_client *client);
 const struct plat_options *plat_get_options(const struct plat_client *client);
 
+/* Returns when the store last answered a call and did not reject it. */
+uint64_t plat_get_answered_ms(const struct plat_client *client);
+
 /* Returns the version floors of this client (borrowed). */
 struct plat_floors *plat_get_floors(struct plat_client *client);
 
