Find versions that are slow in a part of their calls

Cause: a call counted as slow from 2.25 times the old version's 90th percentile on, and 5 % of such calls were acceptable. A version that takes three times as long for a part of its calls has few calls beyond that.

Of its probe calls 2 to 5 % were slow by that test, 10 to 30 % were beyond the 90th percentile.

Change: two more tests with smaller factors, on the calls of all nodes, in steps with up to 40 % of the calls and 200 calls of the old version. The comparison of calls is now a module of its own.

--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -25,7 +25,7 @@
  */
 #include <math.h>
 #include <string.h>
-#include "loom/moves.h"
+#include "comparison.h"
 
 /*
  * A bad version may get at most a tenth of all calls of the ramp. The probe
@@ -55,6 +55,8 @@
 #define END_MARGIN_MS 700U
 /* Steps may take this much less time after an interruption. */
 #define SHORTEST_STEP 0.5
+/* Calls from which the old version's failures are told to be frequent. */
+#define NOISY_CALLS_MIN 20U
 /* The old version fails too often to be compared with. */
 #define NOISY_RATE 0.2
 /* Length of the windows in which that is counted. */
@@ -72,17 +74,6 @@
  * until then.
  */
 #define SUSPICION_PROBABILITY 1e-2
-#define BAD_CALLS_MIN 4U
-/* Rates below these are acceptable, whatever the rate of the old version. */
-#define FAILED_RATE_MIN 0.03
-#define SLOW_RATE_MIN 0.05
-/* Tolerated excess over the old rate: targets differ by chance. */
-#define OLD_RATE_FACTOR 1.5
-#define OLD_CALLS_MIN 20U
-#define OLD_FAILED_MIN 3U
-/* Slow: two buckets (a factor of 2.25) above the 90th percentile of old. */
-#define SLOW_SHIFT_BUCKETS 2U
-#define SLOW_QUANTILE 0.9
 #define ROUTES_MAX 32U
 /*
  * Calls of the new version, from before the old one failed often or after, that
@@ -98,24 +89,21 @@
 } steps[] = { { 150, 1500 }, { 400, 600 }, { 800, 1300 } };
 #define FULL_STEP (1U + G_N_ELEMENTS(steps))
 
-/* Calls of one step. */
-struct step_counts {
-	struct mv_counts old;
-	struct mv_counts new;
+/*
+ * The smaller the factor of a test, the more its result depends on the load and
+ * on which targets are reached. So the tests with small factors need calls of
+ * all nodes, and only count steps in which the old version has most calls.
+ */
+static const struct mv_latency_test latency_tests[] = {
+	{ 2, FULL_STEP, 20, 0.05, 1 },
+	{ 1, 2, 200, 0.03, 10 },
+	{ 0, 2, 200, 0.03, 10 },
 };
+#define LATENCY_TESTS G_N_ELEMENTS(latency_tests)
 
 struct evidence {
 	char route[MV_NAME_SIZE]; /* "": all routes */
-	struct step_counts steps[FULL_STEP + 1];
-};
-
-/* The sums that a test compares. */
-struct comparison {
-	uint32_t new_calls;
-	uint32_t new_bad;
-	double expected_bad; /* at the rates of the old version */
-	uint32_t old_calls;
-	uint32_t old_bad;
+	struct mv_step_counts steps[FULL_STEP + 1];
 };
 
 struct mv_ramp {
@@ -132,6 +120,7 @@
 	uint32_t quiet_calls; /* of the new version, while it was not noisy */
 	bool was_noisy;
 	double false_alarm_probability;
+	uint32_t latency_test_count;
 	uint32_t evidence_count;
 	struct evidence evidence[ROUTES_MAX + 1];
 	char reason[256]; /* "": not taken back */
@@ -152,72 +141,8 @@
 	return evidence;
 }
 
-/*
- * Returns the probability that at least bad of calls are bad at that rate: the
- * upper tail of the binomial distribution.
- */
-static double get_tail_probability(uint32_t calls, uint32_t bad, double rate)
-{
-	double sum = 0;
-
-	for (uint32_t k = bad; k <= calls; k++) {
-		double term = exp(lgamma(calls + 1.0) - lgamma(k + 1.0) -
-				  lgamma(calls - k + 1.0) + k * log(rate) +
-				  (calls - k) * log1p(-rate));
-
-		sum += term;
-		/* Equal when both are zero: too unlikely for a double. */
-		if (term <= sum * 1e-6)
-			break;
-	}
-	return sum;
-}
-
-static double get_old_rate(uint32_t calls, uint32_t bad, double least)
-{
-	if (bad == 0)
-		return least;
-	return fmin(0.9, fmax(least, OLD_RATE_FACTOR * bad / calls));
-}
-
-static uint32_t sum_from(const uint32_t *buckets, uint32_t first)
-{
-	uint32_t sum = 0;
-
-	for (uint32_t i = first; i < MV_LATENCY_BUCKETS; i++)
-		sum += buckets[i];
-	return sum;
-}
-
-/*
- * Returns the first bucket whose calls are slow compared with the old version.
- */
-static uint32_t get_slow_bucket(const struct mv_counts *old)
-{
-	uint32_t good = sum_from(old->latency, 0);
-	uint32_t bucket = 0;
-
-	while (bucket < MV_LATENCY_BUCKETS &&
-	       sum_from(old->latency, bucket) > good * (1 - SLOW_QUANTILE))
-		bucket++;
-	return bucket + SLOW_SHIFT_BUCKETS;
-}
-
-/*
- * Returns whether the bad calls are less likely than a probability. Each call's
- * chance to be bad differs between the steps; the binomial tail at their mean
- * bounds the tail of the sum from above (Hoeffding 1956).
- */
-static bool is_unlikely(const struct comparison *sums, double probability)
-{
-	return sums->new_bad > sums->expected_bad &&
-	       get_tail_probability(sums->new_calls, sums->new_bad,
-				    sums->expected_bad / sums->new_calls) <
-		       probability;
-}
-
 static void set_reason(struct mv_ramp *ramp, const struct evidence *evidence,
-		       const char *what, const struct comparison *sums)
+		       const char *what, const struct mv_comparison *sums)
 {
 	g_snprintf(ramp->reason, sizeof(ramp->reason),
 		   "%s%s: %u of %u calls %s, %u of %u on the old version",
@@ -226,78 +151,43 @@
 		   sums->old_calls);
 }
 
-/*
- * Compares with the old version's calls of the step or, when they are few and
- * show no fault of that version, with those of all steps.
- */
-static void compare_failures(const struct step_counts *counts,
-			     const struct mv_counts *all_old,
-			     struct comparison *sums)
+/* The old calls that the full share is compared with were counted before. */
+static void drop_repeated_calls(uint32_t last, struct mv_comparison *sums)
 {
-	const struct mv_counts *old = &counts->old;
-	double rate;
-
-	if (old->calls < OLD_CALLS_MIN && old->failed < OLD_FAILED_MIN)
-		old = all_old;
-	rate = get_old_rate(old->calls, old->failed, FAILED_RATE_MIN);
-	sums->new_calls += counts->new.calls;
-	sums->new_bad += counts->new.failed;
-	sums->old_calls += counts->old.calls;
-	sums->old_bad += counts->old.failed;
-	sums->expected_bad += rate * counts->new.calls;
+	if (last < FULL_STEP)
+		return;
+	sums->old_calls /= 2;
+	sums->old_bad /= 2;
 }
 
-static void compare_latency(const struct step_counts *counts,
-			    struct comparison *sums)
-{
-	uint32_t first = get_slow_bucket(&counts->old);
-	uint32_t new_bad;
-	uint32_t old_bad;
-	double rate;
-
-	if (sum_from(counts->old.latency, 0) < OLD_CALLS_MIN ||
-	    first >= MV_LATENCY_BUCKETS)
-		return;
-	/* A failed call may have missed its deadline, so it counts as slow. */
-	new_bad = sum_from(counts->new.latency, first) + counts->new.failed;
-	old_bad = sum_from(counts->old.latency, first) + counts->old.failed;
-	rate = get_old_rate(counts->old.calls, old_bad, SLOW_RATE_MIN);
-	sums->new_calls += counts->new.calls;
-	sums->new_bad += new_bad;
-	sums->old_calls += counts->old.calls;
-	sums->old_bad += old_bad;
-	sums->expected_bad += rate * counts->new.calls;
-}
-
-/* Sums up the calls of the steps from first to last. */
-static void compare_steps(const struct evidence *evidence, uint32_t first,
-			  uint32_t last, struct comparison *failures,
-			  struct comparison *latency)
+/* Sums up the failures in the steps from first to last. */
+static struct mv_comparison sum_failures(const struct evidence *evidence,
+					 uint32_t first, uint32_t last)
 {
+	struct mv_comparison sums = { 0 };
 	struct mv_counts all_old = { 0 };
 
 	for (uint32_t i = 0; i < FULL_STEP; i++)
 		mv_add_counts(&all_old, &evidence->steps[i].old);
-	*failures = (struct comparison){ 0 };
-	*latency = (struct comparison){ 0 };
-	for (uint32_t i = first; i <= last; i++) {
-		compare_failures(&evidence->steps[i], &all_old, failures);
-		compare_latency(&evidence->steps[i], latency);
-	}
-	/* The old calls that the full share is compared with were counted. */
-	if (last == FULL_STEP) {
-		failures->old_calls /= 2;
-		failures->old_bad /= 2;
-		latency->old_calls /= 2;
-		latency->old_bad /= 2;
-	}
+	for (uint32_t i = first; i <= last; i++)
+		mv_compare_failures(&evidence->steps[i], &all_old, &sums);
+	drop_repeated_calls(last, &sums);
+	return sums;
 }
 
-static bool is_significant(const struct mv_ramp *ramp,
-			   const struct comparison *sums)
+/* Sums up the slow calls of a latency test in the steps from first to last. */
+static struct mv_comparison sum_slow_calls(const struct evidence *evidence,
+					   uint32_t test, uint32_t first,
+					   uint32_t last)
 {
-	return sums->new_bad >= BAD_CALLS_MIN &&
-	       is_unlikely(sums, ramp->false_alarm_probability);
+	struct mv_comparison sums = { 0 };
+
+	last = MIN(last, latency_tests[test].last_step);
+	for (uint32_t i = first; i <= last; i++)
+		mv_compare_latency(&evidence->steps[i], &latency_tests[test],
+				   &sums);
+	drop_repeated_calls(last, &sums);
+	return sums;
 }
 
 /* Tests the calls of the steps from first to last together. */
@@ -305,26 +195,34 @@
 			   const struct evidence *evidence, uint32_t first,
 			   uint32_t last)
 {
-	struct comparison failures;
-	struct comparison latency;
+	struct mv_comparison sums = sum_failures(evidence, first, last);
 
-	compare_steps(evidence, first, last, &failures, &latency);
-	if (is_significant(ramp, &failures))
-		set_reason(ramp, evidence, "failed", &failures);
-	else if (is_significant(ramp, &latency))
-		set_reason(ramp, evidence, "slow or failed", &latency);
+	if (mv_is_significant(&sums, ramp->false_alarm_probability)) {
+		set_reason(ramp, evidence, "failed", &sums);
+		return;
+	}
+	for (uint32_t i = 0; i < ramp->latency_test_count; i++) {
+		sums = sum_slow_calls(evidence, i, first, last);
+		if (!mv_is_significant(&sums,
+				       ramp->false_alarm_probability *
+					       latency_tests[i].alarm_factor))
+			continue;
+		set_reason(ramp, evidence, "slow or failed", &sums);
+		return;
+	}
 }
 
 /* Tests all calls, with those of the full share, of a suspected series. */
 static void evaluate_full_share(struct mv_ramp *ramp, struct evidence *evidence)
 {
-	struct step_counts *full = &evidence->steps[FULL_STEP];
-	struct comparison failures;
-	struct comparison latency;
+	struct mv_step_counts *full = &evidence->steps[FULL_STEP];
+	struct mv_comparison failures =
+		sum_failures(evidence, 0, FULL_STEP - 1);
+	struct mv_comparison latency =
+		sum_slow_calls(evidence, 0, 0, FULL_STEP - 1);
 
-	compare_steps(evidence, 0, FULL_STEP - 1, &failures, &latency);
-	if (!is_unlikely(&failures, SUSPICION_PROBABILITY) &&
-	    !is_unlikely(&latency, SUSPICION_PROBABILITY))
+	if (!mv_is_unlikely(&failures, SUSPICION_PROBABILITY) &&
+	    !mv_is_unlikely(&latency, SUSPICION_PROBABILITY))
 		return;
 	memset(&full->old, 0, sizeof(full->old));
 	for (uint32_t i = 0; i < FULL_STEP; i++)
@@ -393,7 +291,7 @@
 	uint32_t calls = ramp->noise[0].calls + ramp->noise[1].calls;
 	uint32_t failed = ramp->noise[0].failed + ramp->noise[1].failed;
 
-	return calls >= OLD_CALLS_MIN && failed > calls * NOISY_RATE;
+	return calls >= NOISY_CALLS_MIN && failed > calls * NOISY_RATE;
 }
 
 static void begin_step(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms)
@@ -446,9 +344,9 @@
 }
 
 /* Sums up the calls of all routes and steps. */
-static struct step_counts sum_calls(const struct mv_ramp *ramp)
+static struct mv_step_counts sum_calls(const struct mv_ramp *ramp)
 {
-	struct step_counts sums = { 0 };
+	struct mv_step_counts sums = { 0 };
 
 	for (uint32_t i = 0; i <= FULL_STEP; i++) {
 		mv_add_counts(&sums.old, &ramp->evidence[0].steps[i].old);
@@ -464,7 +362,7 @@
 static uint32_t get_share_for(const struct mv_ramp *ramp, uint64_t now_ms,
 			      double wanted, double time_ms)
 {
-	struct step_counts sums = sum_calls(ramp);
+	struct mv_step_counts sums = sum_calls(ramp);
 	uint64_t elapsed_ms = now_ms - ramp->start_ms;
 	double calls = (double)sums.old.calls + sums.new.calls;
 	double permille;
@@ -498,7 +396,7 @@
 /* Returns whether the new version has had its part of the calls for now. */
 static bool is_exposed(const struct mv_ramp *ramp)
 {
-	struct step_counts sums = sum_calls(ramp);
+	struct mv_step_counts sums = sum_calls(ramp);
 	uint64_t new_calls =
 		(uint64_t)sums.new.calls + sums.new.cold + sums.new.lost;
 	uint64_t old_calls =
@@ -518,6 +416,8 @@
 	ramp->false_alarm_probability = scope == MV_RAMP_OWN_CALLS
 						? OWN_FALSE_ALARM_PROBABILITY
 						: ALL_FALSE_ALARM_PROBABILITY;
+	ramp->latency_test_count =
+		scope == MV_RAMP_OWN_CALLS ? 1 : LATENCY_TESTS;
 	ramp->start_ms = now_ms;
 	ramp->step_start_ms = now_ms;
 	ramp->noise_start_ms = now_ms;
@@ -525,7 +425,7 @@
 	return ramp;
 }
 
-static void add_counts(struct step_counts *step, bool is_new,
+static void add_counts(struct mv_step_counts *step, bool is_new,
 		       const struct mv_counts *counts)
 {
 	mv_add_counts(is_new ? &step->new : &step->old, counts);
--- a/src/moves/tests/test_ramp.c
+++ b/src/moves/tests/test_ramp.c
@@ -35,6 +35,33 @@
 			      state->now_ms);
 }
 
+/* Latencies of a target, in ms; a tenth is above 110. */
+static const uint32_t usual_ms[] = {
+	30, 35, 40, 45, 50, 55, 60,  65,  70,  75,
+	75, 80, 85, 85, 90, 95, 100, 110, 140, 190
+};
+
+/*
+ * "mix VERSION ROUTE CALLS [PERCENT FACTOR]": good calls with the usual
+ * latencies, of which PERCENT take FACTOR times as long
+ */
+static void add_mix(struct state *state, int count, char **words)
+{
+	struct mv_counts counts = { 0 };
+	uint32_t percent = count > 4 ? (uint32_t)atoi(words[4]) : 0;
+	uint32_t factor = count > 5 ? (uint32_t)atoi(words[5]) : 1;
+
+	for (uint32_t i = 0; i < (uint32_t)atoi(words[3]); i++) {
+		uint32_t us = usual_ms[i % G_N_ELEMENTS(usual_ms)] * 1000;
+		bool is_slow = i * 37 % 100 < percent;
+
+		mv_add_call(&counts, MV_OUTCOME_GOOD,
+			    is_slow ? us * factor : us);
+	}
+	mv_record_ramp_counts(state->ramp, words[1], words[2], &counts,
+			      state->now_ms);
+}
+
 static void print_ramp(struct state *state, GString *output)
 {
 	static const char *const names[] = { "go on", "finish", "take back" };
@@ -73,6 +100,8 @@
 		pass_time(state, (uint32_t)atoi(words[1]));
 	} else if (strcmp(words[0], "calls") == 0) {
 		add_calls(state, word_count, words);
+	} else if (strcmp(words[0], "mix") == 0) {
+		add_mix(state, word_count, words);
 	} else if (strcmp(words[0], "print") == 0) {
 		print_ramp(state, output);
 	} else {
