Require that each answer of a target names its request

What callers saw, at other operators: 503 "not run" for requests that a target had run or was running, or a second run, after a faulty target wrote an earlier refusal once more on a kept connection.

Cause: only a success had to name its request. A late refusal without an id counted for the request under way, and one with two ids for the last of them.

Change: with stamps in use, every answer has to name the request, if it has an id. Otherwise it is dropped, and the caller gets a 502.

Test: late_refusal failed before in 6 of 12 results, four of them 503 "not run" for such copies.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -194,8 +194,9 @@
 
 /*
  * Returns whether the answer belongs to the call's request: it names no other
- * request, and a success carries the target's stamp, and the id of a request
- * that has one, if stamps are in use.
+ * request, and if stamps are in use, it carries the id of a request that has
+ * one, and a success carries the target's stamp. A refusal without the id may
+ * be a late copy of an earlier one.
  */
 static bool belongs_to_request(const struct tr_call *call)
 {
@@ -206,9 +207,10 @@
 
 	if (answer->is_foreign)
 		return false;
-	if (!names->stamp || !is_success)
+	if (!names->stamp)
 		return true;
-	return answer->has_stamp && (answer->has_id || !has_request_id(call));
+	return (answer->has_id || !has_request_id(call)) &&
+	       (answer->has_stamp || !is_success);
 }
 
 /* Returns -1 when the head does not tell: chunks count, not a length. */
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -25,6 +25,16 @@
 
 #define ROUTE_TIMEOUT_MS 20000U
 
+/* Headers of targets that name the request in each answer. */
+static const struct tr_header_names stamped_names = {
+	.request_id = "Loom-Request-Id",
+	.deadline = "Loom-Deadline-Ms",
+	.instance = "Loom-Instance",
+	.caller = "Loom-Caller",
+	.not_run = "Loom-Not-Run",
+	.stamp = "Stamp",
+};
+
 struct mesh *mesh_new(void)
 {
 	struct mesh *mesh = talloc_zero(NULL, struct mesh);
@@ -69,6 +79,8 @@
 	options.call_port = MESH_CALL_PORT;
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
+	if (mesh->has_stamps)
+		options.names = &stamped_names;
 	if (mesh->header_timeout_ms)
 		options.header_timeout_ms = mesh->header_timeout_ms;
 	if (mesh->connections_max)
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -46,6 +46,7 @@
 	const char *step; /* test step, for the message of a timeout */
 	uint64_t sequence;
 	bool is_domain_out;
+	bool has_stamps; /* targets name the request in each answer */
 	const struct mesh_node *stale; /* gets no new tables; NULL: none */
 	uint32_t slots;
 	uint32_t queue_length;
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -191,6 +191,8 @@
 		mesh_add_node(mesh, words[1], words[2]);
 	} else if (strcmp(words[0], "target") == 0) {
 		mesh_add_target(mesh, mesh_get_node(mesh, words[1]), words[2]);
+	} else if (strcmp(words[0], "stamps") == 0) {
+		mesh->has_stamps = true;
 	} else if (strcmp(words[0], "publish") == 0) {
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "limits") == 0) {
@@ -405,6 +407,11 @@
 	run_script("malformed_answers");
 }
 
+static void test_late_refusal(void)
+{
+	run_script("late_refusal");
+}
+
 static void test_retry_budget(void)
 {
 	run_script("retry_budget");
@@ -491,6 +498,7 @@
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
 	{ "malformed answers", test_malformed_answers },
+	{ "late refusal", test_late_refusal },
 	{ "retry budget", test_retry_budget },
 	{ "given up", test_given_up },
 	{ "admission", test_admission },
