Refuse requests that may outlast a drain

What callers saw, at other operators: in a planned stop of one machine, requests that came late in the grace time were passed on and then cut without an answer.

Change: the traffic threads know when the node ends, and refuse a request whose deadline is later, at once and as not run.

Test: the drain script differed with the check switched off.

--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -130,9 +130,10 @@
 
 /*
  * Adds "Connection: close" to all answers from now on, so that callers connect
- * to another node.
+ * to another node. The service ends in time_ms: calls of callers that may take
+ * longer are refused.
  */
-void tr_begin_drain(struct tr_service *service);
+void tr_begin_drain(struct tr_service *service, uint32_t time_ms);
 
 /* Refuses new calls of callers from now on; running calls continue. */
 void tr_refuse_callers(struct tr_service *service);
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -4,7 +4,8 @@
  * "Connection: close". When drain_linger_ms have passed and no call is in
  * progress, it refuses the calls that still arrive and ends; a call that a
  * thread accepted just before is finished first. After drain_refuse_ms it
- * refuses them too, because they could be cut at the limit. A second signal, or
+ * refuses them too, and those that may take longer than is left always, because
+ * they could be cut at the limit. A second signal, or
  * shutdown_limit_ms, ends it at once; the number of calls cut is logged.
  */
 #include <signal.h>
@@ -56,7 +57,7 @@
 	node->drain_start_ms = tmr_get_now_ms(node->timers);
 	mem_leave(node->members);
 	tr_drain_target(node->traffic);
-	tr_begin_drain(node->traffic);
+	tr_begin_drain(node->traffic, node->settings->shutdown_limit_ms);
 	node->drain_poll = tmr_subscribe_every(node, node->timers,
 					       DRAIN_POLL_MS, poll_drain, node);
 }
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -13,6 +13,9 @@
 #include "loom/error.h"
 #include "samples.h"
 
+/* Time between a call's deadline and the end of a node that drains. */
+#define DRAIN_MARGIN_MS 100U
+
 static const struct tr_header_names *get_names(const struct tr_call *call)
 {
 	return call->thread->service->options.names;
@@ -219,6 +222,15 @@
 				  call->route->name);
 }
 
+/* Returns whether the call could be cut when a node that drains ends. */
+static bool may_outlast_drain(const struct tr_call *call)
+{
+	uint64_t drain_end_ms = call->thread->drain_end_ms;
+
+	return drain_end_ms > 0 &&
+	       call->deadline_ms + DRAIN_MARGIN_MS > drain_end_ms;
+}
+
 void tr_route_call(struct tr_call *call)
 {
 	uint64_t depth = 0;
@@ -250,6 +262,11 @@
 	call->depth = (uint32_t)depth;
 	call->caller = g_strdup(call->thread->service->options.caller_service);
 	set_deadline(call);
+	if (may_outlast_drain(call)) {
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "draining",
+			       true);
+		return;
+	}
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
 	call->request.is_bulky = is_bulky(call);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -219,23 +219,28 @@
 }
 
 static void send_to_all_threads(struct tr_service *service,
-				enum tr_command_kind kind)
+				const struct tr_command *command)
 {
-	struct tr_command command = { .kind = kind };
-
 	for (uint32_t i = 0; i < service->options.thread_count; i++)
 		tr_send_command(&service->threads[i],
-				g_memdup2(&command, sizeof(command)));
+				g_memdup2(command, sizeof(*command)));
 }
 
-void tr_begin_drain(struct tr_service *service)
+void tr_begin_drain(struct tr_service *service, uint32_t time_ms)
 {
-	send_to_all_threads(service, TR_COMMAND_BEGIN_DRAIN);
+	struct tr_command command = { .kind = TR_COMMAND_BEGIN_DRAIN };
+
+	/* All timer services read the same clock. */
+	command.drain_end_ms =
+		tmr_get_now_ms(service->threads[0].timers) + time_ms;
+	send_to_all_threads(service, &command);
 }
 
 void tr_refuse_callers(struct tr_service *service)
 {
-	send_to_all_threads(service, TR_COMMAND_REFUSE_CALLERS);
+	struct tr_command command = { .kind = TR_COMMAND_REFUSE_CALLERS };
+
+	send_to_all_threads(service, &command);
 }
 
 bool tr_are_callers_refused(const struct tr_service *service)
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -265,9 +265,10 @@
 	mesh_run_until(mesh, is_command_taken, node);
 }
 
-void mesh_drain_node(struct mesh *mesh, struct mesh_node *node)
+void mesh_drain_node(struct mesh *mesh, struct mesh_node *node,
+		     uint32_t time_ms)
 {
 	node->command_count++;
-	tr_begin_drain(node->traffic);
+	tr_begin_drain(node->traffic, time_ms);
 	mesh_run_until(mesh, is_command_taken, node);
 }
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -89,7 +89,8 @@
 
 /* Send the command to the node and wait until its thread has processed it. */
 void mesh_drain_target(struct mesh *mesh, struct mesh_node *node);
-void mesh_drain_node(struct mesh *mesh, struct mesh_node *node);
+void mesh_drain_node(struct mesh *mesh, struct mesh_node *node,
+		     uint32_t time_ms);
 
 /* Runs the loop until condition returns true; aborts the test after 10 s. */
 typedef bool (*mesh_condition_fn)(void *data);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -12,6 +12,7 @@
 #define ANSWER_BYTES_MAX (16U * 1024U * 1024U)
 #define PRINTED_BYTES_MAX 120U
 #define CALL_TIMEOUT_MS 25000U
+#define DRAIN_MS 60000U /* unless a step gives another time */
 
 struct test_call {
 	char name[16];
@@ -213,7 +214,9 @@
 	} else if (strcmp(words[0], "drain-target") == 0) {
 		mesh_drain_target(mesh, mesh_get_node(mesh, words[1]));
 	} else if (strcmp(words[0], "drain") == 0) {
-		mesh_drain_node(mesh, mesh_get_node(mesh, words[1]));
+		mesh_drain_node(mesh, mesh_get_node(mesh, words[1]),
+				count > 2 ? (uint32_t)atoi(words[2])
+					  : DRAIN_MS);
 	} else if (strcmp(words[0], "heartbeats") == 0) {
 		mesh_send_heartbeats(mesh, mesh_get_node(mesh, words[1]),
 				     (uint32_t)atoi(words[2]));
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -97,6 +97,7 @@
 				     tmr_get_now_ms(thread->timers));
 		break;
 	case TR_COMMAND_BEGIN_DRAIN:
+		thread->drain_end_ms = command->drain_end_ms;
 		hx_begin_drain(thread->entry.server);
 		if (thread->hop.server)
 			hx_begin_drain(thread->hop.server);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -74,6 +74,7 @@
 			uint32_t warm_up_ms;
 		} heartbeat;
 		uint32_t hinted_limit;
+		uint64_t drain_end_ms;
 	};
 };
 
@@ -101,6 +102,7 @@
 	char *target_url;
 	struct mbx_mailbox *commands; /* of struct tr_command */
 	_Atomic bool is_refusing;     /* new calls of callers are refused */
+	uint64_t drain_end_ms;	      /* when the node ends; 0: not draining */
 	bool is_stopped;
 	uint64_t random_state;
 	GHashTable *samples; /* samples of the current slot; see samples.c */
