Name the figures of the latency tests; reflow comments

Read as a newcomer: the rows of latency_tests had no field names, and the comment of shutdown.c had its exceptions inside of the order of events. No change of behaviour; test_ramp passes.

--- a/src/moves/comparison.h
+++ b/src/moves/comparison.h
@@ -30,7 +30,7 @@
  * factor of 1.5 each) above that of a quantile of the old version.
  */
 struct mv_latency_test {
-	uint32_t shift_buckets;
+	uint32_t shift_buckets; /* 0: all calls above the quantile are slow */
 	uint32_t last_step;	/* the last one whose calls count */
 	uint32_t old_calls_min; /* for a step to count */
 	double rate_min; /* acceptable, whatever the rate of the old version */
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -89,15 +89,31 @@
 } steps[] = { { 150, 1500 }, { 400, 600 }, { 800, 1300 } };
 #define FULL_STEP (1U + G_N_ELEMENTS(steps))
 
+/* The last step in which the old version has most calls. */
+#define MINOR_STEP 2U
+/* Calls of the old version from which its latencies are known well enough. */
+#define LATENCY_CALLS_MIN 200U
 /*
  * The smaller the factor of a test, the more its result depends on the load and
- * on which targets are reached. So the tests with small factors need calls of
- * all nodes, and only count steps in which the old version has most calls.
+ * on which targets are reached. So all but the first test need calls of all
+ * nodes, and only count steps in which the old version has most calls.
  */
 static const struct mv_latency_test latency_tests[] = {
-	{ 2, FULL_STEP, 20, 0.05, 1 },
-	{ 1, 2, 200, 0.03, 10 },
-	{ 0, 2, 200, 0.03, 10 },
+	{ .shift_buckets = 2,
+	  .last_step = FULL_STEP,
+	  .old_calls_min = 20,
+	  .rate_min = 0.05,
+	  .alarm_factor = 1 },
+	{ .shift_buckets = 1,
+	  .last_step = MINOR_STEP,
+	  .old_calls_min = LATENCY_CALLS_MIN,
+	  .rate_min = 0.03,
+	  .alarm_factor = 10 },
+	{ .shift_buckets = 0,
+	  .last_step = MINOR_STEP,
+	  .old_calls_min = LATENCY_CALLS_MIN,
+	  .rate_min = 0.03,
+	  .alarm_factor = 10 },
 };
 #define LATENCY_TESTS G_N_ELEMENTS(latency_tests)
 
--- a/src/node/departures.c
+++ b/src/node/departures.c
@@ -128,7 +128,7 @@
 	talloc_free(scratch);
 }
 
-/* Takes over a departure that the store has, unless a later one is known. */
+/* Adopts a departure from the store, unless a later instance is known. */
 static void apply_stored(struct nd_node *node, const char *id,
 			 uint64_t started_ms)
 {
--- a/src/node/shutdown.c
+++ b/src/node/shutdown.c
@@ -1,12 +1,12 @@
 /*
  * Graceful shutdown. On SIGTERM or SIGINT the node announces to its peers that
  * it is leaving, accepts no new work for its target, and answers with
- * "Connection: close". When drain_linger_ms have passed and no call is in
- * progress, it refuses the calls that still arrive and ends; a call that a
- * thread accepted just before is finished first. After drain_refuse_ms it
- * refuses them too, and those that may take longer than is left always, because
- * they could be cut at the limit. A second signal, or
- * shutdown_limit_ms, ends it at once; the number of calls cut is logged.
+ * "Connection: close". Calls that may take longer than is left are refused,
+ * because they could be cut. When drain_linger_ms have passed and no call is in
+ * progress, the node refuses all calls that still arrive and ends; a call that
+ * a thread accepted just before is finished first. After drain_refuse_ms it
+ * refuses them in any case. A second signal, or shutdown_limit_ms, ends it at
+ * once; the number of calls cut is logged.
  */
 #include <signal.h>
 #include <stdlib.h>
--- a/src/platform/probe.c
+++ b/src/platform/probe.c
@@ -6,7 +6,7 @@
  * be stale, every PROBE_PERIOD_MS. The store counts as silent when such a read
  * fails or takes longer than PROBE_TIMEOUT_MS.
  *
- * Invariant: at most one of call and timer is set, neither while it is paused.
+ * Invariant: at most one of call and timer is set, neither while it is stopped.
  */
 #include "client.h"
 
@@ -55,6 +55,7 @@
 	}
 	probe->call = plat_list_stale_objects(
 		probe, probe->client, probe->prefix, handle_read, probe);
+	/* The first try may take all of the time. */
 	plat_set_time_limit(probe->call, PROBE_TIMEOUT_MS);
 	probe->call->try_timeout_ms = PROBE_TIMEOUT_MS;
 }
