Log the steps of a move that has seconds, and who requests its end

A line of the step "evaluate move" tells when the step changes on a node and when it requests a state: its rank, the share, the ages, and the calls of the last step that it knows.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -344,6 +344,18 @@
 void mv_get_ramp_progress(struct mv_ramp *ramp, uint64_t now_ms,
 			  struct mv_ramp_progress *progress);
 
+/* Calls of all routes in one step of a ramp. */
+struct mv_ramp_calls {
+	uint32_t new_calls;
+	uint32_t new_failed;
+	uint32_t old_calls;
+	uint32_t old_failed;
+};
+
+/* Fills in the calls that a ramp knows of a step; zero for an unknown step. */
+void mv_get_ramp_calls(const struct mv_ramp *ramp, uint32_t step,
+		       struct mv_ramp_calls *calls);
+
 /*
  * Sets a ramp to the progress that the ramp of all calls has on another node.
  * From then on the ramp takes no step by itself.
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -492,6 +492,21 @@
 	};
 }
 
+void mv_get_ramp_calls(const struct mv_ramp *ramp, uint32_t step,
+		       struct mv_ramp_calls *calls)
+{
+	const struct mv_step_counts *counts;
+
+	memset(calls, 0, sizeof(*calls));
+	if (step > FULL_STEP)
+		return;
+	counts = &ramp->evidence[0].steps[step];
+	calls->new_calls = counts->new.calls;
+	calls->new_failed = counts->new.failed;
+	calls->old_calls = counts->old.calls;
+	calls->old_failed = counts->old.failed;
+}
+
 void mv_follow_ramp(struct mv_ramp *ramp,
 		    const struct mv_ramp_progress *progress, uint64_t now_ms)
 {
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "move_log.h"
 #include "progress.h"
 #include "ranks.h"
 #include "reports.h"
@@ -53,6 +54,7 @@
 	uint64_t wanted_since_ms;    /* 0: no change wanted */
 	enum doc_move_state wanted_state;
 	uint64_t requested_ms; /* 0: not requested yet */
+	uint32_t logged_step;
 };
 
 static void fill_move(const struct nd_move *move,
@@ -120,6 +122,41 @@
 	move->unreported = json_array();
 }
 
+/* Returns the ramp by which this node goes (borrowed). */
+static struct mv_ramp *get_ramp(struct nd_node *node, struct nd_move *move)
+{
+	return is_evaluator(node, move->request.service) ? move->pooled_ramp
+							 : move->own_ramp;
+}
+
+static void log_move(struct nd_node *node, struct nd_move *move,
+		     const char *message, uint32_t counted_step,
+		     uint64_t now_ms)
+{
+	struct nd_move_event event = {
+		.message = message,
+		.service = move->request.service,
+		.rank = get_own_rank(node, move->request.service),
+		.share_permille = move->share_permille,
+		.counted_step = counted_step,
+	};
+
+	nd_log_move(&event, get_ramp(node, move), now_ms);
+}
+
+/* Writes a line when the step has changed, with the calls of the last one. */
+static void log_step(struct nd_node *node, struct nd_move *move,
+		     uint64_t now_ms)
+{
+	struct mv_ramp_progress progress;
+
+	mv_get_ramp_progress(get_ramp(node, move), now_ms, &progress);
+	if (progress.step == move->logged_step)
+		return;
+	log_move(node, move, "step has begun", move->logged_step, now_ms);
+	move->logged_step = progress.step;
+}
+
 static const char *get_reason(const struct nd_move *move)
 {
 	const char *reason = mv_get_ramp_reason(move->pooled_ramp);
@@ -150,6 +187,8 @@
 	     now_ms < move->requested_ms + REQUEST_RETRY_MS))
 		return;
 	move->requested_ms = now_ms;
+	log_move(node, move, doc_get_move_state_name(wanted_state),
+		 move->logged_step, now_ms);
 	request.state = wanted_state;
 	if (node->gateway.move_state_fn)
 		node->gateway.move_state_fn(&request, get_reason(move),
@@ -211,6 +250,7 @@
 	    move->request.state == DOC_MOVE_TAKEN_BACK)
 		return;
 	report_move(node, move, now_ms);
+	log_step(node, move, now_ms);
 	switch (get_verdict(node, move, now_ms)) {
 	case MV_RAMP_TAKE_BACK:
 		request_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
