Move the evaluation of a short move out of the node's slice

src/node/moves.c held who evaluates a move, whom a node follows and what a stop does, between JSON, members and requests.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -382,6 +382,64 @@
  */
 const char *mv_get_ramp_reason(const struct mv_ramp *ramp);
 
+/*
+ * An evaluation is one node's part in a move that has to finish within seconds.
+ * The nodes of the first ranks, the evaluators, get the counts of all nodes and
+ * decide on the share; the others follow what an evaluator tells them. Each
+ * node also evaluates its own calls. Ranks count from 0.
+ */
+struct mv_evaluation;
+
+/* Number of evaluators; one may fail meanwhile. */
+#define MV_EVALUATORS 2U
+
+/* What an evaluator tells another node. */
+struct mv_told {
+	uint32_t rank;	 /* of the evaluator */
+	bool is_stopped; /* it has found the new version bad */
+	struct mv_ramp_progress progress;
+};
+
+/* Returns a new evaluation owned by ctx; see mv_new_ramp(). */
+struct mv_evaluation *mv_new_evaluation(TALLOC_CTX *ctx, const char *to,
+					uint32_t limit_ms, uint64_t now_ms);
+
+/* Adds finished calls of this node. */
+void mv_record_own_counts(struct mv_evaluation *evaluation, const char *version,
+			  const char *route, const struct mv_counts *counts,
+			  uint64_t now_ms);
+
+/* Adds finished calls that another node reports. */
+void mv_record_reported_counts(struct mv_evaluation *evaluation,
+			       const char *version, const char *route,
+			       const struct mv_counts *counts, uint64_t now_ms);
+
+/*
+ * Evaluates the calls known to this node, whose rank is own_rank. Only an
+ * evaluator goes by the calls of all nodes.
+ */
+enum mv_ramp_verdict mv_evaluate_calls(struct mv_evaluation *evaluation,
+				       uint32_t own_rank, uint64_t now_ms);
+
+/* Returns the share of the new version, in permille, to use on this node. */
+uint32_t mv_get_evaluated_share(struct mv_evaluation *evaluation,
+				uint64_t now_ms);
+
+/* Fills in what this evaluator tells other nodes. */
+void mv_get_told(struct mv_evaluation *evaluation, uint32_t own_rank,
+		 uint64_t now_ms, struct mv_told *told);
+
+/* Handles what an evaluator tells; returns whether it was news of a stop. */
+bool mv_handle_told(struct mv_evaluation *evaluation, uint32_t own_rank,
+		    const struct mv_told *told, uint64_t now_ms);
+
+/* Returns the ramp by which a node of that rank goes (borrowed). */
+struct mv_ramp *mv_get_ramp(struct mv_evaluation *evaluation,
+			    uint32_t own_rank);
+
+/* As mv_get_ramp_reason(). */
+const char *mv_get_evaluation_reason(const struct mv_evaluation *evaluation);
+
 /*
  * Local limit: an upper bound that one node sets on the share of one move from
  * its own calls. It can lower the share that the node uses, never raise it.
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -18,8 +18,6 @@
 
 /* Delay per rank of a change of state, which usually only rank 0 requests. */
 #define RANK_DELAY_MS 700U
-/* Nodes that evaluate a move by all nodes' calls; one may fail meanwhile. */
-#define EVALUATORS 2U
 /*
  * Nodes that may request the end of a move. The others know neither all calls
  * nor, at once, that an evaluator has stopped the move.
@@ -31,11 +29,6 @@
  */
 #define REPORT_MS_PER_NODE 4U
 #define REPORT_MAX_MS 500U
-/*
- * A node takes a step from an evaluator of a lower rank when the one before it
- * has told none for this time.
- */
-#define EVALUATOR_SILENT_MS 1500U
 /* Delay before a node that is not an evaluator requests a rollback. */
 #define FALLBACK_DELAY_MS 1500U
 /* A request that caused no change of state is repeated after this time. */
@@ -43,15 +36,11 @@
 
 struct nd_move {
 	struct nd_move_request request;
-	struct mv_ramp *own_ramp;    /* calls of this node */
-	struct mv_ramp *pooled_ramp; /* calls of all nodes, on evaluators */
-	json_t *unreported;	     /* counts not yet sent to the evaluators */
-	uint64_t reported_ms;	     /* when counts were last sent */
-	bool is_stopped;	     /* an evaluator has found it bad */
-	uint64_t told_ms;	     /* when an evaluator last told a step */
-	uint32_t told_rank;	     /* rank of that evaluator */
-	uint32_t share_permille;     /* share in the snapshot */
-	uint64_t wanted_since_ms;    /* 0: no change wanted */
+	struct mv_evaluation *evaluation;
+	json_t *unreported;	  /* counts not yet sent to the evaluators */
+	uint64_t reported_ms;	  /* when counts were last sent */
+	uint32_t share_permille;  /* share in the snapshot */
+	uint64_t wanted_since_ms; /* 0: no change wanted */
 	enum doc_move_state wanted_state;
 	uint64_t requested_ms; /* 0: not requested yet */
 	uint32_t logged_step;
@@ -82,7 +71,7 @@
 
 static bool is_evaluator(struct nd_node *node, const char *service)
 {
-	return get_own_rank(node, service) < EVALUATORS;
+	return get_own_rank(node, service) < MV_EVALUATORS;
 }
 
 /* Sends the counts collected since the last report to the evaluators. */
@@ -92,7 +81,7 @@
 	const struct mem_member *members;
 	size_t count = mem_list_members(node->members, &members);
 	uint64_t period_ms = MIN(count * REPORT_MS_PER_NODE, REPORT_MAX_MS);
-	const struct mem_member *evaluators[EVALUATORS];
+	const struct mem_member *evaluators[MV_EVALUATORS];
 	size_t evaluator_count;
 	json_t *report;
 
@@ -104,7 +93,7 @@
 			   "id", (json_int_t)move->request.id, "series",
 			   move->unreported);
 	evaluator_count = nd_find_first(members, count, move->request.service,
-					evaluators, EVALUATORS);
+					evaluators, MV_EVALUATORS);
 	for (size_t i = 0; i < evaluator_count; i++) {
 		const struct mem_announcement *self = &evaluators[i]->self;
 		char *evaluator;
@@ -125,8 +114,8 @@
 /* Returns the ramp by which this node goes (borrowed). */
 static struct mv_ramp *get_ramp(struct nd_node *node, struct nd_move *move)
 {
-	return is_evaluator(node, move->request.service) ? move->pooled_ramp
-							 : move->own_ramp;
+	return mv_get_ramp(move->evaluation,
+			   get_own_rank(node, move->request.service));
 }
 
 static void log_move(struct nd_node *node, struct nd_move *move,
@@ -157,13 +146,6 @@
 	move->logged_step = progress.step;
 }
 
-static const char *get_reason(const struct nd_move *move)
-{
-	const char *reason = mv_get_ramp_reason(move->pooled_ramp);
-
-	return *reason ? reason : mv_get_ramp_reason(move->own_ramp);
-}
-
 /* Requests a state after this node's delay, and repeatedly until it is set. */
 static void request_state(struct nd_node *node, struct nd_move *move,
 			  enum doc_move_state wanted_state, uint64_t now_ms)
@@ -191,8 +173,9 @@
 		 move->logged_step, now_ms);
 	request.state = wanted_state;
 	if (node->gateway.move_state_fn)
-		node->gateway.move_state_fn(&request, get_reason(move),
-					    node->gateway.move_state_data);
+		node->gateway.move_state_fn(
+			&request, mv_get_evaluation_reason(move->evaluation),
+			node->gateway.move_state_data);
 }
 
 /* Returns the traffic share, in permille, for the move's state and ramp. */
@@ -203,9 +186,7 @@
 	case DOC_MOVE_WAITING:
 	case DOC_MOVE_RUNNING:
 	case DOC_MOVE_SOAKING:
-		if (move->is_stopped || *mv_get_ramp_reason(move->pooled_ramp))
-			return 0;
-		return mv_get_ramp_share(move->own_ramp, now_ms);
+		return mv_get_evaluated_share(move->evaluation, now_ms);
 	case DOC_MOVE_DONE:
 		return DOC_SHARE_ALL_PERMILLE;
 	case DOC_MOVE_TAKEN_BACK:
@@ -214,35 +195,6 @@
 	return 0;
 }
 
-/* Evaluates the calls of all nodes; the own ramp follows. */
-static enum mv_ramp_verdict evaluate_all_calls(struct nd_move *move,
-					       uint64_t now_ms)
-{
-	struct mv_ramp_progress progress;
-	enum mv_ramp_verdict verdict;
-
-	/* This node may have become an evaluator in the middle of the move. */
-	mv_get_ramp_progress(move->own_ramp, now_ms, &progress);
-	mv_resume_ramp(move->pooled_ramp, &progress, now_ms);
-	verdict = mv_evaluate_ramp(move->pooled_ramp, now_ms);
-	mv_get_ramp_progress(move->pooled_ramp, now_ms, &progress);
-	mv_follow_ramp(move->own_ramp, &progress, now_ms);
-	return verdict;
-}
-
-static enum mv_ramp_verdict get_verdict(struct nd_node *node,
-					struct nd_move *move, uint64_t now_ms)
-{
-	enum mv_ramp_verdict verdict = mv_evaluate_ramp(move->own_ramp, now_ms);
-
-	if (move->is_stopped)
-		verdict = MV_RAMP_TAKE_BACK;
-	if (verdict == MV_RAMP_TAKE_BACK ||
-	    !is_evaluator(node, move->request.service))
-		return verdict;
-	return evaluate_all_calls(move, now_ms);
-}
-
 static void evaluate_move(struct nd_node *node, struct nd_move *move,
 			  uint64_t now_ms)
 {
@@ -251,7 +203,9 @@
 		return;
 	report_move(node, move, now_ms);
 	log_step(node, move, now_ms);
-	switch (get_verdict(node, move, now_ms)) {
+	switch (mv_evaluate_calls(move->evaluation,
+				  get_own_rank(node, move->request.service),
+				  now_ms)) {
 	case MV_RAMP_TAKE_BACK:
 		request_state(node, move, DOC_MOVE_TAKEN_BACK, now_ms);
 		break;
@@ -291,19 +245,13 @@
 				const struct nd_move_request *request)
 {
 	struct nd_move *move = talloc_zero(node, struct nd_move);
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	struct mv_ramp_progress progress;
 
 	move->request = *request;
 	move->request.service = talloc_strdup(move, request->service);
 	move->request.to = talloc_strdup(move, request->to);
-	move->own_ramp = mv_new_ramp(move, request->to, request->limit_ms,
-				     MV_RAMP_OWN_CALLS, now_ms);
-	move->pooled_ramp = mv_new_ramp(move, request->to, request->limit_ms,
-					MV_RAMP_ALL_CALLS, now_ms);
-	/* Until an evaluator tells a step, the share is that of the probe. */
-	mv_get_ramp_progress(move->pooled_ramp, now_ms, &progress);
-	mv_follow_ramp(move->own_ramp, &progress, now_ms);
+	move->evaluation =
+		mv_new_evaluation(move, request->to, request->limit_ms,
+				  tmr_get_now_ms(node->timers));
 	move->unreported = json_array();
 	talloc_set_destructor(move, destroy_move);
 	return move;
@@ -366,46 +314,29 @@
 	return move && move->request.id == (uint64_t)id ? move : NULL;
 }
 
-/* Handles what an evaluator tells of a move; returns whether a share changed.
+/*
+ * Handles what an evaluator tells of a move; returns whether a share changed.
+ * A stop lowers the share at once: the state in the store may take long when
+ * the store is out.
  */
-static bool follow_evaluator(struct nd_node *node, const json_t *told)
+static bool handle_told(struct nd_node *node, const json_t *value)
 {
-	struct nd_move *move = find_move(node, told);
+	struct nd_move *move = find_move(node, value);
 	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	struct mv_ramp_progress progress;
-	uint32_t rank;
+	struct mv_told told;
 
-	if (!move || is_evaluator(node, move->request.service) ||
-	    !nd_read_number(told, "rank", &rank) ||
-	    !nd_read_progress(told, &progress))
-		return false;
-	if (rank > move->told_rank &&
-	    now_ms < move->told_ms + EVALUATOR_SILENT_MS)
+	if (!move || !nd_read_told(value, &told))
 		return false;
-	move->told_rank = rank;
-	move->told_ms = now_ms;
-	mv_follow_ramp(move->own_ramp, &progress, now_ms);
+	if (mv_handle_told(move->evaluation,
+			   get_own_rank(node, move->request.service), &told,
+			   now_ms))
+		log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
+			  "another node has found the version bad", "service",
+			  move->request.service, "to", move->request.to,
+			  LOG_END);
 	return update_share(move, now_ms);
 }
 
-/*
- * Lowers the share of a move that an evaluator has found bad at once: the state
- * in the store may take long when the store is out.
- */
-static bool stop_move(struct nd_node *node, const json_t *told)
-{
-	struct nd_move *move = find_move(node, told);
-
-	if (!move || move->is_stopped ||
-	    !json_is_true(json_object_get(told, "is_stopped")))
-		return false;
-	move->is_stopped = true;
-	log_write(LOG_LEVEL_INFO, "node", "stop move", NULL,
-		  "another node has found the version bad", "service",
-		  move->request.service, "to", move->request.to, LOG_END);
-	return update_share(move, tmr_get_now_ms(node->timers));
-}
-
 static void handle_report_answer(const json_t *answer, void *data)
 {
 	struct nd_node *node = data;
@@ -415,8 +346,7 @@
 
 	json_array_foreach(json_object_get(answer, "moves"), i, told)
 	{
-		is_changed |= stop_move(node, told);
-		is_changed |= follow_evaluator(node, told);
+		is_changed |= handle_told(node, told);
 	}
 	if (is_changed)
 		nd_build_snapshot(&node->gateway);
@@ -434,10 +364,8 @@
 	if (!move || move->request.state == DOC_MOVE_DONE ||
 	    move->request.state == DOC_MOVE_TAKEN_BACK)
 		return;
-	mv_record_ramp_counts(move->own_ramp, sample->version, sample->route,
-			      &sample->counts, now_ms);
-	mv_record_ramp_counts(move->pooled_ramp, sample->version, sample->route,
-			      &sample->counts, now_ms);
+	mv_record_own_counts(move->evaluation, sample->version, sample->route,
+			     &sample->counts, now_ms);
 	json_array_append_new(move->unreported,
 			      json_pack("[s,s,o]", sample->version,
 					sample->route,
@@ -453,30 +381,24 @@
 
 	if (version && route &&
 	    mv_parse_counts(json_array_get(series, 2), &counts))
-		mv_record_ramp_counts(move->pooled_ramp, version, route,
-				      &counts, now_ms);
+		mv_record_reported_counts(move->evaluation, version, route,
+					  &counts, now_ms);
 }
 
 /* Returns what this evaluator tells of a move, as new JSON. */
 static json_t *make_told(struct nd_node *node, struct nd_move *move)
 {
-	struct mv_ramp_progress progress;
-	json_t *told;
+	struct mv_told told;
+	json_t *value;
 
-	mv_get_ramp_progress(move->pooled_ramp, tmr_get_now_ms(node->timers),
-			     &progress);
-	told = nd_format_progress(&progress);
-	json_object_set_new(told, "service",
+	mv_get_told(move->evaluation, get_own_rank(node, move->request.service),
+		    tmr_get_now_ms(node->timers), &told);
+	value = nd_format_told(&told);
+	json_object_set_new(value, "service",
 			    json_string(move->request.service));
-	json_object_set_new(told, "id",
+	json_object_set_new(value, "id",
 			    json_integer((json_int_t)move->request.id));
-	json_object_set_new(
-		told, "is_stopped",
-		json_boolean(move->is_stopped || *get_reason(move)));
-	json_object_set_new(
-		told, "rank",
-		json_integer(get_own_rank(node, move->request.service)));
-	return told;
+	return value;
 }
 
 /* Adds a report's counts, and what is known of its move to told. */
--- a/src/node/progress.c
+++ b/src/node/progress.c
@@ -13,7 +13,8 @@
 			 (json_int_t)progress->new_calls);
 }
 
-bool nd_read_number(const json_t *object, const char *name, uint32_t *number)
+static bool read_number(const json_t *object, const char *name,
+			uint32_t *number)
 {
 	const json_t *value = json_object_get(object, name);
 	json_int_t read = json_integer_value(value);
@@ -26,11 +27,28 @@
 
 bool nd_read_progress(const json_t *told, struct mv_ramp_progress *progress)
 {
-	return nd_read_number(told, "step", &progress->step) &&
-	       nd_read_number(told, "share", &progress->share_permille) &&
-	       nd_read_number(told, "age_ms", &progress->age_ms) &&
-	       nd_read_number(told, "step_age_ms", &progress->step_age_ms) &&
-	       nd_read_number(told, "new_calls", &progress->new_calls) &&
+	return read_number(told, "step", &progress->step) &&
+	       read_number(told, "share", &progress->share_permille) &&
+	       read_number(told, "age_ms", &progress->age_ms) &&
+	       read_number(told, "step_age_ms", &progress->step_age_ms) &&
+	       read_number(told, "new_calls", &progress->new_calls) &&
 	       progress->share_permille <= DOC_SHARE_ALL_PERMILLE &&
 	       progress->step_age_ms <= progress->age_ms;
 }
+
+json_t *nd_format_told(const struct mv_told *told)
+{
+	json_t *value = nd_format_progress(&told->progress);
+
+	json_object_set_new(value, "rank", json_integer(told->rank));
+	json_object_set_new(value, "is_stopped",
+			    json_boolean(told->is_stopped));
+	return value;
+}
+
+bool nd_read_told(const json_t *value, struct mv_told *told)
+{
+	told->is_stopped = json_is_true(json_object_get(value, "is_stopped"));
+	return read_number(value, "rank", &told->rank) &&
+	       nd_read_progress(value, &told->progress);
+}
--- a/src/node/progress.h
+++ b/src/node/progress.h
@@ -1,5 +1,5 @@
 /*
- * Progress of a ramp in JSON, as evaluators tell it to other nodes.
+ * Progress of a ramp in JSON, and what evaluators tell other nodes of it.
  */
 #ifndef ND_PROGRESS_H
 #define ND_PROGRESS_H
@@ -13,7 +13,11 @@
 /* Fills in progress; returns false when a field is missing or out of range. */
 bool nd_read_progress(const json_t *told, struct mv_ramp_progress *progress);
 
-/* Reads a whole number from 0 to INT32_MAX; returns false if there is none. */
-bool nd_read_number(const json_t *object, const char *name, uint32_t *number);
+/*
+ * The same for all that an evaluator tells: "rank" and "is_stopped" beside the
+ * fields of its progress.
+ */
+json_t *nd_format_told(const struct mv_told *told);
+bool nd_read_told(const json_t *value, struct mv_told *told);
 
 #endif
