--- /dev/null
+++ b/src/moves/tests/test_ramp_fleet.c
@@ -0,0 +1,192 @@
+/*
+ * Moves of a fleet in virtual time: a good version is finished before its
+ * deadline, and a bad one gets a tenth of the calls and fifty more at most.
+ *
+ *   test_ramp_fleet split       days on which evaluators start again
+ *   test_ramp_fleet full        versions that are bad only with most calls
+ *   test_ramp_fleet late        outages, and hardly any calls
+ *   test_ramp_fleet             all other days
+ */
+#include <stdio.h>
+#include <string.h>
+#include <glib.h>
+#include "fleet.h"
+#include "script.h"
+
+#define SEEDS 40U
+
+static const struct fleet_day good_days[] = {
+	{ .name = "good", .calls_per_s = 780, .usual_failures = 0.013 },
+	{ .name = "good, few calls",
+	  .calls_per_s = 40,
+	  .usual_failures = 0.01 },
+	{ .name = "good, an outage in the probe",
+	  .calls_per_s = 780,
+	  .outage_failures = 0.4,
+	  .outage_from_s = 3,
+	  .outage_to_s = 5 },
+};
+
+/* A good version was not finished by its deadline. */
+static const struct fleet_day late_days[] = {
+	{ .name = "good, hardly any calls", .calls_per_s = 2 },
+	{ .name = "good, an outage at the full share",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .outage_failures = 0.4,
+	  .outage_from_s = 9.5,
+	  .outage_to_s = 11 },
+};
+
+static const struct fleet_day bad_days[] = {
+	{ .name = "fails at once", .calls_per_s = 780, .new_failures = 0.4 },
+	{ .name = "fails late",
+	  .calls_per_s = 780,
+	  .new_failures = 0.4,
+	  .new_late_s = 4 },
+	{ .name = "fails under half of the load",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_failures = 0.36,
+	  .load_threshold = 0.3 },
+};
+
+/* A version that fails only when it has most calls was declared complete. */
+static const struct fleet_day full_days[] = {
+	{ .name = "fails at 70 % of the load",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_failures = 0.36,
+	  .load_threshold = 0.7 },
+	{ .name = "fails at 80 % of the load",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_failures = 0.36,
+	  .load_threshold = 0.8 },
+	{ .name = "fails at 90 % of the load",
+	  .calls_per_s = 360,
+	  .new_failures = 0.3,
+	  .load_threshold = 0.9 },
+	{ .name = "fails a little at 70 % of the load",
+	  .calls_per_s = 360,
+	  .new_failures = 0.12,
+	  .load_threshold = 0.7 },
+};
+
+/* An evaluator that the others did not follow declared a move complete. */
+static const struct fleet_day split_bad_days[] = {
+	{ .name = "fails under half of the load, restarts",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_failures = 0.36,
+	  .load_threshold = 0.3,
+	  .has_restarts = true },
+	{ .name = "fails at 70 % of the load, restarts",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_failures = 0.36,
+	  .load_threshold = 0.7,
+	  .has_restarts = true },
+};
+
+static const struct fleet_day split_good_days[] = {
+	{ .name = "good, restarts",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .has_restarts = true },
+};
+
+struct day_sums {
+	uint32_t finished;
+	uint32_t taken_back;
+	uint32_t exposed;
+	double latest_s;
+	double largest_share;
+};
+
+static void play_day(const struct fleet_day *day, struct day_sums *sums)
+{
+	struct fleet_result result;
+
+	memset(sums, 0, sizeof(*sums));
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		fleet_play(day, seed, &result);
+		sums->finished += result.is_finished;
+		sums->taken_back += result.is_taken_back;
+		sums->exposed += result.is_exposed;
+		sums->latest_s = MAX(sums->latest_s, result.end_s);
+		sums->largest_share =
+			MAX(sums->largest_share,
+			    (double)result.new_calls / result.calls);
+	}
+	printf("%s: finished %u, taken back %u, exposed %u of %u; at most "
+	       "%.1f s, %.1f %% of the calls\n",
+	       day->name, sums->finished, sums->taken_back, sums->exposed,
+	       SEEDS, sums->latest_s, sums->largest_share * 100);
+}
+
+static void check_good_days(const struct fleet_day *days, size_t count)
+{
+	struct day_sums sums;
+
+	for (size_t i = 0; i < count; i++) {
+		play_day(&days[i], &sums);
+		CU_ASSERT_EQUAL(sums.finished, SEEDS);
+	}
+}
+
+static void check_bad_days(const struct fleet_day *days, size_t count)
+{
+	struct day_sums sums;
+
+	for (size_t i = 0; i < count; i++) {
+		play_day(&days[i], &sums);
+		CU_ASSERT_EQUAL(sums.taken_back, SEEDS);
+		CU_ASSERT_EQUAL(sums.exposed, 0);
+	}
+}
+
+static void test_usual_days(void)
+{
+	check_good_days(good_days, G_N_ELEMENTS(good_days));
+	check_bad_days(bad_days, G_N_ELEMENTS(bad_days));
+}
+
+static void test_late(void)
+{
+	check_good_days(late_days, G_N_ELEMENTS(late_days));
+}
+
+static void test_full_share(void)
+{
+	check_bad_days(full_days, G_N_ELEMENTS(full_days));
+}
+
+static void test_split_evaluators(void)
+{
+	check_good_days(split_good_days, G_N_ELEMENTS(split_good_days));
+	check_bad_days(split_bad_days, G_N_ELEMENTS(split_bad_days));
+}
+
+int main(int argc, char **argv)
+{
+	static const CU_TestInfo usual[] = { { "usual days", test_usual_days },
+					     CU_TEST_INFO_NULL };
+	static const CU_TestInfo late[] = { { "outages, and hardly any calls",
+					      test_late },
+					    CU_TEST_INFO_NULL };
+	static const CU_TestInfo full[] = { { "bad only with most calls",
+					      test_full_share },
+					    CU_TEST_INFO_NULL };
+	static const CU_TestInfo split[] = { { "evaluators that start again",
+					       test_split_evaluators },
+					     CU_TEST_INFO_NULL };
+
+	if (argc > 1 && strcmp(argv[1], "split") == 0)
+		return scr_run_suite("ramp_split", split);
+	if (argc > 1 && strcmp(argv[1], "late") == 0)
+		return scr_run_suite("ramp_late", late);
+	if (argc > 1 && strcmp(argv[1], "full") == 0)
+		return scr_run_suite("ramp_full", full);
+	return scr_run_suite("ramp_fleet", usual);
+}
