Let a short move end by evidence that all evaluators share

Cause: the end of a step, and of the move, was decided by time that had passed since the step began on one node. Nothing showed that the step's share had been in force, and at the full share nothing was judged unless a series was suspect before.

- Reports carry the progress that a node knows.
Steps never decrease, and evaluators take over the further one; a node that starts learns from any report how far the move is.
- A step ends only when the calls counted in it show at least half of its share.
A move that cannot show this in time is taken back.
- At the full share the new version is suspected by the old one's rates until then.
A suspicion gives all calls to the old version for 0.7 s; its calls tell an outage of both from a bad version.
After an outage the new version gets all calls once more, and is taken back if suspected again.
- The step of 80 % is gone, that of 40 % is 30 %: a version that is bad only under load may have all calls for 0.9 s instead.
- A node that began to count late no longer takes the calls per second for fewer than they are, which had raised the share of the probe to 8 %.

Other nodes than evaluators request the end only when one has told them that the move has passed.

--- a/include/loom/moves.h
+++ b/include/loom/moves.h
@@ -291,7 +291,7 @@
 
 enum mv_ramp_verdict {
 	MV_RAMP_CONTINUE,
-	MV_RAMP_FINISH,	   /* the new version had all calls for long enough */
+	MV_RAMP_FINISH,	   /* the new version had all calls and was good */
 	MV_RAMP_TAKE_BACK, /* the new version is bad */
 };
 
@@ -338,6 +338,7 @@
 	uint32_t age_ms;
 	uint32_t step_age_ms;
 	uint32_t new_calls; /* see CALLS_BEFORE_LARGE_STEPS in ramp.c */
+	bool is_passed;	    /* the new version may get all calls for good */
 };
 
 /* Fills in the progress of a ramp. */
@@ -365,7 +366,7 @@
 
 /*
  * Continues a ramp of all calls from the progress that another node had told,
- * if that is further than its own.
+ * where that is further than its own. Steps and ages never decrease.
  */
 void mv_resume_ramp(struct mv_ramp *ramp,
 		    const struct mv_ramp_progress *progress, uint64_t now_ms);
@@ -425,6 +426,18 @@
 uint32_t mv_get_evaluated_share(struct mv_evaluation *evaluation,
 				uint64_t now_ms);
 
+/*
+ * Fills in the progress that this node knows, for its reports to evaluators. An
+ * evaluator that has just started learns from it how far the move is.
+ */
+void mv_get_known_progress(struct mv_evaluation *evaluation, uint64_t now_ms,
+			   struct mv_ramp_progress *progress);
+
+/* Adds the progress that the report of another node tells. */
+void mv_record_reported_progress(struct mv_evaluation *evaluation,
+				 const struct mv_ramp_progress *progress,
+				 uint64_t now_ms);
+
 /* Fills in what this evaluator tells other nodes. */
 void mv_get_told(struct mv_evaluation *evaluation, uint32_t own_rank,
 		 uint64_t now_ms, struct mv_told *told);
--- a/src/moves/comparison.h
+++ b/src/moves/comparison.h
@@ -34,6 +34,7 @@
 	uint32_t last_step;	/* the last one whose calls count */
 	uint32_t old_calls_min; /* for a step to count */
 	double rate_min; /* acceptable, whatever the rate of the old version */
+	bool needs_all_nodes;
 	double alarm_factor; /* of the false-alarm probability */
 };
 
--- a/src/moves/evaluation.c
+++ b/src/moves/evaluation.c
@@ -71,6 +71,19 @@
 			      now_ms);
 }
 
+void mv_get_known_progress(struct mv_evaluation *evaluation, uint64_t now_ms,
+			   struct mv_ramp_progress *progress)
+{
+	mv_get_ramp_progress(evaluation->own_ramp, now_ms, progress);
+}
+
+void mv_record_reported_progress(struct mv_evaluation *evaluation,
+				 const struct mv_ramp_progress *progress,
+				 uint64_t now_ms)
+{
+	mv_resume_ramp(evaluation->pooled_ramp, progress, now_ms);
+}
+
 enum mv_ramp_verdict mv_evaluate_calls(struct mv_evaluation *evaluation,
 				       uint32_t own_rank, uint64_t now_ms)
 {
@@ -109,6 +122,7 @@
 
 	if (told->is_stopped)
 		evaluation->is_stopped = true;
+	mv_resume_ramp(evaluation->pooled_ramp, &told->progress, now_ms);
 	if (own_rank < MV_EVALUATORS ||
 	    (told->rank > evaluation->told_rank &&
 	     now_ms < evaluation->told_ms + EVALUATOR_SILENT_MS))
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -2,15 +2,24 @@
  * Ramp of a move that has to finish within seconds.
  *
  * For the first part of the time a small share of the calls probes the new
- * version. Then the share rises in a few steps, so that a version that is bad
- * only under load is found before it has all calls. Evidence is kept per route
- * and for all routes together, by step. The new version is bad when its number
- * of failed or slow calls would be very unlikely at the rates of the old
- * version. Two sets of calls are tested: those of the current step, since good
- * calls of earlier steps would hide a fault under load, and those of all steps,
- * since a step alone has too few calls of a rare route. Each call is compared
- * with the old version's rate in the same step, so that a fault of both
- * versions that began with a step does not count against the new one.
+ * version. Then the share rises in a few steps to all calls. Evidence is kept
+ * per route and for all routes together, by step. The new version is bad when
+ * its number of failed or slow calls would be very unlikely at the rates of the
+ * old version. Two sets of calls are tested: those of the current step, since
+ * good calls of earlier steps would hide a fault under load, and those of all
+ * steps, since a step alone has too few calls of a rare route. Each call is
+ * compared with the old version's rate in the same step, so that a fault of
+ * both versions that began with a step does not count against the new one.
+ *
+ * A step ends by evidence: the calls that were counted must show that the share
+ * was in force. A ramp whose share the other nodes do not use does not go on.
+ *
+ * With all calls at the new version there is no old one to compare with, and a
+ * fault of a called service looks like a bad version. There the new version is
+ * suspected by the old one's rates until then. After a suspicion all calls go
+ * to the old version for the check step, whose calls tell whether it fails as
+ * well. Then the new version is taken back or gets all calls once more, and a
+ * second suspicion takes it back.
  *
  * While the old version fails often, a bad new one cannot be told from it. The
  * share then falls back to that of the probe, and the step begins anew when the
@@ -18,20 +27,19 @@
  * back at the end of its time.
  *
  * The ramp of all nodes' calls decides on the steps; ramps of single nodes
- * follow it.
+ * follow it. Steps never decrease, so that evaluators agree on the latest one.
  *
- * Invariants: evidence[0] counts all routes; evidence of steps after the
- * current one is zero; once reason is set, the ramp stays taken back.
+ * Invariants: calls of steps after the current one are zero; once reason is
+ * set, the ramp stays taken back.
  */
 #include <math.h>
 #include <string.h>
-#include "comparison.h"
+#include "evidence.h"
 
 /*
- * A bad version may get at most a tenth of all calls of the ramp. The probe
- * uses a fifth of that tenth and the first two steps less than a third; the
- * rest bounds how long a version that is bad only under load can stay at the
- * last step.
+ * A bad version may get at most a tenth of all calls of the ramp. The probe and
+ * the steps use less than half of that tenth; the rest bounds how long a
+ * version that is bad only under load can have all calls.
  */
 #define PROBE_SHARE_PERMILLE 50U
 /*
@@ -50,7 +58,16 @@
 /* Part of the time used by the probe, long enough to find late faults. */
 #define PROBE_TIME_PERCENT 43U
 /* Time for which the new version has all calls before the ramp finishes. */
-#define FULL_SHARE_MS 1600U
+#define FULL_SHARE_MS 2000U
+/* The least such time, at the end of the limit. */
+#define FULL_SHARE_MIN_MS 1000U
+/* Time for which the old version has all calls after a suspicion. */
+#define CHECK_MS 700U
+/* Calls of the new version, due in a step, that tell whether its share is used.
+ */
+#define SHARE_CALLS_MIN 20U
+/* Calls of the old version that end a check. */
+#define CHECK_CALLS_MIN 20U
 /* Time at the end of the limit in which the end of the move is recorded. */
 #define END_MARGIN_MS 700U
 /* Steps may take this much less time after an interruption. */
@@ -67,14 +84,14 @@
  */
 #define OWN_FALSE_ALARM_PROBABILITY 1e-5
 #define ALL_FALSE_ALARM_PROBABILITY 1e-4
+/* With all calls at the new version; the check of a suspicion follows. */
+#define CHECK_CAUSE_PROBABILITY 5e-2
+#define CHECK_PROBABILITY 1e-2
 /*
- * When the new version has all calls there is no old one to compare with, and a
- * fault of a called service looks like a bad version. Only a series that was
- * already this unlikely before is judged further, by the old version's rates
- * until then.
+ * A single node cannot let the others check a suspicion. With all calls at the
+ * new version it judges only a series that was this unlikely before.
  */
 #define SUSPICION_PROBABILITY 1e-2
-#define ROUTES_MAX 32U
 /*
  * Calls of the new version, from before the old one failed often or after, that
  * have ended before the larger shares: a slow call ends late, and after a noisy
@@ -82,168 +99,85 @@
  */
 #define CALLS_BEFORE_LARGE_STEPS 25U
 
-/* Steps after the probe; the load of the last is close to that of all calls. */
 static const struct {
 	uint32_t share_permille;
-	uint32_t duration_ms;
-} steps[] = { { 150, 1500 }, { 400, 600 }, { 800, 1300 } };
-#define FULL_STEP (1U + G_N_ELEMENTS(steps))
-
-/* The last step in which the old version has most calls. */
-#define MINOR_STEP 2U
-/* Calls of the old version from which its latencies are known well enough. */
-#define LATENCY_CALLS_MIN 200U
-/*
- * The smaller the factor of a test, the more its result depends on the load and
- * on which targets are reached. So all but the first test need calls of all
- * nodes, and only count steps in which the old version has most calls.
- */
-static const struct mv_latency_test latency_tests[] = {
-	{ .shift_buckets = 2,
-	  .last_step = FULL_STEP,
-	  .old_calls_min = 20,
-	  .rate_min = 0.05,
-	  .alarm_factor = 1 },
-	{ .shift_buckets = 1,
-	  .last_step = MINOR_STEP,
-	  .old_calls_min = LATENCY_CALLS_MIN,
-	  .rate_min = 0.03,
-	  .alarm_factor = 10 },
-	{ .shift_buckets = 0,
-	  .last_step = MINOR_STEP,
-	  .old_calls_min = LATENCY_CALLS_MIN,
-	  .rate_min = 0.03,
-	  .alarm_factor = 10 },
-};
-#define LATENCY_TESTS G_N_ELEMENTS(latency_tests)
-
-struct evidence {
-	char route[MV_NAME_SIZE]; /* "": all routes */
-	struct mv_step_counts steps[FULL_STEP + 1];
+	uint32_t duration_ms; /* 0: not known beforehand */
+} steps[MV_STEP_COUNT] = {
+	[MV_STEP_PROBE] = { PROBE_SHARE_PERMILLE, 0 },
+	[MV_STEP_FIRST] = { 150, 1200 },
+	[MV_STEP_SECOND] = { 300, 500 },
+	[MV_STEP_FULL] = { DOC_SHARE_ALL_PERMILLE, FULL_SHARE_MS },
+	[MV_STEP_CHECK] = { 0, 0 },
+	[MV_STEP_LAST] = { DOC_SHARE_ALL_PERMILLE, FULL_SHARE_MS },
 };
 
 struct mv_ramp {
 	char to[MV_NAME_SIZE];
 	uint64_t start_ms;
 	uint32_t limit_ms;
-	uint32_t step; /* FULL_STEP: the new version has all calls */
+	uint64_t counting_since_ms; /* later than start_ms if another node told
+				       of the ramp */
+	uint32_t step;
 	uint64_t step_start_ms;
+	/* Calls since step_start_ms, also those that tell nothing. */
+	uint64_t step_new_calls;
+	uint64_t step_old_calls;
 	bool is_following;	/* steps are decided by another ramp */
 	uint32_t told_permille; /* share of that one */
+	bool is_told_passed;	/* whether that one has passed */
+	bool is_suspect;	/* this ramp has begun the check step */
+	enum mv_ramp_scope scope;
 	/* Calls of the old version in this window and the one before. */
 	struct mv_counts noise[2];
 	uint64_t noise_start_ms;
 	uint32_t quiet_calls; /* of the new version, while it was not noisy */
 	bool was_noisy;
-	double false_alarm_probability;
-	uint32_t latency_test_count;
-	uint32_t evidence_count;
-	struct evidence evidence[ROUTES_MAX + 1];
+	struct mv_series_list calls;
 	char reason[256]; /* "": not taken back */
 };
 
-static struct evidence *get_evidence(struct mv_ramp *ramp, const char *route)
+static void set_reason(struct mv_ramp *ramp, const struct mv_series *series,
+		       const struct mv_fault *fault)
 {
-	struct evidence *evidence;
-
-	for (uint32_t i = 1; i < ramp->evidence_count; i++) {
-		if (strcmp(ramp->evidence[i].route, route) == 0)
-			return &ramp->evidence[i];
-	}
-	if (ramp->evidence_count > ROUTES_MAX)
-		return NULL;
-	evidence = &ramp->evidence[ramp->evidence_count++];
-	g_strlcpy(evidence->route, route, sizeof(evidence->route));
-	return evidence;
-}
+	const struct mv_comparison *sums = &fault->sums;
 
-static void set_reason(struct mv_ramp *ramp, const struct evidence *evidence,
-		       const char *what, const struct mv_comparison *sums)
-{
 	g_snprintf(ramp->reason, sizeof(ramp->reason),
 		   "%s%s: %u of %u calls %s, %u of %u on the old version",
-		   *evidence->route ? "route " : "all routes", evidence->route,
-		   sums->new_bad, sums->new_calls, what, sums->old_bad,
+		   *series->route ? "route " : "all routes", series->route,
+		   sums->new_bad, sums->new_calls, fault->what, sums->old_bad,
 		   sums->old_calls);
 }
 
-/* The old calls that the full share is compared with were counted before. */
-static void drop_repeated_calls(uint32_t last, struct mv_comparison *sums)
-{
-	if (last < FULL_STEP)
-		return;
-	sums->old_calls /= 2;
-	sums->old_bad /= 2;
-}
-
-/* Sums up the failures in the steps from first to last. */
-static struct mv_comparison sum_failures(const struct evidence *evidence,
-					 uint32_t first, uint32_t last)
-{
-	struct mv_comparison sums = { 0 };
-	struct mv_counts all_old = { 0 };
-
-	for (uint32_t i = 0; i < FULL_STEP; i++)
-		mv_add_counts(&all_old, &evidence->steps[i].old);
-	for (uint32_t i = first; i <= last; i++)
-		mv_compare_failures(&evidence->steps[i], &all_old, &sums);
-	drop_repeated_calls(last, &sums);
-	return sums;
-}
-
-/* Sums up the slow calls of a latency test in the steps from first to last. */
-static struct mv_comparison sum_slow_calls(const struct evidence *evidence,
-					   uint32_t test, uint32_t first,
-					   uint32_t last)
+static bool is_full_step(uint32_t step)
 {
-	struct mv_comparison sums = { 0 };
-
-	last = MIN(last, latency_tests[test].last_step);
-	for (uint32_t i = first; i <= last; i++)
-		mv_compare_latency(&evidence->steps[i], &latency_tests[test],
-				   &sums);
-	drop_repeated_calls(last, &sums);
-	return sums;
+	return step == MV_STEP_FULL || step == MV_STEP_LAST;
 }
 
-/* Tests the calls of the steps from first to last together. */
-static void evaluate_steps(struct mv_ramp *ramp,
-			   const struct evidence *evidence, uint32_t first,
-			   uint32_t last)
+/* Returns the bound for each test of the current step. */
+static double get_false_alarm_probability(const struct mv_ramp *ramp)
 {
-	struct mv_comparison sums = sum_failures(evidence, first, last);
-
-	if (mv_is_significant(&sums, ramp->false_alarm_probability)) {
-		set_reason(ramp, evidence, "failed", &sums);
-		return;
-	}
-	for (uint32_t i = 0; i < ramp->latency_test_count; i++) {
-		sums = sum_slow_calls(evidence, i, first, last);
-		if (!mv_is_significant(&sums,
-				       ramp->false_alarm_probability *
-					       latency_tests[i].alarm_factor))
-			continue;
-		set_reason(ramp, evidence, "slow or failed", &sums);
-		return;
-	}
+	if (ramp->scope == MV_RAMP_OWN_CALLS)
+		return OWN_FALSE_ALARM_PROBABILITY;
+	if (ramp->step == MV_STEP_FULL)
+		return CHECK_CAUSE_PROBABILITY;
+	return ramp->step == MV_STEP_LAST ? CHECK_PROBABILITY
+					  : ALL_FALSE_ALARM_PROBABILITY;
 }
 
-/* Tests all calls, with those of the full share, of a suspected series. */
-static void evaluate_full_share(struct mv_ramp *ramp, struct evidence *evidence)
+/* Tests the calls of the steps from first to the current one together. */
+static void evaluate_steps(struct mv_ramp *ramp, const struct mv_series *series,
+			   uint32_t first)
 {
-	struct mv_step_counts *full = &evidence->steps[FULL_STEP];
-	struct mv_comparison failures =
-		sum_failures(evidence, 0, FULL_STEP - 1);
-	struct mv_comparison latency =
-		sum_slow_calls(evidence, 0, 0, FULL_STEP - 1);
+	const struct mv_test test = {
+		.first = first,
+		.last = ramp->step,
+		.probability = get_false_alarm_probability(ramp),
+		.has_all_nodes = ramp->scope == MV_RAMP_ALL_CALLS,
+	};
+	struct mv_fault fault;
 
-	if (!mv_is_unlikely(&failures, SUSPICION_PROBABILITY) &&
-	    !mv_is_unlikely(&latency, SUSPICION_PROBABILITY))
-		return;
-	memset(&full->old, 0, sizeof(full->old));
-	for (uint32_t i = 0; i < FULL_STEP; i++)
-		mv_add_counts(&full->old, &evidence->steps[i].old);
-	evaluate_steps(ramp, evidence, 0, FULL_STEP);
+	if (mv_find_fault(series, &test, &fault))
+		set_reason(ramp, series, &fault);
 }
 
 static uint32_t get_probe_ms(const struct mv_ramp *ramp)
@@ -254,9 +188,8 @@
 /* Returns the usual duration of a step. */
 static uint32_t get_duration_ms(const struct mv_ramp *ramp, uint32_t step)
 {
-	if (step == 0)
-		return get_probe_ms(ramp);
-	return step == FULL_STEP ? FULL_SHARE_MS : steps[step - 1].duration_ms;
+	return step == MV_STEP_PROBE ? get_probe_ms(ramp)
+				     : steps[step].duration_ms;
 }
 
 /* Returns the usual time from the beginning of a step to the full share. */
@@ -264,7 +197,7 @@
 {
 	uint32_t remaining_ms = 0;
 
-	for (uint32_t i = step; i < FULL_STEP; i++)
+	for (uint32_t i = step; i < MV_STEP_FULL; i++)
 		remaining_ms += get_duration_ms(ramp, i);
 	return remaining_ms;
 }
@@ -283,7 +216,7 @@
 
 static bool can_end_in_time(const struct mv_ramp *ramp, uint64_t now_ms)
 {
-	double shortest_ms = ramp->step == 0
+	double shortest_ms = ramp->step == MV_STEP_PROBE
 				     ? get_remaining_ms(ramp, 1)
 				     : get_remaining_ms(ramp, ramp->step);
 
@@ -314,6 +247,8 @@
 {
 	ramp->step = step;
 	ramp->step_start_ms = now_ms;
+	ramp->step_new_calls = 0;
+	ramp->step_old_calls = 0;
 }
 
 static bool has_few_calls(const struct mv_ramp *ramp)
@@ -330,12 +265,27 @@
 	       ramp->limit_ms;
 }
 
+/*
+ * Returns whether at least half of the new version's calls that are due in the
+ * current step were counted. Few calls show nothing, and do not stop the ramp.
+ */
+static bool has_share(const struct mv_ramp *ramp)
+{
+	uint64_t due_calls = (ramp->step_new_calls + ramp->step_old_calls) *
+			     steps[ramp->step].share_permille / 1000;
+
+	return due_calls < SHARE_CALLS_MIN ||
+	       2 * ramp->step_new_calls >= due_calls;
+}
+
 static bool is_step_over(const struct mv_ramp *ramp, uint64_t now_ms)
 {
 	if ((double)(now_ms - ramp->step_start_ms) < get_step_ms(ramp))
 		return false;
-	if (ramp->step == 0)
+	if (ramp->step == MV_STEP_PROBE)
 		return can_end_in_time(ramp, now_ms);
+	if (!has_share(ramp))
+		return false;
 	return !has_few_calls(ramp) ||
 	       (!ramp->was_noisy && !can_wait(ramp, now_ms));
 }
@@ -347,12 +297,12 @@
 static void advance_step(struct mv_ramp *ramp, uint64_t now_ms)
 {
 	turn_noise_window(ramp, now_ms);
-	if (ramp->step == FULL_STEP)
+	if (ramp->step >= MV_STEP_FULL)
 		return;
 	if (is_noisy(ramp)) {
 		ramp->was_noisy = true;
 		/* The probe goes on; its time is not lost. */
-		if (ramp->step > 0)
+		if (ramp->step > MV_STEP_PROBE)
 			begin_step(ramp, ramp->step, now_ms);
 	} else if (is_step_over(ramp, now_ms)) {
 		begin_step(ramp, ramp->step + 1, now_ms);
@@ -364,9 +314,9 @@
 {
 	struct mv_step_counts sums = { 0 };
 
-	for (uint32_t i = 0; i <= FULL_STEP; i++) {
-		mv_add_counts(&sums.old, &ramp->evidence[0].steps[i].old);
-		mv_add_counts(&sums.new, &ramp->evidence[0].steps[i].new);
+	for (uint32_t i = 0; i <= MV_STEP_LAST; i++) {
+		mv_add_counts(&sums.old, &ramp->calls.series[0].steps[i].old);
+		mv_add_counts(&sums.new, &ramp->calls.series[0].steps[i].new);
 	}
 	return sums;
 }
@@ -379,7 +329,7 @@
 			      double wanted, double time_ms)
 {
 	struct mv_step_counts sums = sum_calls(ramp);
-	uint64_t elapsed_ms = now_ms - ramp->start_ms;
+	uint64_t elapsed_ms = now_ms - ramp->counting_since_ms;
 	double calls = (double)sums.old.calls + sums.new.calls;
 	double permille;
 
@@ -405,8 +355,10 @@
 	double elapsed_ms = (double)(now_ms - ramp->start_ms);
 	double left_ms = fmax(get_probe_ms(ramp) - elapsed_ms, RATE_KNOWN_MS);
 
-	return get_share_for(ramp, now_ms,
-			     PROBE_CALLS - sum_calls(ramp).new.calls, left_ms);
+	uint32_t known_calls =
+		MAX(sum_calls(ramp).new.calls, ramp->quiet_calls);
+
+	return get_share_for(ramp, now_ms, PROBE_CALLS - known_calls, left_ms);
 }
 
 /* Returns whether the new version has had its part of the calls for now. */
@@ -429,55 +381,46 @@
 
 	g_strlcpy(ramp->to, to, sizeof(ramp->to));
 	ramp->limit_ms = limit_ms;
-	ramp->false_alarm_probability = scope == MV_RAMP_OWN_CALLS
-						? OWN_FALSE_ALARM_PROBABILITY
-						: ALL_FALSE_ALARM_PROBABILITY;
-	ramp->latency_test_count =
-		scope == MV_RAMP_OWN_CALLS ? 1 : LATENCY_TESTS;
+	ramp->scope = scope;
+	ramp->counting_since_ms = now_ms;
 	ramp->start_ms = now_ms;
 	ramp->step_start_ms = now_ms;
 	ramp->noise_start_ms = now_ms;
-	ramp->evidence_count = 1;
+	mv_init_series(&ramp->calls);
 	return ramp;
 }
 
-static void add_counts(struct mv_step_counts *step, bool is_new,
-		       const struct mv_counts *counts)
-{
-	mv_add_counts(is_new ? &step->new : &step->old, counts);
-}
-
 void mv_record_ramp_counts(struct mv_ramp *ramp, const char *version,
 			   const char *route, const struct mv_counts *counts,
 			   uint64_t now_ms)
 {
 	bool is_new = strcmp(version, ramp->to) == 0;
-	struct evidence *evidence;
+	uint32_t step;
 
 	turn_noise_window(ramp, now_ms);
-	if (!ramp->is_following)
-		advance_step(ramp, now_ms);
-	/* Calls of the old version that began before the full share. */
-	if (ramp->step == FULL_STEP && !is_new)
-		return;
+	if (is_new)
+		ramp->step_new_calls += (uint64_t)counts->calls + counts->cold;
+	else
+		ramp->step_old_calls += (uint64_t)counts->calls + counts->cold;
 	if (!is_new)
 		mv_add_counts(&ramp->noise[0], counts);
 	else if (!is_noisy(ramp))
 		ramp->quiet_calls += counts->calls;
-	evidence = get_evidence(ramp, route);
-	add_counts(&ramp->evidence[0].steps[ramp->step], is_new, counts);
-	if (evidence)
-		add_counts(&evidence->steps[ramp->step], is_new, counts);
+	/* Calls of the new version that end in the check began before it. */
+	step = ramp->step == MV_STEP_CHECK && is_new ? MV_STEP_FULL
+						     : ramp->step;
+	mv_add_series_counts(&ramp->calls, route, step, is_new, counts);
 }
 
-static void set_progress(struct mv_ramp *ramp,
-			 const struct mv_ramp_progress *progress,
-			 uint64_t now_ms)
+/* Returns whether the new version has had all calls for long enough. */
+static bool has_passed(const struct mv_ramp *ramp, uint64_t now_ms)
 {
-	ramp->start_ms = now_ms - MIN(progress->age_ms, now_ms);
-	ramp->quiet_calls = MAX(ramp->quiet_calls, progress->new_calls);
-	begin_step(ramp, MIN(progress->step, FULL_STEP),
-		   now_ms - MIN(progress->step_age_ms, now_ms));
+	bool is_last_chance =
+		now_ms - ramp->start_ms + END_MARGIN_MS >= ramp->limit_ms;
+	uint32_t least_ms = is_last_chance ? FULL_SHARE_MIN_MS : FULL_SHARE_MS;
+
+	return !*ramp->reason && is_full_step(ramp->step) &&
+	       now_ms - ramp->step_start_ms >= least_ms && has_share(ramp);
 }
 
 void mv_get_ramp_progress(struct mv_ramp *ramp, uint64_t now_ms,
@@ -489,6 +432,8 @@
 		.age_ms = (uint32_t)(now_ms - ramp->start_ms),
 		.step_age_ms = (uint32_t)(now_ms - ramp->step_start_ms),
 		.new_calls = ramp->quiet_calls,
+		.is_passed = ramp->is_following ? ramp->is_told_passed
+						: has_passed(ramp, now_ms),
 	};
 }
 
@@ -498,9 +443,9 @@
 	const struct mv_step_counts *counts;
 
 	memset(calls, 0, sizeof(*calls));
-	if (step > FULL_STEP)
+	if (step >= MV_STEP_COUNT)
 		return;
-	counts = &ramp->evidence[0].steps[step];
+	counts = &ramp->calls.series[0].steps[step];
 	calls->new_calls = counts->new.calls;
 	calls->new_failed = counts->new.failed;
 	calls->old_calls = counts->old.calls;
@@ -512,15 +457,22 @@
 {
 	ramp->is_following = true;
 	ramp->told_permille = progress->share_permille;
-	set_progress(ramp, progress, now_ms);
+	ramp->is_told_passed = progress->is_passed;
+	ramp->start_ms = now_ms - MIN(progress->age_ms, now_ms);
+	ramp->quiet_calls = MAX(ramp->quiet_calls, progress->new_calls);
+	begin_step(ramp, MIN(progress->step, MV_STEP_LAST),
+		   now_ms - MIN(progress->step_age_ms, now_ms));
 }
 
 void mv_resume_ramp(struct mv_ramp *ramp,
 		    const struct mv_ramp_progress *progress, uint64_t now_ms)
 {
-	if (progress->step > ramp->step ||
-	    progress->age_ms > now_ms - ramp->start_ms)
-		set_progress(ramp, progress, now_ms);
+	ramp->start_ms =
+		MIN(ramp->start_ms, now_ms - MIN(progress->age_ms, now_ms));
+	ramp->quiet_calls = MAX(ramp->quiet_calls, progress->new_calls);
+	if (progress->step > ramp->step)
+		begin_step(ramp, MIN(progress->step, MV_STEP_LAST),
+			   now_ms - MIN(progress->step_age_ms, now_ms));
 }
 
 uint32_t mv_get_ramp_share(struct mv_ramp *ramp, uint64_t now_ms)
@@ -533,42 +485,111 @@
 		return ramp->told_permille;
 	advance_step(ramp, now_ms);
 	probe_permille = get_probe_permille(ramp, now_ms);
-	if (ramp->step == FULL_STEP)
-		return DOC_SHARE_ALL_PERMILLE;
+	if (ramp->step >= MV_STEP_FULL)
+		return steps[ramp->step].share_permille;
 	if (is_noisy(ramp))
 		return is_exposed(ramp) ? 0 : probe_permille;
-	if (ramp->step == 0)
+	if (ramp->step == MV_STEP_PROBE)
 		return get_first_permille(ramp, now_ms);
-	return MAX(steps[ramp->step - 1].share_permille, 2 * probe_permille);
+	return MAX(steps[ramp->step].share_permille, 2 * probe_permille);
+}
+
+static void evaluate_check(struct mv_ramp *ramp, const struct mv_series *series)
+{
+	struct mv_fault fault;
+
+	if (mv_find_checked_fault(series, CHECK_PROBABILITY, &fault))
+		set_reason(ramp, series, &fault);
+}
+
+/* Returns whether the old version fails more often than before the check. */
+static bool has_outage(const struct mv_ramp *ramp)
+{
+	struct mv_step_counts counts = {
+		.old = mv_sum_old_calls(&ramp->calls.series[0]),
+		.new = ramp->noise[0],
+	};
+	struct mv_comparison failures = { 0 };
+
+	mv_add_counts(&counts.new, &ramp->noise[1]);
+	mv_compare_failures(&counts, &counts.old, &failures);
+	return is_noisy(ramp) ||
+	       mv_is_significant(&failures, CHECK_PROBABILITY);
+}
+
+/*
+ * Ends the check when the old version's calls are enough to tell. A ramp that
+ * another one made check leaves it the time to decide first.
+ */
+static void advance_check(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	uint32_t check_ms = ramp->is_suspect ? CHECK_MS : 2 * CHECK_MS;
+
+	if (now_ms - ramp->step_start_ms < check_ms ||
+	    ramp->calls.series[0].steps[MV_STEP_CHECK].old.calls <
+		    CHECK_CALLS_MIN)
+		return;
+	for (uint32_t i = 0; i < ramp->calls.count && !*ramp->reason; i++)
+		evaluate_check(ramp, &ramp->calls.series[i]);
+	if (!*ramp->reason && !has_outage(ramp))
+		begin_step(ramp, MV_STEP_LAST, now_ms);
 }
 
-static void evaluate(struct mv_ramp *ramp, struct evidence *evidence)
+static void evaluate(struct mv_ramp *ramp, const struct mv_series *series)
 {
-	if (ramp->step == FULL_STEP) {
-		evaluate_full_share(ramp, evidence);
+	if (ramp->step == MV_STEP_CHECK)
+		return;
+	if (is_full_step(ramp->step) && ramp->scope == MV_RAMP_OWN_CALLS) {
+		if (mv_is_suspect(series, SUSPICION_PROBABILITY))
+			evaluate_steps(ramp, series, MV_STEP_PROBE);
 		return;
 	}
-	evaluate_steps(ramp, evidence, ramp->step, ramp->step);
-	if (!*ramp->reason && ramp->step > 0)
-		evaluate_steps(ramp, evidence, 0, ramp->step);
+	evaluate_steps(ramp, series, ramp->step);
+	if (!*ramp->reason && ramp->step > MV_STEP_PROBE)
+		evaluate_steps(ramp, series,
+			       ramp->step == MV_STEP_LAST ? MV_STEP_FULL
+							  : MV_STEP_PROBE);
+}
+
+/* A suspicion of the full share is no reason yet. */
+static void begin_check(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	ramp->reason[0] = '\0';
+	ramp->is_suspect = true;
+	begin_step(ramp, MV_STEP_CHECK, now_ms);
+}
+
+static void check_time(struct mv_ramp *ramp, uint64_t now_ms)
+{
+	if (now_ms - ramp->start_ms + END_MARGIN_MS < ramp->limit_ms ||
+	    has_passed(ramp, now_ms))
+		return;
+	g_strlcpy(ramp->reason,
+		  ramp->was_noisy ? "out of time: the old version failed too "
+				    "often to compare"
+				  : "out of time: the new version did not get "
+				    "the share that was due",
+		  sizeof(ramp->reason));
 }
 
 enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
 {
-	for (uint32_t i = 0; i < ramp->evidence_count && !*ramp->reason; i++)
-		evaluate(ramp, &ramp->evidence[i]);
-	if (!ramp->is_following)
+	bool is_deciding = !ramp->is_following;
+
+	for (uint32_t i = 0; i < ramp->calls.count && !*ramp->reason; i++)
+		evaluate(ramp, &ramp->calls.series[i]);
+	if (is_deciding && *ramp->reason && ramp->step == MV_STEP_FULL &&
+	    ramp->scope == MV_RAMP_ALL_CALLS)
+		begin_check(ramp, now_ms);
+	if (is_deciding && !*ramp->reason) {
 		advance_step(ramp, now_ms);
-	if (!*ramp->reason && ramp->step < FULL_STEP && !ramp->is_following &&
-	    now_ms - ramp->start_ms + END_MARGIN_MS >= ramp->limit_ms)
-		g_strlcpy(ramp->reason,
-			  "out of time: the old version failed too often to "
-			  "compare",
-			  sizeof(ramp->reason));
+		if (ramp->step == MV_STEP_CHECK)
+			advance_check(ramp, now_ms);
+		check_time(ramp, now_ms);
+	}
 	if (*ramp->reason)
 		return MV_RAMP_TAKE_BACK;
-	if (ramp->step == FULL_STEP &&
-	    now_ms - ramp->step_start_ms >= FULL_SHARE_MS)
+	if (is_deciding ? has_passed(ramp, now_ms) : ramp->is_told_passed)
 		return MV_RAMP_FINISH;
 	return MV_RAMP_CONTINUE;
 }
--- a/src/moves/tests/fleet.c
+++ b/src/moves/tests/fleet.c
@@ -10,7 +10,9 @@
 #define FIRST_NODES 11U /* those that are up at the order */
 #define LIMIT_MS 16000U
 #define STEP_MS 10U
-#define TICK_MS 200U
+#define TICK_MS 100U
+/* Time between the transfers of counts from the threads with the calls. */
+#define FLUSH_MS 100U
 /* Time between reports: 4 ms for each node. */
 #define REPORT_MS (4U * NODES)
 #define JOIN_FROM_MS 400U
@@ -35,8 +37,10 @@
 	bool is_up;
 	uint32_t share_permille;
 	uint64_t reported_ms;
-	uint64_t tick_ms; /* offset of its ticks */
+	uint64_t tick_ms;  /* offset of its ticks */
+	uint64_t flush_ms; /* and of its transfers */
 	struct mv_counts ending[PENDING_SLOTS][VERSIONS];
+	struct mv_counts counted[VERSIONS]; /* not transferred yet */
 	struct mv_counts unreported[VERSIONS];
 };
 
@@ -78,6 +82,9 @@
 	node->is_up = true;
 	node->tick_ms = (uint64_t)g_rand_int_range(fleet->random, 0, TICK_MS) /
 			STEP_MS * STEP_MS;
+	node->flush_ms =
+		(uint64_t)g_rand_int_range(fleet->random, 0, FLUSH_MS) /
+		STEP_MS * STEP_MS;
 	node->evaluation = mv_new_evaluation(fleet->ctx, version_names[NEW],
 					     LIMIT_MS, fleet->now_ms);
 }
@@ -130,10 +137,14 @@
 
 	if (time_s >= day->outage_from_s && time_s < day->outage_to_s)
 		failures += day->outage_failures;
-	if (version == NEW && time_s >= day->new_late_s &&
-	    load > day->load_threshold)
+	if (version != NEW || time_s < day->new_late_s ||
+	    load < day->load_threshold)
+		return failures;
+	if (day->load_threshold > 0)
 		failures += day->new_failures * (load - day->load_threshold) /
 			    (1 - day->load_threshold);
+	else
+		failures += day->new_failures;
 	return failures;
 }
 
@@ -180,14 +191,19 @@
 {
 	struct mv_counts *ending = node->ending[get_slot(fleet->now_ms)];
 
+	for (uint32_t i = 0; i < VERSIONS; i++)
+		mv_add_counts(&node->counted[i], &ending[i]);
+	memset(ending, 0, sizeof(node->ending[0]));
+	if (fleet->now_ms % FLUSH_MS != node->flush_ms)
+		return;
 	for (uint32_t i = 0; i < VERSIONS; i++) {
-		if (ending[i].calls == 0)
+		if (node->counted[i].calls == 0)
 			continue;
 		mv_record_own_counts(node->evaluation, version_names[i], "r",
-				     &ending[i], fleet->now_ms);
-		mv_add_counts(&node->unreported[i], &ending[i]);
-		memset(&ending[i], 0, sizeof(ending[i]));
+				     &node->counted[i], fleet->now_ms);
+		mv_add_counts(&node->unreported[i], &node->counted[i]);
 	}
+	memset(node->counted, 0, sizeof(node->counted));
 }
 
 static void update_share(struct fleet *fleet, struct node *node)
@@ -200,8 +216,12 @@
 static void report_to(struct fleet *fleet, struct node *node, uint32_t own_rank,
 		      struct node *evaluator, uint32_t rank)
 {
+	struct mv_ramp_progress progress;
 	struct mv_told told;
 
+	mv_get_known_progress(node->evaluation, fleet->now_ms, &progress);
+	mv_record_reported_progress(evaluator->evaluation, &progress,
+				    fleet->now_ms);
 	for (uint32_t i = 0; i < VERSIONS; i++) {
 		if (node->unreported[i].calls > 0)
 			mv_record_reported_counts(
--- a/src/moves/tests/test_ramp_fleet.c
+++ b/src/moves/tests/test_ramp_fleet.c
@@ -4,6 +4,7 @@
  *
  *   test_ramp_fleet split       days on which evaluators start again
  *   test_ramp_fleet full        versions that are bad only with most calls
+ *   test_ramp_fleet few         the same, with few failures
  *   test_ramp_fleet late        outages, and hardly any calls
  *   test_ramp_fleet             all other days
  */
@@ -67,6 +68,10 @@
 	  .calls_per_s = 360,
 	  .new_failures = 0.3,
 	  .load_threshold = 0.9 },
+};
+
+/* The same, for one that fails in a few calls only. */
+static const struct fleet_day few_failures_days[] = {
 	{ .name = "fails a little at 70 % of the load",
 	  .calls_per_s = 360,
 	  .new_failures = 0.12,
@@ -162,6 +167,11 @@
 	check_bad_days(full_days, G_N_ELEMENTS(full_days));
 }
 
+static void test_few_failures(void)
+{
+	check_bad_days(few_failures_days, G_N_ELEMENTS(few_failures_days));
+}
+
 static void test_split_evaluators(void)
 {
 	check_good_days(split_good_days, G_N_ELEMENTS(split_good_days));
@@ -178,6 +188,9 @@
 	static const CU_TestInfo full[] = { { "bad only with most calls",
 					      test_full_share },
 					    CU_TEST_INFO_NULL };
+	static const CU_TestInfo few[] = { { "few failures with most calls",
+					     test_few_failures },
+					   CU_TEST_INFO_NULL };
 	static const CU_TestInfo split[] = { { "evaluators that start again",
 					       test_split_evaluators },
 					     CU_TEST_INFO_NULL };
@@ -186,6 +199,8 @@
 		return scr_run_suite("ramp_split", split);
 	if (argc > 1 && strcmp(argv[1], "late") == 0)
 		return scr_run_suite("ramp_late", late);
+	if (argc > 1 && strcmp(argv[1], "few") == 0)
+		return scr_run_suite("ramp_few", few);
 	if (argc > 1 && strcmp(argv[1], "full") == 0)
 		return scr_run_suite("ramp_full", full);
 	return scr_run_suite("ramp_fleet", usual);
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -88,6 +88,7 @@
 	size_t count = mem_list_members(node->members, &members);
 	uint64_t period_ms = MIN(count * REPORT_MS_PER_NODE, REPORT_MAX_MS);
 	const struct mem_member *evaluators[MV_EVALUATORS];
+	struct mv_ramp_progress progress;
 	size_t evaluator_count;
 	json_t *report;
 
@@ -95,9 +96,11 @@
 	    now_ms < move->reported_ms + period_ms)
 		return;
 	move->reported_ms = now_ms;
-	report = json_pack("{s:s,s:I,s:O}", "service", move->request.service,
-			   "id", (json_int_t)move->request.id, "series",
-			   move->unreported);
+	mv_get_known_progress(move->evaluation, now_ms, &progress);
+	report = json_pack(
+		"{s:s,s:I,s:O,s:o}", "service", move->request.service, "id",
+		(json_int_t)move->request.id, "series", move->unreported,
+		"progress", nd_format_progress(&progress));
 	evaluator_count = nd_find_first(members, count, move->request.service,
 					evaluators, MV_EVALUATORS);
 	for (size_t i = 0; i < evaluator_count; i++) {
@@ -410,14 +413,19 @@
 			 json_t *told)
 {
 	struct nd_move *move = find_move(node, report);
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
+	struct mv_ramp_progress progress;
 	const json_t *series;
 	size_t i;
 
 	if (!move)
 		return;
+	if (nd_read_progress(json_object_get(report, "progress"), &progress))
+		mv_record_reported_progress(move->evaluation, &progress,
+					    now_ms);
 	json_array_foreach(json_object_get(report, "series"), i, series)
 	{
-		record_series(move, series, tmr_get_now_ms(node->timers));
+		record_series(move, series, now_ms);
 	}
 	if (is_evaluator(node, move->request.service))
 		json_array_append_new(told, make_told(node, move));
--- a/src/node/progress.c
+++ b/src/node/progress.c
@@ -5,12 +5,13 @@
 
 json_t *nd_format_progress(const struct mv_ramp_progress *progress)
 {
-	return json_pack("{s:I,s:I,s:I,s:I,s:I}", "step",
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:b}", "step",
 			 (json_int_t)progress->step, "share",
 			 (json_int_t)progress->share_permille, "age_ms",
 			 (json_int_t)progress->age_ms, "step_age_ms",
 			 (json_int_t)progress->step_age_ms, "new_calls",
-			 (json_int_t)progress->new_calls);
+			 (json_int_t)progress->new_calls, "is_passed",
+			 (int)progress->is_passed);
 }
 
 static bool read_number(const json_t *object, const char *name,
@@ -27,6 +28,7 @@
 
 bool nd_read_progress(const json_t *told, struct mv_ramp_progress *progress)
 {
+	progress->is_passed = json_is_true(json_object_get(told, "is_passed"));
 	return read_number(told, "step", &progress->step) &&
 	       read_number(told, "share", &progress->share_permille) &&
 	       read_number(told, "age_ms", &progress->age_ms) &&
