Compare a new version with the old one's calls of the same time only

A called service had refused calls for 0.6 s, and the first targets of the new version had come up in the middle of that: all their calls fell into it, while most of the old version's calls were from before.

--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -35,6 +35,7 @@
 #include <math.h>
 #include <string.h>
 #include "evidence.h"
+#include "recent.h"
 
 /*
  * A bad version may get at most a tenth of all calls of the ramp. The probe and
@@ -72,12 +73,6 @@
 #define END_MARGIN_MS 700U
 /* Steps may take this much less time after an interruption. */
 #define SHORTEST_STEP 0.5
-/* Calls from which the old version's failures are told to be frequent. */
-#define NOISY_CALLS_MIN 20U
-/* The old version fails too often to be compared with. */
-#define NOISY_RATE 0.2
-/* Length of the windows in which that is counted. */
-#define NOISE_WINDOW_MS 1000U
 /*
  * Bounds on the false-alarm probability of each test. The one for a single
  * node's calls is smaller because some hundred nodes each run many tests.
@@ -115,8 +110,11 @@
 	char to[MV_NAME_SIZE];
 	uint64_t start_ms;
 	uint32_t limit_ms;
-	uint64_t counting_since_ms; /* later than start_ms if another node told
-				       of the ramp */
+	uint64_t counting_since_ms;  /* later than start_ms if another node told
+					of the ramp */
+	uint64_t counted_calls;	     /* of both versions, since then */
+	uint64_t comparing_since_ms; /* start of calls */
+	bool is_comparing;	     /* the new version has had calls */
 	uint32_t step;
 	uint64_t step_start_ms;
 	/* Calls since step_start_ms, also those that tell nothing. */
@@ -127,9 +125,7 @@
 	bool is_told_passed;	/* whether that one has passed */
 	bool is_suspect;	/* this ramp has begun the check step */
 	enum mv_ramp_scope scope;
-	/* Calls of the old version in this window and the one before. */
-	struct mv_counts noise[2];
-	uint64_t noise_start_ms;
+	struct mv_recent recent_old;
 	uint32_t quiet_calls; /* of the new version, while it was not noisy */
 	bool was_noisy;
 	struct mv_series_list calls;
@@ -225,22 +221,10 @@
 	       ramp->limit_ms;
 }
 
-static void turn_noise_window(struct mv_ramp *ramp, uint64_t now_ms)
-{
-	while (now_ms >= ramp->noise_start_ms + NOISE_WINDOW_MS) {
-		ramp->noise[1] = ramp->noise[0];
-		memset(&ramp->noise[0], 0, sizeof(ramp->noise[0]));
-		ramp->noise_start_ms += NOISE_WINDOW_MS;
-	}
-}
-
-/* Returns whether the old version failed often in the last two windows. */
+/* Returns whether the old version fails too often to be compared with. */
 static bool is_noisy(const struct mv_ramp *ramp)
 {
-	uint32_t calls = ramp->noise[0].calls + ramp->noise[1].calls;
-	uint32_t failed = ramp->noise[0].failed + ramp->noise[1].failed;
-
-	return calls >= NOISY_CALLS_MIN && failed > calls * NOISY_RATE;
+	return mv_is_recent_noisy(&ramp->recent_old);
 }
 
 static void begin_step(struct mv_ramp *ramp, uint32_t step, uint64_t now_ms)
@@ -296,7 +280,7 @@
  */
 static void advance_step(struct mv_ramp *ramp, uint64_t now_ms)
 {
-	turn_noise_window(ramp, now_ms);
+	mv_turn_recent(&ramp->recent_old, now_ms);
 	if (ramp->step >= MV_STEP_FULL)
 		return;
 	if (is_noisy(ramp)) {
@@ -328,9 +312,8 @@
 static uint32_t get_share_for(const struct mv_ramp *ramp, uint64_t now_ms,
 			      double wanted, double time_ms)
 {
-	struct mv_step_counts sums = sum_calls(ramp);
 	uint64_t elapsed_ms = now_ms - ramp->counting_since_ms;
-	double calls = (double)sums.old.calls + sums.new.calls;
+	double calls = (double)ramp->counted_calls;
 	double permille;
 
 	if (elapsed_ms < RATE_KNOWN_MS || calls == 0)
@@ -385,11 +368,26 @@
 	ramp->counting_since_ms = now_ms;
 	ramp->start_ms = now_ms;
 	ramp->step_start_ms = now_ms;
-	ramp->noise_start_ms = now_ms;
+	ramp->recent_old.start_ms = now_ms;
 	mv_init_series(&ramp->calls);
 	return ramp;
 }
 
+/*
+ * Drops the old version's calls from before the first ones of the new version.
+ * An outage that began between them would count against the new one.
+ */
+static void drop_earlier_calls(struct mv_ramp *ramp, bool has_new_calls,
+			       uint64_t now_ms)
+{
+	if (ramp->step != MV_STEP_PROBE || ramp->is_comparing)
+		return;
+	if (ramp->comparing_since_ms != now_ms)
+		mv_init_series(&ramp->calls);
+	ramp->comparing_since_ms = now_ms;
+	ramp->is_comparing = has_new_calls;
+}
+
 void mv_record_ramp_counts(struct mv_ramp *ramp, const char *version,
 			   const char *route, const struct mv_counts *counts,
 			   uint64_t now_ms)
@@ -397,13 +395,15 @@
 	bool is_new = strcmp(version, ramp->to) == 0;
 	uint32_t step;
 
-	turn_noise_window(ramp, now_ms);
+	mv_turn_recent(&ramp->recent_old, now_ms);
+	ramp->counted_calls += counts->calls;
+	drop_earlier_calls(ramp, is_new && counts->calls > 0, now_ms);
 	if (is_new)
 		ramp->step_new_calls += (uint64_t)counts->calls + counts->cold;
 	else
 		ramp->step_old_calls += (uint64_t)counts->calls + counts->cold;
 	if (!is_new)
-		mv_add_counts(&ramp->noise[0], counts);
+		mv_add_counts(&ramp->recent_old.windows[0], counts);
 	else if (!is_noisy(ramp))
 		ramp->quiet_calls += counts->calls;
 	/* Calls of the new version that end in the check began before it. */
@@ -507,11 +507,10 @@
 {
 	struct mv_step_counts counts = {
 		.old = mv_sum_old_calls(&ramp->calls.series[0]),
-		.new = ramp->noise[0],
+		.new = mv_sum_recent(&ramp->recent_old),
 	};
 	struct mv_comparison failures = { 0 };
 
-	mv_add_counts(&counts.new, &ramp->noise[1]);
 	mv_compare_failures(&counts, &counts.old, &failures);
 	return is_noisy(ramp) ||
 	       mv_is_significant(&failures, CHECK_PROBABILITY);
--- a/src/moves/tests/fleet.c
+++ b/src/moves/tests/fleet.c
@@ -150,10 +150,10 @@
 
 static void begin_call(struct fleet *fleet, struct node *node)
 {
-	uint32_t version = g_rand_int_range(fleet->random, 0, 1000) <
-					   (int32_t)node->share_permille
-				   ? NEW
-				   : OLD;
+	bool is_chosen = g_rand_int_range(fleet->random, 0, 1000) <
+			 (int32_t)node->share_permille;
+	bool is_up = get_time_s(fleet) >= fleet->day->new_from_s;
+	uint32_t version = is_chosen && is_up ? NEW : OLD;
 	uint32_t call_ms = (uint32_t)g_rand_int_range(fleet->random,
 						      CALL_MIN_MS, CALL_MAX_MS);
 	bool is_failed =
--- a/src/moves/tests/fleet.h
+++ b/src/moves/tests/fleet.h
@@ -18,6 +18,7 @@
 	/* They begin at this part of the service's calls, and grow to it. */
 	double load_threshold;
 	double new_late_s; /* they begin so long after the order */
+	double new_from_s; /* the targets of the new version start then */
 	/* The common outage: both versions fail this share of their calls. */
 	double outage_failures;
 	double outage_from_s;
--- a/src/moves/tests/test_ramp_fleet.c
+++ b/src/moves/tests/test_ramp_fleet.c
@@ -28,7 +28,7 @@
 	  .outage_to_s = 5 },
 };
 
-/* A good version was not finished by its deadline. */
+/* A good version was taken back, or not finished by its deadline. */
 static const struct fleet_day late_days[] = {
 	{ .name = "good, hardly any calls", .calls_per_s = 2 },
 	{ .name = "good, an outage at the full share",
@@ -37,6 +37,13 @@
 	  .outage_failures = 0.4,
 	  .outage_from_s = 9.5,
 	  .outage_to_s = 11 },
+	{ .name = "good, its first calls in an outage",
+	  .calls_per_s = 780,
+	  .usual_failures = 0.013,
+	  .new_from_s = 1.6,
+	  .outage_failures = 0.4,
+	  .outage_from_s = 1.5,
+	  .outage_to_s = 2.2 },
 };
 
 static const struct fleet_day bad_days[] = {
