Show that answers without end keep other callers from being served

For thirty kinds of such answers, three callers at each of two nodes do not read, and six calls of others are made meanwhile. Failing on this code, and listed.

--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -29,6 +29,8 @@
 	uint32_t reset_count;
 	char *reply; /* bytes of the answer to "/reply"; NULL: none */
 	bool is_reply_last;
+	char *flood_start; /* of the answer to "/endless"; NULL: none */
+	char *flood_part;  /* is sent again and again after that */
 };
 
 /* What a connection sends without end, until it is closed. */
@@ -39,6 +41,7 @@
 	FLOOD_BODY,
 	FLOOD_CHUNK_SIZE,
 	FLOOD_GARBAGE,
+	FLOOD_PART,
 };
 
 struct raw_connection {
@@ -74,6 +77,8 @@
 	while (target->connections.head)
 		talloc_free(target->connections.head->data);
 	g_free(target->reply);
+	g_free(target->flood_start);
+	g_free(target->flood_part);
 	return 0;
 }
 
@@ -90,6 +95,10 @@
 		while (output->len < FLOOD_BYTES)
 			g_string_append(output, "X-More: and more\r\n");
 		return;
+	case FLOOD_PART:
+		while (output->len < FLOOD_BYTES)
+			g_string_append(output, connection->target->flood_part);
+		return;
 	case FLOOD_LINE:
 	case FLOOD_BODY:
 	case FLOOD_CHUNK_SIZE:
@@ -208,6 +217,9 @@
 			    "Transfer-Encoding: chunked\r\n\r\n");
 	else if (g_str_has_prefix(path, "/flood/garbage"))
 		start_flood(connection, FLOOD_GARBAGE, "");
+	else if (g_str_has_prefix(path, "/endless"))
+		start_flood(connection, FLOOD_PART,
+			    connection->target->flood_start);
 	else if (g_str_has_prefix(path, "/never/flood/body"))
 		start_flood(connection, FLOOD_BODY, "HTTP/1.1 200 OK\r\n\r\n");
 	else
@@ -481,6 +493,15 @@
 	target->is_reply_last = is_last;
 }
 
+void raw_set_flood(struct raw_target *target, const char *start,
+		   const char *part)
+{
+	g_free(target->flood_start);
+	g_free(target->flood_part);
+	target->flood_start = g_strdup(start);
+	target->flood_part = g_strdup(part);
+}
+
 uint32_t raw_get_reset_count(const struct raw_target *target)
 {
 	return target->reset_count;
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -17,6 +17,7 @@
  *   /twice     200 with the request's id, two times in a row
  *   /again     the same, the second copy by raw_answer_held_requests()
  *   /reply     the bytes of raw_set_reply()
+ *   /endless   those of raw_set_flood(), until the connection is closed
  *   /flood/headers, /flood/line, /flood/chunk, /flood/garbage and
  *   /never/flood/body  bytes without end until the connection is closed
  */
@@ -44,6 +45,10 @@
  */
 void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last);
 
+/* Sets the answer to "/endless": start, and then part again and again. */
+void raw_set_flood(struct raw_target *target, const char *start,
+		   const char *part);
+
 /* Returns the number of connections that ended with a TCP reset. */
 uint32_t raw_get_reset_count(const struct raw_target *target);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -8,7 +8,7 @@
 #include "mesh.h"
 #include "script.h"
 
-#define CALLS_MAX 128
+#define CALLS_MAX 256
 #define ANSWER_BYTES_MAX (16U * 1024U * 1024U)
 #define PRINTED_BYTES_MAX 120U
 #define CALL_TIMEOUT_MS 25000U
@@ -175,6 +175,18 @@
 		wait->node = mesh_get_node(state->mesh, name);
 }
 
+/* The texts are escaped as in C. */
+static void set_flood(struct mesh_node *node, const char *start,
+		      const char *part)
+{
+	char *start_bytes = g_strcompress(start);
+	char *part_bytes = g_strcompress(part);
+
+	raw_set_flood(node->target, start_bytes, part_bytes);
+	g_free(start_bytes);
+	g_free(part_bytes);
+}
+
 static void set_reply(struct mesh_node *node, const char *escaped, bool is_last)
 {
 	char *bytes = g_strcompress(escaped);
@@ -228,6 +240,8 @@
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "release") == 0) {
 		raw_answer_held_requests(mesh_get_node(mesh, words[1])->target);
+	} else if (strcmp(words[0], "endless") == 0) {
+		set_flood(mesh_get_node(mesh, words[1]), words[2], words[3]);
 	} else if (strcmp(words[0], "reply") == 0) {
 		set_reply(mesh_get_node(mesh, words[1]), words[2],
 			  count > 3 && strcmp(words[3], "close") == 0);
@@ -248,7 +262,9 @@
 
 		caller = raw_new_caller(
 			state->mesh, state->mesh->events, node->address,
-			count > 3 ? MESH_HOP_PORT : MESH_CALL_PORT,
+			count > 3 && strcmp(words[3], "hop") == 0
+				? MESH_HOP_PORT
+				: MESH_CALL_PORT,
 			count > 4 ? atoi(words[4]) : 0);
 		g_hash_table_replace(state->callers, g_strdup(words[1]),
 				     caller);
@@ -470,6 +486,12 @@
 	run_script("early_refusal");
 }
 
+/* Answers without end kept a thread busy that other callers needed. */
+static void test_endless(void)
+{
+	run_script("endless");
+}
+
 static void test_flood(void)
 {
 	run_script("flood");
@@ -520,12 +542,20 @@
 	CU_TEST_INFO_NULL,
 };
 
-int main(void)
+static const CU_TestInfo endless_tests[] = {
+	{ "endless", test_endless },
+	CU_TEST_INFO_NULL,
+};
+
+/* "test_traffic endless" runs the answers without end, which take longer. */
+int main(int argc, char **argv)
 {
+	bool is_endless = argc > 1 && strcmp(argv[1], "endless") == 0;
 	int exit_code;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	exit_code = scr_run_suite("traffic", tests);
+	exit_code = is_endless ? scr_run_suite("endless", endless_tests)
+			       : scr_run_suite("traffic", tests);
 	curl_global_cleanup();
 	return exit_code;
 }
