Handle sockets and timers between tasks that set each other

Beside a server whose answer had endless trailers, or whose refusal had endless chunks, other callers of the same node got no answer in 10 s.

Cause: an alarm without wait, and the server's wake, were immediate events of tevent, which a loop runs before it polls. curl sets such an alarm when a paused transfer goes on; its bytes make the caller's connection dirty, which lets the transfer go on, and so forth without a poll. A connection was also advanced as long as it had input, so a caller that pipelines faster than its requests are refused kept the thread.

Alarms, the exchange server and the loop of libmicrohttpd use it, which covers both threads and the control thread. A connection receives eight times and has sixteen rounds, and a server advances 128 connections, before other events are handled.

--- a/src/base/alarm.c
+++ b/src/base/alarm.c
@@ -4,10 +4,10 @@
  * The timerfd is re-armed lazily to save system calls: setting the alarm to a
  * later time or clearing it leaves the timerfd armed for the old time. When it
  * expires before due_ms, it is armed again for due_ms. Invariant: while is_set,
- * either an immediate event is scheduled or the timerfd is armed for due_ms or
- * earlier.
+ * either a task is scheduled or the timerfd is armed for due_ms or earlier.
  */
 #include "loom/timer.h"
+#include "loom/turn.h"
 
 #include <assert.h>
 #include <stdbool.h>
@@ -16,8 +16,7 @@
 #include <unistd.h>
 
 struct tmr_alarm {
-	struct tevent_context *events;
-	struct tevent_immediate *immediate; /* used when wait_ms is 0 */
+	struct trn_task *task; /* used when wait_ms is 0 */
 	struct tevent_fd *fde;
 	int fd;
 	bool is_set;
@@ -55,8 +54,7 @@
 	alarm->fn(alarm->data);
 }
 
-static void handle_immediate(struct tevent_context *events,
-			     struct tevent_immediate *immediate, void *data)
+static void handle_task(void *data)
 {
 	struct tmr_alarm *alarm = data;
 
@@ -93,12 +91,11 @@
 {
 	struct tmr_alarm *alarm = talloc_zero(ctx, struct tmr_alarm);
 
-	alarm->events = events;
 	alarm->fn = fn;
 	alarm->data = data;
 	alarm->fd = timerfd_create(CLOCK_MONOTONIC, TFD_CLOEXEC | TFD_NONBLOCK);
 	assert(alarm->fd >= 0);
-	alarm->immediate = tevent_create_immediate(alarm);
+	alarm->task = trn_new_task(alarm, events, handle_task, alarm);
 	alarm->fde = tevent_add_fd(events, alarm, alarm->fd, TEVENT_FD_READ,
 				   handle_readable, alarm);
 	talloc_set_destructor(alarm, destroy_alarm);
@@ -110,8 +107,7 @@
 	alarm->is_set = true;
 	alarm->due_ms = read_monotonic_ms() + wait_ms;
 	if (wait_ms == 0) {
-		tevent_schedule_immediate(alarm->immediate, alarm->events,
-					  handle_immediate, alarm);
+		trn_schedule_task(alarm->task);
 		return;
 	}
 	if (alarm->armed_ms == 0 || alarm->due_ms < alarm->armed_ms)
--- a/src/base/tests/test_base.c
+++ b/src/base/tests/test_base.c
@@ -133,6 +133,60 @@
 	talloc_free(events);
 }
 
+#define TURNS_MAX 1000000U
+
+struct spinning {
+	struct tmr_alarm *alarms[2];
+	bool is_timer_called;
+};
+
+static void set_other_alarm(struct spinning *spinning, size_t other)
+{
+	tmr_set_alarm(spinning->alarms[other], 0);
+}
+
+static void handle_first_alarm(void *data)
+{
+	set_other_alarm(data, 1);
+}
+
+static void handle_second_alarm(void *data)
+{
+	set_other_alarm(data, 0);
+}
+
+static void handle_timer(uint64_t due_ms, void *data)
+{
+	struct spinning *spinning = data;
+
+	spinning->is_timer_called = true;
+}
+
+/* Alarms that set each other at once kept a loop from its sockets and timers.
+ */
+static void test_alarms_without_end(void)
+{
+	struct tevent_context *events = tevent_context_init(NULL);
+	struct tmr_service *timers = tmr_new(events, events);
+	struct spinning spinning = { 0 };
+
+	spinning.alarms[0] =
+		tmr_new_alarm(events, events, handle_first_alarm, &spinning);
+	spinning.alarms[1] =
+		tmr_new_alarm(events, events, handle_second_alarm, &spinning);
+	set_other_alarm(&spinning, 0);
+	tmr_subscribe_once(timers, timers, 0, handle_timer, &spinning);
+	for (uint32_t i = 0; i < TURNS_MAX && !spinning.is_timer_called; i++)
+		tevent_loop_once(events);
+	CU_ASSERT_TRUE(spinning.is_timer_called);
+	spinning.is_timer_called = false;
+	tmr_subscribe_once(timers, timers, 1, handle_timer, &spinning);
+	for (uint32_t i = 0; i < TURNS_MAX && !spinning.is_timer_called; i++)
+		tevent_loop_once(events);
+	CU_ASSERT_TRUE(spinning.is_timer_called);
+	talloc_free(events);
+}
+
 static void test_error_keeps_step_and_peer(void)
 {
 	GError *error = NULL;
@@ -182,6 +236,7 @@
 	  test_counters_print_in_order },
 	{ "histograms are printed with cumulative buckets", test_histogram },
 	{ "timers on the monotonic clock are called", test_real_timers },
+	{ "alarms without end", test_alarms_without_end },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -21,6 +21,9 @@
 #define LINGER_MS 2000U
 /* Bytes read in vain, after an answer, before a connection is closed. */
 #define DISCARD_BYTES_MAX (1024U * 1024U)
+/* Bounds on what one connection does before the others have their turn. */
+#define RECEIVES_PER_ROUND_MAX 8U
+#define ROUNDS_PER_TURN_MAX 16U
 
 static uint64_t get_now_ms(const struct hx_connection *connection)
 {
@@ -351,8 +354,13 @@
 	size_t done;
 
 	parse_kept_input(connection);
-	while (connection->is_readable && !connection->input &&
-	       !is_blocked(connection)) {
+	for (uint32_t i = 0; connection->is_readable && !connection->input &&
+			     !is_blocked(connection);
+	     i++) {
+		if (i == RECEIVES_PER_ROUND_MAX) {
+			hx_mark_dirty(connection);
+			return;
+		}
 		count = receive_bytes(connection);
 		done = parse_bytes(connection, scratch, count);
 		keep_input(connection, scratch + done, count - done);
@@ -493,13 +501,18 @@
 
 bool hx_advance_connection(struct hx_connection *connection)
 {
+	uint32_t rounds = 0;
+
 	connection->is_dirty = false;
 	connection->is_advancing = true;
 	do {
 		connection->is_marked = false;
 		if (connection->socket >= 0)
 			advance_open_connection(connection);
-	} while (connection->is_marked && connection->socket >= 0);
+	} while (connection->is_marked && connection->socket >= 0 &&
+		 ++rounds < ROUNDS_PER_TURN_MAX);
 	connection->is_advancing = false;
+	if (connection->is_marked && connection->socket >= 0)
+		hx_mark_dirty(connection);
 	return connection->socket >= 0;
 }
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -10,6 +10,7 @@
 #define HX_EXCHANGE_INTERNAL_H
 
 #include "loom/exchange.h"
+#include "loom/turn.h"
 #include "request_parser.h"
 
 /* Requests of one connection that run at the same time. */
@@ -81,7 +82,7 @@
 	int listener;
 	int epoll_fd;
 	struct tevent_fd *fde;
-	struct tevent_immediate *wake;
+	struct trn_task *wake;
 	bool is_advancing; /* dirty connections are being advanced */
 	bool is_listening; /* the listener is in the epoll set */
 	bool is_draining;
--- a/src/http/exchange_server.c
+++ b/src/http/exchange_server.c
@@ -21,21 +21,25 @@
 
 #define EVENTS_PER_WAIT_MAX 64
 #define ACCEPTS_PER_EVENT_MAX 64
+/* Connections advanced before other events of the loop are handled. */
+#define ADVANCES_PER_TURN_MAX 128U
 
 static void advance_dirty(struct hx_server *server)
 {
+	uint32_t left = ADVANCES_PER_TURN_MAX;
 	struct hx_connection *connection;
 
 	server->is_advancing = true;
-	while ((connection = g_queue_pop_head(&server->dirty))) {
+	while (left-- > 0 && (connection = g_queue_pop_head(&server->dirty))) {
 		if (!hx_advance_connection(connection))
 			hx_free_connection(connection);
 	}
 	server->is_advancing = false;
+	if (server->dirty.length > 0)
+		hx_schedule_advance(server);
 }
 
-static void handle_wake(struct tevent_context *events,
-			struct tevent_immediate *immediate, void *data)
+static void handle_wake(void *data)
 {
 	advance_dirty(data);
 }
@@ -43,8 +47,7 @@
 void hx_schedule_advance(struct hx_server *server)
 {
 	if (!server->is_advancing)
-		tevent_schedule_immediate(server->wake, server->events,
-					  handle_wake, server);
+		trn_schedule_task(server->wake);
 }
 
 static void close_longest_idle(struct hx_server *server)
@@ -202,7 +205,7 @@
 	server->listener = -1;
 	server->epoll_fd = -1;
 	server->scratch = talloc_array(server, char, HX_SCRATCH_BYTES);
-	server->wake = tevent_create_immediate(server);
+	server->wake = trn_new_task(server, events, handle_wake, server);
 	g_queue_init(&server->connections);
 	g_queue_init(&server->dirty);
 	talloc_set_destructor(server, destroy_server);
--- a/src/http/server_loop.c
+++ b/src/http/server_loop.c
@@ -12,13 +12,14 @@
 #include <netinet/in.h>
 #include "loom/error.h"
 #include "loom/timer.h"
+#include "loom/turn.h"
 
 struct hs_loop {
 	struct tevent_context *events;
 	struct MHD_Daemon *daemon;
 	struct tevent_fd *readable;
 	struct tmr_alarm *timeout;
-	struct tevent_immediate *wake;
+	struct trn_task *wake;
 };
 
 static void run_daemon(struct hs_loop *loop);
@@ -34,8 +35,7 @@
 	run_daemon(data);
 }
 
-static void handle_wake(struct tevent_context *events,
-			struct tevent_immediate *immediate, void *data)
+static void handle_wake(void *data)
 {
 	run_daemon(data);
 }
@@ -62,7 +62,7 @@
 	loop->events = events;
 	loop->daemon = daemon;
 	loop->timeout = tmr_new_alarm(loop, events, handle_timeout, loop);
-	loop->wake = tevent_create_immediate(loop);
+	loop->wake = trn_new_task(loop, events, handle_wake, loop);
 	loop->readable = tevent_add_fd(events, loop, info->epoll_fd,
 				       TEVENT_FD_READ, handle_readable, loop);
 	return loop;
@@ -70,7 +70,7 @@
 
 void hs_wake(struct hs_loop *loop)
 {
-	tevent_schedule_immediate(loop->wake, loop->events, handle_wake, loop);
+	trn_schedule_task(loop->wake);
 }
 
 bool hs_parse_address(const char *address, uint16_t port,
--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -20,16 +20,37 @@
 	TALLOC_FREE(caller->fde);
 	close(caller->socket);
 	g_string_free(caller->input, TRUE);
+	if (caller->flood)
+		g_string_free(caller->flood, TRUE);
 	return 0;
 }
 
+static void send_flood(struct raw_caller *caller)
+{
+	GString *flood = caller->flood;
+	ssize_t count = send(caller->socket, flood->str + caller->flood_sent,
+			     flood->len - caller->flood_sent,
+			     MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (count > 0)
+		caller->flood_sent =
+			(caller->flood_sent + (size_t)count) % flood->len;
+}
+
 static void read_input(struct tevent_context *events, struct tevent_fd *fde,
 		       uint16_t flags, void *data)
 {
 	struct raw_caller *caller = data;
 	char part[READ_BYTES];
-	ssize_t count = read(caller->socket, part, sizeof(part));
+	ssize_t count;
 
+	if (flags & TEVENT_FD_WRITE)
+		send_flood(caller);
+	if (!(flags & TEVENT_FD_READ))
+		return;
+	count = read(caller->socket, part, sizeof(part));
+	if (count > 0 && caller->flood)
+		return;
 	if (count > 0) {
 		g_string_append_len(caller->input, part, count);
 		return;
@@ -73,6 +94,14 @@
 	return send(caller->socket, bytes, size, MSG_NOSIGNAL) == (ssize_t)size;
 }
 
+void raw_flood(struct raw_caller *caller, const char *part)
+{
+	caller->flood = g_string_new(NULL);
+	while (caller->flood->len < READ_BYTES)
+		g_string_append(caller->flood, part);
+	tevent_fd_set_flags(caller->fde, TEVENT_FD_READ | TEVENT_FD_WRITE);
+}
+
 void raw_set_reading(struct raw_caller *caller, bool is_reading)
 {
 	caller->is_reading = is_reading;
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -17,6 +17,8 @@
 	bool is_closed; /* the peer closed the connection */
 	bool is_reset;	/* by a TCP reset */
 	bool is_reading;
+	GString *flood;	   /* sent again and again; NULL: none */
+	size_t flood_sent; /* bytes of it */
 };
 
 /*
@@ -31,6 +33,12 @@
 /* Sends bytes; returns false when the connection is closed or backed up. */
 bool raw_send(struct raw_caller *caller, const char *bytes, size_t size);
 
+/*
+ * Sends part again and again until the connection is closed, and drops what it
+ * receives.
+ */
+void raw_flood(struct raw_caller *caller, const char *part);
+
 /* Starts or stops reading from the socket. */
 void raw_set_reading(struct raw_caller *caller, bool is_reading);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -275,6 +275,10 @@
 		text = g_strcompress(words[2]);
 		raw_send(caller, text, strlen(text));
 		g_free(text);
+	} else if (strcmp(words[0], "flood") == 0) {
+		text = g_strcompress(words[2]);
+		raw_flood(caller, text);
+		g_free(text);
 	} else if (strcmp(words[0], "send-bytes") == 0) {
 		text = g_strnfill((gsize)atoi(words[2]), 'h');
 		raw_send(caller, text, strlen(text));
@@ -542,8 +546,15 @@
 	CU_TEST_INFO_NULL,
 };
 
+/* A caller without end kept the thread that reads its requests. */
+static void test_endless_requests(void)
+{
+	run_script("endless_requests");
+}
+
 static const CU_TestInfo endless_tests[] = {
 	{ "endless", test_endless },
+	{ "endless_requests", test_endless_requests },
 	CU_TEST_INFO_NULL,
 };
 
