Bound the bytes of an answer that reach nobody

Trailers and extensions of chunks, and the body of a refusal that is not relayed, are received and dropped. No caller's pace bounds them, so a server could keep a node busy with them for as long as the call may take.

An answer whose chunks have 64 KiB and 16 times its content around them is malformed, and so is a refusal with a body of more than 64 KiB. Both end as other malformed answers do.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -13,6 +13,7 @@
 #include "call_log.h"
 
 #define ANSWER_HEADER_BYTES_MAX 65536U
+#define DROPPED_BODY_BYTES_MAX 65536U
 
 void tr_open_answer(struct tr_answer *answer)
 {
@@ -94,7 +95,7 @@
 	return known && strcasecmp(name, known) == 0;
 }
 
-static bool is_from_target(const struct tr_call *call)
+bool tr_is_from_target(const struct tr_call *call)
 {
 	return call->role == TR_ROLE_HOP || call->is_local;
 }
@@ -126,7 +127,7 @@
 {
 	struct tr_answer *answer = &call->answer;
 
-	if (is_from_target(call))
+	if (tr_is_from_target(call))
 		read_target_header(call, name, value);
 	if (strcasecmp(name, MHD_HTTP_HEADER_CONNECTION) == 0) {
 		g_free(answer->connection);
@@ -252,7 +253,7 @@
 		return true;
 	}
 	answer->head_us = tr_get_now_us();
-	if (is_from_target(call)) {
+	if (tr_is_from_target(call)) {
 		discard_untrusted_headers(answer);
 		if (!belongs_to_request(call)) {
 			cnt_add(call->thread->service->counters.foreign, 1);
@@ -324,21 +325,24 @@
 					 : TR_STREAM_BYTES_MAX;
 }
 
-static void receive_content(struct tr_call *call, const char *part, size_t size)
+/* Returns false when the answer must not be used any further. */
+static bool receive_content(struct tr_call *call, const char *part, size_t size)
 {
 	struct tr_answer *answer = &call->answer;
 
 	answer->body_bytes += size;
 	if (call->stage == TR_STAGE_RELAYING) {
 		hx_add_answer_body(call->exchange, part, size);
-		return;
+		return true;
 	}
 	/* The body of a refusal that is not relayed is dropped. */
 	if (tr_is_refused(answer))
-		return;
+		return answer->body_bytes <= DROPPED_BODY_BYTES_MAX ||
+		       reject_answer(call, "refusal without end");
 	tr_append_buffer(&answer->body, part, size, 0);
 	if (tr_get_buffer_size(&answer->body) > TR_BUFFERED_ANSWER_BYTES_MAX)
 		tr_relay_answer(call);
+	return true;
 }
 
 static bool receive_chunks(struct tr_call *call, const char *bytes, size_t size)
@@ -351,8 +355,8 @@
 	while (size > 0 && chunks->state != TR_CHUNK_END) {
 		taken = tr_decode_chunks(chunks, bytes, size, &part,
 					 &part_size);
-		if (part_size > 0)
-			receive_content(call, part, part_size);
+		if (part_size > 0 && !receive_content(call, part, part_size))
+			return false;
 		if (chunks->state == TR_CHUNK_MALFORMED)
 			return reject_answer(call, "malformed chunk");
 		bytes += taken;
@@ -377,8 +381,7 @@
 	}
 	if (answer->framing.is_chunked)
 		return receive_chunks(call, part, length) ? length : 0;
-	receive_content(call, part, length);
-	return length;
+	return receive_content(call, part, length) ? length : 0;
 }
 
 static bool has_no_body(const struct tr_call *call)
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -95,12 +95,14 @@
 	const struct rt_target *chosen; /* entry: borrowed from table */
 	uint64_t attempt_us;
 	uint32_t attempt_count;
-	uint32_t sent_count;  /* attempts that a target may have received */
-	uint32_t send_count;  /* requests sent in this attempt */
-	uint32_t send_total;  /* requests sent in all attempts */
-	bool is_run_possible; /* a target may have run the request */
-	bool is_local;	      /* entry: the attempt goes to the local target */
-	bool has_slot;	      /* occupies a slot of the gate */
+	uint32_t sent_count;	  /* attempts that a target may have received */
+	uint32_t send_count;	  /* requests sent in this attempt */
+	bool is_connection_stale; /* it held bytes before the request */
+	bool is_connection_fresh; /* a new one takes the place of that */
+	uint32_t send_total;	  /* requests sent in all attempts */
+	bool is_run_possible;	  /* a target may have run the request */
+	bool is_local; /* entry: the attempt goes to the local target */
+	bool has_slot; /* occupies a slot of the gate */
 	struct tr_answer answer;
 
 	bool is_answer_begun; /* the exchange has at least the head */
@@ -183,6 +185,8 @@
 void tr_end_relayed_answer(struct tr_call *call);
 /* Continues a paused transfer when enough of the answer was sent. */
 void tr_continue_answer(struct tr_call *call);
+/* Returns whether the answer comes from a target, not from another node. */
+bool tr_is_from_target(const struct tr_call *call);
 /* Returns whether the answer is a refusal or a failure reported by a node. */
 bool tr_is_refused(const struct tr_answer *answer);
 
--- a/src/traffic/framing.c
+++ b/src/traffic/framing.c
@@ -13,6 +13,9 @@
 #define STATUS_MIN 100U
 #define STATUS_MAX 599U
 #define CHUNK_DIGITS_MAX 15U /* keeps the size below 2^63 */
+/* Bytes around the chunks of a body: so many, and for each byte of content. */
+#define FRAME_BYTES_MAX 65536U
+#define FRAME_BYTES_PER_CONTENT_BYTE 16U
 
 static bool is_token_char(char c)
 {
@@ -224,6 +227,13 @@
 	       chunks->state == TR_CHUNK_MALFORMED;
 }
 
+static bool has_too_much_frame(const struct tr_chunks *chunks)
+{
+	return chunks->frame_bytes >
+	       FRAME_BYTES_MAX +
+		       FRAME_BYTES_PER_CONTENT_BYTE * chunks->content_bytes;
+}
+
 size_t tr_decode_chunks(struct tr_chunks *chunks, const char *bytes,
 			size_t size, const char **part, size_t *part_size)
 {
@@ -232,11 +242,15 @@
 	*part_size = 0;
 	while (i < size && chunks->state != TR_CHUNK_DATA && !is_over(chunks))
 		chunks->state = read_frame_byte(chunks, bytes[i++]);
+	chunks->frame_bytes += i;
+	if (has_too_much_frame(chunks))
+		chunks->state = TR_CHUNK_MALFORMED;
 	if (i == size || chunks->state != TR_CHUNK_DATA)
 		return i;
 	*part = bytes + i;
 	*part_size = MIN(size - i, chunks->left_bytes);
 	chunks->left_bytes -= *part_size;
+	chunks->content_bytes += *part_size;
 	if (chunks->left_bytes == 0)
 		chunks->state = TR_CHUNK_DATA_CR;
 	return i + *part_size;
--- a/src/traffic/framing.h
+++ b/src/traffic/framing.h
@@ -42,6 +42,8 @@
 	enum tr_chunk_state state;
 	uint32_t digit_count; /* of the chunk size */
 	uint64_t left_bytes;  /* of the chunk */
+	uint64_t frame_bytes; /* of sizes, extensions, line ends, trailers */
+	uint64_t content_bytes;
 };
 
 /*
@@ -72,7 +74,8 @@
  * Takes in bytes of a chunked body up to the end of the next part of its
  * content, and returns how many. *part is borrowed from bytes, and *part_size
  * is 0 when there is no further content in them. Nothing is taken in after the
- * end of the body or a malformed byte.
+ * end of the body or a malformed byte. A body with far more bytes around its
+ * chunks than in them is malformed, too.
  */
 size_t tr_decode_chunks(struct tr_chunks *chunks, const char *bytes,
 			size_t size, const char **part, size_t *part_size);
