Send no request on a connection that holds bytes already

A server that sends a body behind a 204 or a 304 left its bytes on the kept connection. curl uses such a connection again, and takes the bytes for the answer to the next request: five of six calls of others got a 502.

Before a request is sent to a target, the connection is looked at: if there are bytes to read, nothing is sent on it, and the request goes out on a new one. A new one with such bytes counts as one that could not be reached, since the request has not been sent. The loop keeps the sockets of these transfers by local port, as curl does not tell the socket before the end.

--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -67,6 +67,18 @@
  */
 void hc_reset_on_close(CURL *easy);
 
+/*
+ * Lets hc_has_unread_bytes() know the connections that a transfer opens in a
+ * loop, by IPv4.
+ */
+void hc_watch_sockets(struct hc_loop *loop, CURL *easy);
+
+/*
+ * Returns whether the connection with that local port holds bytes that were
+ * received and not read yet; false for a connection that is not known.
+ */
+bool hc_has_unread_bytes(struct hc_loop *loop, int local_port);
+
 /*
  * Starts a transfer. easy is borrowed until the transfer ends, and the loop
  * uses its CURLOPT_PRIVATE. Returns false with *error set when curl refuses it.
--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include "loom/error.h"
 #include "loom/timer.h"
 
@@ -30,8 +31,15 @@
 	void *data;
 };
 
+/* A socket of a transfer that hc_watch_sockets() was called for. */
+struct open_socket {
+	curl_socket_t socket;
+	int local_port; /* 0: not known yet */
+};
+
 struct hc_loop {
 	struct tevent_context *events;
+	GArray *open_sockets; /* struct open_socket */
 	CURLM *multi;
 	struct tmr_alarm *timeout;
 };
@@ -153,6 +161,7 @@
 static int destroy_loop(struct hc_loop *loop)
 {
 	curl_multi_cleanup(loop->multi);
+	g_array_unref(loop->open_sockets);
 	return 0;
 }
 
@@ -163,6 +172,8 @@
 
 	loop->events = events;
 	loop->timeout = tmr_new_alarm(loop, events, handle_timeout, loop);
+	loop->open_sockets =
+		g_array_new(FALSE, FALSE, sizeof(struct open_socket));
 	loop->multi = curl_multi_init();
 	if (!loop->multi) {
 		err_set(error, ERR_INTERNAL, "open client loop", NULL,
@@ -220,6 +231,71 @@
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
 }
 
+static curl_socket_t open_socket(void *data, curlsocktype purpose,
+				 struct curl_sockaddr *address)
+{
+	struct hc_loop *loop = data;
+	struct open_socket opened = {
+		.socket = socket(address->family,
+				 address->socktype | SOCK_CLOEXEC,
+				 address->protocol),
+	};
+
+	if (opened.socket < 0)
+		return CURL_SOCKET_BAD;
+	g_array_append_val(loop->open_sockets, opened);
+	return opened.socket;
+}
+
+static int close_socket(void *data, curl_socket_t socket)
+{
+	struct hc_loop *loop = data;
+
+	for (guint i = 0; i < loop->open_sockets->len; i++) {
+		if (g_array_index(loop->open_sockets, struct open_socket, i)
+			    .socket != socket)
+			continue;
+		g_array_remove_index_fast(loop->open_sockets, i);
+		break;
+	}
+	return close(socket);
+}
+
+void hc_watch_sockets(struct hc_loop *loop, CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+	curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, loop);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, loop);
+}
+
+static int get_local_port(struct open_socket *opened)
+{
+	struct sockaddr_in address;
+	socklen_t size = sizeof(address);
+
+	if (opened->local_port == 0 &&
+	    getsockname(opened->socket, (struct sockaddr *)&address, &size) ==
+		    0)
+		opened->local_port = ntohs(address.sin_port);
+	return opened->local_port;
+}
+
+bool hc_has_unread_bytes(struct hc_loop *loop, int local_port)
+{
+	char byte;
+
+	for (guint i = 0; i < loop->open_sockets->len; i++) {
+		struct open_socket *opened = &g_array_index(
+			loop->open_sockets, struct open_socket, i);
+
+		if (get_local_port(opened) == local_port)
+			return recv(opened->socket, &byte, 1,
+				    MSG_PEEK | MSG_DONTWAIT) > 0;
+	}
+	return false;
+}
+
 void hc_reset_on_close(CURL *easy)
 {
 	curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &reset_on_close);
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -42,6 +42,13 @@
 {
 	struct tr_call *call = data;
 
+	/* Bytes from before the request are no part of its answer. */
+	if (tr_is_from_target(call) &&
+	    hc_has_unread_bytes(call->loop, local_port)) {
+		call->is_connection_stale = !call->is_connection_fresh;
+		return CURL_PREREQFUNC_ABORT;
+	}
+
 	if (call->send_count > 0) {
 		cnt_add(call->thread->service->counters.repeats_stopped, 1);
 		return CURL_PREREQFUNC_ABORT;
@@ -51,11 +58,30 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+static void handle_done(CURL *easy, CURLcode code, void *data);
+
+static void add_transfer(struct tr_call *call)
+{
+	bool is_started = hc_add_transfer(call->loop, call->easy, handle_done,
+					  call, NULL);
+
+	assert(is_started);
+	(void)is_started;
+}
+
 static void handle_done(CURL *easy, CURLcode code, void *data)
 {
 	struct tr_call *call = data;
 
 	assert(call->easy == easy);
+	/* Nothing was sent, and curl has closed the connection. */
+	if (call->is_connection_stale) {
+		call->is_connection_stale = false;
+		call->is_connection_fresh = true;
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		add_transfer(call);
+		return;
+	}
 	tr_return_handle(call->thread, easy);
 	call->easy = NULL;
 	code = tr_check_answer_end(call, code);
@@ -107,6 +133,8 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	hc_set_peer_timeouts(easy, CONNECT_TIMEOUT_MS);
 	hc_reset_on_close(easy);
+	if (tr_is_from_target(call))
+		hc_watch_sockets(call->loop, easy);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	if (g_strcmp0(call->method, MHD_HTTP_METHOD_HEAD) == 0)
@@ -128,20 +156,17 @@
 void tr_start_attempt(struct tr_call *call, struct hc_loop *loop,
 		      const char *base_url)
 {
-	bool is_started;
-
 	assert(!call->easy);
 	tr_reset_answer(&call->answer);
 	call->stage = TR_STAGE_SENDING;
 	call->attempt_us = tr_get_now_us();
 	call->send_count = 0;
+	call->is_connection_fresh = false;
 	call->upload.is_paused = false;
 	call->easy = tr_take_handle(call->thread);
 	call->loop = loop;
 	set_options(call, base_url);
-	is_started = hc_add_transfer(loop, call->easy, handle_done, call, NULL);
-	assert(is_started);
-	(void)is_started;
+	add_transfer(call);
 }
 
 void tr_stop_attempt(struct tr_call *call)
