Keep the state of a loop's tasks as long as there are tasks

process_graceful_shutdown failed in a full run of the tests, and in 3 of 3 runs by itself: a node that shut down ended with an assertion in turn.c. The state was owned by the event loop, whose children are freed in the order of their creation from last to first; a loop of curl that is freed later sets an alarm, and its task was put off to a descriptor that was closed already.

--- a/src/base/turn.c
+++ b/src/base/turn.c
@@ -19,9 +19,11 @@
 /* Tasks that may run before the loop polls. */
 #define TASKS_PER_POLL_MAX 4U
 
-/* State of a loop, owned by its tevent context. */
+/* State of a loop, freed with the last of its users. */
 struct turn {
-	uint32_t run_count; /* tasks since the last poll */
+	struct tevent_context *events;
+	uint32_t user_count; /* tasks, and handle_polled() while it runs */
+	uint32_t run_count;  /* tasks since the last poll */
 	int fd;
 	struct tevent_fd *fde;
 	GQueue waiting;
@@ -29,7 +31,6 @@
 
 struct trn_task {
 	struct turn *turn;
-	struct tevent_context *events;
 	struct tevent_immediate *immediate;
 	bool is_scheduled;
 	GList link; /* of turn->waiting; data is NULL if it is not in it */
@@ -67,6 +68,12 @@
 	return task;
 }
 
+static void release_turn(struct turn *turn)
+{
+	if (--turn->user_count == 0)
+		talloc_free(turn);
+}
+
 /* Tasks that are put off meanwhile wait for the next poll. */
 static void handle_polled(struct tevent_context *events, struct tevent_fd *fde,
 			  uint16_t flags, void *data)
@@ -78,8 +85,10 @@
 
 	assert(size == sizeof(value));
 	(void)size;
+	turn->user_count++;
 	while (count-- > 0 && turn->waiting.length > 0)
 		run_task(take_waiting(turn));
+	release_turn(turn);
 }
 
 static void put_off(struct trn_task *task)
@@ -97,8 +106,7 @@
 
 static int destroy_turn(struct turn *turn)
 {
-	while (turn->waiting.length > 0)
-		take_waiting(turn);
+	tevent_set_trace_callback(turn->events, NULL, NULL);
 	TALLOC_FREE(turn->fde);
 	close(turn->fd);
 	return 0;
@@ -106,8 +114,9 @@
 
 static struct turn *new_turn(struct tevent_context *events)
 {
-	struct turn *turn = talloc_zero(events, struct turn);
+	struct turn *turn = talloc_zero(NULL, struct turn);
 
+	turn->events = events;
 	g_queue_init(&turn->waiting);
 	turn->fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	assert(turn->fd >= 0);
@@ -129,8 +138,11 @@
 
 static int destroy_task(struct trn_task *task)
 {
+	struct turn *turn = task->turn;
+
 	if (task->link.data)
-		g_queue_unlink(&task->turn->waiting, &task->link);
+		g_queue_unlink(&turn->waiting, &task->link);
+	release_turn(turn);
 	return 0;
 }
 
@@ -140,7 +152,7 @@
 	struct trn_task *task = talloc_zero(ctx, struct trn_task);
 
 	task->turn = get_turn(events);
-	task->events = events;
+	task->turn->user_count++;
 	task->immediate = tevent_create_immediate(task);
 	task->fn = fn;
 	task->data = data;
@@ -157,6 +169,6 @@
 		put_off(task);
 		return;
 	}
-	tevent_schedule_immediate(task->immediate, task->events,
+	tevent_schedule_immediate(task->immediate, task->turn->events,
 				  handle_immediate, task);
 }
