--- a/include/loom/turn.h
+++ b/include/loom/turn.h
@@ -18,9 +18,9 @@
 typedef void (*trn_task_fn)(void *data);
 
 /*
- * Returns a new task owned by ctx, which must be freed before the memory of
- * events, as it is where ctx is a child of events. Sets the trace callback of
- * events, which must not be used otherwise.
+ * Returns a new task owned by ctx, which must not outlive events; a child of
+ * events does not. Sets the trace callback of events, which must not be used
+ * otherwise.
  */
 struct trn_task *trn_new_task(TALLOC_CTX *ctx, struct tevent_context *events,
 			      trn_task_fn fn, void *data);
