--- a/src/http/client_loop.c
+++ b/src/http/client_loop.c
@@ -271,7 +271,7 @@
 
 static int get_local_port(struct open_socket *opened)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { 0 };
 	socklen_t size = sizeof(address);
 
 	if (opened->local_port == 0 &&
--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -64,7 +64,7 @@
 #define FULL_SHARE_MIN_MS 1000U
 /* Time for which the old version has all calls after a suspicion. */
 #define CHECK_MS 700U
-/* Calls of the new version, due in a step, that tell whether its share is used.
+/* Calls of the new version that must be due to tell whether its share is used.
  */
 #define SHARE_CALLS_MIN 20U
 /* Calls of the old version that end a check. */
@@ -298,7 +298,7 @@
 {
 	struct mv_step_counts sums = { 0 };
 
-	for (uint32_t i = 0; i <= MV_STEP_LAST; i++) {
+	for (uint32_t i = 0; i < MV_STEP_COUNT; i++) {
 		mv_add_counts(&sums.old, &ramp->calls.series[0].steps[i].old);
 		mv_add_counts(&sums.new, &ramp->calls.series[0].steps[i].new);
 	}
@@ -337,7 +337,6 @@
 {
 	double elapsed_ms = (double)(now_ms - ramp->start_ms);
 	double left_ms = fmax(get_probe_ms(ramp) - elapsed_ms, RATE_KNOWN_MS);
-
 	uint32_t known_calls =
 		MAX(sum_calls(ramp).new.calls, ramp->quiet_calls);
 
@@ -558,17 +557,23 @@
 	begin_step(ramp, MV_STEP_CHECK, now_ms);
 }
 
+/* Takes the move back when its time is over and it has not passed. */
 static void check_time(struct mv_ramp *ramp, uint64_t now_ms)
 {
+	const char *reason =
+		"out of time: the new version did not get the "
+		"share that was due";
+
 	if (now_ms - ramp->start_ms + END_MARGIN_MS < ramp->limit_ms ||
 	    has_passed(ramp, now_ms))
 		return;
-	g_strlcpy(ramp->reason,
-		  ramp->was_noisy ? "out of time: the old version failed too "
-				    "often to compare"
-				  : "out of time: the new version did not get "
-				    "the share that was due",
-		  sizeof(ramp->reason));
+	if (ramp->was_noisy)
+		reason = "out of time: the old version failed too often to "
+			 "compare";
+	else if (ramp->step == MV_STEP_CHECK)
+		reason = "out of time: too few calls of the old version, or "
+			 "too many that failed, to check the new one";
+	g_strlcpy(ramp->reason, reason, sizeof(ramp->reason));
 }
 
 enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
--- a/src/node/tests/test_ranks.c
+++ b/src/node/tests/test_ranks.c
@@ -73,12 +73,13 @@
 
 static void test_progress(void)
 {
-	struct mv_ramp_progress sent = { .step = 2,
-					 .share_permille = 400,
-					 .age_ms = 9000,
-					 .step_age_ms = 300,
-					 .new_calls = 25 };
-	struct mv_ramp_progress got;
+	static const struct mv_ramp_progress sent = { .step = 2,
+						      .share_permille = 400,
+						      .age_ms = 9000,
+						      .step_age_ms = 300,
+						      .new_calls = 25,
+						      .is_passed = true };
+	struct mv_ramp_progress got = { 0 };
 	json_t *told = nd_format_progress(&sent);
 
 	CU_ASSERT_TRUE(nd_read_progress(told, &got));
