--- a/src/moves/ramp.c
+++ b/src/moves/ramp.c
@@ -560,20 +560,16 @@
 /* Takes the move back when its time is over and it has not passed. */
 static void check_time(struct mv_ramp *ramp, uint64_t now_ms)
 {
-	const char *reason =
-		"out of time: the new version did not get the "
-		"share that was due";
+	const char *what = "the new version did not get the share it was due";
 
 	if (now_ms - ramp->start_ms + END_MARGIN_MS < ramp->limit_ms ||
 	    has_passed(ramp, now_ms))
 		return;
 	if (ramp->was_noisy)
-		reason = "out of time: the old version failed too often to "
-			 "compare";
+		what = "the old version failed too often to compare";
 	else if (ramp->step == MV_STEP_CHECK)
-		reason = "out of time: too few calls of the old version, or "
-			 "too many that failed, to check the new one";
-	g_strlcpy(ramp->reason, reason, sizeof(ramp->reason));
+		what = "the old version's calls did not allow a check";
+	g_snprintf(ramp->reason, sizeof(ramp->reason), "out of time: %s", what);
 }
 
 enum mv_ramp_verdict mv_evaluate_ramp(struct mv_ramp *ramp, uint64_t now_ms)
