Receive the content of many small chunks at once

A body of one-byte chunks was decoded and relayed byte by byte, with a chunk of its own for each on the way to the next node: beside twelve such answers six calls of others took 1.2 s, 19.9 s with ThreadSanitizer, and one was not served in 10 s under qemu (x86-64). The content of a piece is now relayed as one, and a body whose chunks have more than 64 KiB and four times its content around them is malformed (16 times before): chunks of one byte beyond 64 KiB.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -345,23 +345,34 @@
 	return true;
 }
 
+/*
+ * The content of all chunks in bytes is received at once: a body may consist of
+ * chunks of one byte. size is at most CURL_MAX_WRITE_SIZE.
+ */
 static bool receive_chunks(struct tr_call *call, const char *bytes, size_t size)
 {
 	struct tr_chunks *chunks = &call->answer.chunks;
+	char content[CURL_MAX_WRITE_SIZE];
+	size_t content_size = 0;
 	const char *part = NULL;
 	size_t part_size;
 	size_t taken;
 
-	while (size > 0 && chunks->state != TR_CHUNK_END) {
+	assert(size <= sizeof(content));
+	while (size > 0 && chunks->state != TR_CHUNK_END &&
+	       chunks->state != TR_CHUNK_MALFORMED) {
 		taken = tr_decode_chunks(chunks, bytes, size, &part,
 					 &part_size);
-		if (part_size > 0 && !receive_content(call, part, part_size))
-			return false;
-		if (chunks->state == TR_CHUNK_MALFORMED)
-			return reject_answer(call, "malformed chunk");
+		if (part_size > 0)
+			memcpy(content + content_size, part, part_size);
+		content_size += part_size;
 		bytes += taken;
 		size -= taken;
 	}
+	if (content_size > 0 && !receive_content(call, content, content_size))
+		return false;
+	if (chunks->state == TR_CHUNK_MALFORMED)
+		return reject_answer(call, "malformed chunk");
 	/* More may follow, which belongs to no request. */
 	if (size > 0)
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/traffic/framing.c
+++ b/src/traffic/framing.c
@@ -15,7 +15,7 @@
 #define CHUNK_DIGITS_MAX 15U /* keeps the size below 2^63 */
 /* Bytes around the chunks of a body: so many, and for each byte of content. */
 #define FRAME_BYTES_MAX 65536U
-#define FRAME_BYTES_PER_CONTENT_BYTE 16U
+#define FRAME_BYTES_PER_CONTENT_BYTE 4U
 
 static bool is_token_char(char c)
 {
