Add the settings of overload control, read but not used yet

Cause: the parts against hard load need switches that are agreed before they are built. Change: settings overload_control, load_port, link_kbit_s, crossing_ms_per_kb, memory_mb, retry_budget_permille and silence_ms, off by default. Result: each wrong value is reported with its place (settings.expected); no behaviour changes.

--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -65,6 +65,21 @@
 	uint32_t warm_up_ms; /* time until it can take its full load */
 };
 
+/* How a node behaves when there is more load than room; all off by default. */
+struct tr_overload_options {
+	bool is_enabled;      /* admission by class, early refusals, returns */
+	uint16_t load_port;   /* UDP port of load reports; 0: none */
+	uint32_t link_kbit_s; /* 0: unknown, answers are not paced */
+	uint32_t crossing_ms_per_kb; /* wait preferred to sending 1 kB away */
+	uint32_t memory_mb;	     /* memory of the process; 0: unknown */
+	uint32_t retry_budget_permille;
+	/*
+	 * A call counts as unanswered when its answer is overdue for so long
+	 * while later calls to the target were answered; 0: never.
+	 */
+	uint32_t silence_ms;
+};
+
 /* names and data are borrowed for the life of the service. */
 struct tr_options {
 	const char *address; /* IPv4 address to listen on */
@@ -78,6 +93,7 @@
 	uint32_t idle_timeout_ms;   /* longest wait for a whole request line */
 	uint32_t header_timeout_ms; /* from request line to last header */
 	uint32_t header_bytes_max;
+	struct tr_overload_options overload;
 	enum rt_policy policy;
 	uint64_t seed;
 	tr_sample_fn on_sample; /* may be NULL */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -208,6 +208,15 @@
 	options.caller_service = settings->service;
 	if (settings->header_names)
 		options.names = settings->header_names;
+	options.overload = (struct tr_overload_options){
+		.is_enabled = settings->overload_control,
+		.load_port = settings->load_port,
+		.link_kbit_s = settings->link_kbit_s,
+		.crossing_ms_per_kb = settings->crossing_ms_per_kb,
+		.memory_mb = settings->memory_mb,
+		.retry_budget_permille = settings->retry_budget_permille,
+		.silence_ms = settings->silence_ms,
+	};
 	options.seed = g_str_hash(settings->address);
 	options.on_sample = handle_sample;
 	options.data = node;
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -24,6 +24,10 @@
 static const struct rd_range threads_range = { 1, 64 };
 static const struct rd_range connections_range = { 16, 100000 };
 static const struct rd_range timeout_range = { 100, 3600000 };
+static const struct rd_range link_range = { 64, 100000000 };
+static const struct rd_range crossing_range = { 0, 10000 };
+static const struct rd_range memory_range = { 16, 1048576 };
+static const struct rd_range budget_range = { 10, 1000 };
 static const struct rd_range linger_range = { 0, 600000 };
 
 static const struct nd_settings default_settings = {
@@ -31,6 +35,7 @@
 	.capacity = 1000,
 	.move_exposure_permille = 100,
 	.traffic_threads = 1,
+	.retry_budget_permille = 100,
 	.connections = 4096,
 	.idle_timeout_ms = 60000,
 	.header_timeout_ms = 10000,
@@ -199,6 +204,32 @@
 		       &settings->shutdown_limit_ms);
 }
 
+static void read_overload(struct rd_object *object,
+			  struct nd_settings *settings)
+{
+	uint32_t port = 0;
+
+	rd_read_bool(object, "overload_control", RD_OPTIONAL,
+		     &settings->overload_control);
+	if (rd_read_uint32(object, "load_port", RD_OPTIONAL, &port_range,
+			   &port))
+		settings->load_port = (uint16_t)port;
+	if (port && port == settings->gossip_port)
+		rd_add_problem(object, "load_port",
+			       "got %u, the gossip_port, wanted another port",
+			       port);
+	rd_read_uint32(object, "link_kbit_s", RD_OPTIONAL, &link_range,
+		       &settings->link_kbit_s);
+	rd_read_uint32(object, "crossing_ms_per_kb", RD_OPTIONAL,
+		       &crossing_range, &settings->crossing_ms_per_kb);
+	rd_read_uint32(object, "memory_mb", RD_OPTIONAL, &memory_range,
+		       &settings->memory_mb);
+	rd_read_uint32(object, "retry_budget_permille", RD_OPTIONAL,
+		       &budget_range, &settings->retry_budget_permille);
+	rd_read_uint32(object, "silence_ms", RD_OPTIONAL, &timeout_range,
+		       &settings->silence_ms);
+}
+
 static void read_source(struct rd_object *object, struct nd_settings *settings)
 {
 	const char *name = "documents";
@@ -226,6 +257,7 @@
 	read_seeds(ctx, object, settings);
 	read_distances(ctx, object, settings);
 	read_bounds(object, settings);
+	read_overload(object, settings);
 	read_log_level(object, settings);
 }
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -4,6 +4,7 @@
 #ifndef ND_SETTINGS_H
 #define ND_SETTINGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <talloc.h>
@@ -45,6 +46,15 @@
 	   the time of its move is over */
 	uint32_t move_exposure_permille;
 	uint32_t traffic_threads;
+	/* Admission by class and estimates, and traffic between domains by cost
+	 */
+	bool overload_control;
+	uint16_t load_port;	     /* UDP port of load reports; 0: none */
+	uint32_t link_kbit_s;	     /* speed of the vm's link; 0: unknown */
+	uint32_t crossing_ms_per_kb; /* wait preferred to sending 1 kB away */
+	uint32_t memory_mb;	     /* memory of the process; 0: unknown */
+	uint32_t retry_budget_permille;
+	uint32_t silence_ms; /* see struct tr_overload_options; 0: off */
 	uint32_t connections;
 	uint32_t idle_timeout_ms;
 	uint32_t header_timeout_ms;
--- a/src/node/tests/test_settings.c
+++ b/src/node/tests/test_settings.c
@@ -24,6 +24,14 @@
 		settings->connections, settings->idle_timeout_ms,
 		settings->header_timeout_ms, settings->drain_linger_ms,
 		settings->shutdown_limit_ms, (int)settings->log_level);
+	if (settings->overload_control)
+		g_string_append_printf(
+			output,
+			"  overload load_port=%u link=%u crossing=%u "
+			"memory=%u budget=%u silence=%u\n",
+			settings->load_port, settings->link_kbit_s,
+			settings->crossing_ms_per_kb, settings->memory_mb,
+			settings->retry_budget_permille, settings->silence_ms);
 	for (const char *const *seed = settings->seeds; *seed; seed++)
 		g_string_append_printf(output, "  seed %s\n", *seed);
 	for (size_t i = 0; i < settings->distance_count; i++)
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -11,6 +11,7 @@
 #define IDLE_TIMEOUT_MS 60000U
 #define HEADER_TIMEOUT_MS 10000U
 #define HEADER_BYTES_MAX 16384U
+#define RETRY_BUDGET_PERMILLE 100U
 
 /* Opens one counter each for the entry side and the hop side. */
 static void open_counter_pair(struct cnt_registry *registry,
@@ -107,6 +108,7 @@
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.header_timeout_ms = HEADER_TIMEOUT_MS,
 		.header_bytes_max = HEADER_BYTES_MAX,
+		.overload.retry_budget_permille = RETRY_BUDGET_PERMILLE,
 		.policy = RT_POLICY_TWO_CHOICES,
 		.names = &default_names,
 		.caller_service = "",
