Pace large answers by the speed of the link

Cause: downloads of 90 kB fill the 12 Mbit/s link of a vm, and short answers and connects wait behind them (docs/design/hard-load.md, part 5). A broken answer, and one given up at its deadline, leaves the order. Off at link_kbit_s 0.

--- a/include/loom/exchange.h
+++ b/include/loom/exchange.h
@@ -23,6 +23,7 @@
 
 struct hx_server;
 struct hx_exchange;
+struct hx_pacing;
 
 /* Why an exchange is over. */
 enum hx_end {
@@ -61,9 +62,37 @@
 	const struct hx_handler *handler;
 	void *data;
 	struct cnt_counter
-		*closed_early; /* slow or idle connections; or NULL */
+		*closed_early;	  /* slow or idle connections; or NULL */
+	struct hx_pacing *pacing; /* borrowed; NULL: answers are not paced */
 };
 
+struct hx_pacing_options {
+	uint64_t link_kbit_s; /* of the servers that share the pacing */
+	/* Metrics. */
+	struct cnt_counter *short_bytes;
+	struct cnt_counter *large_bytes;
+	struct cnt_counter *waiting_answers;
+	struct cnt_counter *longest_wait_us;
+};
+
+/*
+ * Returns a new object, owned by ctx, that paces the large answers of servers
+ * on one loop (loom/pacer.h), or NULL when link_kbit_s is 0. It must outlive
+ * the servers. timers is borrowed.
+ */
+struct hx_pacing *hx_new_pacing(TALLOC_CTX *ctx, struct tmr_service *timers,
+				const struct hx_pacing_options *options);
+
+/*
+ * Returns pace_get_backlog_us() of a large answer of this size with this
+ * deadline (0: none) that starts now; 0 when pacing is NULL.
+ */
+uint64_t hx_get_backlog_us(struct hx_pacing *pacing, uint64_t deadline_ms,
+			   uint64_t bytes);
+
+/* Updates the metrics; call it about once a second. pacing may be NULL. */
+void hx_update_pacing_metrics(struct hx_pacing *pacing);
+
 /*
  * Returns a new listening server owned by ctx, or NULL with *error set. Freeing
  * it ends all exchanges as HX_END_LOST. timers is borrowed.
@@ -100,6 +129,13 @@
 bool hx_get_header_at(const struct hx_exchange *exchange, uint32_t index,
 		      const char **name, const char **value);
 
+/*
+ * Sets when the answer should have been sent: large answers are sent in the
+ * order of their deadlines. Call it before the answer starts; without it, or
+ * with 0, the answer comes after those that have a deadline.
+ */
+void hx_set_deadline(struct hx_exchange *exchange, uint64_t deadline_ms);
+
 /* Returns when the bytes that completed the head were read. */
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange);
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -18,12 +18,14 @@
 	struct hx_exchange *exchange = g_new0(struct hx_exchange, 1);
 
 	exchange->connection = connection;
+	exchange->flow.data = exchange;
 	hx_open_head(&exchange->head);
 	return exchange;
 }
 
 void hx_free_exchange(struct hx_exchange *exchange)
 {
+	hx_leave_pacing(exchange);
 	hx_close_head(&exchange->head);
 	if (exchange->output)
 		g_byte_array_unref(exchange->output);
@@ -69,6 +71,14 @@
 	return true;
 }
 
+void hx_set_deadline(struct hx_exchange *exchange, uint64_t deadline_ms)
+{
+	exchange->deadline_ms = deadline_ms;
+	/* A flow that waits is in the order of its deadline. */
+	if (!exchange->flow.is_waiting)
+		exchange->flow.deadline_us = deadline_ms * 1000;
+}
+
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange)
 {
 	return exchange->received_ms;
@@ -127,6 +137,9 @@
 	exchange->status = status;
 	exchange->framing = choose_framing(exchange, length);
 	exchange->body_left = length;
+	exchange->is_large = exchange->framing == HX_FRAMING_LENGTH &&
+			     length > (int64_t)PACE_SHORT_BYTES_MAX &&
+			     !is_head_request(exchange);
 	g_snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
 		   http_status_str((enum http_status)status));
 	append_text(exchange, line);
@@ -206,6 +219,14 @@
 		exchange->framing = HX_FRAMING_NO_BODY;
 }
 
+/* Counts a body of unknown length, which becomes large as it grows. */
+static void count_streamed(struct hx_exchange *exchange, size_t size)
+{
+	exchange->streamed_bytes += size;
+	if (exchange->streamed_bytes > PACE_SHORT_BYTES_MAX)
+		exchange->is_large = true;
+}
+
 void hx_add_answer_body(struct hx_exchange *exchange, const void *bytes,
 			size_t size)
 {
@@ -224,12 +245,14 @@
 		append_bytes(exchange, bytes, size);
 		break;
 	case HX_FRAMING_CHUNKED:
+		count_streamed(exchange, size);
 		g_snprintf(line, sizeof(line), "%zx\r\n", size);
 		append_text(exchange, line);
 		append_bytes(exchange, bytes, size);
 		append_text(exchange, "\r\n");
 		break;
 	case HX_FRAMING_UNTIL_CLOSE:
+		count_streamed(exchange, size);
 		append_bytes(exchange, bytes, size);
 		break;
 	}
--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -141,6 +141,9 @@
 		return now_ms >= connection->active_ms + LINGER_MS;
 	if (first && first->phase == HX_PHASE_HEAD)
 		return now_ms >= connection->head_ms + head_timeout_ms;
+	/* The peer cannot read what waits for its turn on the link. */
+	if (first && first->flow.is_waiting && now_ms < first->deadline_ms)
+		return false;
 	/* An answer that the peer does not read, or a body that stalls. */
 	if (!first || first->is_ended)
 		return now_ms >= connection->active_ms + idle_timeout_ms;
@@ -404,7 +407,13 @@
 	size_t size;
 	ssize_t count;
 
-	while ((size = hx_get_unsent_size(exchange)) > 0) {
+	while (hx_get_unsent_size(exchange) > 0) {
+		/* The rest of a broken answer is not worth a turn. */
+		if (exchange->is_aborted && exchange->flow.is_waiting)
+			break;
+		size = hx_get_sendable_size(exchange);
+		if (size == 0)
+			return false;
 		count = send(connection->socket,
 			     exchange->output->data + exchange->sent_size, size,
 			     MSG_NOSIGNAL);
@@ -413,14 +422,17 @@
 		if (count < 0) {
 			if (errno != EAGAIN)
 				hx_close_connection(connection);
+			hx_leave_pacing(exchange);
 			return false;
 		}
 		connection->active_ms = get_now_ms(connection);
+		hx_record_sent(exchange, (size_t)count);
 		remove_sent_bytes(exchange, (size_t)count);
 		/* The handler may add more. */
 		if (exchange->phase == HX_PHASE_BEGUN && !exchange->is_ended)
 			options->handler->handle_sent(exchange, options->data);
 	}
+	hx_leave_pacing(exchange);
 	return true;
 }
 
@@ -468,6 +480,17 @@
 	}
 }
 
+/*
+ * Returns whether the peer, which has closed its side, did so because of the
+ * deadline: then it does not read the answer that waits for the link.
+ */
+static bool is_given_up(const struct hx_connection *connection,
+			const struct hx_exchange *first)
+{
+	return first->flow.is_waiting && first->deadline_ms > 0 &&
+	       get_now_ms(connection) >= first->deadline_ms;
+}
+
 /*
  * The peer is gone: ends the exchanges whose answers are not complete, and
  * those behind them.
@@ -476,6 +499,10 @@
 {
 	GList *link = connection->exchanges.head;
 
+	if (link && is_given_up(connection, link->data)) {
+		hx_close_connection(connection);
+		return;
+	}
 	while (link && ((struct hx_exchange *)link->data)->is_ended)
 		link = link->next;
 	if (!link)
@@ -493,6 +520,8 @@
 	}
 	if (connection->is_hung_up)
 		cancel_unanswered(connection);
+	if (connection->socket < 0)
+		return;
 	receive_requests(connection);
 	send_answers(connection);
 	if (connection->is_hung_up && hx_is_idle(connection))
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -10,6 +10,7 @@
 #define HX_EXCHANGE_INTERNAL_H
 
 #include "loom/exchange.h"
+#include "loom/pacer.h"
 #include "loom/turn.h"
 #include "request_parser.h"
 
@@ -50,7 +51,11 @@
 	bool is_aborted;
 	bool closes; /* the answer is the last one of the connection */
 	GByteArray *output;
-	size_t sent_size; /* leading bytes of output that were sent */
+	size_t sent_size;	 /* leading bytes of output that were sent */
+	uint64_t streamed_bytes; /* of a body of unknown length, so far */
+	bool is_large;		 /* paced, if the server has a pacing */
+	uint64_t deadline_ms;	 /* 0: none */
+	struct pace_flow flow;
 };
 
 struct hx_connection {
@@ -119,6 +124,16 @@
 bool hx_is_overdue(const struct hx_connection *connection, uint64_t now_ms,
 		   uint32_t idle_timeout_ms, uint32_t head_timeout_ms);
 
+/*
+ * exchange_pacing.c. Returns how much of the unsent output may be sent now; 0
+ * when the connection is marked as dirty later.
+ */
+size_t hx_get_sendable_size(struct hx_exchange *exchange);
+/* Records that bytes of the output were sent. */
+void hx_record_sent(struct hx_exchange *exchange, size_t size);
+/* The exchange has nothing to send for now, or its peer does not read. */
+void hx_leave_pacing(struct hx_exchange *exchange);
+
 /* exchange_server.c: schedules the advance of dirty connections. */
 void hx_schedule_advance(struct hx_server *server);
 
--- /dev/null
+++ b/src/http/tests/test_exchange_pacing.c
@@ -0,0 +1,401 @@
+/*
+ * Tests of paced answers over loopback sockets: servers and callers on one
+ * event loop. They check orders, no times.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include "loom/exchange.h"
+#include "script.h"
+
+#define PORT 18070
+/* A loop that nothing wakes must end too; no run takes as long as this. */
+#define TICK_MS 20
+#define TURNS_MAX 5000
+#define CALLERS_MAX 4
+#define RECEIVE_BYTES 65536
+/* So small that a reader that stops makes its server wait soon. */
+#define RECEIVE_BUFFER_BYTES 4096
+#define SLOW_KBIT_S 1000
+#define FAST_KBIT_S 400000
+
+struct fixture;
+
+struct caller {
+	struct fixture *fixture;
+	int socket;
+	struct tevent_fd *fde; /* NULL: does not read */
+	GString *received;
+	char name;
+};
+
+struct fixture {
+	struct tevent_context *events;
+	struct tmr_service *timers;
+	struct cnt_registry *counters;
+	struct hx_pacing *pacing;
+	struct hx_server *servers[2]; /* they share the pacing */
+	char address[32];
+	struct caller callers[CALLERS_MAX];
+	size_t caller_count;
+	uint32_t open_count; /* exchanges */
+	uint32_t lost_count;
+	uint64_t started_ms;
+	GString *ends; /* names of the callers, as their answers end */
+};
+
+static void handle_nothing(struct hx_exchange *exchange, void *data)
+{
+}
+
+static void handle_open(struct hx_exchange *exchange, void *data)
+{
+	struct fixture *fixture = data;
+
+	fixture->open_count++;
+}
+
+static bool may_overlap(struct hx_exchange *exchange, void *data)
+{
+	return false;
+}
+
+/* The target is "/FRAMING/SIZE/DEADLINE"; the deadline is in ms. */
+static void answer(struct hx_exchange *exchange, void *data)
+{
+	struct fixture *fixture = data;
+	char framing[8];
+	unsigned int size;
+	unsigned int deadline_ms;
+	char *body;
+
+	if (sscanf(hx_get_target(exchange), "/%7[a-z]/%u/%u", framing, &size,
+		   &deadline_ms) != 3) {
+		CU_FAIL("invalid request");
+		return;
+	}
+	body = g_strnfill(size, 'x');
+	hx_set_deadline(exchange, fixture->started_ms + deadline_ms);
+	hx_start_answer(exchange, 200,
+			strcmp(framing, "length") == 0 ? (int64_t)size : -1);
+	hx_add_answer_body(exchange, body, size);
+	hx_end_answer(exchange);
+	g_free(body);
+}
+
+static void receive_body(struct hx_exchange *exchange, const char *bytes,
+			 size_t size, void *data)
+{
+}
+
+static void handle_end(struct hx_exchange *exchange, enum hx_end how,
+		       void *data)
+{
+	struct fixture *fixture = data;
+
+	fixture->open_count--;
+	if (how == HX_END_LOST)
+		fixture->lost_count++;
+}
+
+static const struct hx_handler handler = {
+	.open = handle_open,
+	.may_overlap = may_overlap,
+	.begin = answer,
+	.receive_body = receive_body,
+	.end_body = handle_nothing,
+	.handle_sent = handle_nothing,
+	.end = handle_end,
+};
+
+static struct cnt_counter *open_metric(struct fixture *fixture,
+				       const char *name, enum cnt_kind kind)
+{
+	return cnt_get_counter(fixture->counters, kind, name, NULL, "");
+}
+
+static void handle_tick(uint64_t now_ms, void *data)
+{
+}
+
+static void open_pacing(struct fixture *fixture, uint64_t link_kbit_s)
+{
+	struct hx_pacing_options options = {
+		.link_kbit_s = link_kbit_s,
+		.short_bytes = open_metric(fixture, "short", CNT_KIND_COUNTER),
+		.large_bytes = open_metric(fixture, "large", CNT_KIND_COUNTER),
+		.waiting_answers =
+			open_metric(fixture, "waiting", CNT_KIND_GAUGE),
+		.longest_wait_us =
+			open_metric(fixture, "longest", CNT_KIND_GAUGE),
+	};
+
+	fixture->pacing = hx_new_pacing(fixture, fixture->timers, &options);
+}
+
+static struct fixture *open_fixture(uint64_t link_kbit_s)
+{
+	struct fixture *fixture = talloc_zero(NULL, struct fixture);
+	uint32_t id = (uint32_t)getpid();
+	struct hx_options options = {
+		.address = fixture->address,
+		.connections_max = 16,
+		.head_bytes_max = 4096,
+		.handler = &handler,
+		.data = fixture,
+	};
+
+	fixture->events = tevent_context_init(fixture);
+	fixture->timers = tmr_new(fixture, fixture->events);
+	tmr_subscribe_every(fixture, fixture->timers, TICK_MS, handle_tick,
+			    NULL);
+	fixture->counters = cnt_new_registry(fixture);
+	fixture->started_ms = tmr_get_now_ms(fixture->timers);
+	fixture->ends = g_string_new(NULL);
+	/* Concurrent runs of the test use different addresses. */
+	g_snprintf(fixture->address, sizeof(fixture->address), "127.%u.%u.7",
+		   100 + id / 250 % 100, id % 250 + 1);
+	open_pacing(fixture, link_kbit_s);
+	options.pacing = fixture->pacing;
+	for (uint16_t i = 0; i < 2; i++) {
+		options.port = PORT + i;
+		fixture->servers[i] =
+			hx_new_server(fixture, fixture->events, fixture->timers,
+				      &options, NULL);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->servers[i]);
+	}
+	return fixture;
+}
+
+static void close_caller(struct caller *caller)
+{
+	TALLOC_FREE(caller->fde);
+	if (caller->socket >= 0)
+		close(caller->socket);
+	caller->socket = -1;
+}
+
+static void close_fixture(struct fixture *fixture)
+{
+	TALLOC_FREE(fixture->servers[0]);
+	TALLOC_FREE(fixture->servers[1]);
+	CU_ASSERT_EQUAL(fixture->open_count, 0);
+	for (size_t i = 0; i < fixture->caller_count; i++) {
+		close_caller(&fixture->callers[i]);
+		g_string_free(fixture->callers[i].received, TRUE);
+	}
+	g_string_free(fixture->ends, TRUE);
+	talloc_free(fixture);
+}
+
+static void receive_answer(struct tevent_context *events, struct tevent_fd *fde,
+			   uint16_t flags, void *data)
+{
+	struct caller *caller = data;
+	char *bytes = g_malloc(RECEIVE_BYTES);
+	ssize_t count =
+		recv(caller->socket, bytes, RECEIVE_BYTES, MSG_DONTWAIT);
+
+	if (count > 0)
+		g_string_append_len(caller->received, bytes, count);
+	else if (count == 0 || errno != EAGAIN) {
+		g_string_append_c(caller->fixture->ends, caller->name);
+		TALLOC_FREE(caller->fde);
+	}
+	g_free(bytes);
+}
+
+/* Sends a request to one of the servers; its answer closes the connection. */
+static struct caller *send_request(struct fixture *fixture, char name,
+				   uint16_t server, const char *target)
+{
+	struct caller *caller = &fixture->callers[fixture->caller_count++];
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(PORT + server),
+	};
+	char *request = talloc_asprintf(
+		fixture,
+		"GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		target);
+	int size = RECEIVE_BUFFER_BYTES;
+
+	inet_pton(AF_INET, fixture->address, &address.sin_addr);
+	caller->fixture = fixture;
+	caller->name = name;
+	caller->received = g_string_new(NULL);
+	caller->socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(caller->socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	CU_ASSERT_EQUAL(connect(caller->socket, (struct sockaddr *)&address,
+				sizeof(address)),
+			0);
+	CU_ASSERT_EQUAL(
+		send(caller->socket, request, strlen(request), MSG_NOSIGNAL),
+		(ssize_t)strlen(request));
+	caller->fde = tevent_add_fd(fixture->events, fixture, caller->socket,
+				    TEVENT_FD_READ, receive_answer, caller);
+	return caller;
+}
+
+/* Runs the loop until the caller has received this many bytes. */
+static void run_until_received(struct fixture *fixture,
+			       const struct caller *caller, size_t size)
+{
+	for (int i = 0; i < TURNS_MAX && caller->received->len < size; i++)
+		tevent_loop_once(fixture->events);
+	CU_ASSERT_TRUE(caller->received->len >= size);
+}
+
+static void run_until_ended(struct fixture *fixture, size_t count)
+{
+	for (int i = 0; i < TURNS_MAX && fixture->ends->len < count; i++)
+		tevent_loop_once(fixture->events);
+	CU_ASSERT_EQUAL(fixture->ends->len, count);
+}
+
+static void run_until_open(struct fixture *fixture, uint32_t count)
+{
+	for (int i = 0; i < TURNS_MAX && fixture->open_count != count; i++)
+		tevent_loop_once(fixture->events);
+	CU_ASSERT_EQUAL(fixture->open_count, count);
+}
+
+/* Guards against a short answer that waits behind a large one for the link. */
+static void test_short_answer_overtakes_large(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	struct caller *large =
+		send_request(fixture, 'L', 0, "/length/60000/5000");
+
+	run_until_received(fixture, large, 1);
+	send_request(fixture, 's', 1, "/length/100/9000");
+	run_until_ended(fixture, 2);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "sL");
+	CU_ASSERT_TRUE(large->received->len > 60000);
+	CU_ASSERT_TRUE(cnt_get_value(open_metric(fixture, "large",
+						 CNT_KIND_COUNTER)) > 60000);
+	CU_ASSERT_TRUE(cnt_get_value(open_metric(fixture, "short",
+						 CNT_KIND_COUNTER)) > 100);
+	close_fixture(fixture);
+}
+
+/*
+ * Guards against large answers that share the link and all end late: the first
+ * one goes on, then the one with the earliest deadline, whichever server it is
+ * on and whether or not its length is known.
+ */
+static void test_large_answers_end_by_deadline(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/40000/9000");
+
+	run_until_received(fixture, first, 1);
+	send_request(fixture, 'b', 0, "/length/30000/8000");
+	run_until_open(fixture, 2);
+	send_request(fixture, 'c', 1, "/chunked/30000/7000");
+	run_until_ended(fixture, 3);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "acb");
+	close_fixture(fixture);
+}
+
+/* Guards against a reader that stops and keeps the turn for ever. */
+static void test_reader_that_stops_is_passed(void)
+{
+	struct fixture *fixture = open_fixture(FAST_KBIT_S);
+	struct caller *stopped =
+		send_request(fixture, 'a', 0, "/length/16000000/1000");
+
+	run_until_received(fixture, stopped, 1);
+	TALLOC_FREE(stopped->fde);
+	send_request(fixture, 'b', 1, "/length/200000/9000");
+	run_until_ended(fixture, 1);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "b");
+	/* It reads on, and its answer is whole. */
+	stopped->fde = tevent_add_fd(fixture->events, fixture, stopped->socket,
+				     TEVENT_FD_READ, receive_answer, stopped);
+	run_until_ended(fixture, 2);
+	CU_ASSERT_TRUE(stopped->received->len > 16000000);
+	close_fixture(fixture);
+}
+
+/*
+ * Guards against a connection that is freed while its answer waits or sends and
+ * stays in the order.
+ */
+static void test_closed_connections_leave(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/9000000/1000");
+	struct caller *second;
+
+	run_until_received(fixture, first, 1);
+	second = send_request(fixture, 'b', 0, "/length/9000000/2000");
+	send_request(fixture, 'c', 1, "/length/30000/9000");
+	run_until_open(fixture, 3);
+	close_caller(first);
+	close_caller(second);
+	run_until_ended(fixture, 1);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "c");
+	run_until_open(fixture, 0);
+	CU_ASSERT_EQUAL(fixture->lost_count, 2);
+	hx_update_pacing_metrics(fixture->pacing);
+	CU_ASSERT_EQUAL(
+		cnt_get_value(open_metric(fixture, "waiting", CNT_KIND_GAUGE)),
+		0);
+	close_fixture(fixture);
+}
+
+/* Guards against a server that ends while answers wait. */
+static void test_server_ends_with_waiting_answers(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/9000000/1000");
+
+	run_until_received(fixture, first, 1);
+	send_request(fixture, 'b', 0, "/length/9000000/2000");
+	send_request(fixture, 'c', 1, "/length/30000/9000");
+	run_until_open(fixture, 3);
+	CU_ASSERT_TRUE(hx_get_backlog_us(fixture->pacing, 0, 90000) > 100000);
+	TALLOC_FREE(fixture->servers[0]);
+	run_until_received(fixture, &fixture->callers[2], 30000);
+	close_fixture(fixture);
+}
+
+/* Guards against pacing where the speed of the link is not known. */
+static void test_no_pacing_without_a_speed(void)
+{
+	struct fixture *fixture = open_fixture(0);
+
+	CU_ASSERT_PTR_NULL(fixture->pacing);
+	CU_ASSERT_EQUAL(hx_get_backlog_us(fixture->pacing, 0, 90000), 0);
+	hx_update_pacing_metrics(fixture->pacing);
+	send_request(fixture, 'a', 0, "/length/200000/1000");
+	run_until_ended(fixture, 1);
+	CU_ASSERT_EQUAL(
+		cnt_get_value(open_metric(fixture, "large", CNT_KIND_COUNTER)),
+		0);
+	close_fixture(fixture);
+}
+
+static const CU_TestInfo tests[] = {
+	{ "short answer overtakes large", test_short_answer_overtakes_large },
+	{ "large answers end by deadline", test_large_answers_end_by_deadline },
+	{ "reader that stops is passed", test_reader_that_stops_is_passed },
+	{ "closed connections leave", test_closed_connections_leave },
+	{ "server ends with waiting answers",
+	  test_server_ends_with_waiting_answers },
+	{ "no pacing without a speed", test_no_pacing_without_a_speed },
+	CU_TEST_INFO_NULL,
+};
+
+int main(void)
+{
+	return scr_run_suite("exchange pacing", tests);
+}
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -149,6 +149,7 @@
 		tr_admit_call(call);
 		break;
 	}
+	hx_set_deadline(exchange, call->deadline_ms);
 	if (call->deadline_ms == 0 || call->stage == TR_STAGE_ENDED)
 		return;
 	call->deadline = tmr_subscribe_once(
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -74,6 +74,38 @@
 			     "Commands of the control thread carried out.");
 }
 
+/* The threads share the link equally. */
+static void open_pacing(struct tr_service *service, struct tr_thread *thread,
+			struct cnt_registry *registry)
+{
+	const struct tr_options *options = &service->options;
+	struct hx_pacing_options *pacing = &thread->pacing_options;
+	char labels[32];
+
+	if (options->overload.link_kbit_s == 0)
+		return;
+	g_snprintf(labels, sizeof(labels), "thread=\"%u\"", thread->index);
+	*pacing = (struct hx_pacing_options){
+		.link_kbit_s =
+			options->overload.link_kbit_s / options->thread_count,
+		.short_bytes = cnt_get_counter(
+			registry, CNT_KIND_COUNTER, "loom_sent_bytes_total",
+			"class=\"short\"",
+			"Bytes of answers sent, by size of the answer."),
+		.large_bytes = cnt_get_counter(
+			registry, CNT_KIND_COUNTER, "loom_sent_bytes_total",
+			"class=\"large\"",
+			"Bytes of answers sent, by size of the answer."),
+		.waiting_answers = cnt_get_counter(
+			registry, CNT_KIND_GAUGE, "loom_link_waiting_answers",
+			labels, "Large answers that wait for the link."),
+		.longest_wait_us = cnt_get_counter(
+			registry, CNT_KIND_GAUGE,
+			"loom_link_longest_wait_microseconds", labels,
+			"Longest recent wait of a large answer for the link."),
+	};
+}
+
 static int destroy_service(struct tr_service *service)
 {
 	for (uint32_t i = 0; i < service->options.thread_count; i++) {
@@ -145,6 +177,7 @@
 
 		thread->service = service;
 		thread->index = i;
+		open_pacing(service, thread, counters);
 		if (!tr_start_thread(thread, error))
 			goto out_free;
 	}
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -161,6 +161,7 @@
 		.handler = &tr_call_handler,
 		.data = listener,
 		.closed_early = thread->service->counters.connections_closed,
+		.pacing = thread->pacing,
 	};
 
 	listener->thread = thread;
@@ -180,6 +181,7 @@
 	hx_sweep(thread->entry.server, idle_ms, header_ms);
 	if (thread->hop.server)
 		hx_sweep(thread->hop.server, idle_ms, header_ms);
+	hx_update_pacing_metrics(thread->pacing);
 }
 
 static bool open_clients(struct tr_thread *thread, GError **error)
@@ -204,6 +206,8 @@
 
 	thread->events = tevent_context_init(NULL);
 	thread->timers = tmr_new(thread->events, thread->events);
+	thread->pacing = hx_new_pacing(thread->events, thread->timers,
+				       &thread->pacing_options);
 	thread->random_state = options->seed + thread->index * 1000003ULL;
 	thread->chooser = rt_new_chooser(thread->events, options->policy,
 					 thread->random_state);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -86,7 +86,10 @@
 	struct tevent_context *events;
 	struct tmr_service *timers;
 	struct tr_listener entry;
-	struct tr_listener hop;	     /* first thread only */
+	struct tr_listener hop; /* first thread only */
+	/* Its metrics are set by the control thread before the start. */
+	struct hx_pacing_options pacing_options;
+	struct hx_pacing *pacing;    /* of both servers; NULL: off */
 	struct hc_loop *peer_loop;   /* connections to other nodes */
 	struct hc_loop *target_loop; /* connections to the local target */
 	GQueue free_handles;	     /* CURL handles for reuse */
