Keep the mean answer size of each route on the hop side

Cause: a gate has to know whether the answer of a call will be large before it admits it. Change: rt_get_answer_size(); the first thread keeps hop_answer_sizes, from good answers of the local target, by the route in Loom-Route or that of the entry side for local calls. Result: test_routing and test_traffic pass. Nothing reads the sizes yet.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -169,6 +169,10 @@
  */
 bool rt_is_answer_large(const struct rt_answer_sizes *sizes, const char *route);
 
+/* Returns the mean size in bytes, 0 for a route without an answer yet. */
+uint64_t rt_get_answer_size(const struct rt_answer_sizes *sizes,
+			    const char *route);
+
 /*
  * Records that a call has reached a target of the service, by any version. The
  * new version of a move gets a part of such calls only.
--- a/src/routing/answer_size.c
+++ b/src/routing/answer_size.c
@@ -53,3 +53,12 @@
 	return GPOINTER_TO_SIZE(g_hash_table_lookup(sizes->means, route)) >
 	       RT_BULKY_BYTES;
 }
+
+uint64_t rt_get_answer_size(const struct rt_answer_sizes *sizes,
+			    const char *route)
+{
+	uint64_t known =
+		GPOINTER_TO_SIZE(g_hash_table_lookup(sizes->means, route));
+
+	return known > 0 ? known - 1 : 0;
+}
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -249,6 +249,9 @@
 	rt_record_answer_size(sizes, "other", 0);
 	CU_ASSERT_TRUE(rt_is_answer_large(sizes, "r"));
 	CU_ASSERT_FALSE(rt_is_answer_large(sizes, "other"));
+	CU_ASSERT_EQUAL(rt_get_answer_size(sizes, "r"), 90000);
+	CU_ASSERT_EQUAL(rt_get_answer_size(sizes, "other"), 0);
+	CU_ASSERT_EQUAL(rt_get_answer_size(sizes, "unknown"), 0);
 	/* One short answer does not outweigh the long ones. */
 	rt_record_answer_size(sizes, "r", 100);
 	CU_ASSERT_TRUE(rt_is_answer_large(sizes, "r"));
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -171,6 +171,18 @@
 		start_admitted_call(call);
 }
 
+/* Learns from good answers only: failures are short. */
+static void record_answer_size(struct tr_call *call, enum adm_outcome outcome)
+{
+	const char *route =
+		call->route ? call->route->name
+			    : hx_get_header(call->exchange, TR_HEADER_ROUTE);
+
+	if (route && outcome == ADM_OUTCOME_GOOD)
+		rt_record_answer_size(call->thread->hop_answer_sizes, route,
+				      call->answer.body_bytes);
+}
+
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome)
 {
 	struct tr_thread *thread = call->thread;
@@ -180,6 +192,7 @@
 	if (!call->has_slot)
 		return;
 	call->has_slot = false;
+	record_answer_size(call, outcome);
 	adm_finish(thread->gate, outcome, call->attempt_us / 1000,
 		   (uint32_t)(end_us - call->attempt_us),
 		   tmr_get_now_ms(thread->timers));
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -212,6 +212,7 @@
 	thread->chooser = rt_new_chooser(thread->events, options->policy,
 					 thread->random_state);
 	thread->answer_sizes = rt_new_answer_sizes(thread->events);
+	thread->hop_answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->gate = adm_new_gate(thread->events);
 	thread->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -94,7 +94,8 @@
 	struct hc_loop *target_loop; /* connections to the local target */
 	GQueue free_handles;	     /* CURL handles for reuse */
 	struct rt_chooser *chooser;
-	struct rt_answer_sizes *answer_sizes;
+	struct rt_answer_sizes *answer_sizes;	  /* of calls of callers */
+	struct rt_answer_sizes *hop_answer_sizes; /* of the local target */
 	GHashTable *budgets; /* service name to struct rt_budget */
 	struct rt_table *table;
 	/* Set by the control thread. */
