--- a/src/http/pacer.c
+++ b/src/http/pacer.c
@@ -253,7 +253,8 @@
 		return 0;
 	wanted = (int64_t)(next->left_bytes * TOKENS_PER_BYTE);
 	wanted = CLAMP(wanted, pacer->quantum, 2 * pacer->quantum);
-	wait_us = (uint64_t)(wanted - pacer->tokens) / pacer->bytes_s + 1;
+	wait_us = ((uint64_t)(wanted - pacer->tokens) + pacer->bytes_s - 1) /
+		  pacer->bytes_s;
 	return MAX(wait_us, QUANTUM_US);
 }
 
