Test paced answers through two nodes

Cause: the pacing was tested at one server only, not through the entry and the hop. Change: script paced with a link of 8 Mbit/s: a large answer is whole and counted, another one passes a caller that does not read, a broken one and one of HTTP/1.0 end. The mesh takes the speed of the link; it stays 0 in all other scripts.

--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -52,6 +52,7 @@
 	uint32_t queue_length;
 	uint32_t header_timeout_ms;
 	uint32_t connections_max;
+	uint32_t link_kbit_s; /* of nodes added from now on; 0: unknown */
 };
 
 /* Returns a new, empty mesh. */
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -214,6 +214,8 @@
 	} else if (strcmp(words[0], "bounds") == 0) {
 		mesh->header_timeout_ms = (uint32_t)atoi(words[1]);
 		mesh->connections_max = (uint32_t)atoi(words[2]);
+	} else if (strcmp(words[0], "link") == 0) {
+		mesh->link_kbit_s = (uint32_t)atoi(words[1]);
 	} else if (strcmp(words[0], "domain") == 0) {
 		mesh->is_domain_out = strcmp(words[1], "out") == 0;
 		mesh_publish(mesh);
@@ -506,6 +508,11 @@
 	run_script("slow_download");
 }
 
+static void test_paced(void)
+{
+	run_script("paced");
+}
+
 static void test_second_copy(void)
 {
 	run_script("second_copy");
@@ -540,6 +547,7 @@
 	{ "early_refusal", test_early_refusal },
 	{ "flood", test_flood },
 	{ "slow_download", test_slow_download },
+	{ "paced", test_paced },
 	{ "second_copy", test_second_copy },
 	{ "restarted_target", test_restarted_target },
 	{ "hostile callers", test_hostile_callers },
