Send the head of a large answer at once

Cause: entry nodes take the time until the head, less what the target's node reports, for the time on the network. A head that waits for the link would count as that, also for the short answers of the same target, which do not wait. Change: the head of a large answer is sent and charged as short; its body is paced. Result: test_exchange_pacing and test_traffic pass.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -215,6 +215,7 @@
 	}
 	append_text(exchange, "\r\n");
 	exchange->is_head_ended = true;
+	exchange->head_left = hx_get_unsent_size(exchange);
 	if (is_head_request(exchange))
 		exchange->framing = HX_FRAMING_NO_BODY;
 }
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -54,7 +54,9 @@
 	size_t sent_size;	 /* leading bytes of output that were sent */
 	uint64_t streamed_bytes; /* of a body of unknown length, so far */
 	bool is_large;		 /* paced, if the server has a pacing */
-	uint64_t deadline_ms;	 /* 0: none */
+	/* Unsent bytes up to the end of the head, which do not wait. */
+	size_t head_left;
+	uint64_t deadline_ms; /* 0: none */
 	struct pace_flow flow;
 };
 
--- a/src/http/exchange_pacing.c
+++ b/src/http/exchange_pacing.c
@@ -113,6 +113,11 @@
 	return left;
 }
 
+/*
+ * The head of a large answer is sent at once, as a short answer is: the entry
+ * node takes the time until the head for that on the network, which counts for
+ * short answers of the same target, too.
+ */
 size_t hx_get_sendable_size(struct hx_exchange *exchange)
 {
 	struct hx_pacing *pacing = exchange->connection->server->options.pacing;
@@ -122,6 +127,8 @@
 
 	if (!pacing || !exchange->is_large)
 		return size;
+	if (exchange->head_left > 0)
+		return MIN(size, exchange->head_left);
 	now_us = get_now_us(pacing);
 	allowance = pace_get_allowance(pacing->pacer, &exchange->flow,
 				       get_left_bytes(exchange), now_us);
@@ -134,10 +141,12 @@
 void hx_record_sent(struct hx_exchange *exchange, size_t size)
 {
 	struct hx_pacing *pacing = exchange->connection->server->options.pacing;
+	bool is_paced = exchange->is_large && exchange->head_left == 0;
 
 	if (!pacing)
 		return;
-	if (exchange->is_large) {
+	exchange->head_left -= MIN(size, exchange->head_left);
+	if (is_paced) {
 		cnt_add(pacing->options.large_bytes, (int64_t)size);
 		pace_record_large(pacing->pacer, &exchange->flow, size,
 				  get_now_us(pacing));
