Send load reports between nodes

Change: new slice load. The node of a target sends a UDP datagram of 48 bytes to the nodes that have called it in the last second; the chooser of their first traffic thread takes the load over (rt_record_report). Calls to other nodes carry the load port in Loom-Report-Port and, while there is one, come from the node's own address. Off unless load_port is set. struct rt_load has the waits of the classes, and when the head of its answer arrived: the load of an answer with a long body does not replace a report that came after that head. Result: test_traffic (with load_reports), test_routing, test_nested, test_exposure, bench_policies, bench_patterns and the tests of http pass; no expected output of theirs changed.

--- a/include/loom/exchange.h
+++ b/include/loom/exchange.h
@@ -12,6 +12,7 @@
 #ifndef LOOM_EXCHANGE_H
 #define LOOM_EXCHANGE_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -100,6 +101,9 @@
 bool hx_get_header_at(const struct hx_exchange *exchange, uint32_t index,
 		      const char **name, const char **value);
 
+/* Returns the address of the other end of the connection. */
+struct in_addr hx_get_peer_address(const struct hx_exchange *exchange);
+
 /* Returns when the bytes that completed the head were read. */
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange);
 
--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -74,7 +74,17 @@
 	RT_POLICY_RANDOM,
 };
 
-/* Load of a target as reported with its last answer. */
+/* Classes of calls, in the order of precedence at a gate. */
+enum rt_class {
+	RT_CLASS_NESTED,   /* made by a target */
+	RT_CLASS_RETURNED, /* refused before, returned when told to */
+	RT_CLASS_RANK_0,
+	RT_CLASS_RANK_1,
+	RT_CLASS_RANK_LOW,
+	RT_CLASS_COUNT,
+};
+
+/* Load of a target as reported with an answer or by its node. */
 struct rt_load {
 	uint32_t limit;
 	uint32_t in_flight;
@@ -82,6 +92,10 @@
 	uint32_t failure_permille; /* share of its recent calls that failed */
 	enum rt_phase phase;
 	bool is_unreachable; /* its node cannot connect to it for now */
+	bool has_waits;
+	uint32_t wait_us[RT_CLASS_COUNT]; /* expected waits, by class */
+	/* When the head of its answer arrived here; 0: just now. */
+	uint64_t received_ms;
 };
 
 /*
@@ -188,6 +202,14 @@
 		   enum rt_outcome outcome, const struct rt_load *load,
 		   uint32_t transit_us, uint64_t now_ms);
 
+/*
+ * Records a load that the node of a target has sent without a call. Failure
+ * counters, ejections and the transit time stay as they are. Returns false if
+ * the target is unknown.
+ */
+bool rt_record_report(struct rt_chooser *chooser, const char *address,
+		      const struct rt_load *load, uint64_t now_ms);
+
 /*
  * Retry budget of one service in one thread: a share of the recent first
  * attempts. Calls of every nesting depth share it, because only the level that
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -69,6 +69,11 @@
 	return true;
 }
 
+struct in_addr hx_get_peer_address(const struct hx_exchange *exchange)
+{
+	return exchange->connection->peer;
+}
+
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange)
 {
 	return exchange->received_ms;
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -56,6 +56,7 @@
 struct hx_connection {
 	struct hx_server *server;
 	int socket; /* -1: closed, to be freed */
+	struct in_addr peer;
 	GList link; /* of server->connections */
 	struct hx_parser parser;
 	GByteArray *input; /* received, not yet parsed; NULL: none */
--- a/src/http/exchange_server.c
+++ b/src/http/exchange_server.c
@@ -75,7 +75,8 @@
 		  server->listener, &event);
 }
 
-static void open_connection(struct hx_server *server, int socket)
+static void open_connection(struct hx_server *server, int socket,
+			    struct in_addr peer)
 {
 	struct hx_connection *connection = hx_new_connection(server, socket);
 	struct epoll_event event = { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP |
@@ -83,6 +84,7 @@
 				     .data.ptr = connection };
 	int one = 1;
 
+	connection->peer = peer;
 	if (server->connections.length >= server->options.connections_max)
 		close_longest_idle(server);
 	g_queue_push_tail_link(&server->connections, &connection->link);
@@ -94,11 +96,13 @@
 static void accept_connections(struct hx_server *server)
 {
 	for (int i = 0; i < ACCEPTS_PER_EVENT_MAX; i++) {
-		int socket = accept4(server->listener, NULL, NULL,
-				     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct sockaddr_in peer = { 0 };
+		socklen_t peer_size = sizeof(peer);
+		int socket = accept4(server->listener, (struct sockaddr *)&peer,
+				     &peer_size, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (socket >= 0) {
-			open_connection(server, socket);
+			open_connection(server, socket, peer.sin_addr);
 			continue;
 		}
 		if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -61,6 +61,7 @@
 struct rt_chooser {
 	enum rt_policy policy;
 	uint64_t random;
+	uint64_t chosen_ms; /* time of the last choice */
 	struct rt_state_set *states;
 	struct rt_exposures *exposures;
 	uint32_t *cursors; /* round robin position of each group */
@@ -519,6 +520,7 @@
 		return NULL;
 	}
 	sync_table(chooser, table);
+	chooser->chosen_ms = now_ms;
 	version = choose_version(chooser, table, request);
 	target = choose_in_versions(chooser, table, request, version,
 				    GRADE_EJECTED, now_ms, refusal);
@@ -544,7 +546,21 @@
 
 void rt_record_start(struct rt_chooser *chooser, const char *address)
 {
-	rt_get_target_state(chooser->states, address)->own_in_flight++;
+	/* A call starts when its target has been chosen. */
+	rt_record_own_start(rt_get_target_state(chooser->states, address),
+			    chooser->chosen_ms);
+}
+
+bool rt_record_report(struct rt_chooser *chooser, const char *address,
+		      const struct rt_load *load, uint64_t now_ms)
+{
+	struct rt_target_state *state =
+		rt_find_target_state(chooser->states, address);
+
+	if (!state)
+		return false;
+	rt_record_sent_report(state, load, now_ms);
+	return true;
 }
 
 void rt_record_end(struct rt_chooser *chooser, const char *address,
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -18,6 +18,12 @@
 
 #define START_LIMIT 2U
 #define REPORT_LIFE_MS 10000U
+/*
+ * The node of a target sends a report at least this often while it gets calls
+ * from here, so the load does not decay before.
+ */
+#define SENT_REPORT_HOLD_MS 500U
+#define SENT_REPORT_LIFE_MS 2000U /* for calls in flight and the phase */
 #define REPORT_HALF_LIFE_MS 250U
 #define FAILURE_HALF_LIFE_MS 1000U /* same value as in the admission gate */
 #define TRANSIT_HALF_LIFE_MS 1000U /* a queue on a link lasts about as long */
@@ -47,6 +53,18 @@
 	       now_ms < state->reported_ms + REPORT_LIFE_MS;
 }
 
+/*
+ * The node of the target reports at least twice a second while it gets calls.
+ * When it has stopped, only the limit, the latency and the failures still
+ * count.
+ */
+static bool is_report_forgotten(const struct rt_target_state *state,
+				uint64_t now_ms)
+{
+	return state->is_sent_report &&
+	       now_ms >= state->reported_ms + SENT_REPORT_LIFE_MS;
+}
+
 static void clear_failures(struct rt_target_state *state)
 {
 	state->failure_count = 0;
@@ -107,21 +125,53 @@
 	state->transit_updated_ms = now_ms;
 }
 
+/*
+ * counted: the calls in flight from this thread that the load includes.
+ */
 static void apply_load_report(struct rt_target_state *state,
-			      const struct rt_load *load, uint64_t now_ms)
+			      const struct rt_load *load, uint32_t counted,
+			      uint64_t now_ms)
 {
 	state->is_reported = true;
+	state->is_sent_report = false;
 	state->limit = load->limit;
 	state->latency_us = load->latency_us;
 	state->failure_permille = load->failure_permille;
 	state->others_in_flight =
-		load->in_flight > state->own_in_flight
-			? load->in_flight - state->own_in_flight
-			: 0;
+		load->in_flight > counted ? load->in_flight - counted : 0;
 	state->phase = load->phase;
 	state->reported_ms = now_ms;
 }
 
+/*
+ * Returns how many calls from this thread a report that arrives now does not
+ * include. It left the target's node half a transit ago, and a call needs the
+ * other half to get there, so these are the calls started within the transit.
+ */
+static uint32_t count_on_the_way(const struct rt_target_state *state,
+				 uint64_t now_ms)
+{
+	uint64_t transit_us = rt_estimate_transit_us(state, now_ms);
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < MIN(state->start_count, RT_STARTS_KEPT); i++) {
+		if ((now_ms - state->starts_ms[i]) * 1000 <= transit_us)
+			count++;
+	}
+	return MIN(count, state->own_in_flight);
+}
+
+/*
+ * Returns whether a report was sent after this load: the load of an answer is
+ * as old as the head of the answer, and its body may take long.
+ */
+static bool is_superseded(const struct rt_target_state *state,
+			  const struct rt_load *load)
+{
+	return load->received_ms > 0 &&
+	       load->received_ms < state->sent_report_ms;
+}
+
 /* Failures during an ejection are those of calls that began before it. */
 static void eject_target(struct rt_target_state *state, uint64_t now_ms)
 {
@@ -183,6 +233,12 @@
 	return state;
 }
 
+struct rt_target_state *rt_find_target_state(struct rt_state_set *set,
+					     const char *address)
+{
+	return g_hash_table_lookup(set->by_address, address);
+}
+
 void rt_release_target_state(struct rt_state_set *set,
 			     struct rt_target_state *state)
 {
@@ -190,12 +246,35 @@
 		g_hash_table_remove(set->by_address, state->address);
 }
 
+void rt_record_own_start(struct rt_target_state *state, uint64_t now_ms)
+{
+	state->own_in_flight++;
+	state->starts_ms[state->start_count++ % RT_STARTS_KEPT] = now_ms;
+}
+
+void rt_record_sent_report(struct rt_target_state *state,
+			   const struct rt_load *load, uint64_t now_ms)
+{
+	struct rt_load shown = *load;
+
+	/* A target that its node cannot reach must not look idle. */
+	if (load->is_unreachable)
+		shown.in_flight = MAX(load->in_flight, load->limit);
+	apply_load_report(
+		state, &shown,
+		state->own_in_flight - count_on_the_way(state, now_ms), now_ms);
+	state->is_sent_report = true;
+	state->sent_report_ms = now_ms;
+}
+
 void rt_record_result(struct rt_target_state *state, enum rt_outcome outcome,
 		      const struct rt_load *load, uint32_t transit_us,
 		      uint64_t now_ms)
 {
 	if (load) {
-		apply_load_report(state, load, now_ms);
+		if (!is_superseded(state, load))
+			apply_load_report(state, load, state->own_in_flight,
+					  now_ms);
 		update_transit(state, transit_us, now_ms);
 	} else {
 		raise_transit(state, transit_us, now_ms);
@@ -235,10 +314,15 @@
 
 uint32_t rt_estimate_load(const struct rt_target_state *state, uint64_t now_ms)
 {
-	if (!is_report_fresh(state, now_ms))
+	uint64_t age_ms = now_ms - state->reported_ms;
+
+	if (!is_report_fresh(state, now_ms) ||
+	    is_report_forgotten(state, now_ms))
 		return state->own_in_flight;
+	if (state->is_sent_report)
+		age_ms -= MIN(age_ms, SENT_REPORT_HOLD_MS);
 	return state->own_in_flight + decay_by_half(state->others_in_flight,
-						    now_ms - state->reported_ms,
+						    age_ms,
 						    REPORT_HALF_LIFE_MS);
 }
 
@@ -270,7 +354,8 @@
 {
 	if (state->announced_phase == RT_PHASE_LEAVING)
 		return RT_PHASE_LEAVING;
-	if (!is_report_fresh(state, now_ms))
+	if (!is_report_fresh(state, now_ms) ||
+	    is_report_forgotten(state, now_ms))
 		return state->announced_phase;
 	if (state->phase == RT_PHASE_LEAVING &&
 	    now_ms >= state->reported_ms + LEAVING_LIFE_MS)
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -5,6 +5,9 @@
 #include <glib.h>
 #include "table.h"
 
+/* Starts of calls that are kept to tell which are still on the way. */
+#define RT_STARTS_KEPT 4U
+
 struct rt_target_state {
 	char *address;
 	enum rt_phase announced_phase; /* phase in the last table */
@@ -17,6 +20,11 @@
 	uint32_t others_in_flight; /* calls in flight of others when reported */
 	enum rt_phase phase;
 	uint64_t reported_ms;
+	bool is_sent_report;	 /* the report came without a call */
+	uint64_t sent_report_ms; /* last report without a call; 0: none */
+	/* When the last calls from this thread were started. */
+	uint64_t starts_ms[RT_STARTS_KEPT];
+	uint32_t start_count;
 	uint32_t transit_us; /* moving mean over the calls from this thread */
 	uint64_t transit_updated_ms; /* last update of transit_us */
 	uint32_t failure_count;	     /* failures since the last answer */
@@ -53,6 +61,17 @@
 void rt_release_target_state(struct rt_state_set *set,
 			     struct rt_target_state *state);
 
+/* Records the start of a call of this thread. */
+void rt_record_own_start(struct rt_target_state *state, uint64_t now_ms);
+
+/* Records a load that came without a call. */
+void rt_record_sent_report(struct rt_target_state *state,
+			   const struct rt_load *load, uint64_t now_ms);
+
+/* Returns the state of an address (borrowed), or NULL. */
+struct rt_target_state *rt_find_target_state(struct rt_state_set *set,
+					     const char *address);
+
 /* Records the end of a call; load may be NULL. transit_us as in
  * rt_record_end().
  */
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -123,6 +123,22 @@
 	call->headers = curl_slist_append(call->headers, "Expect:");
 }
 
+/*
+ * Load reports go to the address that a call comes from. A node with several
+ * addresses would connect from any of them.
+ */
+static void bind_to_own_address(struct tr_call *call)
+{
+	const struct tr_thread *thread = call->thread;
+	char *host;
+
+	if (!thread->load || call->loop != thread->peer_loop)
+		return;
+	host = g_strconcat("host!", thread->service->options.address, NULL);
+	curl_easy_setopt(call->easy, CURLOPT_INTERFACE, host);
+	g_free(host);
+}
+
 static void set_options(struct tr_call *call, const char *base_url)
 {
 	CURL *easy = call->easy;
@@ -133,6 +149,7 @@
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
 	hc_set_peer_timeouts(easy, CONNECT_TIMEOUT_MS);
 	hc_reset_on_close(easy);
+	bind_to_own_address(call);
 	if (tr_is_from_target(call))
 		hc_watch_sockets(call->loop, easy);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -27,6 +27,7 @@
 {
 	if (call->stage == TR_STAGE_WAITING) {
 		adm_cancel_waiting(call->thread->gate, call);
+		load_mark_changed(call->thread->load);
 		if (call->is_local)
 			tr_report_entry_end(call, outcome);
 	}
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -96,6 +96,10 @@
 						: 0);
 	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->release);
 	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
+	if (call->thread->load)
+		list = tr_append_number(
+			list, TR_HEADER_REPORT_PORT,
+			call->thread->service->options.overload.load_port);
 	call->headers = list;
 }
 
@@ -368,6 +372,8 @@
 	if (outcome != RT_OUTCOME_REFUSED &&
 	    (outcome != RT_OUTCOME_FAILED || call->send_count > 0))
 		rt_record_arrival(call->thread->chooser, call->service);
+	/* The load of an answer was read when its head was sent. */
+	answer->load.received_ms = answer->head_us / 1000;
 	rt_record_end(call->thread->chooser, call->chosen->address, outcome,
 		      answer->has_load ? &answer->load : NULL,
 		      get_network_us(call),
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -22,6 +22,8 @@
 #define TR_HEADER_INSTANCE "Loom-Instance"
 #define TR_HEADER_CALLER "Loom-Caller"
 #define TR_HEADER_ROUTE "Loom-Route"
+/* UDP port of the entry node that takes load reports. */
+#define TR_HEADER_REPORT_PORT "Loom-Report-Port"
 #define TR_HEADER_LIMIT "Loom-Limit"
 #define TR_HEADER_IN_FLIGHT "Loom-In-Flight"
 #define TR_HEADER_LATENCY "Loom-Latency-Us"
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -51,6 +51,19 @@
 	return g_strdup(value ? value : "");
 }
 
+/* The entry node of the call gets load reports if it has told a port. */
+static void record_report_port(const struct tr_call *call)
+{
+	uint64_t port = 0;
+
+	tr_read_number(call->exchange, TR_HEADER_REPORT_PORT, UINT16_MAX,
+		       &port);
+	if (port > 0)
+		load_record_call(call->thread->load,
+				 hx_get_peer_address(call->exchange),
+				 (uint16_t)port);
+}
+
 static void read_hop_headers(struct tr_call *call)
 {
 	uint64_t timeout_ms = 0;
@@ -70,6 +83,7 @@
 	tr_read_number(call->exchange, TR_HEADER_PRIORITY, UINT32_MAX,
 		       &priority);
 	call->priority = (uint32_t)priority;
+	record_report_port(call);
 	call->service_name = copy_header(call, TR_HEADER_SERVICE);
 	call->version = copy_header(call, TR_HEADER_VERSION);
 	call->caller = copy_header(call, TR_HEADER_CALLER);
@@ -117,6 +131,7 @@
 	switch (adm_admit(thread->gate, &asked, tmr_get_now_ms(thread->timers),
 			  &refusal)) {
 	case ADM_VERDICT_RUN:
+		load_mark_changed(thread->load);
 		start_admitted_call(call);
 		break;
 	case ADM_VERDICT_WAIT:
@@ -169,6 +184,7 @@
 				      adm_get_waiting_refusal(thread->gate));
 	while ((call = adm_take_ready(thread->gate, now_ms)))
 		start_admitted_call(call);
+	load_mark_changed(thread->load);
 }
 
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome)
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -69,6 +69,7 @@
 			     "Answers that belong to no request or another.");
 	counters->tables = open_counter(registry, "loom_tables_total",
 					"Tables taken over by a thread.");
+	load_open_counters(&counters->load, registry);
 	counters->commands =
 		open_counter(registry, "loom_commands_total",
 			     "Commands of the control thread carried out.");
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -81,6 +81,8 @@
 	options.seed = mesh->node_count;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
+	if (mesh->has_reports)
+		options.overload.load_port = MESH_LOAD_PORT;
 	if (mesh->header_timeout_ms)
 		options.header_timeout_ms = mesh->header_timeout_ms;
 	if (mesh->connections_max)
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -22,6 +22,7 @@
 #define MESH_CALL_PORT 18080
 #define MESH_HOP_PORT 18081
 #define MESH_TARGET_PORT 18090
+#define MESH_LOAD_PORT 18082
 
 struct mesh_node {
 	char name[16];
@@ -46,7 +47,8 @@
 	const char *step; /* test step, for the message of a timeout */
 	uint64_t sequence;
 	bool is_domain_out;
-	bool has_stamps; /* targets name the request in each answer */
+	bool has_reports; /* nodes send each other load reports */
+	bool has_stamps;  /* targets name the request in each answer */
 	const struct mesh_node *stale; /* gets no new tables; NULL: none */
 	uint32_t slots;
 	uint32_t queue_length;
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -206,6 +206,8 @@
 		mesh_add_target(mesh, mesh_get_node(mesh, words[1]), words[2]);
 	} else if (strcmp(words[0], "stamps") == 0) {
 		mesh->has_stamps = true;
+	} else if (strcmp(words[0], "reports") == 0) {
+		mesh->has_reports = true;
 	} else if (strcmp(words[0], "publish") == 0) {
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "limits") == 0) {
@@ -326,6 +328,31 @@
 	return true;
 }
 
+struct counter_wait {
+	struct mesh_node *node;
+	const char *name;
+	int64_t wanted;
+};
+
+static bool is_counted(void *data)
+{
+	const struct counter_wait *wait = data;
+
+	return mesh_get_counter(wait->node, wait->name, NULL) >= wait->wanted;
+}
+
+/* "wait-counter NODE NAME VALUE": until the counter is at least VALUE. */
+static void wait_for_counter(struct state *state, char **words)
+{
+	struct counter_wait wait = {
+		.node = mesh_get_node(state->mesh, words[1]),
+		.name = words[2],
+		.wanted = atoi(words[3]),
+	};
+
+	mesh_run_until(state->mesh, is_counted, &wait);
+}
+
 static bool run_step(int count, char **words, GString *output, void *data)
 {
 	struct state *state = data;
@@ -341,6 +368,10 @@
 		mesh_run_until(state->mesh, is_reached, &wait);
 		return true;
 	}
+	if (strcmp(words[0], "wait-counter") == 0) {
+		wait_for_counter(state, words);
+		return true;
+	}
 	if (strcmp(words[0], "print") == 0) {
 		find_subject(state, words[1], &wait);
 		wait.quantity = words[2];
@@ -516,6 +547,12 @@
 	run_script("restarted_target");
 }
 
+/* Reports went nowhere, or to a node that did not know their target. */
+static void test_load_reports(void)
+{
+	run_script("load_reports");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -543,6 +580,7 @@
 	{ "second_copy", test_second_copy },
 	{ "restarted_target", test_restarted_target },
 	{ "hostile callers", test_hostile_callers },
+	{ "load_reports", test_load_reports },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -198,6 +198,42 @@
 	return true;
 }
 
+static void get_gate_load(struct rt_load *load, void *data)
+{
+	struct tr_thread *thread = data;
+
+	adm_get_load(thread->gate, load);
+}
+
+static bool handle_load_report(const char *address, const struct rt_load *load,
+			       uint64_t now_ms, void *data)
+{
+	struct tr_thread *thread = data;
+
+	return rt_record_report(thread->chooser, address, load, now_ms);
+}
+
+/* The other threads know loads from answers only. */
+static bool open_load_reports(struct tr_thread *thread, GError **error)
+{
+	const struct tr_options *options = &thread->service->options;
+	struct load_options load_options = {
+		.address = options->address,
+		.load_port = options->overload.load_port,
+		.hop_port = options->hop_port,
+		.get_load = get_gate_load,
+		.handle_report = handle_load_report,
+		.data = thread,
+	};
+
+	if (thread->index > 0 || options->overload.load_port == 0)
+		return true;
+	thread->load = load_new_service(
+		thread->events, thread->events, thread->timers,
+		&thread->service->counters.load, &load_options, error);
+	return thread->load != NULL;
+}
+
 static void open_state(struct tr_thread *thread)
 {
 	const struct tr_options *options = &thread->service->options;
@@ -244,6 +280,8 @@
 	    !open_listener(thread, &thread->hop, TR_ROLE_HOP, options->hop_port,
 			   error))
 		return false;
+	if (!open_load_reports(thread, error))
+		return false;
 	tmr_subscribe_every(thread->timers, thread->timers, SWEEP_PERIOD_MS,
 			    sweep_connections, thread);
 	if (pthread_create(&thread->handle, NULL, run_thread, thread) != 0) {
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -13,6 +13,7 @@
 #include "loom/admission.h"
 #include "loom/exchange.h"
 #include "loom/http.h"
+#include "loom/load_report.h"
 #include "loom/mailbox.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
@@ -47,6 +48,7 @@
 	struct cnt_counter *foreign;
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
+	struct load_counters load;
 };
 
 enum tr_command_kind {
@@ -97,6 +99,7 @@
 	/* Set by the control thread. */
 	_Atomic(struct rt_table *) pending_table;
 	struct adm_gate *gate;
+	struct load_service *load; /* first thread only; NULL: no reports */
 	char *target_service;
 	char *target_instance;
 	char *target_url;
