--- a/src/load/schedule.c
+++ b/src/load/schedule.c
@@ -17,6 +17,7 @@
 
 #include <string.h>
 #include <glib.h>
+#include "key.h"
 
 /* A node that has sent no call for this long gets no more reports. */
 #define CALLER_LIFE_MS 1000U
@@ -36,7 +37,7 @@
 #define BATCH_GAP_MS 20U
 /* The same for a change between room and full. */
 #define URGENT_BATCH_GAP_MS 5U
-/* An empty bucket is left to fill up to this, for fewer wake-ups. */
+/* A batch begins with this many tokens at least, for fewer wake-ups. */
 #define BATCH_TOKENS 3U
 
 struct receiver {
@@ -60,11 +61,6 @@
 	uint64_t batch_ms; /* last batch */
 };
 
-static gint64 get_key(const struct load_peer *peer)
-{
-	return (gint64)peer->address.s_addr << 16 | peer->port;
-}
-
 static void free_receiver(gpointer data)
 {
 	struct receiver *receiver = data;
@@ -147,7 +143,7 @@
 bool load_record_caller(struct load_schedule *schedule,
 			const struct load_peer *peer, uint64_t now_ms)
 {
-	gint64 key = get_key(peer);
+	gint64 key = load_get_key(peer->address, peer->port);
 	struct receiver *receiver =
 		g_hash_table_lookup(schedule->by_peer, &key);
 
@@ -254,7 +250,8 @@
 	other_ms = get_queue_ms(schedule, get_informed_queue(schedule),
 				BATCH_GAP_MS);
 	next_ms = MIN(urgent_ms, other_ms);
-	if (next_ms == LOAD_NEVER_MS || schedule->millitokens >= 1000)
+	if (next_ms == LOAD_NEVER_MS ||
+	    schedule->millitokens >= BATCH_TOKENS * 1000)
 		return next_ms;
 	return MAX(next_ms, now_ms + (BATCH_TOKENS * 1000 -
 				      schedule->millitokens + RATE_PER_S - 1) /
--- a/src/load/senders.c
+++ b/src/load/senders.c
@@ -13,8 +13,8 @@
  */
 #include "senders.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
+#include "key.h"
 
 /* A sender that was silent for this long is forgotten, with its report. */
 #define REPORT_LIFE_MS 2000U
@@ -119,7 +119,7 @@
 				    const struct load_report *report,
 				    uint64_t now_ms)
 {
-	gint64 key = (gint64)address.s_addr << 16 | report->hop_port;
+	gint64 key = load_get_key(address, report->hop_port);
 	struct load_check check = { .verdict = LOAD_VERDICT_NEW };
 	struct sender *sender;
 
