--- a/src/load/tests/test_load_age.c
+++ b/src/load/tests/test_load_age.c
@@ -380,6 +380,10 @@
 {
 	uint64_t sum = 0;
 
+	if (count == 0) {
+		g_string_append_printf(output, "%s: none\n", name);
+		return;
+	}
 	for (uint32_t i = 0; i < count; i++)
 		sum += values[i];
 	qsort(values, count, sizeof(*values), compare);
@@ -407,7 +411,7 @@
 		output,
 		"%u of 1000 calls waited beside an idle target; each target "
 		"sent %u reports a second\n",
-		sim->needless_count * 1000 / sim->call_count,
+		sim->needless_count * 1000 / MAX(sim->call_count, 1),
 		sim->sent_count / TARGETS / ((END_MS - WARM_UP_MS) / 1000));
 	free_sim(sim);
 	return true;
