--- a/include/loom/exchange.h
+++ b/include/loom/exchange.h
@@ -12,6 +12,7 @@
 #ifndef LOOM_EXCHANGE_H
 #define LOOM_EXCHANGE_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -135,6 +136,8 @@
  * with 0, the answer comes after those that have a deadline.
  */
 void hx_set_deadline(struct hx_exchange *exchange, uint64_t deadline_ms);
+/* Returns the address of the other end of the connection. */
+struct in_addr hx_get_peer_address(const struct hx_exchange *exchange);
 
 /* Returns when the bytes that completed the head were read. */
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -79,6 +79,11 @@
 		exchange->flow.deadline_us = deadline_ms * 1000;
 }
 
+struct in_addr hx_get_peer_address(const struct hx_exchange *exchange)
+{
+	return exchange->connection->peer;
+}
+
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange)
 {
 	return exchange->received_ms;
