--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <talloc.h>
+#include "loom/capacity.h"
 #include "loom/document.h"
 #include "loom/routing.h"
 
@@ -41,6 +42,13 @@
 /* Returns a new gate (owned by ctx) that has no target yet. */
 struct adm_gate *adm_new_gate(TALLOC_CTX *ctx);
 
+/*
+ * From now on calls get the slots by class and the earliest deadline, and wait
+ * or are refused by estimates for their kind. Only allowed before the first
+ * call.
+ */
+void adm_use_classes(struct adm_gate *gate);
+
 /* Sets the limits of the service document, from the next decision on. */
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits);
 
@@ -98,6 +106,10 @@
 	uint64_t deadline_ms;
 	uint64_t objective_ms; /* time by which an answer is due; 0: none */
 	uint32_t priority;     /* 0 is the highest */
+	/* Read after adm_use_classes() only. */
+	enum rt_class class;
+	const char *kind; /* calls of one kind run about equally long */
+	uint32_t send_us; /* until the answer has left, after the run */
 };
 
 /*
@@ -146,6 +158,20 @@
 void adm_finish(struct adm_gate *gate, enum adm_outcome outcome,
 		uint64_t started_ms, uint32_t latency_us, uint64_t now_ms);
 
+/*
+ * Records how long a call of a kind ran, until the head of its answer, and kept
+ * its slot. Call it before adm_finish(). No effect before adm_use_classes().
+ */
+void adm_record_run(struct adm_gate *gate, const char *kind, uint32_t run_us,
+		    uint32_t hold_us, uint64_t now_ms);
+
+/*
+ * Records what the target reports about its load. Returns false when the
+ * report cannot be true.
+ */
+bool adm_record_report(struct adm_gate *gate, const struct cap_report *report,
+		       uint64_t now_ms);
+
 /* Fills load with the values that are reported in the headers of an answer. */
 void adm_get_load(const struct adm_gate *gate, struct rt_load *load);
 
--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -351,6 +351,7 @@
 	uint32_t objective_ms; /* desired response time */
 	uint32_t attempts_max; /* per call, the first included */
 	uint32_t priority;     /* 0 is the highest */
+	bool has_large_answers;
 	const struct doc_share *shares;
 	size_t share_count;
 	uint32_t weight_sum; /* sum of the weights in shares */
--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -25,6 +25,28 @@
 /* Parses a phase name. Returns false if it is unknown. */
 bool rt_parse_phase(const char *name, enum rt_phase *phase);
 
+/* Classes of calls in the order in which they get a slot of a target. */
+enum rt_class {
+	RT_CLASS_NESTED,   /* made by a target while it runs a call */
+	RT_CLASS_RETURNED, /* refused before, and back when it was told */
+	RT_CLASS_RANK_0,   /* by the priority of the route */
+	RT_CLASS_RANK_1,
+	RT_CLASS_RANK_LOW,
+	RT_CLASS_COUNT,
+};
+
+/* Returns the class of a call that no target made, by its priority. */
+enum rt_class rt_get_rank_class(uint32_t priority);
+
+/*
+ * Returns the class named in a header (NULL: none), or that of the priority for
+ * any name but "nested" and "returned".
+ */
+enum rt_class rt_parse_class(const char *name, uint32_t priority);
+
+/* Returns the name of a class: "nested", "returned" or "fresh" (static). */
+const char *rt_get_class_name(enum rt_class class);
+
 /* One target as reported by the membership protocol. */
 struct rt_target {
 	const char *address; /* "127.0.1.2:8081": its node's admission port */
@@ -74,16 +96,6 @@
 	RT_POLICY_RANDOM,
 };
 
-/* Classes of calls, in the order of precedence at a gate. */
-enum rt_class {
-	RT_CLASS_NESTED,   /* made by a target */
-	RT_CLASS_RETURNED, /* refused before, returned when told to */
-	RT_CLASS_RANK_0,
-	RT_CLASS_RANK_1,
-	RT_CLASS_RANK_LOW,
-	RT_CLASS_COUNT,
-};
-
 /* Load of a target as reported with an answer or by its node. */
 struct rt_load {
 	uint32_t limit;
@@ -124,6 +136,15 @@
 	const struct doc_service *service;
 	uint64_t split_hash; /* selects one of the two versions of a move */
 	bool is_bulky;	     /* its body or its answer exceeds RT_BULKY_BYTES */
+	/*
+	 * The target is chosen by the expected end of the call; the members up
+	 * to crossing_us are read only then.
+	 */
+	bool is_placed;
+	enum rt_class class;
+	uint32_t run_us;	/* expected run time; 0: not known */
+	uint64_t latest_end_ms; /* no use of an answer after that; 0: none */
+	uint32_t crossing_us;	/* wait preferred to leaving the own domain */
 	const char *tried[RT_TRIED_MAX]; /* addresses to exclude */
 	uint32_t tried_count;
 	/* Failure domains that a tried target reported as taken out. */
@@ -137,6 +158,7 @@
 	RT_REFUSAL_NO_ROUTE,
 	RT_REFUSAL_NO_TARGET,
 	RT_REFUSAL_DOMAINS_OUT, /* all targets are in domains taken out */
+	RT_REFUSAL_NO_ROOM,	/* no target is expected to answer in time */
 };
 
 /* Returns the machine-readable reason, such as "no_target" (static). */
@@ -177,6 +199,14 @@
 void rt_record_answer_size(struct rt_answer_sizes *sizes, const char *route,
 			   uint64_t bytes);
 
+/* Records how long a target ran a call of the route. */
+void rt_record_run_time(struct rt_answer_sizes *sizes, const char *route,
+			uint32_t run_us);
+
+/* Returns the mean run time of the route's calls; 0: not known. */
+uint32_t rt_get_run_time_us(const struct rt_answer_sizes *sizes,
+			    const char *route);
+
 /*
  * Returns whether the answers of the route exceed RT_BULKY_BYTES in the mean;
  * false for a route without an answer yet.
@@ -194,13 +224,24 @@
 void rt_record_arrival(struct rt_chooser *chooser,
 		       const struct doc_service *service);
 
+/*
+ * Records whether a call of the service that was sent to another failure domain
+ * found room there.
+ */
+void rt_record_leaving(struct rt_chooser *chooser, const char *service,
+		       bool has_found_room, uint64_t now_ms);
+
+/* The transit time of a call is not known. */
+#define RT_TRANSIT_UNKNOWN UINT32_MAX
+
 /* Records the start of a call to address. */
 void rt_record_start(struct rt_chooser *chooser, const char *address);
 
 /*
  * Records the end of a call to address. load is NULL if the answer carried no
  * load report. transit_us is the time that the call and its answer spent in
- * transit between the nodes or, without an answer, how long the caller waited.
+ * transit between the nodes or, without an answer, how long the caller waited;
+ * RT_TRANSIT_UNKNOWN leaves what is known of it.
  */
 void rt_record_end(struct rt_chooser *chooser, const char *address,
 		   enum rt_outcome outcome, const struct rt_load *load,
@@ -221,18 +262,28 @@
  */
 struct rt_budget;
 
-/* Returns a new budget (owned by ctx). */
-struct rt_budget *rt_new_budget(TALLOC_CTX *ctx);
+/*
+ * Returns a new budget (owned by ctx) of so many retries for each thousand
+ * first attempts.
+ */
+struct rt_budget *rt_new_budget(TALLOC_CTX *ctx, uint32_t share_permille);
 
 /* Adds one first attempt to the budget. */
-void rt_credit_budget(struct rt_budget *budget, uint64_t now_ms);
+void rt_credit_budget(struct rt_budget *budget, bool is_nested,
+		      uint64_t now_ms);
 
 /* Input of the decision whether to retry a failed attempt. */
 struct rt_retry {
 	enum rt_outcome outcome;
-	bool is_repeatable;	/* the route and the method allow a repeat */
-	bool is_not_run;	/* refused before any byte reached a target */
-	bool is_unsent;		/* sent to no target: costs no budget */
+	bool is_repeatable; /* the route and the method allow a repeat */
+	bool is_not_run;    /* refused before any byte reached a target */
+	bool is_unsent;	    /* sent to no target: costs no budget */
+	/*
+	 * The share of the budget, in thousandths, that the call may spend
+	 * while nested calls use the same one; 0: all. A call that fails wastes
+	 * the work of those that wait for it.
+	 */
+	uint32_t share_permille;
 	bool is_answer_begun;	/* the caller received a part of it */
 	bool is_body_kept;	/* the request body can be sent again */
 	uint32_t attempt_count; /* attempts made so far */
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -52,6 +52,7 @@
 	const char *caller;   /* request: service on the vm where it began */
 	const char *not_run;  /* answer: the target did not run the request */
 	const char *stamp;    /* answer: set by a target on every 2xx answer */
+	const char *load; /* answer: load of the target, struct cap_report */
 };
 
 /* The target on this vm. */
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -16,6 +16,7 @@
 #include <assert.h>
 #include <string.h>
 #include <glib.h>
+#include "classes.h"
 #include "health.h"
 #include "limit.h"
 #include "queue.h"
@@ -30,6 +31,11 @@
 /* An answer changes the mean latency by 1/8 of the difference. */
 #define LATENCY_SHIFT 3
 
+enum order {
+	ORDER_PRIORITY, /* queue: by priority, then by arrival */
+	ORDER_CLASS,	/* schedule: by class, then by deadline */
+};
+
 struct adm_gate {
 	char *service; /* NULL: no target yet */
 	char *version;
@@ -47,12 +53,51 @@
 	uint64_t now_ms;     /* time of the last event */
 	struct adm_health health;
 	struct adm_limit limit;
-	struct adm_queue queue;
+	enum order order;
+	union {
+		struct adm_queue queue;
+		struct adm_classes classes;
+	};
 };
 
+static void clear_waiting(struct adm_gate *gate)
+{
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		adm_clear_queue(&gate->queue);
+		break;
+	case ORDER_CLASS:
+		adm_clear_schedule(&gate->classes.schedule);
+		break;
+	}
+}
+
+static void expire_waiting(struct adm_gate *gate)
+{
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		adm_expire_queue(&gate->queue);
+		break;
+	case ORDER_CLASS:
+		adm_expire_entries(&gate->classes.schedule);
+		break;
+	}
+}
+
+uint32_t adm_get_waiting_count(const struct adm_gate *gate)
+{
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		return adm_get_queue_length(&gate->queue);
+	case ORDER_CLASS:
+		return adm_count_entries(&gate->classes.schedule);
+	}
+	return 0;
+}
+
 static int destroy_gate(struct adm_gate *gate)
 {
-	adm_clear_queue(&gate->queue);
+	clear_waiting(gate);
 	return 0;
 }
 
@@ -69,11 +114,8 @@
 	return ADM_REFUSAL_NONE;
 }
 
-/*
- * Takes a token for one call. Returns false if the target is cold and its token
- * bucket is empty.
- */
-static bool take_cold_token(struct adm_gate *gate, uint64_t now_ms)
+/* Returns whether the target is warm or there is a token for one call. */
+static bool has_cold_token(struct adm_gate *gate, uint64_t now_ms)
 {
 	uint64_t rate = gate->cold_calls_per_second;
 	uint64_t burst = MAX(rate * 1000 / COLD_BURST_DIVISOR, 1000);
@@ -83,9 +125,19 @@
 	gate->cold_millitokens += (now_ms - gate->cold_refill_ms) * rate;
 	gate->cold_millitokens = MIN(gate->cold_millitokens, burst);
 	gate->cold_refill_ms = now_ms;
-	if (gate->cold_millitokens < 1000)
+	return gate->cold_millitokens >= 1000;
+}
+
+/*
+ * Takes a token for one call. Returns false if the target is cold and its token
+ * bucket is empty.
+ */
+static bool take_cold_token(struct adm_gate *gate, uint64_t now_ms)
+{
+	if (!has_cold_token(gate, now_ms))
 		return false;
-	gate->cold_millitokens -= 1000;
+	if (now_ms < gate->cold_until_ms && gate->cold_calls_per_second > 0)
+		gate->cold_millitokens -= 1000;
 	return true;
 }
 
@@ -145,9 +197,50 @@
 	return ADM_REFUSAL_NONE;
 }
 
+static struct adm_occupancy get_occupancy(const struct adm_gate *gate,
+					  uint64_t now_ms)
+{
+	return (struct adm_occupancy){
+		.in_flight = gate->in_flight,
+		.limit = adm_get_limit(&gate->limit, now_ms),
+		.queue_length = gate->queue_length,
+	};
+}
+
 static bool has_room(const struct adm_gate *gate, uint64_t now_ms)
 {
-	return gate->in_flight < adm_get_limit(&gate->limit, now_ms);
+	struct adm_occupancy occupancy = get_occupancy(gate, now_ms);
+
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		return occupancy.in_flight < occupancy.limit;
+	case ORDER_CLASS:
+		return adm_has_slot(&gate->classes, &occupancy, now_ms);
+	}
+	return false;
+}
+
+static enum adm_verdict admit_by_class(struct adm_gate *gate,
+				       const struct adm_call *call,
+				       uint64_t now_ms,
+				       enum adm_refusal *refusal)
+{
+	struct adm_occupancy occupancy = get_occupancy(gate, now_ms);
+	enum adm_verdict verdict;
+
+	/* A call that is refused for another reason takes no token. */
+	if (!has_cold_token(gate, now_ms)) {
+		*refusal = ADM_REFUSAL_COLD;
+		return ADM_VERDICT_REFUSE;
+	}
+	verdict = adm_decide_by_class(&gate->classes, &occupancy, call, now_ms,
+				      refusal);
+	if (verdict == ADM_VERDICT_REFUSE)
+		return verdict;
+	take_cold_token(gate, now_ms);
+	if (verdict == ADM_VERDICT_RUN)
+		gate->in_flight++;
+	return verdict;
 }
 
 static void update_service_time(struct adm_gate *gate, uint32_t latency_us)
@@ -196,6 +289,13 @@
 	return gate;
 }
 
+void adm_use_classes(struct adm_gate *gate)
+{
+	assert(adm_get_waiting_count(gate) == 0);
+	gate->order = ORDER_CLASS;
+	adm_init_classes(gate, &gate->classes);
+}
+
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
 {
 	gate->cold_calls_per_second = limits->cold_calls_per_second;
@@ -208,6 +308,8 @@
 void adm_set_known_slots(struct adm_gate *gate, uint32_t slots)
 {
 	gate->known_slots = slots;
+	if (gate->order == ORDER_CLASS)
+		cap_set_slots(gate->classes.capacity, slots);
 	if (slots > 0) {
 		gate->queue_length = slots * QUEUE_PER_SLOT;
 		adm_set_limit_slots(&gate->limit, slots);
@@ -243,13 +345,15 @@
 	 */
 	if (old_service && (strcmp(old_service, service) != 0 ||
 			    strcmp(old_version, version) != 0))
-		adm_expire_queue(&gate->queue);
+		expire_waiting(gate);
 	gate->service = talloc_strdup(gate, service);
 	gate->version = talloc_strdup(gate, version);
 	gate->is_leaving = false;
 	gate->is_down = false;
 	gate->latency_us = 0;
 	adm_clear_health(&gate->health);
+	if (gate->order == ORDER_CLASS)
+		cap_clear_target(gate->classes.capacity);
 	adm_start_limit(&gate->limit, now_ms);
 	talloc_free(old_service);
 	talloc_free(old_version);
@@ -279,6 +383,8 @@
 	*refusal = check_open(gate, call, now_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
+	if (gate->order == ORDER_CLASS)
+		return admit_by_class(gate, call, now_ms, refusal);
 	if (!take_cold_token(gate, now_ms)) {
 		*refusal = ADM_REFUSAL_COLD;
 		return ADM_VERDICT_REFUSE;
@@ -296,13 +402,21 @@
 
 void *adm_take_ready(struct adm_gate *gate, uint64_t now_ms)
 {
-	void *ticket;
+	void *ticket = NULL;
 
 	gate->now_ms = now_ms;
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE ||
 	    !has_room(gate, now_ms))
 		return NULL;
-	ticket = adm_pop_next(&gate->queue, now_ms, get_service_ms(gate));
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		ticket = adm_pop_next(&gate->queue, now_ms,
+				      get_service_ms(gate));
+		break;
+	case ORDER_CLASS:
+		ticket = adm_take_next(&gate->classes.schedule, now_ms);
+		break;
+	}
 	if (ticket)
 		gate->in_flight++;
 	return ticket;
@@ -310,10 +424,20 @@
 
 void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms)
 {
+	bool is_closed = get_closed_refusal(gate) != ADM_REFUSAL_NONE;
+
 	gate->now_ms = now_ms;
-	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE)
-		return adm_pop_first(&gate->queue);
-	return adm_pop_expired(&gate->queue, now_ms, get_service_ms(gate));
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		return is_closed ? adm_pop_first(&gate->queue)
+				 : adm_pop_expired(&gate->queue, now_ms,
+						   get_service_ms(gate));
+	case ORDER_CLASS:
+		return is_closed
+			       ? adm_take_any(&gate->classes.schedule)
+			       : adm_take_late(&gate->classes.schedule, now_ms);
+	}
+	return NULL;
 }
 
 enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate)
@@ -325,7 +449,14 @@
 
 void adm_cancel_waiting(struct adm_gate *gate, void *ticket)
 {
-	adm_remove_waiting(&gate->queue, ticket);
+	switch (gate->order) {
+	case ORDER_PRIORITY:
+		adm_remove_waiting(&gate->queue, ticket);
+		break;
+	case ORDER_CLASS:
+		adm_remove_entry(&gate->classes.schedule, ticket);
+		break;
+	}
 }
 
 void adm_finish(struct adm_gate *gate, enum adm_outcome outcome,
@@ -351,13 +482,34 @@
 		update_service_time(gate, latency_us);
 }
 
+void adm_record_run(struct adm_gate *gate, const char *kind, uint32_t run_us,
+		    uint32_t hold_us, uint64_t now_ms)
+{
+	if (gate->order == ORDER_CLASS)
+		cap_record_run(gate->classes.capacity, kind, run_us, hold_us,
+			       now_ms);
+}
+
+bool adm_record_report(struct adm_gate *gate, const struct cap_report *report,
+		       uint64_t now_ms)
+{
+	return gate->order != ORDER_CLASS ||
+	       cap_record_report(gate->classes.capacity, report,
+				 gate->in_flight, now_ms);
+}
+
 void adm_get_load(const struct adm_gate *gate, struct rt_load *load)
 {
+	struct adm_occupancy occupancy = get_occupancy(gate, gate->now_ms);
+
+	load->has_waits = gate->order == ORDER_CLASS;
+	if (load->has_waits)
+		adm_set_waits(&gate->classes, &occupancy, gate->now_ms, load);
 	load->limit = adm_get_limit(&gate->limit, gate->now_ms);
 	load->latency_us = gate->latency_us;
 	load->failure_permille =
 		adm_get_failure_permille(&gate->health, gate->now_ms);
-	load->in_flight = gate->in_flight + adm_get_queue_length(&gate->queue);
+	load->in_flight = gate->in_flight + adm_get_waiting_count(gate);
 	load->is_unreachable = get_closed_refusal(gate) == ADM_REFUSAL_DOWN;
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE &&
 	    !load->is_unreachable)
@@ -367,8 +519,3 @@
 	else
 		load->phase = RT_PHASE_SERVING;
 }
-
-uint32_t adm_get_waiting_count(const struct adm_gate *gate)
-{
-	return adm_get_queue_length(&gate->queue);
-}
--- a/src/document/gateway.c
+++ b/src/document/gateway.c
@@ -108,6 +108,8 @@
 		       &route->attempts_max);
 	rd_read_uint32(object, "priority", RD_OPTIONAL, &priority_range,
 		       &route->priority);
+	rd_read_bool(object, "large_answers", RD_OPTIONAL,
+		     &route->has_large_answers);
 	rd_read_bool(object, "repeatable", RD_REQUIRED, &is_repeatable);
 	route->route.repeat =
 		is_repeatable ? DOC_REPEAT_ALWAYS : DOC_REPEAT_NEVER;
--- a/src/document/gateway_delta.c
+++ b/src/document/gateway_delta.c
@@ -53,19 +53,22 @@
 	       a->route.repeat == b->route.repeat &&
 	       a->objective_ms == b->objective_ms &&
 	       a->attempts_max == b->attempts_max &&
-	       a->priority == b->priority && have_same_shares(a, b);
+	       a->priority == b->priority &&
+	       a->has_large_answers == b->has_large_answers &&
+	       have_same_shares(a, b);
 }
 
 static json_t *make_route(const struct doc_gateway_route *route)
 {
 	json_t *shares = json_array();
+	json_t *json;
 
 	for (size_t i = 0; i < route->share_count; i++)
 		json_array_append_new(
 			shares, json_pack("{s:s,s:I}", "service",
 					  route->shares[i].service, "weight",
 					  (json_int_t)route->shares[i].weight));
-	return json_pack("{s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o}", "name",
+	json = json_pack("{s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:o}", "name",
 			 route->route.name, "host", route->host, "path",
 			 route->route.path_prefix, "repeatable",
 			 (int)(route->route.repeat == DOC_REPEAT_ALWAYS),
@@ -74,6 +77,9 @@
 			 "attempts", (json_int_t)route->attempts_max,
 			 "priority", (json_int_t)route->priority, "shares",
 			 shares);
+	if (route->has_large_answers)
+		json_object_set_new(json, "large_answers", json_true());
+	return json;
 }
 
 static json_t *make_services(const struct doc_gateway *gateway)
--- a/src/routing/bench/model.c
+++ b/src/routing/bench/model.c
@@ -420,7 +420,7 @@
 			(uint32_t)g_rand_int_range(model->random, 0, 1000) <
 			model->setup->large_body_permille;
 	call->request.is_bulky = call->has_large_body;
-	rt_credit_budget(model->entries[call->entry].budget, now_us / 1000);
+	rt_credit_budget(model->entries[call->entry].budget, false, now_us / 1000);
 	send_attempt(call, now_us);
 	gap_us = -log(1 - g_rand_double(model->random)) *
 		 get_gap_us(model, now_us);
--- a/src/routing/bench/model_run.c
+++ b/src/routing/bench/model_run.c
@@ -91,7 +91,7 @@
 	build_table(model, index);
 	entry->chooser =
 		rt_new_chooser(model, setup->policy, setup->seed * 100 + index);
-	entry->budget = rt_new_budget(model);
+	entry->budget = rt_new_budget(model, 100);
 }
 
 static void inject_fault(uint64_t now_us, void *data)
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -17,8 +17,8 @@
 
 #include <assert.h>
 #include <string.h>
-#include "exposure.h"
-#include "target_state.h"
+#include "chooser_internal.h"
+#include "placement.h"
 #include "version_split.h"
 
 /*
@@ -40,37 +40,8 @@
  */
 #define FAILURE_PERMILLE_MAX 900U
 
-enum rt_grade {
-	GRADE_UNUSABLE,
-	GRADE_DOMAIN_OUT,    /* unusable only as its domain is taken out */
-	GRADE_STARTING_FULL, /* starting, at its limit from this thread */
-	GRADE_EJECTED,	     /* failed recently */
-	GRADE_BUSY,	     /* at its limit, or refused a call recently */
-	GRADE_READY,
-};
-
-/* Entries of one grade, from which the policy chooses. */
-struct rt_candidates {
-	const struct rt_group *group;
-	uint32_t *indices; /* relative to the first entry of the group */
-	uint32_t *limits;
-	uint32_t count;
-	uint64_t limit_sum;
-};
-
-struct rt_chooser {
-	enum rt_policy policy;
-	uint64_t random;
-	uint64_t chosen_ms; /* time of the last choice */
-	struct rt_state_set *states;
-	struct rt_exposures *exposures;
-	uint32_t *cursors; /* round robin position of each group */
-	struct rt_candidates candidates;
-	enum rt_grade *grades; /* grades of the current group's entries */
-};
-
 /* splitmix64: a short generator, uniform enough for load balancing. */
-static uint64_t draw_random(struct rt_chooser *chooser, uint64_t bound)
+uint64_t rt_draw_random(struct rt_chooser *chooser, uint64_t bound)
 {
 	uint64_t value = chooser->random += UINT64_C(0x9e3779b97f4a7c15);
 
@@ -259,7 +230,7 @@
 
 	if (except < candidates->count)
 		sum -= candidates->limits[except];
-	value = draw_random(chooser, sum);
+	value = rt_draw_random(chooser, sum);
 	for (;; place++) {
 		assert(place < candidates->count);
 		if (place == except)
@@ -363,7 +334,7 @@
 		cursor = &chooser->cursors[candidates->group - table->groups];
 		return (*cursor)++ % candidates->count;
 	case RT_POLICY_RANDOM:
-		return (uint32_t)draw_random(chooser, candidates->count);
+		return (uint32_t)rt_draw_random(chooser, candidates->count);
 	}
 	return 0;
 }
@@ -411,6 +382,7 @@
 	enum rt_grade grade;
 	bool is_near;
 	uint32_t index;
+	int64_t placed;
 
 	*refusal = RT_REFUSAL_NO_TARGET;
 	group = rt_find_group(table, request->service->name, version);
@@ -421,6 +393,14 @@
 		*refusal = RT_REFUSAL_DOMAINS_OUT;
 	if (grade < min_grade)
 		return NULL;
+	if (request->is_placed) {
+		placed = rt_place_call(chooser, table, group, request,
+				       MIN(grade, GRADE_BUSY), now_ms, refusal);
+		return placed < 0
+			       ? NULL
+			       : &table->entries[group->first + (size_t)placed]
+					  .target;
+	}
 	is_near = grade == GRADE_READY;
 	if (request->is_bulky && grade >= GRADE_BUSY) {
 		grade = get_nearest_grade(chooser, table, group, grade);
@@ -464,6 +444,7 @@
 	chooser->random = seed;
 	chooser->states = rt_new_state_set(chooser);
 	chooser->exposures = rt_new_exposures(chooser, seed);
+	chooser->crossings = rt_new_crossings(chooser);
 	return chooser;
 }
 
@@ -544,6 +525,12 @@
 	rt_credit_exposure(chooser->exposures, service);
 }
 
+void rt_record_leaving(struct rt_chooser *chooser, const char *service,
+		       bool has_found_room, uint64_t now_ms)
+{
+	rt_record_crossing(chooser->crossings, service, has_found_room, now_ms);
+}
+
 void rt_record_start(struct rt_chooser *chooser, const char *address)
 {
 	/* A call starts when its target has been chosen. */
--- a/src/routing/names.c
+++ b/src/routing/names.c
@@ -27,6 +27,43 @@
 	return false;
 }
 
+enum rt_class rt_get_rank_class(uint32_t priority)
+{
+	switch (priority) {
+	case 0:
+		return RT_CLASS_RANK_0;
+	case 1:
+		return RT_CLASS_RANK_1;
+	default:
+		return RT_CLASS_RANK_LOW;
+	}
+}
+
+enum rt_class rt_parse_class(const char *name, uint32_t priority)
+{
+	if (name && strcmp(name, rt_get_class_name(RT_CLASS_NESTED)) == 0)
+		return RT_CLASS_NESTED;
+	if (name && strcmp(name, rt_get_class_name(RT_CLASS_RETURNED)) == 0)
+		return RT_CLASS_RETURNED;
+	return rt_get_rank_class(priority);
+}
+
+const char *rt_get_class_name(enum rt_class class)
+{
+	switch (class) {
+	case RT_CLASS_NESTED:
+		return "nested";
+	case RT_CLASS_RETURNED:
+		return "returned";
+	case RT_CLASS_RANK_0:
+	case RT_CLASS_RANK_1:
+	case RT_CLASS_RANK_LOW:
+	case RT_CLASS_COUNT:
+		break;
+	}
+	return "fresh";
+}
+
 const char *rt_get_refusal_name(enum rt_refusal refusal)
 {
 	switch (refusal) {
@@ -40,6 +77,8 @@
 		return "no_target";
 	case RT_REFUSAL_DOMAINS_OUT:
 		return "domains_out";
+	case RT_REFUSAL_NO_ROOM:
+		return "no_room";
 	}
 	return "unknown";
 }
--- /dev/null
+++ b/src/routing/placement.c
@@ -0,0 +1,258 @@
+/*
+ * Placement of a call by the expected time of its end.
+ *
+ * The time at a target is the wait that its gate expects for the class of the
+ * call, the run time there, and the transit. A target of another failure domain
+ * counts as slower by what the bytes of the call cost on the way, so that a
+ * call leaves only for a gain that is worth them. Of the targets of a domain
+ * two are drawn, weighted by their free slots (by their limits when none is
+ * free), and the faster one is taken.
+ *
+ * A call that no usable target is expected to answer in time is refused without
+ * asking one, except for a few that find out whether that is still so.
+ */
+#include "placement.h"
+
+/* One of so many calls that have no chance by the reports is sent all the same.
+ */
+#define TRIAL_PERIOD 16U
+/* Expected run time of a call when neither route nor target are known. */
+#define FAILURE_PERMILLE_MAX 900U
+
+/* The part of a group that lies in, or outside, the own failure domain. */
+struct side {
+	const struct rt_group *group;
+	bool is_home;
+	enum rt_grade min_grade;
+	bool has_cut_off; /* includes domains that are probably cut off */
+};
+
+struct choice {
+	int64_t index; /* -1: none */
+	uint64_t time_us;
+};
+
+static const struct rt_target_state *get_state(const struct rt_chooser *chooser,
+					       const struct rt_group *group,
+					       uint32_t index)
+{
+	return chooser->states->by_entry[group->first + index];
+}
+
+static uint32_t get_free_slots(const struct rt_target_state *state,
+			       uint64_t now_ms)
+{
+	uint32_t limit = rt_estimate_limit(state, now_ms);
+	uint32_t load = rt_estimate_load(state, now_ms);
+
+	return limit > load ? limit - load : 0;
+}
+
+/* Expected number of attempts until one succeeds there. */
+static double get_failure_factor(const struct rt_target_state *state,
+				 uint64_t now_ms)
+{
+	uint32_t permille = rt_estimate_failure_permille(state, now_ms);
+
+	return 1000.0 / (1000 - MIN(permille, FAILURE_PERMILLE_MAX));
+}
+
+static uint64_t estimate_time_us(const struct rt_target_state *state,
+				 const struct rt_request *request,
+				 uint64_t now_ms)
+{
+	uint32_t latency_us = rt_estimate_latency_us(state, now_ms);
+	uint32_t run_us = request->run_us ? request->run_us : latency_us;
+	uint64_t time_us = rt_estimate_wait_us(state, request->class, now_ms) +
+			   run_us + rt_estimate_transit_us(state, now_ms);
+
+	/* Among targets with room, those that run calls faster come first. */
+	if (run_us < latency_us)
+		time_us += (latency_us - run_us) / 4;
+	return (uint64_t)((double)time_us * get_failure_factor(state, now_ms));
+}
+
+static bool is_cut_off(const struct rt_chooser *chooser,
+		       const struct rt_group *group, uint32_t index,
+		       uint64_t now_ms)
+{
+	const struct rt_target_state *state = get_state(chooser, group, index);
+
+	return state->domain && rt_is_domain_cut_off(state->domain, now_ms);
+}
+
+static bool is_on_side(const struct rt_chooser *chooser,
+		       const struct rt_table *table, const struct side *side,
+		       uint32_t index, uint64_t now_ms)
+{
+	bool is_home = table->entries[side->group->first + index].tier == 0;
+
+	return is_home == side->is_home &&
+	       chooser->grades[index] >= side->min_grade &&
+	       (side->has_cut_off ||
+		!rt_is_target_silent(get_state(chooser, side->group, index),
+				     now_ms)) &&
+	       (is_home || side->has_cut_off ||
+		!is_cut_off(chooser, side->group, index, now_ms));
+}
+
+/* Collects the entries of a side with their weights; returns whether any. */
+static bool collect(struct rt_chooser *chooser, const struct rt_table *table,
+		    const struct side *side, bool must_be_free, uint64_t now_ms)
+{
+	struct rt_candidates *candidates = &chooser->candidates;
+
+	candidates->group = side->group;
+	candidates->count = 0;
+	candidates->limit_sum = 0;
+	for (uint32_t i = 0; i < side->group->count; i++) {
+		const struct rt_target_state *state =
+			get_state(chooser, side->group, i);
+		uint32_t weight;
+
+		if (!is_on_side(chooser, table, side, i, now_ms) ||
+		    (must_be_free && chooser->grades[i] < GRADE_READY))
+			continue;
+		weight = must_be_free ? get_free_slots(state, now_ms)
+				      : rt_estimate_limit(state, now_ms);
+		candidates->indices[candidates->count] = i;
+		candidates->limits[candidates->count++] = MAX(weight, 1U);
+		candidates->limit_sum += MAX(weight, 1U);
+	}
+	return candidates->count > 0;
+}
+
+static uint32_t draw(struct rt_chooser *chooser)
+{
+	const struct rt_candidates *candidates = &chooser->candidates;
+	uint64_t value = rt_draw_random(chooser, candidates->limit_sum);
+	uint32_t place = 0;
+
+	while (value >= candidates->limits[place])
+		value -= candidates->limits[place++];
+	return candidates->indices[place];
+}
+
+static struct choice choose_on_side(struct rt_chooser *chooser,
+				    const struct rt_table *table,
+				    const struct side *side,
+				    const struct rt_request *request,
+				    uint64_t now_ms)
+{
+	struct choice best = { .index = -1, .time_us = 0 };
+
+	if (!collect(chooser, table, side, true, now_ms) &&
+	    !collect(chooser, table, side, false, now_ms))
+		return best;
+	for (uint32_t i = 0; i < 2; i++) {
+		uint32_t index = draw(chooser);
+		const struct rt_target_state *state =
+			get_state(chooser, side->group, index);
+		uint64_t time_us = estimate_time_us(state, request, now_ms);
+
+		if (best.index >= 0 && time_us >= best.time_us)
+			continue;
+		best.index = index;
+		best.time_us = time_us;
+	}
+	if (!side->is_home)
+		best.time_us += request->crossing_us;
+	return best;
+}
+
+/* Returns the best time on both sides, 0 when a target is not known. */
+static uint64_t find_best_time_us(const struct rt_chooser *chooser,
+				  const struct rt_table *table,
+				  const struct rt_group *group,
+				  const struct rt_request *request,
+				  enum rt_grade min_grade, uint64_t now_ms)
+{
+	uint64_t best_us = UINT64_MAX;
+
+	for (uint32_t i = 0; i < group->count; i++) {
+		const struct rt_target_state *state =
+			get_state(chooser, group, i);
+		bool is_home = table->entries[group->first + i].tier == 0;
+		uint64_t time_us;
+
+		if (chooser->grades[i] < min_grade ||
+		    (!is_home && is_cut_off(chooser, group, i, now_ms)))
+			continue;
+		if (!rt_has_waits(state, now_ms)) {
+			if (is_home)
+				return 0;
+			continue;
+		}
+		time_us = estimate_time_us(state, request, now_ms) +
+			  (is_home ? 0 : request->crossing_us);
+		best_us = MIN(best_us, time_us);
+	}
+	return best_us == UINT64_MAX ? 0 : best_us;
+}
+
+static bool is_too_late(struct rt_chooser *chooser,
+			const struct rt_table *table,
+			const struct rt_group *group,
+			const struct rt_request *request,
+			enum rt_grade min_grade, uint64_t now_ms)
+{
+	uint64_t best_us;
+
+	if (request->latest_end_ms == 0)
+		return false;
+	best_us = find_best_time_us(chooser, table, group, request, min_grade,
+				    now_ms);
+	return best_us > 0 &&
+	       now_ms + best_us / 1000 >= request->latest_end_ms &&
+	       rt_draw_random(chooser, TRIAL_PERIOD) > 0;
+}
+
+/*
+ * Returns whether a call whose targets at home were all tried must not leave:
+ * with the cost of the way it counts as too late.
+ */
+static bool is_crossing_too_dear(const struct rt_table *table,
+				 const struct rt_group *group,
+				 const struct rt_request *request,
+				 const struct choice *far, uint64_t now_ms)
+{
+	return request->tried_count > 0 && request->latest_end_ms > 0 &&
+	       table->entries[group->first].tier == 0 &&
+	       now_ms + far->time_us / 1000 >= request->latest_end_ms;
+}
+
+int64_t rt_place_call(struct rt_chooser *chooser, const struct rt_table *table,
+		      const struct rt_group *group,
+		      const struct rt_request *request, enum rt_grade min_grade,
+		      uint64_t now_ms, enum rt_refusal *refusal)
+{
+	struct side home = { group, true, min_grade, false };
+	struct side away = { group, false, min_grade, false };
+	struct choice near;
+	struct choice far;
+
+	if (is_too_late(chooser, table, group, request, min_grade, now_ms)) {
+		*refusal = RT_REFUSAL_NO_ROOM;
+		return -1;
+	}
+	near = choose_on_side(chooser, table, &home, request, now_ms);
+	far = choose_on_side(chooser, table, &away, request, now_ms);
+	if (near.index < 0 && far.index < 0) {
+		home.has_cut_off = true;
+		away.has_cut_off = true;
+		near = choose_on_side(chooser, table, &home, request, now_ms);
+		far = choose_on_side(chooser, table, &away, request, now_ms);
+	}
+	if (near.index < 0 && far.index >= 0 &&
+	    is_crossing_too_dear(table, group, request, &far, now_ms)) {
+		*refusal = RT_REFUSAL_NO_ROOM;
+		return -1;
+	}
+	if (near.index < 0 || far.index < 0)
+		return near.index < 0 ? far.index : near.index;
+	if (far.time_us < near.time_us &&
+	    rt_may_cross(chooser->crossings, request->service->name,
+			 rt_draw_random(chooser, UINT32_MAX), now_ms))
+		return far.index;
+	return near.index;
+}
--- a/src/routing/retry.c
+++ b/src/routing/retry.c
@@ -16,12 +16,12 @@
 
 #define SLICE_MS 1000U
 #define SLICE_COUNT 10U
-#define BUDGET_SHARE_PERMILLE 100U
 #define BUDGET_MIN_RETRIES 3U
 #define ATTEMPT_MAX 3U
 
 struct rt_slice {
 	uint32_t first_attempts;
+	uint32_t nested;  /* first attempts of nested calls */
 	uint32_t retries; /* all retries */
 	uint32_t repeats; /* retries of calls that may have run */
 };
@@ -35,6 +35,7 @@
 struct rt_budget {
 	struct rt_slice slices[SLICE_COUNT];
 	uint64_t slice_number; /* slice of the last event */
+	uint32_t share_permille;
 };
 
 static struct rt_slice *get_slice(struct rt_budget *budget, uint64_t now_ms)
@@ -57,9 +58,10 @@
  * product over all levels. A call that was not run repeats no nested call and
  * has the full share at each level.
  */
-static uint32_t get_repeat_share_permille(uint32_t depth)
+static uint32_t get_repeat_share_permille(const struct rt_budget *budget,
+					  uint32_t depth)
 {
-	return BUDGET_SHARE_PERMILLE / (depth + 1);
+	return budget->share_permille / (depth + 1);
 }
 
 static bool is_below_ratio(uint32_t spent, uint32_t first_attempts,
@@ -74,18 +76,21 @@
 {
 	struct rt_slice *slice = get_slice(budget, retry->now_ms);
 	struct rt_slice sum = { 0 };
+	uint32_t share_permille = budget->share_permille;
 
 	for (uint32_t i = 0; i < SLICE_COUNT; i++) {
 		sum.first_attempts += budget->slices[i].first_attempts;
+		sum.nested += budget->slices[i].nested;
 		sum.retries += budget->slices[i].retries;
 		sum.repeats += budget->slices[i].repeats;
 	}
-	if (!is_below_ratio(sum.retries, sum.first_attempts,
-			    BUDGET_SHARE_PERMILLE))
+	if (sum.nested > 0 && retry->share_permille > 0)
+		share_permille = share_permille * retry->share_permille / 1000;
+	if (!is_below_ratio(sum.retries, sum.first_attempts, share_permille))
 		return false;
 	if (!retry->is_not_run &&
 	    !is_below_ratio(sum.repeats, sum.first_attempts,
-			    get_repeat_share_permille(retry->depth)))
+			    get_repeat_share_permille(budget, retry->depth)))
 		return false;
 	slice->retries++;
 	if (!retry->is_not_run)
@@ -93,14 +98,20 @@
 	return true;
 }
 
-struct rt_budget *rt_new_budget(TALLOC_CTX *ctx)
+struct rt_budget *rt_new_budget(TALLOC_CTX *ctx, uint32_t share_permille)
 {
-	return talloc_zero(ctx, struct rt_budget);
+	struct rt_budget *budget = talloc_zero(ctx, struct rt_budget);
+
+	budget->share_permille = share_permille;
+	return budget;
 }
 
-void rt_credit_budget(struct rt_budget *budget, uint64_t now_ms)
+void rt_credit_budget(struct rt_budget *budget, bool is_nested, uint64_t now_ms)
 {
-	get_slice(budget, now_ms)->first_attempts++;
+	struct rt_slice *slice = get_slice(budget, now_ms);
+
+	slice->first_attempts++;
+	slice->nested += is_nested;
 }
 
 enum rt_retry_verdict rt_decide_retry(struct rt_budget *budget,
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -25,6 +25,16 @@
 #define SENT_REPORT_HOLD_MS 500U
 #define SENT_REPORT_LIFE_MS 2000U /* for calls in flight and the phase */
 #define REPORT_HALF_LIFE_MS 250U
+/* A wait changes within the time that calls run. */
+#define WAITS_LIFE_MS 1000U
+/* A node reports for this long after a call, at least twice a second. */
+#define REPORTED_AFTER_CALL_MS 1000U
+#define REPORT_GAP_MAX_MS 600U
+/* Reports that are late by so many mean gaps have stopped. */
+#define SILENT_GAPS 4U
+#define SILENT_MIN_MS 250U
+/* Then a call finds out. */
+#define SILENT_MAX_MS 2000U
 #define FAILURE_HALF_LIFE_MS 1000U /* same value as in the admission gate */
 #define TRANSIT_HALF_LIFE_MS 1000U /* a queue on a link lasts about as long */
 #define TRANSIT_SHIFT 2U	   /* a call has weight 1/4 in the mean */
@@ -140,6 +150,8 @@
 	state->others_in_flight =
 		load->in_flight > counted ? load->in_flight - counted : 0;
 	state->phase = load->phase;
+	state->has_waits = load->has_waits;
+	memcpy(state->wait_us, load->wait_us, sizeof(state->wait_us));
 	state->reported_ms = now_ms;
 }
 
@@ -189,6 +201,7 @@
 {
 	struct rt_state_set *set = talloc_zero(ctx, struct rt_state_set);
 
+	set->domains = rt_new_domain_set(set);
 	set->by_address = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						free_state);
 	talloc_set_destructor(set, destroy_set);
@@ -212,6 +225,8 @@
 		    state->announced_phase != RT_PHASE_STARTING)
 			clear_report(state);
 		state->announced_phase = target->phase;
+		state->domain = rt_get_domain_state(set->domains,
+						    target->failure_domain);
 		state->table_serial = table->serial;
 		set->by_entry[i] = state;
 	}
@@ -249,9 +264,24 @@
 void rt_record_own_start(struct rt_target_state *state, uint64_t now_ms)
 {
 	state->own_in_flight++;
+	state->started_ms = now_ms;
 	state->starts_ms[state->start_count++ % RT_STARTS_KEPT] = now_ms;
 }
 
+/* Long gaps are those in which no report was due. */
+static void record_report_gap(struct rt_target_state *state, uint64_t now_ms)
+{
+	uint64_t gap_ms = now_ms - state->sent_report_ms;
+
+	if (state->sent_report_ms == 0 || gap_ms > REPORT_GAP_MAX_MS)
+		return;
+	if (state->report_gap_ms == 0)
+		state->report_gap_ms = (uint32_t)gap_ms;
+	else
+		state->report_gap_ms =
+			(uint32_t)(state->report_gap_ms * 7 + gap_ms) / 8;
+}
+
 void rt_record_sent_report(struct rt_target_state *state,
 			   const struct rt_load *load, uint64_t now_ms)
 {
@@ -263,10 +293,24 @@
 	apply_load_report(
 		state, &shown,
 		state->own_in_flight - count_on_the_way(state, now_ms), now_ms);
+	record_report_gap(state, now_ms);
 	state->is_sent_report = true;
 	state->sent_report_ms = now_ms;
 }
 
+/* A failure that the target's node reported shows that the node is reached. */
+static void record_domain(struct rt_target_state *state,
+			  enum rt_outcome outcome, const struct rt_load *load,
+			  uint64_t now_ms)
+{
+	if (!state->domain || outcome == RT_OUTCOME_CANCELLED)
+		return;
+	if (load || outcome != RT_OUTCOME_FAILED)
+		rt_record_domain_heard(state->domain);
+	else
+		rt_record_domain_failure(state->domain, state->address, now_ms);
+}
+
 void rt_record_result(struct rt_target_state *state, enum rt_outcome outcome,
 		      const struct rt_load *load, uint32_t transit_us,
 		      uint64_t now_ms)
@@ -275,10 +319,12 @@
 		if (!is_superseded(state, load))
 			apply_load_report(state, load, state->own_in_flight,
 					  now_ms);
-		update_transit(state, transit_us, now_ms);
-	} else {
+		if (transit_us != RT_TRANSIT_UNKNOWN)
+			update_transit(state, transit_us, now_ms);
+	} else if (transit_us != RT_TRANSIT_UNKNOWN) {
 		raise_transit(state, transit_us, now_ms);
 	}
+	record_domain(state, outcome, load, now_ms);
 	switch (outcome) {
 	case RT_OUTCOME_ANSWERED:
 		clear_failures(state);
@@ -362,3 +408,38 @@
 		return state->announced_phase;
 	return state->phase;
 }
+
+bool rt_has_waits(const struct rt_target_state *state, uint64_t now_ms)
+{
+	return state->is_reported && state->has_waits &&
+	       now_ms < state->reported_ms + WAITS_LIFE_MS;
+}
+
+uint64_t rt_estimate_wait_us(const struct rt_target_state *state,
+			     enum rt_class class, uint64_t now_ms)
+{
+	uint32_t limit = rt_estimate_limit(state, now_ms);
+	uint32_t load = rt_estimate_load(state, now_ms);
+	uint64_t latency_us = rt_estimate_latency_us(state, now_ms);
+	uint64_t wait_us = 0;
+
+	if (load >= limit)
+		wait_us = (load - limit + 1) * latency_us / limit;
+	if (!rt_has_waits(state, now_ms))
+		return wait_us;
+	/* Calls of a higher class don't wait behind all that are there. */
+	if (load < limit)
+		return 0;
+	return MAX((uint64_t)state->wait_us[class], latency_us / limit);
+}
+
+bool rt_is_target_silent(const struct rt_target_state *state, uint64_t now_ms)
+{
+	uint64_t due_ms =
+		state->sent_report_ms +
+		MAX(SILENT_MIN_MS, state->report_gap_ms * SILENT_GAPS);
+
+	return state->report_gap_ms > 0 && now_ms > due_ms &&
+	       state->started_ms + REPORTED_AFTER_CALL_MS > due_ms &&
+	       now_ms < state->sent_report_ms + SILENT_MAX_MS;
+}
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -3,6 +3,7 @@
 #define LOOM_ROUTING_TARGET_STATE_H
 
 #include <glib.h>
+#include "domain_state.h"
 #include "table.h"
 
 /* Starts of calls that are kept to tell which are still on the way. */
@@ -10,7 +11,8 @@
 
 struct rt_target_state {
 	char *address;
-	enum rt_phase announced_phase; /* phase in the last table */
+	struct rt_domain_state *domain; /* borrowed; NULL: not in a table */
+	enum rt_phase announced_phase;	/* phase in the last table */
 	uint64_t table_serial;	/* last table that contained the target */
 	uint32_t own_in_flight; /* calls in flight from this thread */
 	bool is_reported;	/* the fields up to reported_ms are valid */
@@ -19,9 +21,13 @@
 	uint32_t failure_permille; /* share of failed calls as reported */
 	uint32_t others_in_flight; /* calls in flight of others when reported */
 	enum rt_phase phase;
+	bool has_waits;
+	uint32_t wait_us[RT_CLASS_COUNT];
 	uint64_t reported_ms;
 	bool is_sent_report;	 /* the report came without a call */
 	uint64_t sent_report_ms; /* last report without a call; 0: none */
+	uint32_t report_gap_ms;	 /* mean time between two such reports */
+	uint64_t started_ms;	 /* last start of a call of this thread */
 	/* When the last calls from this thread were started. */
 	uint64_t starts_ms[RT_STARTS_KEPT];
 	uint32_t start_count;
@@ -34,6 +40,7 @@
 
 /* States of all targets of a thread. */
 struct rt_state_set {
+	struct rt_domain_set *domains;
 	GHashTable *by_address;		   /* owns the states */
 	struct rt_target_state **by_entry; /* one for each entry of the table */
 	uint64_t table_serial;
@@ -86,6 +93,19 @@
 /* Returns the estimated number of calls in flight at the target. */
 uint32_t rt_estimate_load(const struct rt_target_state *state, uint64_t now_ms);
 
+/*
+ * Returns whether the reports of the target's node have stopped although they
+ * were due: it has probably stopped, or is cut off.
+ */
+bool rt_is_target_silent(const struct rt_target_state *state, uint64_t now_ms);
+
+/* Returns whether the target's gate has told its waits of late. */
+bool rt_has_waits(const struct rt_target_state *state, uint64_t now_ms);
+
+/* Returns how long a call of a class is expected to wait there for a slot. */
+uint64_t rt_estimate_wait_us(const struct rt_target_state *state,
+			     enum rt_class class, uint64_t now_ms);
+
 /* Returns the expected latency of the target, or 0 if it is unknown. */
 uint32_t rt_estimate_latency_us(const struct rt_target_state *state,
 				uint64_t now_ms);
--- a/src/routing/tests/test_nested.c
+++ b/src/routing/tests/test_nested.c
@@ -67,7 +67,7 @@
 	enum chain_result result;
 	uint32_t attempt_count = 0;
 
-	rt_credit_budget(chain->budgets[depth], chain->now_ms);
+	rt_credit_budget(chain->budgets[depth], false, chain->now_ms);
 	do {
 		result = run_call(chain, depth);
 		attempt_count++;
@@ -100,7 +100,7 @@
 	chain->loss_permille = loss_permille;
 	chain->random = g_rand_new_with_seed(1);
 	for (uint32_t i = 0; i < LEVEL_COUNT; i++)
-		chain->budgets[i] = rt_new_budget(chain);
+		chain->budgets[i] = rt_new_budget(chain, 100);
 	for (uint32_t i = 0; i < call_count; i++) {
 		chain->now_ms = (uint64_t)duration_ms * i / call_count;
 		call_service(chain, 0);
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -328,7 +328,7 @@
 	retry.now_ms = parse_number(words[1]);
 	if (strcmp(words[0], "credit") == 0) {
 		for (uint32_t i = 0; i < count; i++)
-			rt_credit_budget(budget, retry.now_ms);
+			rt_credit_budget(budget, false, retry.now_ms);
 		return true;
 	}
 	for (int i = 3; i < word_count; i++) {
@@ -364,7 +364,7 @@
 
 static void test_retry(void)
 {
-	struct rt_budget *budget = rt_new_budget(NULL);
+	struct rt_budget *budget = rt_new_budget(NULL, 100);
 
 	scr_run("retry", run_retry_step, budget);
 	talloc_free(budget);
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -100,6 +100,18 @@
 	return call->role == TR_ROLE_HOP || call->is_local;
 }
 
+/* A load that is malformed or cannot be true counts as absent. */
+static void read_report(struct tr_call *call, const char *value)
+{
+	struct tr_thread *thread = call->thread;
+	struct cap_report report;
+
+	if (!cap_parse_report(value, &report) ||
+	    !adm_record_report(thread->gate, &report,
+			       tmr_get_now_ms(thread->timers)))
+		cnt_add(thread->service->counters.reports_rejected, 1);
+}
+
 /* Reads the headers whose names are agreed with targets (struct
  * tr_header_names). */
 static void read_target_header(struct tr_call *call, const char *name,
@@ -114,6 +126,8 @@
 		answer->is_not_run = strcasecmp(value, "false") != 0;
 	} else if (is_same_name(name, names->stamp)) {
 		answer->has_stamp = true;
+	} else if (is_same_name(name, names->load)) {
+		read_report(call, value);
 	} else if (is_same_name(name, names->request_id)) {
 		id = hx_get_header(call->exchange, names->request_id);
 		if (id && strcmp(id, value) != 0)
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -150,7 +150,9 @@
 		tr_admit_call(call);
 		break;
 	}
-	hx_set_deadline(exchange, call->deadline_ms);
+	/* Large answers that were admitted can all be sent by that time. */
+	hx_set_deadline(exchange, call->objective_ms ? call->objective_ms
+						     : call->deadline_ms);
 	if (call->deadline_ms == 0 || call->stage == TR_STAGE_ENDED)
 		return;
 	call->deadline = tmr_subscribe_once(
@@ -219,6 +221,7 @@
 	g_free(call->service_name);
 	g_free(call->version);
 	g_free(call->caller);
+	g_free(call->kind);
 	g_free(call);
 	atomic_fetch_sub(&thread->call_count, 1);
 }
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -87,6 +87,12 @@
 	uint64_t deadline_ms;
 	uint64_t objective_ms; /* 0: none */
 	uint32_t priority;     /* 0 is the highest */
+	enum rt_class class;   /* with overload control */
+	bool is_first_nested;  /* the first call that its parent makes */
+	uint32_t nested_count; /* hop: calls that the target made for it */
+	uint64_t asked_us;     /* hop: when it asked for a slot */
+	char *kind;	       /* hop: name of the route; NULL: not given */
+	uint64_t large_bytes;  /* expected size of a large answer, counted */
 	struct tmr_subscription *deadline;
 
 	CURL *easy;	      /* the running attempt, or NULL */
@@ -140,6 +146,18 @@
 /* Reports the outcome of the attempt to the chooser of targets. */
 void tr_report_entry_end(struct tr_call *call, enum rt_outcome outcome);
 
+/* classify.c: returns whether the node controls overload. */
+bool tr_is_controlled(const struct tr_call *call);
+/*
+ * Sets the class of a call whose priority is known: nested if the local target
+ * made it.
+ */
+void tr_set_class(struct tr_call *call);
+/* Sets what the placement of the call depends on; its class is known. */
+void tr_set_placement(struct tr_call *call);
+/* Returns struct rt_retry's share_permille for the call. */
+uint32_t tr_get_budget_permille(const struct tr_call *call);
+
 /* hop.c: handles a call of another node when its headers are complete. */
 void tr_admit_call(struct tr_call *call);
 /* Called when the body of a call in TR_STAGE_COLLECTING is complete. */
--- a/src/traffic/call_log.c
+++ b/src/traffic/call_log.c
@@ -97,7 +97,10 @@
 		  "attempts", format_number(attempts, call->attempt_count),
 		  "run_possible", call->is_run_possible ? "yes" : "no",
 		  "answer_status", format_number(status, call->answer.status),
-		  "gate", load, "configuration",
+		  "gate", load, "class",
+		  tr_is_controlled(call) ? rt_get_class_name(call->class)
+					 : NULL,
+		  "configuration",
 		  format_number(sequence,
 				call->table
 					? (int64_t)doc_get_manifest(
--- /dev/null
+++ b/src/traffic/classify.c
@@ -0,0 +1,88 @@
+/*
+ * Overload control on the entry side: the class of a call, what its choice of a
+ * target depends on, and how much of the retry budget it may spend.
+ */
+#include <string.h>
+#include "call.h"
+
+/* Bytes of the heads of a request and its answer between two nodes. */
+#define HEAD_BYTES 1200U
+/* Size of the answers of a route that has large ones, until it is known. */
+#define LARGE_ANSWER_BYTES 65536U
+/*
+ * Parts of the retry budget, in thousandths. A nested call that fails wastes
+ * the work of the call that waits for it, and more of it when other nested
+ * calls have been answered.
+ */
+#define FRESH_BUDGET_PERMILLE 400U
+#define FIRST_NESTED_BUDGET_PERMILLE 700U
+
+bool tr_is_controlled(const struct tr_call *call)
+{
+	return call->thread->service->options.overload.is_enabled;
+}
+
+/*
+ * Returns the call that the local target runs and that made this request, or
+ * NULL: the request's id is the id of that call's request, a dot and a suffix.
+ */
+static struct tr_call *find_parent(const struct tr_call *call)
+{
+	const char *id =
+		hx_get_header(call->exchange,
+			      call->thread->service->options.names->request_id);
+	const char *dot = id ? strrchr(id, '.') : NULL;
+	struct tr_call *parent;
+	char *parent_id;
+
+	if (!dot)
+		return NULL;
+	parent_id = g_strndup(id, (gsize)(dot - id));
+	parent = g_hash_table_lookup(call->thread->running, parent_id);
+	g_free(parent_id);
+	return parent;
+}
+
+void tr_set_class(struct tr_call *call)
+{
+	struct tr_call *parent = find_parent(call);
+
+	call->class = rt_get_rank_class(call->priority);
+	if (!parent)
+		return;
+	call->class = RT_CLASS_NESTED;
+	call->is_first_nested = parent->nested_count++ == 0;
+}
+
+void tr_set_placement(struct tr_call *call)
+{
+	const struct tr_thread *thread = call->thread;
+	const struct tr_overload_options *overload =
+		&thread->service->options.overload;
+	uint64_t bytes = HEAD_BYTES + rt_get_answer_size(thread->answer_sizes,
+							 call->route->name);
+
+	if (call->upload.content_length > 0)
+		bytes += (uint64_t)call->upload.content_length;
+	if (call->gateway_route && call->gateway_route->has_large_answers)
+		bytes = MAX(bytes, (uint64_t)LARGE_ANSWER_BYTES);
+	call->request.is_placed = true;
+	call->request.class = call->class;
+	call->request.run_us =
+		rt_get_run_time_us(thread->answer_sizes, call->route->name);
+	call->request.latest_end_ms =
+		call->class == RT_CLASS_NESTED
+			? call->deadline_ms
+			: MIN(call->objective_ms, call->deadline_ms);
+	call->request.crossing_us =
+		(uint32_t)MIN(bytes * overload->crossing_ms_per_kb, UINT32_MAX);
+}
+
+uint32_t tr_get_budget_permille(const struct tr_call *call)
+{
+	if (!tr_is_controlled(call))
+		return 0;
+	if (call->class != RT_CLASS_NESTED)
+		return FRESH_BUDGET_PERMILLE;
+	return call->is_first_nested ? FIRST_NESTED_BUDGET_PERMILLE : 0;
+}
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -61,6 +61,12 @@
 	if (!call->gateway_route)
 		return;
 	call->priority = call->gateway_route->priority;
+	if (tr_is_controlled(call)) {
+		tr_set_class(call);
+		call->objective_ms =
+			from_ms + call->gateway_route->objective_ms;
+		return;
+	}
 	/*
 	 * Only calls of the lowest priority are refused because they would
 	 * miss their objective. When a call made by a target fails, the work
@@ -96,6 +102,9 @@
 						: 0);
 	list = tr_append_header(list, TR_HEADER_VERSION, call->chosen->release);
 	list = tr_append_header(list, TR_HEADER_ROUTE, call->route->name);
+	if (tr_is_controlled(call))
+		list = tr_append_header(list, TR_HEADER_CLASS,
+					rt_get_class_name(call->class));
 	if (call->thread->load)
 		list = tr_append_number(
 			list, TR_HEADER_REPORT_PORT,
@@ -129,6 +138,10 @@
 
 	rt_record_start(thread->chooser, call->chosen->address);
 	call->attempt_count++;
+	if (call->request.is_placed &&
+	    strcmp(call->chosen->failure_domain,
+		   thread->service->options.failure_domain) != 0)
+		cnt_add(thread->service->counters.calls_away, 1);
 	call->is_local = is_local_target(call);
 	if (call->is_local) {
 		tr_admit_local_call(call);
@@ -208,11 +221,14 @@
 {
 	enum rt_refusal refusal = RT_REFUSAL_NONE;
 
-	if (choose_target(call, &refusal))
+	if (choose_target(call, &refusal)) {
 		start_chosen_attempt(call);
-	else
-		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
-			       rt_get_refusal_name(refusal), true);
+		return;
+	}
+	if (refusal == RT_REFUSAL_NO_ROOM)
+		cnt_add(call->thread->service->counters.early_refusals, 1);
+	tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE,
+		       rt_get_refusal_name(refusal), true);
 }
 
 static bool is_bulky(const struct tr_call *call)
@@ -274,7 +290,11 @@
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
 	call->request.is_bulky = is_bulky(call);
+	if (tr_is_controlled(call))
+		tr_set_placement(call);
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
+			 call->class == RT_CLASS_NESTED &&
+				 tr_is_controlled(call),
 			 tmr_get_now_ms(call->thread->timers));
 	if (tr_is_body_short(call))
 		call->stage = TR_STAGE_COLLECTING;
@@ -318,6 +338,7 @@
 		.is_repeatable = doc_is_repeatable(call->route, call->method),
 		.is_not_run = is_not_run,
 		.is_unsent = is_unsent,
+		.share_permille = tr_get_budget_permille(call),
 		.sent_count = call->sent_count,
 		.sent_max = call->gateway_route
 				    ? call->gateway_route->attempts_max
@@ -358,11 +379,26 @@
 	uint64_t end_us = answer->head_us ? answer->head_us : tr_get_now_us();
 	uint64_t known_us = call->attempt_us + answer->spent_us;
 
+	/* The head of a large answer waits until the link is free. */
+	if (call->request.is_placed && !call->is_local &&
+	    rt_is_answer_large(call->thread->answer_sizes, call->route->name))
+		return RT_TRANSIT_UNKNOWN;
 	if (call->is_local || end_us <= known_us)
 		return 0;
 	return (uint32_t)(end_us - known_us);
 }
 
+/* Returns how long the target ran the call. */
+static uint32_t get_run_us(const struct tr_call *call)
+{
+	const struct tr_answer *answer = &call->answer;
+
+	if (!call->is_local)
+		return (uint32_t)MIN(answer->run_us, UINT32_MAX);
+	return (uint32_t)(answer->head_us -
+			  MIN(answer->head_us, call->attempt_us));
+}
+
 void tr_report_entry_end(struct tr_call *call, enum rt_outcome outcome)
 {
 	struct tr_answer *answer = &call->answer;
@@ -374,6 +410,15 @@
 		rt_record_arrival(call->thread->chooser, call->service);
 	/* The load of an answer was read when its head was sent. */
 	answer->load.received_ms = answer->head_us / 1000;
+	if (call->request.is_placed &&
+	    strcmp(call->chosen->failure_domain,
+		   call->thread->service->options.failure_domain) != 0)
+		rt_record_leaving(call->thread->chooser, call->service->name,
+				  outcome != RT_OUTCOME_REFUSED,
+				  tmr_get_now_ms(call->thread->timers));
+	if (call->request.is_placed && outcome == RT_OUTCOME_ANSWERED)
+		rt_record_run_time(call->thread->answer_sizes,
+				   call->route->name, get_run_us(call));
 	rt_record_end(call->thread->chooser, call->chosen->address, outcome,
 		      answer->has_load ? &answer->load : NULL,
 		      get_network_us(call),
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -119,6 +119,23 @@
 	return parse_number(hx_get_header(exchange, name), max, value);
 }
 
+/* Reads one number for each class, separated by commas. */
+static bool read_waits(const char *value, struct rt_load *load)
+{
+	char **texts = g_strsplit(value, ",", RT_CLASS_COUNT + 1);
+	uint64_t number;
+	bool is_valid = g_strv_length(texts) == RT_CLASS_COUNT;
+
+	for (uint32_t i = 0; is_valid && i < RT_CLASS_COUNT; i++) {
+		is_valid = parse_number(texts[i], UINT32_MAX, &number);
+		if (is_valid)
+			load->wait_us[i] = (uint32_t)number;
+	}
+	load->has_waits = is_valid;
+	g_strfreev(texts);
+	return is_valid;
+}
+
 bool tr_read_load(const char *name, const char *value, struct rt_load *load)
 {
 	uint64_t number;
@@ -129,6 +146,8 @@
 		load->is_unreachable = strcmp(value, "true") == 0;
 		return true;
 	}
+	if (strcasecmp(name, TR_HEADER_WAITS) == 0)
+		return read_waits(value, load);
 	if (!parse_number(value, UINT32_MAX, &number))
 		return false;
 	if (strcasecmp(name, TR_HEADER_LIMIT) == 0)
@@ -153,6 +172,17 @@
 	hx_add_answer_header(exchange, name, text);
 }
 
+static void add_waits(struct hx_exchange *exchange, const struct rt_load *load)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < RT_CLASS_COUNT; i++)
+		g_string_append_printf(text, i ? ",%u" : "%u",
+				       load->wait_us[i]);
+	hx_add_answer_header(exchange, TR_HEADER_WAITS, text->str);
+	g_string_free(text, TRUE);
+}
+
 void tr_add_load(struct hx_exchange *exchange, const struct rt_load *load)
 {
 	add_number(exchange, TR_HEADER_LIMIT, load->limit);
@@ -161,6 +191,8 @@
 	add_number(exchange, TR_HEADER_FAILURES, load->failure_permille);
 	hx_add_answer_header(exchange, TR_HEADER_PHASE,
 			     rt_get_phase_name(load->phase));
+	if (load->has_waits)
+		add_waits(exchange, load);
 	if (load->is_unreachable)
 		hx_add_answer_header(exchange, TR_HEADER_UNREACHABLE, "true");
 }
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -15,6 +15,8 @@
 #define TR_HEADER_DEADLINE "Loom-Deadline-Ms"
 #define TR_HEADER_OBJECTIVE "Loom-Objective-Ms"
 #define TR_HEADER_PRIORITY "Loom-Priority"
+#define TR_HEADER_CLASS "Loom-Class"
+#define TR_HEADER_WAITS "Loom-Wait-Us"
 #define TR_HEADER_DEPTH "Loom-Depth"
 #define TR_HEADER_REQUEST_ID "Loom-Request-Id"
 #define TR_HEADER_SERVICE "Loom-Service"
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -35,9 +35,62 @@
 	call->headers = list;
 }
 
+static const char *get_request_id(const struct tr_call *call)
+{
+	const char *id =
+		hx_get_header(call->exchange,
+			      call->thread->service->options.names->request_id);
+
+	return id ? id : "";
+}
+
+static const char *get_kind(const struct tr_call *call)
+{
+	return call->route ? call->route->name : call->kind;
+}
+
+/* Returns the mean size of the answers of the call's kind, 0 if it is short. */
+static uint64_t get_large_bytes(const struct tr_call *call)
+{
+	const char *kind = get_kind(call);
+	uint64_t bytes =
+		kind ? rt_get_answer_size(call->thread->hop_answer_sizes, kind)
+		     : 0;
+
+	return bytes >= RT_BULKY_BYTES ? bytes : 0;
+}
+
+/*
+ * Returns how long the answer waits for the link: behind those that are being
+ * sent and those of the calls that the target is running.
+ */
+static uint32_t estimate_send_us(const struct tr_call *call)
+{
+	const struct tr_thread *thread = call->thread;
+	uint64_t bytes = get_large_bytes(call);
+
+	if (bytes == 0 || !thread->pacing)
+		return 0;
+	/* Its own time twice: it also passes the link of the entry node. */
+	return (uint32_t)MIN(hx_get_backlog_us(thread->pacing,
+					       call->objective_ms,
+					       2 * bytes + thread->large_bytes),
+			     UINT32_MAX);
+}
+
 static void start_admitted_call(struct tr_call *call)
 {
+	struct cnt_histogram *waits =
+		call->thread->service->counters.gate_waits[call->class];
+
+	if (waits)
+		cnt_observe(waits, tr_get_now_us() - call->asked_us);
 	call->has_slot = true;
+	call->large_bytes = get_large_bytes(call);
+	call->thread->large_bytes += call->large_bytes;
+	if (*get_request_id(call))
+		g_hash_table_insert(call->thread->running,
+				    g_strdup(get_request_id(call)), call);
 	make_headers(call);
 	tr_start_attempt(call, call->thread->target_loop,
 			 call->thread->target_url);
@@ -83,6 +136,9 @@
 	tr_read_number(call->exchange, TR_HEADER_PRIORITY, UINT32_MAX,
 		       &priority);
 	call->priority = (uint32_t)priority;
+	call->class = rt_parse_class(
+		hx_get_header(call->exchange, TR_HEADER_CLASS), call->priority);
+	call->kind = copy_header(call, TR_HEADER_ROUTE);
 	record_report_port(call);
 	call->service_name = copy_header(call, TR_HEADER_SERVICE);
 	call->version = copy_header(call, TR_HEADER_VERSION);
@@ -126,8 +182,12 @@
 		.deadline_ms = call->deadline_ms,
 		.objective_ms = call->objective_ms,
 		.priority = call->priority,
+		.class = call->class,
+		.kind = get_kind(call),
+		.send_us = estimate_send_us(call),
 	};
 
+	call->asked_us = tr_get_now_us();
 	switch (adm_admit(thread->gate, &asked, tmr_get_now_ms(thread->timers),
 			  &refusal)) {
 	case ADM_VERDICT_RUN:
@@ -208,6 +268,14 @@
 	if (!call->has_slot)
 		return;
 	call->has_slot = false;
+	thread->large_bytes -= call->large_bytes;
+	if (g_hash_table_lookup(thread->running, get_request_id(call)) == call)
+		g_hash_table_remove(thread->running, get_request_id(call));
+	if (outcome == ADM_OUTCOME_GOOD)
+		adm_record_run(thread->gate, get_kind(call),
+			       (uint32_t)(end_us - call->attempt_us),
+			       (uint32_t)(tr_get_now_us() - call->attempt_us),
+			       tmr_get_now_ms(thread->timers));
 	record_answer_size(call, outcome);
 	adm_finish(thread->gate, outcome, call->attempt_us / 1000,
 		   (uint32_t)(end_us - call->attempt_us),
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -9,18 +9,30 @@
 #include "call.h"
 #include "call_log.h"
 
-static void add_retry_after(struct tr_call *call)
+/*
+ * A node that has started gets its configuration within about this time; a
+ * caller that comes back earlier would be refused again.
+ */
+#define NOT_READY_RETURN_MS 800U
+
+static uint32_t choose_return_ms(struct tr_call *call)
 {
 	const struct tr_answer *answer = &call->answer;
 	struct tr_thread *thread = call->thread;
-	uint32_t wait_ms;
-	char text[16];
 
+	if (thread->service->options.overload.is_enabled && !thread->table)
+		return NOT_READY_RETURN_MS;
 	thread->random_state++;
-	wait_ms =
-		rt_choose_return_ms(answer->has_load ? &answer->load : NULL,
-				    XXH3_64bits(&thread->random_state,
-						sizeof(thread->random_state)));
+	return rt_choose_return_ms(answer->has_load ? &answer->load : NULL,
+				   XXH3_64bits(&thread->random_state,
+					       sizeof(thread->random_state)));
+}
+
+static void add_retry_after(struct tr_call *call)
+{
+	uint32_t wait_ms = choose_return_ms(call);
+	char text[16];
+
 	g_snprintf(text, sizeof(text), "%u.%03u", wait_ms / 1000,
 		   wait_ms % 1000);
 	hx_add_answer_header(call->exchange, MHD_HTTP_HEADER_RETRY_AFTER, text);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -67,6 +67,18 @@
 	counters->foreign =
 		open_counter(registry, "loom_foreign_answers_total",
 			     "Answers that belong to no request or another.");
+	counters->reports_rejected =
+		open_counter(registry, "loom_target_reports_rejected_total",
+			     "Load headers of targets that were malformed or "
+			     "cannot be true.");
+	counters->early_refusals =
+		open_counter(registry, "loom_early_refusals_total",
+			     "Calls refused without asking a target, by the "
+			     "waits that their gates report.");
+	counters->calls_away =
+		open_counter(registry, "loom_calls_away_total",
+			     "Attempts sent to another failure domain by "
+			     "overload control.");
 	counters->tables = open_counter(registry, "loom_tables_total",
 					"Tables taken over by a thread.");
 	load_open_counters(&counters->load, registry);
@@ -107,6 +119,21 @@
 	};
 }
 
+/* Opens a histogram of the waits at the gate for each class of calls. */
+static void open_gate_waits(struct tr_counters *counters,
+			    struct cnt_registry *registry)
+{
+	static const char *const labels[RT_CLASS_COUNT] = {
+		"class=\"nested\"", "class=\"returned\"", "class=\"rank0\"",
+		"class=\"rank1\"",  "class=\"low\"",
+	};
+
+	for (uint32_t i = 0; i < RT_CLASS_COUNT; i++)
+		counters->gate_waits[i] = cnt_get_histogram(
+			registry, "loom_gate_wait_seconds", labels[i],
+			"Time that calls waited for a slot of the target.");
+}
+
 static int destroy_service(struct tr_service *service)
 {
 	for (uint32_t i = 0; i < service->options.thread_count; i++) {
@@ -170,6 +197,8 @@
 	service->threads = talloc_zero_array(service, struct tr_thread,
 					     options->thread_count);
 	open_counters(&service->counters, counters);
+	if (options->overload.is_enabled)
+		open_gate_waits(&service->counters, counters);
 	talloc_set_destructor(service, destroy_service);
 	if (!tr_open_samples(service, events, error))
 		goto out_free;
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -250,6 +250,10 @@
 	thread->answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->hop_answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->gate = adm_new_gate(thread->events);
+	if (options->overload.is_enabled)
+		adm_use_classes(thread->gate);
+	thread->running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tr_open_thread_samples(thread);
@@ -321,6 +325,7 @@
 	TALLOC_FREE(thread->hop.server);
 	g_queue_clear_full(&thread->free_handles, curl_easy_cleanup);
 	g_hash_table_destroy(thread->budgets);
+	g_hash_table_destroy(thread->running);
 	g_hash_table_destroy(thread->samples);
 	table = atomic_exchange(&thread->pending_table, NULL);
 	if (table)
@@ -357,7 +362,9 @@
 
 	if (budget)
 		return budget;
-	budget = rt_new_budget(thread->events);
+	budget = rt_new_budget(
+		thread->events,
+		thread->service->options.overload.retry_budget_permille);
 	g_hash_table_insert(thread->budgets, g_strdup(service), budget);
 	return budget;
 }
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -46,6 +46,10 @@
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
 	struct cnt_counter *foreign;
+	struct cnt_counter *reports_rejected;
+	struct cnt_counter *early_refusals;
+	struct cnt_counter *calls_away;
+	struct cnt_histogram *gate_waits[RT_CLASS_COUNT]; /* or NULL */
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
 	struct load_counters load;
@@ -103,6 +107,9 @@
 	/* Set by the control thread. */
 	_Atomic(struct rt_table *) pending_table;
 	struct adm_gate *gate;
+	uint64_t large_bytes; /* large answers that the target is to send */
+	GHashTable
+		*running; /* request id to its struct tr_call at the target */
 	struct load_service *load; /* first thread only; NULL: no reports */
 	char *target_service;
 	char *target_instance;
