--- a/src/capacity/capacity.c
+++ b/src/capacity/capacity.c
@@ -27,12 +27,14 @@
 
 struct kind {
 	uint32_t usual_us;
+	uint64_t last_run; /* run_count at its last call */
 };
 
 struct cap_target {
 	uint32_t slots; /* 0: not announced */
 	GHashTable *kinds;
-	uint32_t hold_us; /* moving mean; 0: no call yet */
+	uint64_t run_count; /* calls recorded */
+	uint32_t hold_us;   /* moving mean; 0: no call yet */
 	uint32_t time_percent;
 	bool is_speed_known;
 	uint64_t speed_ms;
@@ -164,6 +166,25 @@
 	return true;
 }
 
+/* Removes the kind whose last call ended first. */
+static void remove_oldest_kind(struct cap_target *target)
+{
+	uint64_t oldest_run = UINT64_MAX;
+	gpointer oldest = NULL;
+	GHashTableIter iter;
+	gpointer name;
+	gpointer kind;
+
+	g_hash_table_iter_init(&iter, target->kinds);
+	while (g_hash_table_iter_next(&iter, &name, &kind)) {
+		if (((const struct kind *)kind)->last_run >= oldest_run)
+			continue;
+		oldest_run = ((const struct kind *)kind)->last_run;
+		oldest = name;
+	}
+	g_hash_table_remove(target->kinds, oldest);
+}
+
 void cap_record_run(struct cap_target *target, const char *kind,
 		    uint32_t run_us, uint32_t hold_us, uint64_t now_ms)
 {
@@ -174,10 +195,11 @@
 	target->hold_us = move_mean(target->hold_us, hold_us, HOLD_SHIFT);
 	if (!known) {
 		if (g_hash_table_size(target->kinds) >= KINDS_MAX)
-			g_hash_table_remove_all(target->kinds);
+			remove_oldest_kind(target);
 		known = g_new0(struct kind, 1);
 		g_hash_table_insert(target->kinds, g_strdup(kind), known);
 	}
+	known->last_run = ++target->run_count;
 	known->usual_us =
 		move_mean(known->usual_us, (uint32_t)MIN(usual_us, UINT32_MAX),
 			  RUN_SHIFT);
@@ -187,11 +209,13 @@
 			     uint64_t now_ms)
 {
 	const struct kind *known = g_hash_table_lookup(target->kinds, kind);
+	uint64_t run_us;
 
 	if (!known)
 		return target->hold_us;
-	return (uint32_t)((uint64_t)known->usual_us *
-			  get_time_percent(target, now_ms) / USUAL_PERCENT);
+	run_us = (uint64_t)known->usual_us * get_time_percent(target, now_ms) /
+		 USUAL_PERCENT;
+	return (uint32_t)MIN(run_us, UINT32_MAX);
 }
 
 uint32_t cap_estimate_hold_us(const struct cap_target *target, uint64_t now_ms)
