Let calls of a higher class take the place of lower ones, test classes

Cause: with admission by class a full queue refused every call whatever its class, so that 18 downloads that may wait for long kept out nested calls and those of rank 0; starts were counted toward the one in eight also when nothing started; the margin of a run above 85 s wrapped at 32 bits; slots announced before adm_use_classes() did not bound the reports. Change: the last waiting call of a lower class expires when the queue is full, as with the queue by priority; only starts count; the margin ends at 2^32-1 us; adm_use_classes() takes over the slots.

--- a/src/admission/classes.c
+++ b/src/admission/classes.c
@@ -69,6 +69,14 @@
 	return MIN(end_ms, call->objective_ms);
 }
 
+static uint32_t add_margin(uint32_t run_us)
+{
+	uint64_t expected_us =
+		run_us + (uint64_t)run_us * RUN_MARGIN_PERCENT / 100;
+
+	return (uint32_t)MIN(expected_us, UINT32_MAX);
+}
+
 static enum adm_refusal add_call(struct adm_classes *classes,
 				 const struct adm_occupancy *occupancy,
 				 const struct adm_call *call, uint64_t now_ms)
@@ -86,11 +94,12 @@
 					    call->deadline_ms, now_ms);
 
 	if (call->class != RT_CLASS_NESTED)
-		entry.run_us += entry.run_us * RUN_MARGIN_PERCENT / 100;
+		entry.run_us = add_margin(entry.run_us);
 	if (now_ms + (wait_us + entry.run_us + call->send_us) / 1000 >=
 	    entry.latest_end_ms)
 		return ADM_REFUSAL_DEADLINE;
-	if (adm_count_entries(&classes->schedule) >= occupancy->queue_length)
+	if (adm_count_entries(&classes->schedule) >= occupancy->queue_length &&
+	    !adm_displace_entry(&classes->schedule, call->class))
 		return ADM_REFUSAL_QUEUE_FULL;
 	adm_add_entry(&classes->schedule, &entry);
 	return ADM_REFUSAL_NONE;
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -294,6 +294,7 @@
 	assert(adm_get_waiting_count(gate) == 0);
 	gate->order = ORDER_CLASS;
 	adm_init_classes(gate, &gate->classes);
+	cap_set_slots(gate->classes.capacity, gate->known_slots);
 }
 
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
--- a/src/admission/schedule.c
+++ b/src/admission/schedule.c
@@ -92,20 +92,25 @@
 	return oldest;
 }
 
-void *adm_take_next(struct adm_schedule *schedule, uint64_t now_ms)
+static GList *find_first(const struct adm_schedule *schedule, uint64_t now_ms)
 {
 	GList *link = schedule->waiting.head;
 
-	if (!link)
-		return NULL;
-	if (++schedule->start_count >= FAIR_START_PERIOD) {
-		schedule->start_count = 0;
-		link = find_longest_waiting(schedule, now_ms);
-		return link ? remove_link(schedule, link) : NULL;
-	}
 	while (link && is_late(link->data, now_ms))
 		link = link->next;
-	return link ? remove_link(schedule, link) : NULL;
+	return link;
+}
+
+void *adm_take_next(struct adm_schedule *schedule, uint64_t now_ms)
+{
+	bool is_fair = schedule->start_count + 1 >= FAIR_START_PERIOD;
+	GList *link = is_fair ? find_longest_waiting(schedule, now_ms)
+			      : find_first(schedule, now_ms);
+
+	if (!link)
+		return NULL;
+	schedule->start_count = is_fair ? 0 : schedule->start_count + 1;
+	return remove_link(schedule, link);
 }
 
 void *adm_take_late(struct adm_schedule *schedule, uint64_t now_ms)
@@ -124,6 +129,22 @@
 	return link ? remove_link(schedule, link) : NULL;
 }
 
+bool adm_displace_entry(struct adm_schedule *schedule, enum rt_class class)
+{
+	for (GList *link = schedule->waiting.tail; link; link = link->prev) {
+		struct adm_entry *entry = link->data;
+
+		if (entry->class <= class)
+			break;
+		/* It has already lost its place when it is late for good. */
+		if (entry->latest_end_ms == 0)
+			continue;
+		entry->latest_end_ms = 0;
+		return true;
+	}
+	return false;
+}
+
 bool adm_remove_entry(struct adm_schedule *schedule, const void *ticket)
 {
 	for (GList *link = schedule->waiting.head; link; link = link->next) {
--- a/src/admission/schedule.h
+++ b/src/admission/schedule.h
@@ -9,7 +9,7 @@
 
 struct adm_schedule {
 	GQueue waiting;	      /* struct adm_entry, by class, then by deadline */
-	uint32_t start_count; /* since the call that waited longest started */
+	uint32_t start_count; /* since a start by the time of waiting */
 };
 
 /* A call as the schedule needs it. */
@@ -48,6 +48,13 @@
 /* Removes and returns the first ticket, or NULL. */
 void *adm_take_any(struct adm_schedule *schedule);
 
+/*
+ * Makes the last call late if its class is lower than the given one, so that a
+ * call of that class can take its place. Returns false if there is no such
+ * call.
+ */
+bool adm_displace_entry(struct adm_schedule *schedule, enum rt_class class);
+
 /* Removes a ticket. Returns whether it was waiting. */
 bool adm_remove_entry(struct adm_schedule *schedule, const void *ticket);
 
--- a/src/admission/tests/test_admission.c
+++ b/src/admission/tests/test_admission.c
@@ -287,6 +287,12 @@
 	run_gate_script("overload");
 }
 
+/* Shows that a call refused for its wait takes a token in the old order. */
+static void test_cold_tokens(void)
+{
+	run_gate_script("cold_tokens");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "gate admits, queues and refuses", test_gate },
 	{ "limit rises with use and halves", test_limit },
@@ -298,6 +304,7 @@
 	{ "slots and cold time that the target announces", test_known_slots },
 	{ "share of calls that fail on the target", test_failures },
 	{ "sustained overload serves calls that are in time", test_overload },
+	{ "tokens of calls that are refused for their wait", test_cold_tokens },
 	CU_TEST_INFO_NULL,
 };
 
