Refuse a waiting call in time although no other call ends

Cause: the gate looked for late calls only when another call started or ended. At a target that answers nothing, a call that could not end within its objective waited until its deadline, and one that waited for the calls of an earlier gate to stop counting waited for the next event. Change: adm_get_due_ms() tells when the next waiting call is due; an alarm of the traffic thread processes the waiting calls then. Nothing changes without overload control.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -136,6 +136,13 @@
  */
 void *adm_take_expired(struct adm_gate *gate, uint64_t now_ms);
 
+/*
+ * Returns when adm_take_expired() or adm_take_ready() may return a ticket
+ * though no call starts or ends until then; UINT64_MAX: never. Always
+ * UINT64_MAX before adm_use_classes().
+ */
+uint64_t adm_get_due_ms(const struct adm_gate *gate, uint64_t now_ms);
+
 /* Returns why the calls that adm_take_expired() returns are refused. */
 enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate);
 
--- a/include/loom/capacity.h
+++ b/include/loom/capacity.h
@@ -72,6 +72,9 @@
  */
 uint32_t cap_estimate_foreign(const struct cap_target *target, uint64_t now_ms);
 
+/* Returns when the calls of cap_estimate_foreign() stop counting. */
+uint64_t cap_get_foreign_end_ms(const struct cap_target *target);
+
 /* Returns the number of reports that were ignored. */
 uint64_t cap_get_absurd_count(const struct cap_target *target);
 
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -441,6 +441,20 @@
 	return NULL;
 }
 
+uint64_t adm_get_due_ms(const struct adm_gate *gate, uint64_t now_ms)
+{
+	const struct cap_target *capacity;
+	uint64_t due_ms;
+
+	if (gate->order != ORDER_CLASS || adm_get_waiting_count(gate) == 0)
+		return UINT64_MAX;
+	capacity = gate->classes.capacity;
+	due_ms = adm_get_late_ms(&gate->classes.schedule);
+	if (cap_estimate_foreign(capacity, now_ms) > 0)
+		due_ms = MIN(due_ms, cap_get_foreign_end_ms(capacity));
+	return due_ms;
+}
+
 enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate)
 {
 	enum adm_refusal refusal = get_closed_refusal(gate);
--- a/src/admission/schedule.c
+++ b/src/admission/schedule.c
@@ -20,9 +20,16 @@
 	return ticket;
 }
 
+/* Returns the latest time at which the call would have to start. */
+static uint64_t get_late_ms(const struct adm_entry *entry)
+{
+	return entry->latest_end_ms -
+	       MIN(entry->latest_end_ms, entry->run_us / 1000);
+}
+
 static bool is_late(const struct adm_entry *entry, uint64_t now_ms)
 {
-	return now_ms + entry->run_us / 1000 >= entry->latest_end_ms;
+	return now_ms >= get_late_ms(entry);
 }
 
 static bool is_before(enum rt_class class, uint64_t deadline_ms,
@@ -113,6 +120,15 @@
 	return remove_link(schedule, link);
 }
 
+uint64_t adm_get_late_ms(const struct adm_schedule *schedule)
+{
+	uint64_t late_ms = UINT64_MAX;
+
+	for (GList *link = schedule->waiting.head; link; link = link->next)
+		late_ms = MIN(late_ms, get_late_ms(link->data));
+	return late_ms;
+}
+
 void *adm_take_late(struct adm_schedule *schedule, uint64_t now_ms)
 {
 	for (GList *link = schedule->waiting.head; link; link = link->next) {
--- a/src/admission/schedule.h
+++ b/src/admission/schedule.h
@@ -42,6 +42,9 @@
  */
 void *adm_take_next(struct adm_schedule *schedule, uint64_t now_ms);
 
+/* Returns when the first waiting call becomes late; UINT64_MAX: none waits. */
+uint64_t adm_get_late_ms(const struct adm_schedule *schedule);
+
 /* Removes and returns the ticket of a call that cannot end in time, or NULL. */
 void *adm_take_late(struct adm_schedule *schedule, uint64_t now_ms);
 
--- a/src/admission/tests/test_classes.c
+++ b/src/admission/tests/test_classes.c
@@ -127,6 +127,17 @@
 	g_string_append(output, " ms\n");
 }
 
+static void print_due(const struct state *state, GString *output)
+{
+	uint64_t due_ms = adm_get_due_ms(state->gate, state->now_ms);
+
+	if (due_ms == UINT64_MAX)
+		g_string_append(output, "never\n");
+	else
+		g_string_append_printf(output, "in %" PRIu64 " ms\n",
+				       due_ms - state->now_ms);
+}
+
 static void set_cold(struct state *state, char **words)
 {
 	struct doc_limits limits = {
@@ -181,6 +192,8 @@
 				   (void *)(uintptr_t)parse_number(words[1]));
 	else if (strcmp(words[0], "waits") == 0)
 		print_waits(state, output);
+	else if (strcmp(words[0], "due") == 0)
+		print_due(state, output);
 	else if (strcmp(words[0], "after") == 0)
 		state->now_ms += parse_number(words[1]);
 	else
@@ -233,6 +246,12 @@
 	run_script("class_range");
 }
 
+/* A call that waits must not miss its refusal because nothing else happens. */
+static void test_due(void)
+{
+	run_script("class_due");
+}
+
 /* Reports that are absurd, old or missing must not close the gate. */
 static void test_reports(void)
 {
@@ -247,6 +266,7 @@
 	{ "closing, cancelling and restart", test_closing },
 	{ "tokens of a cold target", test_cold },
 	{ "expected times out of range", test_range },
+	{ "when a waiting call is due", test_due },
 	{ "reports of the target", test_reports },
 	CU_TEST_INFO_NULL,
 };
--- a/src/capacity/capacity.c
+++ b/src/capacity/capacity.c
@@ -225,8 +225,12 @@
 
 uint32_t cap_estimate_foreign(const struct cap_target *target, uint64_t now_ms)
 {
-	return now_ms < target->foreign_ms + FOREIGN_LIFE_MS ? target->foreign
-							     : 0;
+	return now_ms < cap_get_foreign_end_ms(target) ? target->foreign : 0;
+}
+
+uint64_t cap_get_foreign_end_ms(const struct cap_target *target)
+{
+	return target->foreign_ms + FOREIGN_LIFE_MS;
 }
 
 uint64_t cap_get_absurd_count(const struct cap_target *target)
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -168,6 +168,8 @@
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome);
 /* Refuses the queued calls that expired and starts those that may run now. */
 void tr_process_waiting_calls(struct tr_thread *thread);
+/* The same, when adm_get_due_ms() has come; data is the struct tr_thread. */
+void tr_handle_waiting_alarm(void *data);
 /* Entry: admits the call to the local target without a request to a node. */
 void tr_admit_local_call(struct tr_call *call);
 /* Entry: handles the end of the transfer to the local target. */
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -234,6 +234,29 @@
 	request_admission(call, call->chosen->release);
 }
 
+/* A waiting call may become late while no other call starts or ends. */
+static void set_waiting_alarm(struct tr_thread *thread, uint64_t now_ms)
+{
+	uint64_t due_ms = adm_get_due_ms(thread->gate, now_ms);
+
+	if (due_ms == thread->waiting_due_ms)
+		return;
+	thread->waiting_due_ms = due_ms;
+	if (due_ms == UINT64_MAX)
+		tmr_clear_alarm(thread->waiting_alarm);
+	else
+		tmr_set_alarm(thread->waiting_alarm,
+			      due_ms - MIN(due_ms, now_ms));
+}
+
+void tr_handle_waiting_alarm(void *data)
+{
+	struct tr_thread *thread = data;
+
+	thread->waiting_due_ms = UINT64_MAX;
+	tr_process_waiting_calls(thread);
+}
+
 void tr_process_waiting_calls(struct tr_thread *thread)
 {
 	uint64_t now_ms = tmr_get_now_ms(thread->timers);
@@ -244,6 +267,7 @@
 				      adm_get_waiting_refusal(thread->gate));
 	while ((call = adm_take_ready(thread->gate, now_ms)))
 		start_admitted_call(call);
+	set_waiting_alarm(thread, now_ms);
 	load_mark_changed(thread->load);
 }
 
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -252,6 +252,9 @@
 	thread->gate = adm_new_gate(thread->events);
 	if (options->overload.is_enabled)
 		adm_use_classes(thread->gate);
+	thread->waiting_alarm = tmr_new_alarm(thread->events, thread->events,
+					      tr_handle_waiting_alarm, thread);
+	thread->waiting_due_ms = UINT64_MAX;
 	thread->running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->budgets =
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -107,6 +107,8 @@
 	/* Set by the control thread. */
 	_Atomic(struct rt_table *) pending_table;
 	struct adm_gate *gate;
+	struct tmr_alarm *waiting_alarm; /* set to waiting_due_ms */
+	uint64_t waiting_due_ms;	 /* UINT64_MAX: the alarm is not set */
 	uint64_t large_bytes; /* large answers that the target is to send */
 	GHashTable
 		*running; /* request id to its struct tr_call at the target */
