Give calls without a gateway the class of their rank

Cause: with overload control and no gateway, the class of a call was never set, so that its initial value made every call nested: before all others at each gate, and with the whole retry budget. Change: the class is set for every call; the objective still comes from the gateway only. Result: in script classes of test_traffic all 5 calls that passed the gate counted as nested before; now one does, whose id is that of the running call, a dot and a suffix, and 4 are of rank 0.

--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -58,21 +58,20 @@
 	    given_ms < timeout_ms)
 		timeout_ms = given_ms;
 	call->deadline_ms = from_ms + timeout_ms;
-	if (!call->gateway_route)
-		return;
-	call->priority = call->gateway_route->priority;
-	if (tr_is_controlled(call)) {
+	if (call->gateway_route)
+		call->priority = call->gateway_route->priority;
+	if (tr_is_controlled(call))
 		tr_set_class(call);
-		call->objective_ms =
-			from_ms + call->gateway_route->objective_ms;
+	if (!call->gateway_route)
 		return;
-	}
 	/*
-	 * Only calls of the lowest priority are refused because they would
-	 * miss their objective. When a call made by a target fails, the work
-	 * that its caller has already done is wasted, too.
+	 * Without overload control only calls of the lowest priority are
+	 * refused because they would miss their objective. When a call made by
+	 * a target fails, the work that its caller has already done is wasted,
+	 * too.
 	 */
-	if (doc_has_lowest_priority(
+	if (tr_is_controlled(call) ||
+	    doc_has_lowest_priority(
 		    doc_get_gateway(rt_get_snapshot(call->table)),
 		    call->gateway_route))
 		call->objective_ms =
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -79,6 +79,7 @@
 	options.call_port = MESH_CALL_PORT;
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
+	options.overload.is_enabled = mesh->is_controlled;
 	options.overload.link_kbit_s = mesh->link_kbit_s;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
@@ -237,6 +238,22 @@
 					     name, labels, ""));
 }
 
+int64_t mesh_count_waits(struct mesh_node *node, const char *class)
+{
+	GString *text = g_string_new(NULL);
+	char *name = g_strdup_printf(
+		"loom_gate_wait_seconds_count{class=\"%s\"} ", class);
+	const char *line;
+	int64_t count;
+
+	cnt_print(node->counters, text);
+	line = strstr(text->str, name);
+	count = line ? g_ascii_strtoll(line + strlen(name), NULL, 10) : -1;
+	g_free(name);
+	g_string_free(text, TRUE);
+	return count;
+}
+
 static bool is_command_taken(void *data)
 {
 	struct mesh_node *node = data;
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -47,8 +47,9 @@
 	const char *step; /* test step, for the message of a timeout */
 	uint64_t sequence;
 	bool is_domain_out;
-	bool has_reports; /* nodes send each other load reports */
-	bool has_stamps;  /* targets name the request in each answer */
+	bool has_reports;   /* nodes send each other load reports */
+	bool is_controlled; /* nodes added from now on control overload */
+	bool has_stamps;    /* targets name the request in each answer */
 	const struct mesh_node *stale; /* gets no new tables; NULL: none */
 	uint32_t slots;
 	uint32_t queue_length;
@@ -103,6 +104,9 @@
 void mesh_run_for(struct mesh *mesh, uint32_t duration_ms);
 
 /* Returns the value of a counter of a node. */
+/* Returns the number of calls of a class that have passed the node's gate. */
+int64_t mesh_count_waits(struct mesh_node *node, const char *class);
+
 int64_t mesh_get_counter(struct mesh_node *node, const char *name,
 			 const char *labels);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -208,6 +208,8 @@
 		mesh->has_stamps = true;
 	} else if (strcmp(words[0], "reports") == 0) {
 		mesh->has_reports = true;
+	} else if (strcmp(words[0], "control") == 0) {
+		mesh->is_controlled = true;
 	} else if (strcmp(words[0], "publish") == 0) {
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "limits") == 0) {
@@ -380,6 +382,14 @@
 		g_string_append_printf(output, "%u\n", get_value(&wait));
 		return true;
 	}
+	if (strcmp(words[0], "passed") == 0) {
+		g_string_append_printf(
+			output, "%d\n",
+			(int)mesh_count_waits(
+				mesh_get_node(state->mesh, words[1]),
+				words[2]));
+		return true;
+	}
 	if (strcmp(words[0], "counter") == 0) {
 		g_string_append_printf(
 			output, "%d\n",
@@ -560,6 +570,13 @@
 	run_script("load_reports");
 }
 
+/* Classes of calls without a gateway, and calls that wait while nothing ends.
+ */
+static void test_classes(void)
+{
+	run_script("classes");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -589,6 +606,7 @@
 	{ "restarted_target", test_restarted_target },
 	{ "hostile callers", test_hostile_callers },
 	{ "load_reports", test_load_reports },
+	{ "classes", test_classes },
 	CU_TEST_INFO_NULL,
 };
 
