--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -240,6 +240,24 @@
 	run_chooser_script("bulky");
 }
 
+/* An answer that does not tell its run time must not shorten the mean. */
+static void test_run_times(void)
+{
+	struct rt_answer_sizes *sizes = rt_new_answer_sizes(NULL);
+
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 0);
+	rt_record_run_time(sizes, "r", 44000);
+	for (int i = 0; i < 100; i++)
+		rt_record_run_time(sizes, "r", 0);
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 44000);
+	rt_record_run_time(sizes, "r", 52000);
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 45000);
+	/* The size of its answers is still unknown. */
+	rt_record_answer_size(sizes, "r", 700);
+	CU_ASSERT_EQUAL(rt_get_answer_size(sizes, "r"), 700);
+	talloc_free(sizes);
+}
+
 static void test_answer_sizes(void)
 {
 	struct rt_answer_sizes *sizes = rt_new_answer_sizes(NULL);
@@ -483,6 +501,7 @@
 	{ "failure domains taken out", test_domains },
 	{ "bulky", test_bulky },
 	{ "answer sizes", test_answer_sizes },
+	{ "run times", test_run_times },
 	{ "return of refused callers", test_return_of_refused },
 	{ "versions of a move", test_versions },
 	{ "a limit on the share", test_limits },
