Recognize nested calls whose suffix has dots

Cause: the parent of a call was looked up by its id up to the last dot only, while the suffix that a target adds may have dots, for example for a second attempt. Change: the three dots before the last are tried, too; the number is bounded since callers choose the ids of their requests. Result: script classes of test_traffic: a call p.1.retry beside the running call p was fresh and is nested; p.1.2.3.4.5.6 is fresh.

--- a/src/traffic/classify.c
+++ b/src/traffic/classify.c
@@ -16,6 +16,8 @@
  */
 #define FRESH_BUDGET_PERMILLE 400U
 #define FIRST_NESTED_BUDGET_PERMILLE 700U
+/* Callers choose the ids of their requests, so the search is bounded. */
+#define SUFFIX_DOTS_MAX 3
 
 bool tr_is_controlled(const struct tr_call *call)
 {
@@ -24,22 +26,23 @@
 
 /*
  * Returns the call that the local target runs and that made this request, or
- * NULL: the request's id is the id of that call's request, a dot and a suffix.
+ * NULL: the request's id is the id of that call's request, a dot and a suffix,
+ * which may have SUFFIX_DOTS_MAX dots itself.
  */
 static struct tr_call *find_parent(const struct tr_call *call)
 {
-	const char *id =
-		hx_get_header(call->exchange,
-			      call->thread->service->options.names->request_id);
-	const char *dot = id ? strrchr(id, '.') : NULL;
-	struct tr_call *parent;
-	char *parent_id;
+	struct tr_call *parent = NULL;
+	char *id = g_strdup(hx_get_header(
+		call->exchange,
+		call->thread->service->options.names->request_id));
+	char *dot = id ? strrchr(id, '.') : NULL;
 
-	if (!dot)
-		return NULL;
-	parent_id = g_strndup(id, (gsize)(dot - id));
-	parent = g_hash_table_lookup(call->thread->running, parent_id);
-	g_free(parent_id);
+	for (int i = 0; dot && !parent && i <= SUFFIX_DOTS_MAX; i++) {
+		*dot = '\0';
+		parent = g_hash_table_lookup(call->thread->running, id);
+		dot = strrchr(id, '.');
+	}
+	g_free(id);
 	return parent;
 }
 
