Count answers of running calls in the model of the link

Cause: the model of the tests estimated the wait for the link without the answers of the calls that run, which src/traffic/hop.c includes.

--- a/src/admission/tests/test_class_load.c
+++ b/src/admission/tests/test_class_load.c
@@ -143,7 +143,26 @@
 	return state->now_ms + stream->objective_ms;
 }
 
-/* The bytes of calls that run or wait are not known to the link yet. */
+/*
+ * As src/traffic/hop.c: behind the answers on the link and those of the calls
+ * that run, and its own time twice.
+ */
+static uint32_t estimate_send_ms(const struct state *state,
+				 const struct stream *stream)
+{
+	uint32_t send_ms = get_send_ms(state, stream);
+	uint32_t large = 1;
+
+	if (send_ms == 0)
+		return 0;
+	for (guint i = 0; i < state->target->len; i++) {
+		const struct call *call = g_ptr_array_index(state->target, i);
+
+		large += call->stream && call->stream->is_large;
+	}
+	return send_ms + large * (ANSWER_KB / state->link_kb_per_ms);
+}
+
 static void admit(struct state *state, struct stream *stream, uint64_t work_us)
 {
 	struct call *call = g_new0(struct call, 1);
@@ -157,7 +176,7 @@
 		.priority = stream->priority,
 		.class = stream->class,
 		.kind = stream->name,
-		.send_us = get_send_ms(state, stream) * 1000,
+		.send_us = estimate_send_ms(state, stream) * 1000,
 	};
 
 	call->stream = stream;
