--- a/src/admission/schedule.c
+++ b/src/admission/schedule.c
@@ -20,9 +20,16 @@
 	return ticket;
 }
 
+/* Returns the latest time at which the call would have to start. */
+static uint64_t get_late_ms(const struct adm_entry *entry)
+{
+	return entry->latest_end_ms -
+	       MIN(entry->latest_end_ms, entry->run_us / 1000);
+}
+
 static bool is_late(const struct adm_entry *entry, uint64_t now_ms)
 {
-	return now_ms + entry->run_us / 1000 >= entry->latest_end_ms;
+	return now_ms >= get_late_ms(entry);
 }
 
 static bool is_before(enum rt_class class, uint64_t deadline_ms,
@@ -92,20 +99,34 @@
 	return oldest;
 }
 
-void *adm_take_next(struct adm_schedule *schedule, uint64_t now_ms)
+static GList *find_first(const struct adm_schedule *schedule, uint64_t now_ms)
 {
 	GList *link = schedule->waiting.head;
 
-	if (!link)
-		return NULL;
-	if (++schedule->start_count >= FAIR_START_PERIOD) {
-		schedule->start_count = 0;
-		link = find_longest_waiting(schedule, now_ms);
-		return link ? remove_link(schedule, link) : NULL;
-	}
 	while (link && is_late(link->data, now_ms))
 		link = link->next;
-	return link ? remove_link(schedule, link) : NULL;
+	return link;
+}
+
+void *adm_take_next(struct adm_schedule *schedule, uint64_t now_ms)
+{
+	bool is_fair = schedule->start_count + 1 >= FAIR_START_PERIOD;
+	GList *link = is_fair ? find_longest_waiting(schedule, now_ms)
+			      : find_first(schedule, now_ms);
+
+	if (!link)
+		return NULL;
+	schedule->start_count = is_fair ? 0 : schedule->start_count + 1;
+	return remove_link(schedule, link);
+}
+
+uint64_t adm_get_late_ms(const struct adm_schedule *schedule)
+{
+	uint64_t late_ms = UINT64_MAX;
+
+	for (GList *link = schedule->waiting.head; link; link = link->next)
+		late_ms = MIN(late_ms, get_late_ms(link->data));
+	return late_ms;
 }
 
 void *adm_take_late(struct adm_schedule *schedule, uint64_t now_ms)
@@ -124,6 +145,22 @@
 	return link ? remove_link(schedule, link) : NULL;
 }
 
+bool adm_displace_entry(struct adm_schedule *schedule, enum rt_class class)
+{
+	for (GList *link = schedule->waiting.tail; link; link = link->prev) {
+		struct adm_entry *entry = link->data;
+
+		if (entry->class <= class)
+			break;
+		/* It has already lost its place when it is late for good. */
+		if (entry->latest_end_ms == 0)
+			continue;
+		entry->latest_end_ms = 0;
+		return true;
+	}
+	return false;
+}
+
 bool adm_remove_entry(struct adm_schedule *schedule, const void *ticket)
 {
 	for (GList *link = schedule->waiting.head; link; link = link->next) {
