Read the era of the store and never mix two eras in its client

Cause: a store that returns from an older copy gives out revisions a second time. The client compared them: a watch whose revision the store had passed in the outage missed writes for up to ten minutes, a write on a version of before was sent and could meet its condition by chance, a lost answer was resolved with versions of two eras, an answer of before the loss was taken, and a competitor took a lease at once that the copy showed as free. Change: era.c decides on eras and packs (era, revision) into one number, eras.c applies it to a client: floors are dropped, watches list, answers of an older era count as lost, writes on older versions are not sent or end as unknown. A lease is suspended, and taken only after its era was followed for a duration and a margin. A dialect names the header; without one nothing changes.

--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -94,6 +94,7 @@
 	uint32_t status;
 	const char *body; /* NUL-terminated; valid only in the callback */
 	size_t body_size;
+	const char *header; /* value of answer_header; NULL: absent */
 };
 
 typedef void (*hc_answer_fn)(const struct hc_answer *answer, void *data);
@@ -106,7 +107,8 @@
 	const char *body; /* NULL: none; copied */
 	size_t body_size;
 	uint32_t timeout_ms;
-	size_t answer_bytes_max; /* a longer answer is an error */
+	size_t answer_bytes_max;   /* a longer answer is an error */
+	const char *answer_header; /* name of a header to read, or NULL */
 };
 
 /*
--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -27,6 +27,7 @@
 #include <talloc.h>
 #include <tevent.h>
 #include "loom/counter.h"
+#include "loom/era.h"
 #include "loom/timer.h"
 
 struct plat_client;
@@ -97,6 +98,11 @@
 	 */
 	bool (*parse_body)(TALLOC_CTX *ctx, const struct plat_operation *ask,
 			   json_t *root, struct plat_parsed_body *reading);
+	/*
+	 * Name of the header of all answers that holds the era of the store;
+	 * NULL: the store has no eras.
+	 */
+	const char *era_header;
 };
 
 /* The native dialect, described at the top of this file. */
@@ -137,6 +143,24 @@
 		struct tmr_service *timers, struct cnt_registry *counters,
 		const struct plat_options *options, GError **error);
 
+/* Returns the highest era seen of the store; 0: none. */
+uint64_t plat_get_era(const struct plat_client *client);
+bool plat_is_era_known(const struct plat_client *client);
+
+/*
+ * Called when the era has risen: the store has returned from an older copy.
+ * Versions and revisions read before must not be used any more, and what was
+ * written before may be lost. fn must not free calls, watches or leases of the
+ * client. Calls that end later never return a version of an older era: reads
+ * fail with ERR_GONE, writes with ERR_GONE or ERR_UNKNOWN_OUTCOME.
+ */
+typedef void (*plat_era_fn)(uint64_t era, void *data);
+
+/* Returns a new subscription owned by ctx, to be freed before the client. */
+struct plat_era_subscription *plat_subscribe_era(TALLOC_CTX *ctx,
+						 struct plat_client *client,
+						 plat_era_fn fn, void *data);
+
 /* Result of a call; it is valid only until the callback returns. */
 struct plat_result {
 	const GError *error; /* NULL: the call succeeded */
@@ -144,6 +168,7 @@
 	size_t object_count;
 	uint64_t version;  /* version of the written or conflicting object */
 	uint64_t revision; /* store revision */
+	uint64_t era;	   /* of the answer; 0: the store has none */
 };
 
 typedef void (*plat_result_fn)(const struct plat_result *result, void *data);
--- a/src/http/client_request.c
+++ b/src/http/client_request.c
@@ -19,6 +19,7 @@
 	char *url;
 	GString *answer;
 	size_t answer_bytes_max;
+	char *answer_header; /* NULL: none is read */
 	uint32_t send_count;
 	bool is_running;
 	bool is_too_long;
@@ -65,6 +66,18 @@
 	return ERR_UNKNOWN_OUTCOME;
 }
 
+/* Returns the value of the wanted header (borrowed), or NULL. */
+static const char *find_header(const struct hc_request *request)
+{
+	struct curl_header *header;
+
+	if (!request->answer_header ||
+	    curl_easy_header(request->easy, request->answer_header, 0,
+			     CURLH_HEADER, -1, &header) != CURLHE_OK)
+		return NULL;
+	return header->value;
+}
+
 static void handle_done(CURL *easy, CURLcode code, void *data)
 {
 	struct hc_request *request = data;
@@ -78,6 +91,7 @@
 		answer.status = (uint32_t)status;
 		answer.body = request->answer->str;
 		answer.body_size = request->answer->len;
+		answer.header = find_header(request);
 	} else {
 		err_set(&error, get_error_code(request, code), "send request",
 			request->url, "%s",
@@ -147,6 +161,9 @@
 	request->url = talloc_strdup(request, options->url);
 	request->answer = g_string_new(NULL);
 	request->answer_bytes_max = options->answer_bytes_max;
+	if (options->answer_header)
+		request->answer_header =
+			talloc_strdup(request, options->answer_header);
 	request->fn = fn;
 	request->data = data;
 	talloc_set_destructor(request, destroy_request);
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -27,6 +27,7 @@
 	struct hc_loop *http;
 	GRand *random;
 	struct plat_floors *floors;
+	struct plat_eras eras;
 	struct plat_bucket bucket;
 	GQueue calls; /* struct plat_call, all calls of the client */
 	GQueue queue; /* calls whose try waits to be sent */
@@ -116,6 +117,7 @@
 		call, client->options.dialect, &operation, http);
 
 	clear_request(call);
+	plat_note_answer_era(call, http, answer);
 	count_try(client, call->operation.kind, answer->outcome);
 	if (is_answered(answer))
 		client->answered_ms = tmr_get_now_ms(client->timers);
@@ -138,6 +140,7 @@
 		.headers = headers,
 		.timeout_ms = call->try_timeout_ms,
 		.answer_bytes_max = PLAT_ANSWER_BYTES_MAX,
+		.answer_header = client->options.dialect->era_header,
 	};
 
 	client->options.dialect->make_http_request(scratch, &operation,
@@ -157,6 +160,23 @@
 	talloc_free(scratch);
 }
 
+/* Returns whether the try is a write on a version of an older era. */
+static bool is_condition_lost(const struct plat_call *call)
+{
+	return call->operation.expected_version > 0 &&
+	       call->try_kind != PLAT_CALL_GET && plat_is_call_outdated(call);
+}
+
+/* Ends a try without sending it, as the store answers a lost revision. */
+static void refuse_try(struct plat_call *call)
+{
+	struct plat_answer *answer = talloc_zero(call, struct plat_answer);
+
+	answer->outcome = PLAT_HISTORY_GONE;
+	call->try_fn(call, answer);
+	talloc_free(answer);
+}
+
 static void handle_token_timer(uint64_t now_ms, void *data)
 {
 	struct plat_client *client = data;
@@ -183,7 +203,10 @@
 		}
 		g_queue_pop_head(&client->queue);
 		call->is_queued = false;
-		send_try(call);
+		if (is_condition_lost(call))
+			refuse_try(call);
+		else
+			send_try(call);
 	}
 }
 
@@ -217,6 +240,8 @@
 
 	call->delay_timer = NULL;
 	call->is_freed = is_freed;
+	if (!call->error && plat_is_answer_outdated(call))
+		plat_fail_outdated(call);
 	call->fn(&call->result, call->data);
 	if (!*is_freed)
 		talloc_free(call);
@@ -314,6 +339,7 @@
 	seed[1] = (guint32)(options->seed >> 32);
 	client->random = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
 	client->floors = plat_new_floors(client);
+	plat_start_eras(client);
 	g_queue_init(&client->calls);
 	g_queue_init(&client->queue);
 	g_queue_init(&client->parked);
@@ -339,6 +365,7 @@
 	call->value = json_incref((json_t *)operation->value);
 	call->operation.value = call->value;
 	plat_start_backoff(&call->backoff, client->options.retry_wait_ms_max);
+	call->start_rises = client->eras.rises;
 	call->try_fn = try_fn;
 	call->fn = fn;
 	call->data = data;
@@ -429,6 +456,11 @@
 	return client->answered_ms;
 }
 
+struct plat_eras *plat_get_eras(struct plat_client *client)
+{
+	return &client->eras;
+}
+
 struct plat_floors *plat_get_floors(struct plat_client *client)
 {
 	return client->floors;
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -31,6 +31,15 @@
  */
 typedef void (*plat_try_fn)(struct plat_call *call, struct plat_answer *answer);
 
+/* Eras of the store as the client has seen them (eras.c). */
+struct plat_eras {
+	struct plat_era known;
+	uint32_t rises;	      /* how often the era has risen */
+	GQueue subscriptions; /* struct plat_era_subscription */
+	GQueue watches;	      /* struct plat_watch, all of the client */
+	struct tmr_subscription *relist_timer;
+};
+
 struct plat_call {
 	struct plat_client *client;
 	struct plat_operation
@@ -45,6 +54,10 @@
 	struct plat_answer *stale_answer;  /* last stale response, or NULL */
 	struct plat_object *pages; /* list: objects of the pages so far */
 	size_t page_object_count;
+	/* Values of plat_eras.rises. */
+	uint32_t start_rises;  /* when the call was made */
+	uint32_t answer_rises; /* at the last answer */
+	uint32_t page_rises;   /* at the first of pages */
 
 	enum plat_call_kind try_kind; /* kind of the queued or current try */
 	struct hc_request *request;   /* NULL: none in flight */
@@ -115,6 +128,32 @@
 /* Returns when the store last answered a call and did not reject it. */
 uint64_t plat_get_answered_ms(const struct plat_client *client);
 
+/* eras.c: initializes the eras of a client. */
+void plat_start_eras(struct plat_client *client);
+
+/*
+ * eras.c: handles the era of an answer before the call handles the answer,
+ * which is discarded when it is of an older era.
+ */
+void plat_note_answer_era(struct plat_call *call, const struct hc_answer *http,
+			  struct plat_answer *answer);
+
+/*
+ * eras.c: return whether the era has risen since the call was made, and whether
+ * it has risen since its last answer, which is then worthless.
+ */
+bool plat_is_call_outdated(const struct plat_call *call);
+bool plat_is_answer_outdated(const struct plat_call *call);
+
+/* objects.c: replaces the result of an outdated answer by an error. */
+void plat_fail_outdated(struct plat_call *call);
+
+/* Makes a watch list next, after the era has risen (watch.c). */
+void plat_forget_watch_state(struct plat_watch *watch);
+
+/* Returns the eras of this client (borrowed). */
+struct plat_eras *plat_get_eras(struct plat_client *client);
+
 /* Returns the version floors of this client (borrowed). */
 struct plat_floors *plat_get_floors(struct plat_client *client);
 
--- a/src/platform/floors.c
+++ b/src/platform/floors.c
@@ -62,6 +62,11 @@
 		floor->accepted = 0;
 }
 
+void plat_clear_floors(struct plat_floors *floors)
+{
+	g_hash_table_remove_all(floors->keys);
+}
+
 void plat_drop_floor(struct plat_floors *floors, const char *key)
 {
 	g_hash_table_remove(floors->keys, key);
--- a/src/platform/floors.h
+++ b/src/platform/floors.h
@@ -32,6 +32,9 @@
  */
 void plat_reset_floor(struct plat_floors *floors, const char *key);
 
+/* Removes all floors: the store has entered a new era. */
+void plat_clear_floors(struct plat_floors *floors);
+
 /* Removes a key whose object was deleted. */
 void plat_drop_floor(struct plat_floors *floors, const char *key);
 
--- a/src/platform/lease.c
+++ b/src/platform/lease.c
@@ -29,6 +29,7 @@
 	struct plat_call *call;
 	struct tmr_subscription *timer;
 	struct tmr_subscription *tenure_end_timer;
+	struct plat_era_subscription *eras;
 	bool is_reported_held;
 	uint64_t reported_version;
 };
@@ -106,6 +107,8 @@
 	view->is_own =
 		lease->write_id && strcmp(get_text(object->value, "write_id"),
 					  lease->write_id) == 0;
+	view->is_holder =
+		strcmp(get_text(object->value, "holder"), lease->holder) == 0;
 	view->duration_ms = (uint32_t)CLAMP(json_integer_value(duration), 0,
 					    (json_int_t)G_MAXINT32);
 }
@@ -116,6 +119,8 @@
 	struct plat_lease_view view = { .is_free = true };
 
 	lease->call = NULL;
+	view.has_era = plat_is_era_known(lease->client);
+	view.era = plat_get_era(lease->client);
 	if (!result->error)
 		parse_view(lease, &result->objects[0], &view);
 	if (!result->error ||
@@ -132,7 +137,10 @@
 	uint64_t now_ms = get_now_ms(lease);
 
 	lease->call = NULL;
-	if (!result->error)
+	/* The condition of the write was read in another era. */
+	if (!result->error && result->era != lease->state.era)
+		plat_note_lease_failure(&lease->state, true);
+	else if (!result->error)
 		plat_note_lease_written(&lease->state, result->version, now_ms);
 	else if (g_error_matches(result->error, ERR_DOMAIN, ERR_CONFLICT))
 		plat_note_lease_conflict(&lease->state, result->version,
@@ -192,6 +200,28 @@
 						 LEASE_CALL_LIMIT_DIVISOR);
 }
 
+/*
+ * The store may have lost the lease: this competitor reads it at once. A call
+ * in progress fails or returns the state of the new era.
+ */
+static void handle_era(uint64_t era, void *data)
+{
+	struct plat_lease *lease = data;
+
+	plat_note_lease_era(&lease->state, get_now_ms(lease));
+	TALLOC_FREE(lease->tenure_end_timer);
+	/* The owner must not be called from within the client. */
+	lease->tenure_end_timer =
+		tmr_subscribe_once(lease, plat_get_timers(lease->client), 0,
+				   handle_tenure_end, lease);
+	if (lease->call)
+		return;
+	TALLOC_FREE(lease->timer);
+	lease->plan = (struct plat_lease_plan){ .action = PLAT_LEASE_READ };
+	lease->timer = tmr_subscribe_once(lease, plat_get_timers(lease->client),
+					  0, run_planned_action, lease);
+}
+
 static void ignore_result(const struct plat_result *result, void *data)
 {
 }
@@ -228,6 +258,7 @@
 	lease->data = data;
 	plat_start_lease(&lease->state, duration_ms);
 	talloc_set_destructor(lease, destroy_lease);
+	lease->eras = plat_subscribe_era(lease, client, handle_era, lease);
 	lease->plan.action = PLAT_LEASE_READ;
 	/* Spreads the first reads of competitors that start together. */
 	lease->timer = tmr_subscribe_once(
--- a/src/platform/lease_state.c
+++ b/src/platform/lease_state.c
@@ -14,6 +14,7 @@
 #include "lease_state.h"
 
 #include <assert.h>
+#include "loom/era.h"
 
 /* Divisors of the lease duration. */
 #define LEASE_MARGIN_DIVISOR 10U
@@ -48,6 +49,16 @@
 	return state->seen_ms + duration_ms + state->margin_ms;
 }
 
+/* Returns when the lease may be taken, as far as the era is concerned. */
+static uint64_t get_era_ready_ms(const struct plat_lease_state *state)
+{
+	if (state->era_seen_ms == 0)
+		return 0;
+	return state->era_seen_ms +
+	       MAX(state->duration_ms, state->holder_duration_ms) +
+	       state->margin_ms;
+}
+
 static uint32_t draw_delay_ms(GRand *random, uint32_t from_ms, uint32_t to_ms)
 {
 	return from_ms +
@@ -66,10 +77,37 @@
 	};
 }
 
+void plat_note_lease_era(struct plat_lease_state *state, uint64_t now_ms)
+{
+	if (plat_is_held_at(state, now_ms))
+		state->suspended_until_ms = state->valid_until_ms;
+	end_tenure(state);
+	state->is_own = false;
+	state->is_read_last = false;
+	state->is_conflict_last = false;
+	plat_reset_backoff(&state->backoff);
+}
+
+/* Versions of two eras are not compared: the lease counts as just seen. */
+static void note_view_era(struct plat_lease_state *state,
+			  const struct plat_lease_view *view, uint64_t now_ms)
+{
+	if (!view->has_era ||
+	    (state->era_seen_ms > 0 && state->era == view->era))
+		return;
+	state->era = view->era;
+	state->era_seen_ms = MAX(now_ms, 1);
+	state->version = view->version;
+	state->seen_ms = now_ms;
+}
+
 void plat_note_lease_read(struct plat_lease_state *state,
 			  const struct plat_lease_view *view, uint64_t now_ms)
 {
 	plat_reset_backoff(&state->backoff);
+	note_view_era(state, view, now_ms);
+	if (!view->is_holder || now_ms >= state->suspended_until_ms)
+		state->suspended_until_ms = 0;
 	record_seen_version(state, view->version, now_ms);
 	state->is_free = view->is_free;
 	state->is_own = view->is_own;
@@ -103,7 +141,7 @@
 	if (now_ms >= end_ms)
 		return;
 	if (state->fencing_version == 0)
-		state->fencing_version = version;
+		state->fencing_version = plat_make_stamp(state->era, version);
 	state->valid_until_ms = end_ms;
 }
 
@@ -116,6 +154,7 @@
 	state->is_own = false;
 	state->is_outcome_unknown = false;
 	state->is_conflict_last = true;
+	state->suspended_until_ms = 0;
 	end_tenure(state);
 }
 
@@ -142,7 +181,8 @@
 {
 	struct plat_lease_plan plan = { .action = PLAT_LEASE_READ };
 	uint32_t renewal_ms = get_renewal_ms(state);
-	uint64_t takeover_ms = get_takeover_ms(state);
+	uint64_t takeover_ms =
+		MAX(get_takeover_ms(state), get_era_ready_ms(state));
 	uint32_t poll_ms = draw_delay_ms(random, renewal_ms / 2, renewal_ms);
 
 	plan.delay_ms = poll_ms;
@@ -154,6 +194,22 @@
 	return plan;
 }
 
+/*
+ * Returns whether the lease that was read last is held by this competitor, free
+ * or expired, so that a write on its version may succeed.
+ */
+static bool may_write_after_read(const struct plat_lease_state *state,
+				 uint64_t now_ms)
+{
+	if (plat_is_held_at(state, now_ms) ||
+	    now_ms < state->suspended_until_ms)
+		return true;
+	if (now_ms < get_era_ready_ms(state))
+		return false;
+	return state->is_own || state->is_free ||
+	       now_ms >= get_takeover_ms(state);
+}
+
 struct plat_lease_plan plat_plan_lease(struct plat_lease_state *state,
 				       uint64_t now_ms, GRand *random)
 {
@@ -162,12 +218,7 @@
 	uint64_t renewal_ms = state->sent_ms + get_renewal_ms(state);
 
 	if (state->is_read_last) {
-		/*
-		 * Held by this competitor, free or expired: a write on this
-		 * version may succeed.
-		 */
-		if (state->is_own || state->is_free ||
-		    now_ms >= get_takeover_ms(state))
+		if (may_write_after_read(state, now_ms))
 			return plan;
 		return plan_next_read(state, now_ms, random);
 	}
--- a/src/platform/lease_state.h
+++ b/src/platform/lease_state.h
@@ -6,6 +6,12 @@
  * A holder counts the duration from before it sent the renewal, a competitor
  * from when it first read the version, so that no two clocks are compared. A
  * tenure is the time from acquiring the lease to losing it.
+ *
+ * A store with eras may have lost renewals, and then shows a lease as free or
+ * unchanged that somebody holds. A competitor therefore takes a lease only
+ * after it has followed the era of the lease for a duration and a margin. Only
+ * a holder whose tenure has not run out, and that the object still names, goes
+ * on at once.
  */
 #ifndef LOOM_PLATFORM_LEASE_STATE_H
 #define LOOM_PLATFORM_LEASE_STATE_H
@@ -39,7 +45,10 @@
 	bool is_conflict_last;	     /* the last event was a conflict */
 	uint64_t sent_ms;	     /* when the last write was sent */
 	uint64_t valid_until_ms;     /* 0: never held, or lost */
-	uint64_t fencing_version;    /* version of the tenure; 0: none */
+	uint64_t fencing_version;    /* stamp of the tenure; 0: none */
+	uint64_t era;		     /* of version */
+	uint64_t era_seen_ms;	     /* when a read first showed era; 0: none */
+	uint64_t suspended_until_ms; /* end of the tenure when the era rose */
 	struct plat_backoff backoff;
 };
 
@@ -49,6 +58,9 @@
 	bool is_free;	      /* absent or released */
 	bool is_own;	      /* holds the last write of this competitor */
 	uint32_t duration_ms; /* written by its holder; 0: unknown */
+	bool is_holder;	      /* names this competitor as the holder */
+	bool has_era;	      /* the store has eras */
+	uint64_t era;
 };
 
 /* Initializes a competitor that has not yet read the lease. */
@@ -58,6 +70,12 @@
 void plat_note_lease_read(struct plat_lease_state *state,
 			  const struct plat_lease_view *view, uint64_t now_ms);
 
+/*
+ * Handles a new era of the store: the tenure is suspended until a read shows
+ * that the store still has it.
+ */
+void plat_note_lease_era(struct plat_lease_state *state, uint64_t now_ms);
+
 /* Must be called immediately before a write is sent: validity starts here. */
 void plat_note_lease_sent(struct plat_lease_state *state, uint64_t now_ms);
 
--- a/src/platform/objects.c
+++ b/src/platform/objects.c
@@ -67,6 +67,24 @@
 	fail_call(call, get_code(outcome), plat_get_outcome_name(outcome));
 }
 
+static bool is_write(const struct plat_call *call)
+{
+	return call->operation.kind == PLAT_CALL_PUT ||
+	       call->operation.kind == PLAT_CALL_PUT_STATUS ||
+	       call->operation.kind == PLAT_CALL_DELETE;
+}
+
+void plat_fail_outdated(struct plat_call *call)
+{
+	err_set(&call->error, is_write(call) ? ERR_UNKNOWN_OUTCOME : ERR_GONE,
+		get_step(call), plat_get_options(call->client)->base_url,
+		"%s: the store has returned from an older copy since it "
+		"answered",
+		call->operation.key);
+	call->result.error = call->error;
+	call->result.object_count = 0;
+}
+
 static void finish_with_answer(struct plat_call *call,
 			       struct plat_answer *answer)
 {
@@ -75,6 +93,7 @@
 	call->result.object_count = answer->parsed.object_count;
 	call->result.version = answer->parsed.version;
 	call->result.revision = answer->parsed.revision;
+	call->result.era = plat_get_era(call->client);
 	plat_finish_call(call, NULL);
 }
 
@@ -149,6 +168,7 @@
 	if (!parsed->has_more && !call->pages)
 		return true;
 	answer->is_borrowed = true;
+	call->page_rises = call->answer_rises;
 	call->pages = talloc_realloc(call, call->pages, struct plat_object,
 				     count + 1);
 	for (size_t i = 0; i < parsed->object_count; i++)
@@ -165,12 +185,28 @@
 	return true;
 }
 
+/* Returns whether earlier pages of the list are of an older era. */
+static bool has_outdated_pages(const struct plat_call *call)
+{
+	return call->pages && call->page_rises != call->answer_rises;
+}
+
+static void restart_pages(struct plat_call *call)
+{
+	TALLOC_FREE(call->pages);
+	call->page_object_count = 0;
+	call->operation.after = NULL;
+	plat_queue_try(call, PLAT_CALL_LIST, 0);
+}
+
 static void handle_read(struct plat_call *call, struct plat_answer *answer)
 {
 	switch (answer->outcome) {
 	case PLAT_DONE:
-		if (!call->operation.may_be_stale &&
-		    !note_versions(call, answer))
+		if (has_outdated_pages(call))
+			restart_pages(call);
+		else if (!call->operation.may_be_stale &&
+			 !note_versions(call, answer))
 			retry_stale(call, answer);
 		else if (add_page(call, answer))
 			finish_with_answer(call, answer);
@@ -194,7 +230,10 @@
  */
 static void handle_poll(struct plat_call *call, struct plat_answer *answer)
 {
-	if (answer->outcome == PLAT_DONE) {
+	if (plat_is_call_outdated(call)) {
+		fail_call(call, ERR_GONE,
+			  "the revision is of an older era of the store");
+	} else if (answer->outcome == PLAT_DONE) {
 		/* Events may be older than what other calls have read. */
 		note_versions(call, answer);
 		finish_with_answer(call, answer);
@@ -245,6 +284,7 @@
 	const struct plat_resolution *resolution = &call->resolution;
 
 	call->result.version = resolution->version;
+	call->result.era = plat_get_era(call->client);
 	if (resolution->may_have_effect)
 		count_resolution(call);
 	switch (resolution->result) {
@@ -319,6 +359,8 @@
 
 static void handle_write(struct plat_call *call, struct plat_answer *answer)
 {
+	if (plat_is_call_outdated(call))
+		plat_note_new_era(&call->resolution);
 	if (call->is_expired) {
 		plat_note_expiry(&call->resolution,
 				 call->is_try_interrupted &&
--- a/src/platform/resolution.c
+++ b/src/platform/resolution.c
@@ -40,6 +40,11 @@
 		end_resolution(resolution, result);
 }
 
+void plat_note_new_era(struct plat_resolution *resolution)
+{
+	resolution->is_condition_lost = resolution->expected_version > 0;
+}
+
 void plat_note_write(struct plat_resolution *resolution,
 		     enum plat_outcome outcome, uint64_t version)
 {
@@ -48,7 +53,11 @@
 	resolution->version = version;
 	switch (outcome) {
 	case PLAT_DONE:
-		end_resolution(resolution, PLAT_WRITE_DONE);
+		/* It may have replaced the write of another on a condition
+		 * that was met by chance. */
+		end_resolution(resolution, resolution->is_condition_lost
+						   ? PLAT_WRITE_UNKNOWN
+						   : PLAT_WRITE_DONE);
 		return;
 	case PLAT_CONFLICT:
 		handle_rejection(resolution, PLAT_WRITE_CONFLICT);
@@ -89,6 +98,8 @@
 	resolution->version = version;
 	if (is_own_effect(resolution, read))
 		end_resolution(resolution, PLAT_WRITE_DONE);
+	else if (resolution->is_condition_lost)
+		end_resolution(resolution, PLAT_WRITE_UNKNOWN);
 	else if (version == resolution->expected_version)
 		resolution->step = PLAT_STEP_WRITE;
 	else if (version == resolution->expected_version + 1)
--- a/src/platform/resolution.h
+++ b/src/platform/resolution.h
@@ -29,7 +29,8 @@
 struct plat_resolution {
 	uint64_t expected_version;
 	bool is_delete;
-	bool may_have_effect; /* the response to a try was lost */
+	bool may_have_effect;	/* the response to a try was lost */
+	bool is_condition_lost; /* expected_version is of an older era */
 	enum plat_write_step step;
 	enum plat_write_result result; /* set when step is PLAT_STEP_END */
 	enum plat_outcome outcome;     /* outcome of the last try */
@@ -47,6 +48,12 @@
 void plat_start_resolution(struct plat_resolution *resolution,
 			   uint64_t expected_version, bool is_delete);
 
+/*
+ * Handles a new era of the store: versions of the old one cannot be compared
+ * with those that answers will show.
+ */
+void plat_note_new_era(struct plat_resolution *resolution);
+
 /* Handles the outcome of a try of the write; version is from the response. */
 void plat_note_write(struct plat_resolution *resolution,
 		     enum plat_outcome outcome, uint64_t version);
--- a/src/platform/tests/test_platform_decisions.c
+++ b/src/platform/tests/test_platform_decisions.c
@@ -221,6 +221,7 @@
 	struct plat_lease_state state;
 	GRand *random;
 	uint64_t now_ms;
+	uint64_t era; /* 0: the store has none */
 };
 
 static void print_lease(struct lease_fixture *fixture, GString *output)
@@ -253,6 +254,10 @@
 	uint64_t version = word_count > 2 ? get_number(words[2]) : 0;
 
 	view.version = version;
+	view.has_era = fixture->era > 0;
+	view.era = fixture->era;
+	view.is_holder =
+		strcmp(words[1], "holder") == 0 || strcmp(words[1], "own") == 0;
 	view.is_free = strcmp(words[1], "free") == 0;
 	view.is_own = strcmp(words[1], "own") == 0;
 	if (strcmp(words[1], "written") == 0)
@@ -263,7 +268,8 @@
 		plat_note_lease_failure(state, false);
 	else if (strcmp(words[1], "unknown") == 0)
 		plat_note_lease_failure(state, true);
-	else if (view.is_free || view.is_own || strcmp(words[1], "other") == 0)
+	else if (view.is_free || view.is_holder ||
+		 strcmp(words[1], "other") == 0)
 		plat_note_lease_read(state, &view, fixture->now_ms);
 	else
 		return false;
@@ -272,8 +278,10 @@
 
 /*
  * "start DURATION"; "NOW EVENT [VERSION]" with the events sent, written,
- * conflict, failed and unknown, and the results of a read: free, own and other;
- * "NOW look" prints whether the lease is held.
+ * conflict, failed and unknown, and the results of a read: free, own, holder
+ * (an earlier write of this competitor) and other; "NOW look" prints whether
+ * the lease is held; "NOW era N" is a new era, and "era N" the era from the
+ * start.
  */
 static bool run_lease(int word_count, char **words, GString *output,
 		      void *state)
@@ -285,6 +293,10 @@
 				 (uint32_t)get_number(words[1]));
 		return true;
 	}
+	if (is_step("era", 2, word_count, words)) {
+		fixture->era = get_number(words[1]);
+		return true;
+	}
 	if (word_count < 2)
 		return false;
 	fixture->now_ms = get_number(words[0]);
@@ -292,6 +304,11 @@
 		plat_note_lease_sent(&fixture->state, fixture->now_ms);
 		return true;
 	}
+	if (strcmp(words[1], "era") == 0) {
+		fixture->era = get_number(words[2]);
+		plat_note_lease_era(&fixture->state, fixture->now_ms);
+		return true;
+	}
 	if (strcmp(words[1], "look") == 0) {
 		g_string_append(output, plat_is_held_at(&fixture->state,
 							fixture->now_ms)
@@ -310,6 +327,8 @@
 	struct lease_fixture fixture = { .random = g_rand_new_with_seed(7) };
 
 	scr_run("lease", run_lease, &fixture);
+	fixture.era = 0;
+	scr_run("lease_era", run_lease, &fixture);
 	g_rand_free(fixture.random);
 }
 
--- a/src/platform/watch.c
+++ b/src/platform/watch.c
@@ -238,6 +238,7 @@
 
 static int destroy_watch(struct plat_watch *watch)
 {
+	g_queue_remove(&plat_get_eras(watch->client)->watches, watch);
 	plat_leave_outage(watch->client, watch);
 	return 0;
 }
@@ -263,6 +264,7 @@
 	watch->fn = fn;
 	watch->data = data;
 	talloc_set_destructor(watch, destroy_watch);
+	g_queue_push_tail(&plat_get_eras(client)->watches, watch);
 	plat_start_backoff(&watch->backoff,
 			   plat_get_options(client)->retry_wait_ms_max);
 	start_timer(watch, plat_choose_jitter_ms(
@@ -291,6 +293,19 @@
 	start_timer(watch, 0);
 }
 
+void plat_forget_watch_state(struct plat_watch *watch)
+{
+	bool is_polling = watch->call && watch->can_resume;
+
+	watch->can_resume = false;
+	watch->newest_revision = 0;
+	watch->quick_poll_count = 0;
+	if (!is_polling)
+		return;
+	TALLOC_FREE(watch->call);
+	start_timer(watch, 0);
+}
+
 void plat_relist_watch(struct plat_watch *watch)
 {
 	if (!watch->call || !watch->can_resume)
--- a/tests/fakes/object_api.c
+++ b/tests/fakes/object_api.c
@@ -57,10 +57,22 @@
 	return pending;
 }
 
+static void add_era(const struct api_server *server,
+		    struct web_request *request)
+{
+	char text[16];
+
+	g_snprintf(text, sizeof(text), "%u", server->faults.era);
+	if (server->faults.era > 0)
+		web_add_header(request, API_ERA_HEADER, text);
+}
+
 struct web_request *api_take_pending(struct pending *pending)
 {
 	struct web_request *request = pending->request;
 
+	if (pending->kind == PENDING_WATCH)
+		add_era(pending->server, request);
 	web_set_closed_fn(request, NULL, NULL);
 	talloc_free(pending);
 	return request;
@@ -248,6 +260,7 @@
 		server, request,
 		wait_ms == 0 || server->faults.answers_watch_at_once, &status);
 	if (answer) {
+		add_era(server, request);
 		web_reply_json(request, status, answer);
 		return;
 	}
@@ -323,6 +336,8 @@
 {
 	enum call_kind kind = get_kind(request);
 
+	if (kind != CALL_WATCH)
+		add_era(server, request);
 	switch (kind) {
 	case CALL_GET:
 		get_object(server, request);
--- a/tests/fakes/object_api.h
+++ b/tests/fakes/object_api.h
@@ -17,6 +17,8 @@
  *     history with an empty list of events instead of 410
  *   forget_history: true deletes the history of events
  *   save, restore: saves the state under a name, or returns to it
+ *   era: N is sent as the era of the store with each answer, in the header
+ *     API_ERA_HEADER; 0 sends none
  *   stale_from, stale_reads: the next N reads of an object are answered from
  *     the saved state of that name
  *   only_from: calls whose Host header does not begin with this text are
@@ -35,6 +37,8 @@
 #include <tevent.h>
 #include "loom/timer.h"
 
+#define API_ERA_HEADER "Fake-Era"
+
 struct api_server;
 
 struct api_options {
--- a/tests/fakes/object_api_state.h
+++ b/tests/fakes/object_api_state.h
@@ -37,6 +37,7 @@
 	uint32_t drop_before;
 	uint32_t refuse_rate;
 	uint32_t stale_reads;
+	uint32_t era;
 	char *stale_from;
 	char *only_from;
 };
--- a/tests/fakes/object_faults.c
+++ b/tests/fakes/object_faults.c
@@ -104,6 +104,7 @@
 	set_count(faults, "lose_answers", &server->faults.lose_answers);
 	set_count(faults, "drop_before", &server->faults.drop_before);
 	set_count(faults, "refuse_rate", &server->faults.refuse_rate);
+	set_count(faults, "era", &server->faults.era);
 	set_count(faults, "stale_reads", &server->faults.stale_reads);
 	set_text(server, faults, "stale_from", &server->faults.stale_from);
 	set_text(server, faults, "only_from", &server->faults.only_from);
