Keep what the store has lost in force, and write it again

Cause: after a return of the store from an older copy nodes ignored its states until its revisions had passed the known ones, and then took the older state for a change: failure domains and the results of moves reverted, changes in between were hidden, and the objects of nodes, departures and results stayed lost. Change: revisions of moves and failure domains are stamps of era and revision. reversion.c decides for each item of a state of a new era whether the store lost its change, shows it from before one, or was changed since; nodes tell each other what the store lacks. A result of a move, the last departure and the object of a node are written again. A node that follows others learns of the era from them. The orders of moves go to a file of their own.

--- a/include/loom/era.h
+++ b/include/loom/era.h
@@ -13,11 +13,16 @@
 #include <stdint.h>
 
 /*
- * 20 bits for the era and 42 for the revision: the sum of two stamps, which
- * nodes announce, still fits into a signed 64-bit integer.
+ * 20 bits for the era, one for PLAT_STAMP_TOLD and 41 for the revision: the sum
+ * of two stamps, which nodes announce, still fits into a signed 64-bit integer.
  */
 #define PLAT_ERA_MAX ((UINT64_C(1) << 20) - 1)
-#define PLAT_REVISION_MAX ((UINT64_C(1) << 42) - 1)
+#define PLAT_REVISION_MAX ((UINT64_C(1) << 41) - 1)
+/*
+ * Set by nodes in the stamp of a state that includes what the store has lost at
+ * the begin of the era. Such a state is above all others of the era.
+ */
+#define PLAT_STAMP_TOLD (UINT64_C(1) << 41)
 
 /* The highest era seen. */
 struct plat_era {
--- a/src/node/changes.c
+++ b/src/node/changes.c
@@ -6,7 +6,12 @@
  *	 "gateway": delta from sequence S, or the whole gateway,
  *	 "moves": {"revision", "orders": [{"service", "to", "id", "limit_ms",
  *					   "state", "version"}]},
- *	 "domains": {"revision", "out": [...]}}
+ *	 "domains": {"revision", "out": [...]},
+ *	 "reverted": {"moves": ..., "domains": ...}}
+ *
+ * Revisions are stamps (loom/era.h). "reverted" tells, for each part that is
+ * present, on which items the store disagrees since it was restored
+ * (reversion.h).
  *
  * Only the parts that are newer are present. is_fit is true when the answering
  * node follows the store and has its current state.
@@ -65,6 +70,22 @@
 	return cached->text;
 }
 
+static void add_reverted(json_t *changes, const char *part,
+			 const struct nd_reversion *reversion, uint64_t now_ms)
+{
+	json_t *value = nd_format_reversion(reversion, now_ms);
+	json_t *reverted;
+
+	if (!value)
+		return;
+	reverted = json_object_get(changes, "reverted");
+	if (!reverted) {
+		reverted = json_object();
+		json_object_set_new(changes, "reverted", reverted);
+	}
+	json_object_set_new(reverted, part, value);
+}
+
 /*
  * Returns new JSON with is_fit and the parts that are newer, without the
  * gateway.
@@ -73,19 +94,26 @@
 			    const struct nd_progress *known,
 			    const struct nd_progress *own)
 {
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
 	json_t *changes =
 		json_pack("{s:b}", "is_fit", (int)nd_is_store_synced(node));
 
-	if (own->moves > known->moves)
+	if (own->moves > known->moves) {
 		json_object_set_new(changes, "moves",
 				    json_pack("{s:I,s:o}", "revision",
 					      (json_int_t)own->moves, "orders",
 					      nd_make_move_requests(node)));
-	if (own->domains > known->domains)
+		add_reverted(changes, "moves", node->gateway.moves_reversion,
+			     now_ms);
+	}
+	if (own->domains > known->domains) {
 		json_object_set_new(changes, "domains",
 				    json_pack("{s:I,s:o}", "revision",
 					      (json_int_t)own->domains, "out",
 					      nd_make_domains_out(node)));
+		add_reverted(changes, "domains",
+			     node->gateway.domains_reversion, now_ms);
+	}
 	return changes;
 }
 
@@ -111,18 +139,20 @@
 	return is_valid && doc_parse_move_state(state, &move_request->state);
 }
 
-static void apply_moves(struct nd_node *node, struct rd_object *object)
+static void apply_moves(struct nd_node *node, struct rd_object *object,
+			const json_t *reverted)
 {
 	struct rd_object *moves = rd_open_field(object, "moves", RD_OPTIONAL);
+	struct nd_state_origin origin = { .is_from_peer = true,
+					  .reverted = reverted };
 	struct nd_move_request *requests;
-	uint64_t revision = 0;
 	size_t count = 0;
 	size_t used = 0;
 
 	if (!moves)
 		return;
 	rd_read_uint64(moves, "revision", RD_REQUIRED, &revision_range,
-		       &revision);
+		       &origin.revision);
 	rd_read_array(moves, "orders", RD_REQUIRED, &move_requests_range,
 		      &count);
 	requests = talloc_zero_array(moves, struct nd_move_request, count);
@@ -133,30 +163,32 @@
 			used++;
 	}
 	if (used == count)
-		nd_apply_move_requests(node, requests, count, revision, true);
+		nd_apply_move_requests(node, requests, count, &origin);
 	rd_close_object(moves);
 }
 
-static void apply_domains(struct nd_node *node, struct rd_object *object)
+static void apply_domains(struct nd_node *node, struct rd_object *object,
+			  const json_t *reverted)
 {
 	struct rd_object *domains =
 		rd_open_field(object, "domains", RD_OPTIONAL);
+	struct nd_state_origin origin = { .is_from_peer = true,
+					  .reverted = reverted };
 	const char **names;
-	uint64_t revision = 0;
 	size_t count = 0;
 	size_t used = 0;
 
 	if (!domains)
 		return;
 	rd_read_uint64(domains, "revision", RD_REQUIRED, &revision_range,
-		       &revision);
+		       &origin.revision);
 	rd_read_array(domains, "out", RD_REQUIRED, &domains_range, &count);
 	names = talloc_zero_array(domains, const char *, count + 1);
 	for (size_t i = 0; i < count; i++)
 		used += rd_read_text_item(domains, "out", i, &text_range,
 					  &names[i]);
 	if (used == count)
-		nd_apply_domains_out(node, names, revision, true);
+		nd_apply_domains_out(node, names, &origin);
 	rd_close_object(domains);
 }
 
@@ -252,13 +284,16 @@
 	struct rd_object *object =
 		rd_open_object(scratch, changes, "changes", list);
 	const json_t *delta = json_object_get(changes, "gateway");
+	const json_t *reverted = json_object_get(changes, "reverted");
 	bool is_valid = false;
 
 	if (!object)
 		goto out;
 	rd_read_bool(object, "is_fit", RD_REQUIRED, is_peer_synced);
-	apply_moves(node, object);
-	apply_domains(node, object);
+	apply_moves(node, object, json_object_get(reverted, "moves"));
+	apply_domains(node, object, json_object_get(reverted, "domains"));
+	nd_note_peer_era(node,
+			 plat_get_stamp_era(node->gateway.moves_revision.seen));
 	is_valid = !delta || apply_gateway(node, peer, delta, base);
 out:
 	is_valid = !log_problems(peer, list) && is_valid;
--- a/src/node/departures.c
+++ b/src/node/departures.c
@@ -36,6 +36,18 @@
 
 static void read_departure(struct nd_node *node);
 
+/* Remembers the departure that the store has, in case it loses it. */
+static void set_stored(struct nd_departures *departures, TALLOC_CTX *ctx,
+		       const char *id, uint64_t started_ms)
+{
+	char *copy = talloc_strdup(ctx, id);
+
+	talloc_free(departures->stored_id);
+	departures->stored_id = copy;
+	departures->stored_started_ms = started_ms;
+	departures->is_lost = false;
+}
+
 static char *make_key(TALLOC_CTX *ctx, const struct nd_node *node)
 {
 	return talloc_asprintf(ctx, KEY_PREFIX "%s", node->settings->address);
@@ -99,6 +111,8 @@
 		return;
 	}
 	departures->version = result->version;
+	set_stored(departures, node, departures->written_id,
+		   departures->written_ms);
 	/* Another instance may have followed meanwhile. */
 	if (departures->written_ms != node->instance.started_ms) {
 		nd_store_departure(node);
@@ -110,18 +124,23 @@
 	acknowledge_all(node);
 }
 
-static void write_departure(struct nd_node *node)
+static void write_departure(struct nd_node *node, const char *id,
+			    uint64_t started_ms)
 {
 	struct nd_departures *departures = &node->departures;
-	const struct nd_instance *left = &node->instance;
 	TALLOC_CTX *scratch = talloc_new(node);
-	json_t *value = json_pack(
-		"{s:s,s:I,s:s}", "instance", left->id, "started_ms",
-		(json_int_t)left->started_ms, "write_id",
-		plat_make_write_id(scratch, node->platform, left->id));
-
+	json_t *value =
+		json_pack("{s:s,s:I,s:s}", "instance", id, "started_ms",
+			  (json_int_t)started_ms, "write_id",
+			  plat_make_write_id(scratch, node->platform, id));
+	char *written_id = talloc_strdup(node, id);
+
+	if (departures->is_lost)
+		nd_record_rewrite(node, "departure", id);
+	talloc_free(departures->written_id);
+	departures->written_id = written_id;
 	departures->is_busy = true;
-	departures->written_ms = left->started_ms;
+	departures->written_ms = started_ms;
 	plat_put_object(node, node->platform, make_key(scratch, node), value,
 			departures->version, handle_written, node);
 	json_decref(value);
@@ -158,6 +177,11 @@
 		json_object_get(object->value, "started_ms"));
 
 	node->departures.version = object->version;
+	if (node->departures.is_lost &&
+	    (uint64_t)started_ms < node->departures.stored_started_ms)
+		return;
+	if (id && started_ms > 0)
+		set_stored(&node->departures, node, id, (uint64_t)started_ms);
 	if (id && started_ms > 0)
 		apply_stored(node, id, (uint64_t)started_ms);
 	else
@@ -190,6 +214,7 @@
 		return;
 	}
 	departures->version = 0;
+	departures->is_stored = false;
 	if (!is_absent && result->object_count > 0)
 		read_stored(node, &result->objects[0]);
 	if (!departures->is_known)
@@ -216,14 +241,24 @@
 	read_departure(node);
 }
 
+void nd_check_departure(struct nd_node *node)
+{
+	if (!node->departures.is_busy)
+		read_departure(node);
+}
+
 void nd_store_departure(struct nd_node *node)
 {
 	struct nd_departures *departures = &node->departures;
+	const struct nd_instance *left = &node->instance;
 
-	if (!node->instance.id || !node->instance.is_leaving)
+	if (departures->is_busy)
 		return;
-	if (!departures->is_busy)
-		write_departure(node);
+	if (left->id && left->is_leaving)
+		write_departure(node, left->id, left->started_ms);
+	else if (departures->is_lost)
+		write_departure(node, departures->stored_id,
+				departures->stored_started_ms);
 }
 
 static void hold_heartbeat(struct nd_node *node,
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -81,7 +81,9 @@
 	if (!nd_open_moves(node, error))
 		return false;
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
+	node->gateway.domains_reversion = nd_new_reversion(node);
 	nd_open_departures(node);
+	nd_open_restored(node);
 	return nd_open_relay(node, error);
 }
 
@@ -142,18 +144,30 @@
 						 trim_memory, state);
 }
 
-void nd_apply_domains_out(struct nd_node *node, const char *const *names,
-			  uint64_t revision, bool is_from_peer)
+/* Returns the names in force after a list, as a new array owned by ctx. */
+static const char **merge_names(struct nd_node *node, TALLOC_CTX *ctx,
+				const char *const *names,
+				const struct nd_state_origin *origin)
+{
+	struct nd_reversion *reversion = node->gateway.domains_reversion;
+	uint64_t now_ms = tmr_get_now_ms(node->timers);
+	size_t count = g_strv_length((char **)names);
+	struct nd_item *items = talloc_array(ctx, struct nd_item, count);
+	enum nd_verdict *verdicts = talloc_array(ctx, enum nd_verdict, count);
+
+	for (size_t i = 0; i < count; i++)
+		items[i] = (struct nd_item){ .name = names[i], .label = "" };
+	nd_merge_items(reversion, items, count,
+		       plat_get_stamp_era(origin->revision), now_ms, verdicts);
+	nd_read_reversion(reversion, origin->reverted, now_ms);
+	return nd_list_items(reversion, ctx);
+}
+
+static void set_names(struct nd_node *node, const char *const *names)
 {
 	struct nd_gateway_state *state = &node->gateway;
 	size_t count = g_strv_length((char **)names);
-	bool is_same = are_names_same(state->domains_out, names);
 
-	if (!nd_accept_state(&state->domains_revision, revision,
-			     is_from_peer) ||
-	    is_same)
-		goto out;
-	nd_announce_difference(&state->domains_revision);
 	talloc_free(state->domains_out);
 	state->domains_out = talloc_zero_array(node, const char *, count + 1);
 	for (size_t i = 0; i < count; i++)
@@ -163,12 +177,33 @@
 		  "failure domains taken out of service", "first",
 		  count ? names[0] : "none", LOG_END);
 	nd_build_snapshot(state);
+}
+
+void nd_apply_domains_out(struct nd_node *node, const char *const *names,
+			  const struct nd_state_origin *origin)
+{
+	struct nd_gateway_state *state = &node->gateway;
+	TALLOC_CTX *scratch = talloc_new(node);
+	const char **merged;
+
+	if (!nd_accept_state(&state->domains_revision, origin->revision,
+			     origin->is_from_peer,
+			     tmr_get_now_ms(node->timers)))
+		goto out;
+	merged = merge_names(node, scratch, names, origin);
+	if (are_names_same(state->domains_out, merged))
+		goto out;
+	nd_announce_difference(&state->domains_revision);
+	set_names(node, merged);
 out:
+	talloc_free(scratch);
 	nd_announce_progress(node);
 }
 
 void nd_set_domains_out(struct nd_node *node, const char *const *names,
 			uint64_t revision)
 {
-	nd_apply_domains_out(node, names, revision, false);
+	const struct nd_state_origin origin = { .revision = revision };
+
+	nd_apply_domains_out(node, names, &origin);
 }
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -14,6 +14,7 @@
 #include "loom/timer.h"
 #include "loom/traffic.h"
 #include "node.h"
+#include "reversion.h"
 #include "revision.h"
 
 enum nd_phase {
@@ -54,8 +55,10 @@
 	struct doc_snapshot *snapshot; /* from gateway, moves and domains */
 	const char **domains_out; /* NULL-terminated; NULL: not known yet */
 	struct nd_revision domains_revision;
+	struct nd_reversion *domains_reversion;
 	bool are_moves_known;
 	struct nd_revision moves_revision;
+	struct nd_reversion *moves_reversion;
 	GHashTable *moves;     /* maps a service to its struct nd_move */
 	GHashTable *withdrawn; /* see withdrawn.h */
 	struct rls_reports *reports;
@@ -69,8 +72,15 @@
  */
 struct nd_progress {
 	uint64_t gateway; /* sequence of the gateway document */
-	uint64_t moves;	  /* store revision of the moves */
-	uint64_t domains; /* store revision of the domains */
+	uint64_t moves;	  /* stamp of the moves (loom/era.h) */
+	uint64_t domains; /* stamp of the domains */
+};
+
+/* Where the state of a part comes from. */
+struct nd_state_origin {
+	uint64_t revision; /* stamp of the state */
+	bool is_from_peer;
+	const json_t *reverted; /* from a peer: what the store lacks, or NULL */
 };
 
 /*
@@ -121,11 +131,15 @@
 
 /* State of the departures of the target that the store keeps. */
 struct nd_departures {
-	bool is_known;		   /* what the store had at the start */
-	bool is_busy;		   /* reads or writes */
-	bool is_stored;		   /* the store has that the instance leaves */
-	uint64_t version;	   /* of the object in the store; 0: absent */
-	uint64_t written_ms;	   /* start of the instance in the last write */
+	bool is_known;	     /* what the store had at the start */
+	bool is_busy;	     /* reads or writes */
+	bool is_stored;	     /* the store has that the instance leaves */
+	uint64_t version;    /* of the object in the store; 0: absent */
+	uint64_t written_ms; /* start of the instance in the last write */
+	char *written_id;    /* the instance itself */
+	char *stored_id;     /* last departure that the store had */
+	uint64_t stored_started_ms;
+	bool is_lost; /* the store may lack it since it was restored */
 	struct nd_heartbeat *held; /* not accepted yet; NULL: none */
 	uint64_t held_ms;	   /* when the first one was held */
 	GQueue waiters;
@@ -153,6 +167,7 @@
 	uint64_t drain_start_ms;
 	bool is_refusing; /* new calls of callers are refused */
 	struct tmr_subscription *drain_poll;
+	struct tmr_subscription *era_check; /* see restored.c */
 	int exit_code;
 };
 
@@ -209,23 +224,23 @@
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
 /*
- * moves.c and gateway.c: return new JSON with the move requests, or with the
+ * orders.c and gateway.c: return new JSON with the move requests, or with the
  * failure domains taken out of service, as sent to other nodes.
  */
 json_t *nd_make_move_requests(const struct nd_node *node);
 json_t *nd_make_domains_out(const struct nd_node *node);
 
 /*
- * moves.c and gateway.c: as nd_set_move_requests() and nd_set_domains_out(),
+ * orders.c and gateway.c: as nd_set_move_requests() and nd_set_domains_out(),
  * for a state from the store or from a peer. A state from a peer always raises
  * the announced revision; one from the store raises it only when the content
  * differs.
  */
 void nd_apply_move_requests(struct nd_node *node,
 			    const struct nd_move_request *requests,
-			    size_t count, uint64_t revision, bool is_from_peer);
+			    size_t count, const struct nd_state_origin *origin);
 void nd_apply_domains_out(struct nd_node *node, const char *const *names,
-			  uint64_t revision, bool is_from_peer);
+			  const struct nd_state_origin *origin);
 
 /* relay.c: initializes the relay, updates it at each tick, and frees it. */
 bool nd_open_relay(struct nd_node *node, GError **error);
@@ -296,6 +311,19 @@
 bool nd_hold_heartbeat(struct nd_node *node,
 		       const struct nd_heartbeat *heartbeat);
 
+/*
+ * departures.c: reads the departure in the store anew, because the store may
+ * have lost it or has entered an era that this node has not seen.
+ */
+void nd_check_departure(struct nd_node *node);
+
+/*
+ * restored.c: follows the eras of the store. nd_note_peer_era() handles an era
+ * that another node has seen.
+ */
+void nd_open_restored(struct nd_node *node);
+void nd_note_peer_era(struct nd_node *node, uint64_t era);
+
 /* shutdown.c: handles SIGTERM and SIGINT by a graceful shutdown. */
 void nd_watch_signals(struct nd_node *node);
 
--- a/src/node/moves.c
+++ b/src/node/moves.c
@@ -11,8 +11,8 @@
 #include <string.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "move.h"
 #include "move_log.h"
-#include "move_request.h"
 #include "progress.h"
 #include "ranks.h"
 #include "reports.h"
@@ -38,26 +38,6 @@
 /* The same for the end of a move, which has little time left. */
 #define DONE_RETRY_MS 200U
 
-struct nd_move {
-	struct nd_move_request request;
-	struct mv_ramp_limits limits;
-	struct mv_evaluation *evaluation;
-	json_t *unreported;	  /* counts not yet sent to the evaluators */
-	uint64_t reported_ms;	  /* when counts were last sent */
-	uint32_t share_permille;  /* share in the snapshot */
-	struct mv_turn turn;	  /* turn in the snapshot */
-	uint64_t wanted_since_ms; /* 0: no change wanted */
-	enum doc_move_state wanted_state;
-	uint64_t requested_ms; /* 0: not requested yet */
-	uint32_t logged_step;
-};
-
-static bool has_ended(const struct nd_move *move)
-{
-	return move->request.state == DOC_MOVE_DONE ||
-	       move->request.state == DOC_MOVE_TAKEN_BACK;
-}
-
 static void fill_move(const struct nd_move *move,
 		      struct doc_gateway_move *filled)
 {
@@ -186,6 +166,8 @@
 	log_move(node, move, doc_get_move_state_name(wanted_state),
 		 move->logged_step, now_ms);
 	request.state = wanted_state;
+	if (nd_has_move_ended(move))
+		nd_record_rewrite(node, "move_result", request.service);
 	if (node->gateway.move_state_fn)
 		node->gateway.move_state_fn(
 			&request, mv_get_evaluation_reason(move->evaluation),
@@ -215,8 +197,11 @@
 	const struct mem_member *members;
 	size_t member_count;
 
-	if (has_ended(move))
+	if (nd_has_move_ended(move)) {
+		if (!nd_has_state_ended(move->stored_state))
+			request_state(node, move, move->request.state, now_ms);
 		return;
+	}
 	member_count = mem_list_members(node->members, &members);
 	mv_set_target_count(move->evaluation,
 			    nd_count_targets(members, member_count,
@@ -241,12 +226,12 @@
 	}
 }
 
-static bool update_share(struct nd_move *move, uint64_t now_ms)
+bool nd_update_share(struct nd_move *move, uint64_t now_ms)
 {
 	uint32_t share_permille = get_share(move, now_ms);
 	struct mv_turn turn = { .count = 1 };
 
-	if (!has_ended(move))
+	if (!nd_has_move_ended(move))
 		turn = mv_get_evaluated_turn(move->evaluation, now_ms);
 	if (share_permille == move->share_permille &&
 	    turn.index == move->turn.index && turn.count == move->turn.count)
@@ -267,12 +252,13 @@
 	talloc_free(data);
 }
 
-static struct nd_move *new_move(struct nd_node *node,
-				const struct nd_move_request *request)
+struct nd_move *nd_new_move(struct nd_node *node,
+			    const struct nd_move_request *request)
 {
 	struct nd_move *move = talloc_zero(node, struct nd_move);
 
 	move->request = *request;
+	move->stored_state = request->state;
 	move->request.service = talloc_strdup(move, request->service);
 	move->request.to = talloc_strdup(move, request->to);
 	move->limits = mv_get_ramp_limits(
@@ -284,35 +270,6 @@
 	return move;
 }
 
-/* Returns whether the request differs from the known one. */
-static bool apply_move_request(struct nd_node *node,
-			       const struct nd_move_request *request)
-{
-	GHashTable *moves = node->gateway.moves;
-	struct nd_move *move = g_hash_table_lookup(moves, request->service);
-
-	if (move && nd_is_same_request(&move->request, request))
-		return false;
-	if (!move || move->request.id != request->id ||
-	    strcmp(move->request.to, request->to) != 0) {
-		move = new_move(node, request);
-		g_hash_table_replace(moves, (gpointer)move->request.service,
-				     move);
-	}
-	if (move->request.state != request->state)
-		move->wanted_since_ms = 0;
-	move->request.state = request->state;
-	move->request.version = request->version;
-	if (has_ended(move))
-		nd_record_end(node->gateway.withdrawn, request);
-	update_share(move, tmr_get_now_ms(node->timers));
-	log_write(LOG_LEVEL_INFO, "node", "take order", NULL,
-		  "move request applied", "service", request->service, "to",
-		  request->to, "state", doc_get_move_state_name(request->state),
-		  LOG_END);
-	return true;
-}
-
 /*
  * Returns the move that a report or its answer names, or NULL. An order that
  * was changed to another version keeps its id.
@@ -353,7 +310,7 @@
 			  "another node has found the version bad", "service",
 			  move->request.service, "to", move->request.to,
 			  LOG_END);
-	return update_share(move, now_ms);
+	return nd_update_share(move, now_ms);
 }
 
 static void handle_report_answer(const json_t *answer, void *data)
@@ -380,7 +337,7 @@
 	if (!node->gateway.moves || sample->counts.calls == 0)
 		return;
 	move = g_hash_table_lookup(node->gateway.moves, sample->service);
-	if (!move || has_ended(move))
+	if (!move || nd_has_move_ended(move))
 		return;
 	mv_record_own_counts(move->evaluation, sample->version, sample->route,
 			     &sample->counts, now_ms);
@@ -471,64 +428,6 @@
 	return DOC_VERSION_ANY;
 }
 
-void nd_set_move_state_fn(struct nd_node *node, nd_move_state_fn fn, void *data)
-{
-	node->gateway.move_state_fn = fn;
-	node->gateway.move_state_data = data;
-}
-
-json_t *nd_make_move_requests(const struct nd_node *node)
-{
-	json_t *requests = json_array();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->gateway.moves);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct nd_move *move = value;
-
-		json_array_append_new(requests,
-				      nd_format_request(&move->request));
-	}
-	return requests;
-}
-
-void nd_apply_move_requests(struct nd_node *node,
-			    const struct nd_move_request *requests,
-			    size_t count, uint64_t revision, bool is_from_peer)
-{
-	struct nd_gateway_state *state = &node->gateway;
-	bool is_changed = !state->are_moves_known;
-	GHashTableIter iter;
-	gpointer key;
-
-	if (!nd_accept_state(&state->moves_revision, revision, is_from_peer))
-		goto out;
-	for (size_t i = 0; i < count; i++)
-		is_changed |= apply_move_request(node, &requests[i]);
-	g_hash_table_iter_init(&iter, state->moves);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (nd_is_listed(requests, count, key))
-			continue;
-		g_hash_table_iter_remove(&iter);
-		is_changed = true;
-	}
-	state->are_moves_known = true;
-	if (!is_changed)
-		goto out;
-	nd_announce_difference(&state->moves_revision);
-	nd_build_snapshot(state);
-out:
-	nd_announce_progress(node);
-}
-
-void nd_set_move_requests(struct nd_node *node,
-			  const struct nd_move_request *requests, size_t count,
-			  uint64_t revision)
-{
-	nd_apply_move_requests(node, requests, count, revision, false);
-}
-
 size_t nd_list_moves(struct nd_node *node, TALLOC_CTX *ctx,
 		     struct doc_gateway_move **moves)
 {
@@ -554,7 +453,7 @@
 	g_hash_table_iter_init(&iter, node->gateway.moves);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		evaluate_move(node, value, now_ms);
-		is_changed |= update_share(value, now_ms);
+		is_changed |= nd_update_share(value, now_ms);
 	}
 	rls_send_reports(node->gateway.reports, false);
 	return is_changed;
@@ -567,7 +466,7 @@
 
 	g_hash_table_iter_init(&iter, node->gateway.moves);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!has_ended(value))
+		if (!nd_has_move_ended(value))
 			return true;
 	}
 	return false;
@@ -585,5 +484,6 @@
 	node->gateway.moves =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_move);
 	node->gateway.withdrawn = nd_new_withdrawn();
+	node->gateway.moves_reversion = nd_new_reversion(node);
 	return true;
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,6 +64,16 @@
 /* Returns whether no other live node is known. */
 bool nd_is_alone(struct nd_node *node);
 
+/*
+ * Logs and counts that something is written again that the store has lost; what
+ * is a label value of the counter.
+ */
+void nd_record_rewrite(struct nd_node *node, const char *what,
+		       const char *subject);
+
+/* Returns a delay below max_ms that differs from node to node. */
+uint32_t nd_get_delay_ms(const struct nd_node *node, uint32_t max_ms);
+
 /* Calls fn once after delay_ms, on the node's timers. */
 void nd_schedule_once(struct nd_node *node, uint32_t delay_ms, tmr_fn fn,
 		      void *data);
@@ -76,8 +86,9 @@
 
 /*
  * Sets the failure domains that are taken out of service: NULL-terminated,
- * copied. revision is the store revision of this list; a list that is not
- * newer than the known one is ignored.
+ * copied. revision is the stamp (loom/era.h) of this list; a list that is not
+ * newer than the known one is ignored. In a new era, changes that the store has
+ * lost stay in force.
  */
 void nd_set_domains_out(struct nd_node *node, const char *const *names,
 			uint64_t revision);
@@ -90,7 +101,8 @@
 	const char *service;
 	const char *to;
 	uint64_t id;	  /* unique for each request */
-	uint64_t version; /* object version that writes of its state expect */
+	uint64_t version; /* object version that writes of its state expect, as
+			     a stamp (loom/era.h) */
 	uint32_t limit_ms;
 	enum doc_move_state state; /* state stored for all nodes */
 };
@@ -106,9 +118,10 @@
 			  void *data);
 
 /*
- * Sets the complete list of move requests at a revision of the store. Moves
- * that are not listed end. A list that is not newer than the known one is
- * ignored.
+ * Sets the complete list of move requests at a revision of the store, given as
+ * a stamp (loom/era.h). Moves that are not listed end. A list that is not newer
+ * than the known one is ignored. In a new era, orders and results of moves that
+ * the store has lost stay in force; the results are written again.
  */
 void nd_set_move_requests(struct nd_node *node,
 			  const struct nd_move_request *requests, size_t count,
--- /dev/null
+++ b/src/node/reversion.h
@@ -0,0 +1,85 @@
+/*
+ * Tells what a store has lost from what was changed in it.
+ *
+ * A store that returns from an older copy shows the objects as they were some
+ * seconds before. Their writers write them again; until then the state must not
+ * revert. This module keeps, for one part of the configuration, the items that
+ * were in force and those that were removed, each with the era of the store
+ * that last confirmed it, and decides on each item of a new state. It does no
+ * I/O and gets the time as an argument.
+ *
+ * An item has a name, unique in its part, and a label that tells one item of a
+ * name from the next: the version that a move goes to.
+ */
+#ifndef ND_REVERSION_H
+#define ND_REVERSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <jansson.h>
+#include <talloc.h>
+
+/*
+ * A change that was known for longer when the era rose is in the copy, which is
+ * some seconds old; the rest is the time of the outage.
+ */
+#define ND_LOSS_MS_MAX 120000U
+/*
+ * After this time the writers do not write a lost change again, and the state
+ * of the store applies.
+ */
+#define ND_REVERSION_MS_MAX 600000U
+
+struct nd_reversion;
+
+/* An item of a state; the texts are borrowed. */
+struct nd_item {
+	const char *name;
+	const char *label;
+};
+
+enum nd_verdict {
+	ND_ITEM_TAKE,  /* apply it */
+	ND_ITEM_AGAIN, /* apply it: it may have been lost and written again */
+	ND_ITEM_REVERTED, /* ignore it: a lost change replaced or removed it */
+};
+
+/* Returns new records without items, owned by ctx. */
+struct nd_reversion *nd_new_reversion(TALLOC_CTX *ctx);
+
+/*
+ * Decides on the items of a state of the store in an era, and records them.
+ * verdicts has one entry for each item. The era must not be lower than that of
+ * the previous state.
+ */
+void nd_merge_items(struct nd_reversion *reversion, const struct nd_item *items,
+		    size_t count, uint64_t era, uint64_t now_ms,
+		    enum nd_verdict *verdicts);
+
+/*
+ * Returns whether the item is in force after the last state: it was in it and
+ * taken, or the store has lost it.
+ */
+bool nd_is_item_present(const struct nd_reversion *reversion, const char *name);
+
+/*
+ * Returns the names of the items in force, NULL-terminated, as a new array
+ * owned by ctx; the names are borrowed until the records change.
+ */
+const char **nd_list_items(const struct nd_reversion *reversion,
+			   TALLOC_CTX *ctx);
+
+/*
+ * Returns new JSON with the items on which the store disagrees, for other
+ * nodes; NULL if there are none: {"age_ms", "items": [{"name", "label",
+ * "former", "is_present"}]}, former only where the label was another before.
+ */
+json_t *nd_format_reversion(const struct nd_reversion *reversion,
+			    uint64_t now_ms);
+
+/* Adopts that from another node, after its state was merged. */
+void nd_read_reversion(struct nd_reversion *reversion, const json_t *value,
+		       uint64_t now_ms);
+
+#endif
--- a/src/platform/era.c
+++ b/src/platform/era.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 
+/* Of the revision and PLAT_STAMP_TOLD. */
 #define REVISION_BITS 42
 
 bool plat_parse_era(const char *text, uint64_t *era)
