--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -151,14 +151,16 @@
 {
 	struct nd_reversion *reversion = node->gateway.domains_reversion;
 	uint64_t now_ms = tmr_get_now_ms(node->timers);
+	uint64_t era = plat_get_stamp_era(origin->revision);
 	size_t count = g_strv_length((char **)names);
 	struct nd_item *items = talloc_array(ctx, struct nd_item, count);
 	enum nd_verdict *verdicts = talloc_array(ctx, enum nd_verdict, count);
 
 	for (size_t i = 0; i < count; i++)
 		items[i] = (struct nd_item){ .name = names[i], .label = "" };
-	nd_merge_items(reversion, items, count,
-		       plat_get_stamp_era(origin->revision), now_ms, verdicts);
+	if (nd_is_told(origin))
+		nd_confirm_items(reversion, era);
+	nd_merge_items(reversion, items, count, era, now_ms, verdicts);
 	nd_read_reversion(reversion, origin->reverted, now_ms);
 	return nd_list_items(reversion, ctx);
 }
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -83,6 +83,14 @@
 	const json_t *reverted; /* from a peer: what the store lacks, or NULL */
 };
 
+/* Returns whether a state is from a peer and includes what the store lost. */
+static inline bool nd_is_told(const struct nd_state_origin *origin)
+{
+	return origin->is_from_peer &&
+	       plat_get_stamp_era(origin->revision) > 0 &&
+	       (origin->revision & PLAT_STAMP_TOLD) > 0;
+}
+
 /*
  * Number of previous gateways that a delta can start from; a node is seldom
  * further behind. A node that does not follow the store keeps only the last
--- a/src/node/orders.c
+++ b/src/node/orders.c
@@ -79,8 +79,9 @@
 /* Applies the requests of a state; returns whether a move has changed. */
 static bool merge_requests(struct nd_node *node,
 			   const struct nd_move_request *requests, size_t count,
-			   uint64_t revision)
+			   const struct nd_state_origin *origin)
 {
+	uint64_t era = plat_get_stamp_era(origin->revision);
 	struct nd_reversion *reversion = node->gateway.moves_reversion;
 	struct nd_item *items = talloc_array(node, struct nd_item, count);
 	enum nd_verdict *verdicts = talloc_array(items, enum nd_verdict, count);
@@ -91,7 +92,9 @@
 	for (size_t i = 0; i < count; i++)
 		items[i] = (struct nd_item){ .name = requests[i].service,
 					     .label = requests[i].to };
-	nd_merge_items(reversion, items, count, plat_get_stamp_era(revision),
+	if (nd_is_told(origin))
+		nd_confirm_items(reversion, era);
+	nd_merge_items(reversion, items, count, era,
 		       tmr_get_now_ms(node->timers), verdicts);
 	for (size_t i = 0; i < count; i++) {
 		if (verdicts[i] != ND_ITEM_REVERTED)
@@ -143,7 +146,7 @@
 			     origin->is_from_peer,
 			     tmr_get_now_ms(node->timers)))
 		goto out;
-	is_changed |= merge_requests(node, requests, count, origin->revision);
+	is_changed |= merge_requests(node, requests, count, origin);
 	nd_read_reversion(state->moves_reversion, origin->reverted,
 			  tmr_get_now_ms(node->timers));
 	state->are_moves_known = true;
--- a/src/node/reversion.c
+++ b/src/node/reversion.c
@@ -157,6 +157,21 @@
 				    reversion);
 }
 
+void nd_confirm_items(struct nd_reversion *reversion, uint64_t era)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (era != reversion->era)
+		return;
+	g_hash_table_iter_init(&iter, reversion->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct record *record = value;
+
+		record->era = era;
+	}
+}
+
 bool nd_is_item_present(const struct nd_reversion *reversion, const char *name)
 {
 	const struct record *record =
--- a/src/node/reversion.h
+++ b/src/node/reversion.h
@@ -57,6 +57,13 @@
 		    size_t count, uint64_t era, uint64_t now_ms,
 		    enum nd_verdict *verdicts);
 
+/*
+ * Called before the state of another node is merged that includes what the
+ * store has lost: if it is of the era of the last state, that node knows better
+ * than these records on what the store disagrees.
+ */
+void nd_confirm_items(struct nd_reversion *reversion, uint64_t era);
+
 /*
  * Returns whether the item is in force after the last state: it was in it and
  * taken, or the store has lost it.
--- a/src/node/tests/test_reversion.c
+++ b/src/node/tests/test_reversion.c
@@ -4,6 +4,7 @@
  *
  *	state MS ERA NAME=LABEL...	a state that the store shows
  *	tell MS				another node learns of the state
+ *	confirm ERA			the next state is one of another node
  */
 #include <stdlib.h>
 #include <string.h>
@@ -82,7 +83,10 @@
 {
 	struct fixture *fixture = data;
 
-	if (strcmp(words[0], "tell") == 0)
+	if (strcmp(words[0], "confirm") == 0)
+		nd_confirm_items(fixture->reversion,
+				 strtoull(words[1], NULL, 10));
+	else if (strcmp(words[0], "tell") == 0)
 		tell(fixture, strtoull(words[1], NULL, 10));
 	else if (strcmp(words[0], "state") == 0)
 		merge(fixture, word_count, words, output);
--- a/src/platform/resolution.c
+++ b/src/platform/resolution.c
@@ -98,11 +98,11 @@
 	resolution->version = version;
 	if (is_own_effect(resolution, read))
 		end_resolution(resolution, PLAT_WRITE_DONE);
-	else if (resolution->is_condition_lost)
-		end_resolution(resolution, PLAT_WRITE_UNKNOWN);
-	else if (version == resolution->expected_version)
+	else if (!resolution->is_condition_lost &&
+		 version == resolution->expected_version)
 		resolution->step = PLAT_STEP_WRITE;
-	else if (version == resolution->expected_version + 1)
+	else if (!resolution->is_condition_lost &&
+		 version == resolution->expected_version + 1)
 		/* Another writer made the only write since this version. */
 		end_resolution(resolution, PLAT_WRITE_CONFLICT);
 	else
