--- a/src/platform/resolution.c
+++ b/src/platform/resolution.c
@@ -53,8 +53,10 @@
 	resolution->version = version;
 	switch (outcome) {
 	case PLAT_DONE:
-		/* It may have replaced the write of another on a condition
-		 * that was met by chance. */
+		/*
+		 * It may have replaced the write of another on a condition
+		 * that was met by chance.
+		 */
 		end_resolution(resolution, resolution->is_condition_lost
 						   ? PLAT_WRITE_UNKNOWN
 						   : PLAT_WRITE_DONE);
