Recognize refused callers that return

Change, with overload_control only: the entry node keeps a record of each refusal (4,096 at most), recognizes the caller by method, host, path and absolute deadline, and promises times to a sixteenth of the rate of answers, only while the answer can be there within the objective. A promised caller goes before fresh ones. One that is early, or whose objective has passed without a promise, gets an idle target or is refused at once. The objective counts from the first attempt.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -182,6 +182,14 @@
 					 uint64_t now_ms,
 					 enum rt_refusal *refusal);
 
+/*
+ * Returns whether a target that the request may go to is likely to start it at
+ * once. Changes no state that choices depend on.
+ */
+bool rt_has_idle_target(struct rt_chooser *chooser,
+			const struct rt_table *table,
+			const struct rt_request *request, uint64_t now_ms);
+
 enum rt_outcome {
 	RT_OUTCOME_ANSWERED, /* complete answer of the target, any status */
 	RT_OUTCOME_REFUSED,  /* refused by the node of the target, "not run" */
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -519,6 +519,19 @@
 	return target;
 }
 
+bool rt_has_idle_target(struct rt_chooser *chooser,
+			const struct rt_table *table,
+			const struct rt_request *request, uint64_t now_ms)
+{
+	const struct rt_group *group;
+
+	sync_table(chooser, table);
+	group = rt_find_group(table, request->service->name,
+			      choose_version(chooser, table, request));
+	return group && grade_group(chooser, table, group, request, now_ms) ==
+				GRADE_READY;
+}
+
 void rt_record_arrival(struct rt_chooser *chooser,
 		       const struct doc_service *service)
 {
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -85,14 +85,16 @@
 	uint32_t depth;
 	uint64_t begun_ms; /* when its headers were complete */
 	uint64_t deadline_ms;
-	uint64_t objective_ms; /* 0: none */
-	uint32_t priority;     /* 0 is the highest */
-	enum rt_class class;   /* with overload control */
-	bool is_first_nested;  /* the first call that its parent makes */
-	uint32_t nested_count; /* hop: calls that the target made for it */
-	uint64_t asked_us;     /* hop: when it asked for a slot */
-	char *kind;	       /* hop: name of the route; NULL: not given */
-	uint64_t large_bytes;  /* expected size of a large answer, counted */
+	uint64_t objective_ms;	   /* 0: none */
+	uint32_t priority;	   /* 0 is the highest */
+	enum rt_class class;	   /* with overload control */
+	struct rt_arrival arrival; /* entry: the attempt of the caller */
+	struct rt_return returned; /* entry: what is known of earlier ones */
+	bool is_first_nested;	   /* the first call that its parent makes */
+	uint32_t nested_count;	   /* hop: calls that the target made for it */
+	uint64_t asked_us;	   /* hop: when it asked for a slot */
+	char *kind;		   /* hop: name of the route; NULL: not given */
+	uint64_t large_bytes; /* expected size of a large answer, counted */
 	struct tmr_subscription *deadline;
 
 	CURL *easy;	      /* the running attempt, or NULL */
@@ -146,7 +148,9 @@
 /* Reports the outcome of the attempt to the chooser of targets. */
 void tr_report_entry_end(struct tr_call *call, enum rt_outcome outcome);
 
-/* classify.c: returns whether the node controls overload. */
+/* classify.c: returns when an answer is due: the objective or the deadline. */
+uint64_t tr_get_due_ms(const struct tr_call *call);
+/* Returns whether the node controls overload. */
 bool tr_is_controlled(const struct tr_call *call);
 /*
  * Sets the class of a call whose priority is known: nested if the local target
@@ -158,6 +162,27 @@
 /* Returns struct rt_retry's share_permille for the call. */
 uint32_t tr_get_budget_permille(const struct tr_call *call);
 
+/*
+ * returns.c: recognizes a caller that was refused and has returned, and sets
+ * the class and the objective of its call. left_ms is the time that the request
+ * gives; 0: none.
+ */
+void tr_recognize_return(struct tr_call *call, uint32_t left_ms);
+/*
+ * Returns whether the caller has returned too early or too late to get a place
+ * and no target is idle; the placement of the call is set.
+ */
+bool tr_is_returned_in_vain(const struct tr_call *call);
+/* Refuses such a call. */
+void tr_refuse_return(struct tr_call *call);
+/* Returns whether a refusal of the call, which has not run, is recorded. */
+bool tr_is_return_expected(const struct tr_call *call, bool is_not_run);
+/* Records the refusal. Returns when the caller may come back. */
+uint32_t tr_record_refusal(struct tr_call *call);
+/* Record that the call ended with an answer, or with a failure. */
+void tr_record_returned_answer(struct tr_call *call);
+void tr_record_returned_failure(struct tr_call *call);
+
 /* hop.c: handles a call of another node when its headers are complete. */
 void tr_admit_call(struct tr_call *call);
 /* Called when the body of a call in TR_STAGE_COLLECTING is complete. */
--- a/src/traffic/call_log.c
+++ b/src/traffic/call_log.c
@@ -100,6 +100,10 @@
 		  "gate", load, "class",
 		  tr_is_controlled(call) ? rt_get_class_name(call->class)
 					 : NULL,
+		  "returned",
+		  call->returned.kind == RT_RETURN_NONE
+			  ? NULL
+			  : rt_get_return_name(call->returned.kind),
 		  "configuration",
 		  format_number(sequence,
 				call->table
--- a/src/traffic/classify.c
+++ b/src/traffic/classify.c
@@ -17,6 +17,13 @@
 #define FRESH_BUDGET_PERMILLE 400U
 #define FIRST_NESTED_BUDGET_PERMILLE 700U
 
+uint64_t tr_get_due_ms(const struct tr_call *call)
+{
+	if (call->objective_ms == 0)
+		return call->deadline_ms;
+	return MIN(call->objective_ms, call->deadline_ms);
+}
+
 bool tr_is_controlled(const struct tr_call *call)
 {
 	return call->thread->service->options.overload.is_enabled;
@@ -70,10 +77,11 @@
 	call->request.class = call->class;
 	call->request.run_us =
 		rt_get_run_time_us(thread->answer_sizes, call->route->name);
+	/* A late call is sent to an idle target, whose gate decides. */
 	call->request.latest_end_ms =
-		call->class == RT_CLASS_NESTED
+		call->class == RT_CLASS_NESTED || call->returned.is_late
 			? call->deadline_ms
-			: MIN(call->objective_ms, call->deadline_ms);
+			: tr_get_due_ms(call);
 	call->request.crossing_us =
 		(uint32_t)MIN(bytes * overload->crossing_ms_per_kb, UINT32_MAX);
 }
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -51,7 +51,7 @@
 {
 	uint64_t from_ms = hx_get_received_ms(call->exchange);
 	uint64_t timeout_ms = call->route->timeout_ms;
-	uint64_t given_ms;
+	uint64_t given_ms = 0;
 
 	if (tr_read_number(call->exchange, get_names(call)->deadline,
 			   UINT32_MAX, &given_ms) &&
@@ -65,6 +65,7 @@
 		tr_set_class(call);
 		call->objective_ms =
 			from_ms + call->gateway_route->objective_ms;
+		tr_recognize_return(call, (uint32_t)given_ms);
 		return;
 	}
 	/*
@@ -292,6 +293,10 @@
 	call->request.is_bulky = is_bulky(call);
 	if (tr_is_controlled(call))
 		tr_set_placement(call);
+	if (tr_is_returned_in_vain(call)) {
+		tr_refuse_return(call);
+		return;
+	}
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 call->class == RT_CLASS_NESTED &&
 				 tr_is_controlled(call),
@@ -503,9 +508,12 @@
 	tr_report_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
 						   : RT_OUTCOME_FAILED);
 	tr_count_sample(call, get_outcome(answer));
-	if (answer->is_broken)
+	if (answer->is_broken) {
+		tr_record_returned_failure(call);
 		tr_log_call(call, "relay", "answer incomplete");
-	else
+	} else {
+		tr_record_returned_answer(call);
 		tr_log_late_answer(call);
+	}
 	tr_end_relayed_answer(call);
 }
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -73,7 +73,7 @@
 		return 0;
 	/* Its own time twice: it also passes the link of the entry node. */
 	return (uint32_t)MIN(hx_get_backlog_us(thread->pacing,
-					       call->objective_ms,
+					       tr_get_due_ms(call),
 					       2 * bytes + thread->large_bytes),
 			     UINT32_MAX);
 }
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -14,23 +14,31 @@
  * caller that comes back earlier would be refused again.
  */
 #define NOT_READY_RETURN_MS 800U
+/* With overload control; a caller that is back sooner finds the same load. */
+#define RETURN_MIN_MS 50U
 
-static uint32_t choose_return_ms(struct tr_call *call)
+/* Returns after how many milliseconds the caller may come back. */
+static uint32_t choose_return_ms(struct tr_call *call, bool is_not_run)
 {
 	const struct tr_answer *answer = &call->answer;
 	struct tr_thread *thread = call->thread;
+	uint32_t wait_ms;
 
-	if (thread->service->options.overload.is_enabled && !thread->table)
+	if (tr_is_controlled(call) && !thread->table)
 		return NOT_READY_RETURN_MS;
+	if (tr_is_return_expected(call, is_not_run))
+		return tr_record_refusal(call);
 	thread->random_state++;
-	return rt_choose_return_ms(answer->has_load ? &answer->load : NULL,
-				   XXH3_64bits(&thread->random_state,
-					       sizeof(thread->random_state)));
+	wait_ms =
+		rt_choose_return_ms(answer->has_load ? &answer->load : NULL,
+				    XXH3_64bits(&thread->random_state,
+						sizeof(thread->random_state)));
+	return tr_is_controlled(call) ? MAX(wait_ms, RETURN_MIN_MS) : wait_ms;
 }
 
-static void add_retry_after(struct tr_call *call)
+static void add_retry_after(struct tr_call *call, bool is_not_run)
 {
-	uint32_t wait_ms = choose_return_ms(call);
+	uint32_t wait_ms = choose_return_ms(call, is_not_run);
 	char text[16];
 
 	g_snprintf(text, sizeof(text), "%u.%03u", wait_ms / 1000,
@@ -82,8 +90,10 @@
 	hx_add_answer_header(call->exchange, TR_HEADER_REFUSED, reason);
 	if (is_not_run)
 		hx_add_answer_header(call->exchange, TR_HEADER_NOT_RUN, "true");
-	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
-		add_retry_after(call);
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE ||
+	    (status == MHD_HTTP_TOO_MANY_REQUESTS && tr_is_controlled(call)))
+		add_retry_after(call, is_not_run);
+	tr_record_returned_failure(call);
 	tr_add_hop_headers(call);
 	hx_add_answer_body(call->exchange, body, strlen(body));
 	hx_end_answer(call->exchange);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -30,6 +30,27 @@
 	return cnt_get_counter(registry, CNT_KIND_COUNTER, name, NULL, help);
 }
 
+static void open_return_counters(struct tr_counters *counters,
+				 struct cnt_registry *registry)
+{
+	counters->promises_made =
+		open_counter(registry, "loom_return_promises_total",
+			     "Refused callers that were promised a time at "
+			     "which their call goes first.");
+	counters->promises_kept =
+		open_counter(registry, "loom_return_promises_kept_total",
+			     "Promised callers that returned and were "
+			     "answered.");
+	counters->promises_broken =
+		open_counter(registry, "loom_return_promises_broken_total",
+			     "Promised callers that returned and were not "
+			     "answered, and promises dropped for room.");
+	counters->early_returns =
+		open_counter(registry, "loom_early_returns_refused_total",
+			     "Callers refused at once because they returned "
+			     "earlier than told.");
+}
+
 static void open_counters(struct tr_counters *counters,
 			  struct cnt_registry *registry)
 {
@@ -79,6 +100,7 @@
 		open_counter(registry, "loom_calls_away_total",
 			     "Attempts sent to another failure domain by "
 			     "overload control.");
+	open_return_counters(counters, registry);
 	counters->tables = open_counter(registry, "loom_tables_total",
 					"Tables taken over by a thread.");
 	load_open_counters(&counters->load, registry);
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -249,6 +249,7 @@
 					 thread->random_state);
 	thread->answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->hop_answer_sizes = rt_new_answer_sizes(thread->events);
+	thread->returns = rt_new_returns(thread->events);
 	thread->gate = adm_new_gate(thread->events);
 	if (options->overload.is_enabled)
 		adm_use_classes(thread->gate);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -15,6 +15,7 @@
 #include "loom/http.h"
 #include "loom/load_report.h"
 #include "loom/mailbox.h"
+#include "loom/returns.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
 
@@ -49,6 +50,10 @@
 	struct cnt_counter *reports_rejected;
 	struct cnt_counter *early_refusals;
 	struct cnt_counter *calls_away;
+	struct cnt_counter *promises_made;
+	struct cnt_counter *promises_kept;
+	struct cnt_counter *promises_broken;
+	struct cnt_counter *early_returns;
 	struct cnt_histogram *gate_waits[RT_CLASS_COUNT]; /* or NULL */
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
@@ -102,7 +107,8 @@
 	struct rt_chooser *chooser;
 	struct rt_answer_sizes *answer_sizes;	  /* of calls of callers */
 	struct rt_answer_sizes *hop_answer_sizes; /* of the local target */
-	GHashTable *budgets; /* service name to struct rt_budget */
+	GHashTable *budgets;	    /* service name to struct rt_budget */
+	struct rt_returns *returns; /* callers that this thread has refused */
 	struct rt_table *table;
 	/* Set by the control thread. */
 	_Atomic(struct rt_table *) pending_table;
