End calls that a target does not answer

Cause: some targets never answer a call that they can neither run nor queue. Its caller waits for its whole deadline, and the slot at the gate is taken for so long. Change, with silence_ms and overload_control: a call counts as unanswered when its answer is overdue by silence_ms and by four run times, a later call was answered, and fresh reports of the target show fewer calls than it was sent. The node closes the connection and answers 504 "unanswered"; the entry node repeats a repeatable call and does not eject the target. The call counts as run, and its slot as used for one more run time.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -165,6 +165,19 @@
 void adm_record_run(struct adm_gate *gate, const char *kind, uint32_t run_us,
 		    uint32_t hold_us, uint64_t now_ms);
 
+/* When the answer to a call that is sent now can be expected; 0: not known. */
+struct adm_expectation {
+	uint32_t wait_us; /* in the queue of the target */
+	uint32_t run_us;
+};
+
+/*
+ * Returns what is expected of a call of a kind that is counted as running since
+ * now. All members are 0 before adm_use_classes().
+ */
+struct adm_expectation adm_expect_run(const struct adm_gate *gate,
+				      const char *kind, uint64_t now_ms);
+
 /*
  * Records what the target reports about its load. Returns false when the
  * report cannot be true.
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -490,6 +490,29 @@
 			       now_ms);
 }
 
+struct adm_expectation adm_expect_run(const struct adm_gate *gate,
+				      const char *kind, uint64_t now_ms)
+{
+	struct adm_expectation expected = { 0 };
+	const struct cap_target *capacity;
+	uint64_t present;
+	uint32_t limit;
+
+	if (gate->order != ORDER_CLASS)
+		return expected;
+	capacity = gate->classes.capacity;
+	present = (uint64_t)gate->in_flight +
+		  cap_estimate_foreign(capacity, now_ms);
+	limit = adm_get_limit(&gate->limit, now_ms);
+	expected.run_us = cap_estimate_run_us(capacity, kind, now_ms);
+	if (present > limit)
+		expected.wait_us = (uint32_t)MIN(
+			(present - limit) *
+				cap_estimate_hold_us(capacity, now_ms) / limit,
+			UINT32_MAX);
+	return expected;
+}
+
 bool adm_record_report(struct adm_gate *gate, const struct cap_report *report,
 		       uint64_t now_ms)
 {
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -110,6 +110,9 @@
 	    !adm_record_report(thread->gate, &report,
 			       tmr_get_now_ms(thread->timers)))
 		cnt_add(thread->service->counters.reports_rejected, 1);
+	else
+		tr_record_presence(&thread->silence, &report,
+				   tmr_get_now_ms(thread->timers));
 }
 
 /* Reads the headers whose names are agreed with targets (struct
@@ -273,6 +276,7 @@
 			cnt_add(call->thread->service->counters.foreign, 1);
 			return false;
 		}
+		tr_record_head(&call->thread->silence, call->attempt_us);
 	}
 	/* The entry side may retry after a refusal, so it does not relay it. */
 	if (tr_is_refused(answer)) {
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -96,6 +96,8 @@
 	char *kind;		   /* hop: name of the route; NULL: not given */
 	uint64_t large_bytes; /* expected size of a large answer, counted */
 	struct tmr_subscription *deadline;
+	struct tr_sent sent; /* of the attempt at the local target */
+	struct tmr_subscription *silence_check;
 
 	CURL *easy;	      /* the running attempt, or NULL */
 	struct hc_loop *loop; /* loop of the attempt */
@@ -191,6 +193,13 @@
 void tr_end_hop_attempt(struct tr_call *call, CURLcode code);
 /* Frees the slot of the call, if it has one, and starts waiting calls. */
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome);
+/*
+ * Does the same as tr_release_slot() for a call whose transfer was stopped, but
+ * the slot counts as used for run_us more: the target may still run the call.
+ */
+void tr_keep_slot(struct tr_call *call, uint32_t run_us);
+/* Returns the kind of the call for estimates, the name of its route. */
+const char *tr_get_kind(const struct tr_call *call);
 /* Refuses the queued calls that expired and starts those that may run now. */
 void tr_process_waiting_calls(struct tr_thread *thread);
 /* Entry: admits the call to the local target without a request to a node. */
@@ -198,6 +207,10 @@
 /* Entry: handles the end of the transfer to the local target. */
 void tr_end_local_attempt(struct tr_call *call, CURLcode code);
 
+/* unanswered.c: watches the answer of a call that was sent to the target. */
+void tr_watch_answer(struct tr_call *call);
+void tr_unwatch_answer(struct tr_call *call);
+
 /* attempt.c: starts the transfer to base_url with call->headers. */
 void tr_start_attempt(struct tr_call *call, struct hc_loop *loop,
 		      const char *base_url);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -436,8 +436,11 @@
 	bool is_not_run = call->answer.is_not_run;
 	enum rt_outcome outcome =
 		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
+	bool is_unanswered = g_strcmp0(reason, TR_REASON_UNANSWERED) == 0;
 
-	tr_report_entry_end(call, outcome);
+	/* The target answers other calls. */
+	tr_report_entry_end(call,
+			    is_unanswered ? RT_OUTCOME_CANCELLED : outcome);
 	tr_count_sample(call,
 			is_not_run ? MV_OUTCOME_REFUSED : MV_OUTCOME_FAILED);
 	/* Never reset: an earlier attempt may have run if this one did not. */
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -39,6 +39,8 @@
 
 /* Reason for a refusal by the target itself; a gate gives all other reasons. */
 #define TR_REASON_SHED "target_shed"
+/* The target answers later calls, but not this one. */
+#define TR_REASON_UNANSWERED "unanswered"
 
 /*
  * Returns whether a header is forwarded. connection is the value of the
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -44,7 +44,7 @@
 	return id ? id : "";
 }
 
-static const char *get_kind(const struct tr_call *call)
+const char *tr_get_kind(const struct tr_call *call)
 {
 	return call->route ? call->route->name : call->kind;
 }
@@ -52,7 +52,7 @@
 /* Returns the mean size of the answers of the call's kind, 0 if it is short. */
 static uint64_t get_large_bytes(const struct tr_call *call)
 {
-	const char *kind = get_kind(call);
+	const char *kind = tr_get_kind(call);
 	uint64_t bytes =
 		kind ? rt_get_answer_size(call->thread->hop_answer_sizes, kind)
 		     : 0;
@@ -94,6 +94,7 @@
 	make_headers(call);
 	tr_start_attempt(call, call->thread->target_loop,
 			 call->thread->target_url);
+	tr_watch_answer(call);
 }
 
 /* Returns a new copy of a request header, "" when it is absent. */
@@ -183,7 +184,7 @@
 		.objective_ms = call->objective_ms,
 		.priority = call->priority,
 		.class = call->class,
-		.kind = get_kind(call),
+		.kind = tr_get_kind(call),
 		.send_us = estimate_send_us(call),
 	};
 
@@ -259,6 +260,52 @@
 				      call->answer.body_bytes);
 }
 
+/* Ends what the call counts for besides its slot. */
+static void leave_target(struct tr_call *call)
+{
+	struct tr_thread *thread = call->thread;
+
+	call->has_slot = false;
+	thread->large_bytes -= call->large_bytes;
+	if (g_hash_table_lookup(thread->running, get_request_id(call)) == call)
+		g_hash_table_remove(thread->running, get_request_id(call));
+	tr_unwatch_answer(call);
+}
+
+/* A slot that stays in use after the end of its call. */
+struct kept_slot {
+	struct tr_thread *thread;
+	uint64_t started_ms;
+};
+
+static void free_kept_slot(uint64_t now_ms, void *data)
+{
+	struct kept_slot *slot = data;
+	struct tr_thread *thread = slot->thread;
+
+	adm_finish(
+		thread->gate, ADM_OUTCOME_TIMEOUT, slot->started_ms,
+		(uint32_t)MIN((now_ms - slot->started_ms) * 1000, UINT32_MAX),
+		now_ms);
+	talloc_free(slot);
+	tr_process_waiting_calls(thread);
+}
+
+void tr_keep_slot(struct tr_call *call, uint32_t run_us)
+{
+	struct tr_thread *thread = call->thread;
+	struct kept_slot *slot = talloc(thread->events, struct kept_slot);
+
+	assert(call->has_slot);
+	*slot = (struct kept_slot){
+		.thread = thread,
+		.started_ms = call->attempt_us / 1000,
+	};
+	leave_target(call);
+	tmr_subscribe_once(thread->timers, thread->timers, run_us / 1000,
+			   free_kept_slot, slot);
+}
+
 void tr_release_slot(struct tr_call *call, enum adm_outcome outcome)
 {
 	struct tr_thread *thread = call->thread;
@@ -267,12 +314,9 @@
 
 	if (!call->has_slot)
 		return;
-	call->has_slot = false;
-	thread->large_bytes -= call->large_bytes;
-	if (g_hash_table_lookup(thread->running, get_request_id(call)) == call)
-		g_hash_table_remove(thread->running, get_request_id(call));
+	leave_target(call);
 	if (outcome == ADM_OUTCOME_GOOD)
-		adm_record_run(thread->gate, get_kind(call),
+		adm_record_run(thread->gate, tr_get_kind(call),
 			       (uint32_t)(end_us - call->attempt_us),
 			       (uint32_t)(tr_get_now_us() - call->attempt_us),
 			       tmr_get_now_ms(thread->timers));
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -101,6 +101,10 @@
 			     "Attempts sent to another failure domain by "
 			     "overload control.");
 	open_return_counters(counters, registry);
+	counters->unanswered =
+		open_counter(registry, "loom_unanswered_calls_total",
+			     "Calls given up because the target answered "
+			     "later ones but not them.");
 	counters->tables = open_counter(registry, "loom_tables_total",
 					"Tables taken over by a thread.");
 	load_open_counters(&counters->load, registry);
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -25,6 +25,22 @@
 
 #define ROUTE_TIMEOUT_MS 20000U
 
+static const char gateway_document[] =
+	"{\"gateway\":\"main\",\"sequence\":%u,"
+	"\"services\":[{\"service\":\"shop\",\"connections\":32}],"
+	"\"routes\":["
+	"{\"name\":\"any\",\"host\":\"shop\",\"path\":\"/\","
+	"\"repeatable\":true,\"timeout_ms\":20000,\"attempts\":3,"
+	"\"priority\":1,\"shares\":[{\"service\":\"shop\",\"weight\":1}]},"
+	"{\"name\":\"once\",\"host\":\"shop\",\"path\":\"/once/\","
+	"\"repeatable\":false,\"timeout_ms\":20000,\"attempts\":3,"
+	"\"priority\":1,\"shares\":[{\"service\":\"shop\",\"weight\":1}]}],"
+	"\"limits\":{\"header_bytes\":16384,\"request_body_bytes\":8388608,"
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":60000}}";
+
+/* Calls stay in their failure domain while a target there can take them. */
+#define CROSSING_MS_PER_KB 10000U
+
 /* Headers of targets that name the request in each answer. */
 static const struct tr_header_names stamped_names = {
 	.request_id = "Loom-Request-Id",
@@ -80,6 +96,9 @@
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
 	options.overload.link_kbit_s = mesh->link_kbit_s;
+	options.overload.is_enabled = mesh->is_controlled;
+	options.overload.silence_ms = mesh->silence_ms;
+	options.overload.crossing_ms_per_kb = CROSSING_MS_PER_KB;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
 	if (mesh->has_reports)
@@ -124,6 +143,25 @@
 						.port = MESH_TARGET_PORT });
 }
 
+static struct doc_snapshot *build_gateway_snapshot(struct mesh *mesh)
+{
+	struct prob_list *problems = prob_new_list(mesh);
+	char *text =
+		g_strdup_printf(gateway_document, (unsigned)++mesh->sequence);
+	json_t *json = json_loads(text, 0, NULL);
+	struct doc_gateway *gateway = doc_parse_gateway("main", json, problems);
+	struct doc_snapshot *snapshot;
+
+	g_free(text);
+	json_decref(json);
+	if (!gateway)
+		abort();
+	snapshot = doc_build_gateway_snapshot(gateway, NULL, 0,
+					      (const char *const[]){ NULL });
+	doc_unref_gateway(gateway);
+	return snapshot;
+}
+
 static struct doc_snapshot *build_snapshot(struct mesh *mesh)
 {
 	struct doc_manifest *manifest = doc_new_manifest(mesh);
@@ -161,7 +199,9 @@
 
 void mesh_publish(struct mesh *mesh)
 {
-	struct doc_snapshot *snapshot = build_snapshot(mesh);
+	struct doc_snapshot *snapshot = mesh->is_controlled
+						? build_gateway_snapshot(mesh)
+						: build_snapshot(mesh);
 	struct rt_target targets[MESH_NODES_MAX];
 	size_t count = 0;
 
@@ -174,7 +214,9 @@
 			.address = node->hop_address,
 			.failure_domain = node->failure_domain,
 			.service = "shop",
-			.version = node->version,
+			.version = mesh->is_controlled ? DOC_VERSION_ANY
+						       : node->version,
+			.release = node->version,
 			.phase = node->phase,
 			.distance_us = 1000,
 		};
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -5,7 +5,8 @@
  * concurrent test runs do not interfere. The document of service "shop" has the
  * routes / (only safe methods may be repeated), /once (never repeated), /any
  * (always repeatable) and /never (timeout of 200 ms); see mesh.c for its
- * limits.
+ * limits. With overload control a gateway document takes its place, with the
+ * routes / (always repeatable) and /once/ (never).
  */
 #ifndef MESH_H
 #define MESH_H
@@ -55,6 +56,9 @@
 	uint32_t header_timeout_ms;
 	uint32_t connections_max;
 	uint32_t link_kbit_s; /* of nodes added from now on; 0: unknown */
+	/* Overload control, with a gateway document; see mesh_add_node(). */
+	bool is_controlled;
+	uint32_t silence_ms;
 };
 
 /* Returns a new, empty mesh. */
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -27,7 +27,8 @@
 	uint32_t peak_count;
 	uint32_t disconnect_count;
 	uint32_t reset_count;
-	char *reply; /* bytes of the answer to "/reply"; NULL: none */
+	uint32_t mute_count; /* requests to "/mute" that get no answer */
+	char *reply;	     /* bytes of the answer to "/reply"; NULL: none */
 	bool is_reply_last;
 	char *flood_start; /* of the answer to "/endless"; NULL: none */
 	char *flood_part;  /* is sent again and again after that */
@@ -53,7 +54,8 @@
 	bool is_closing; /* when the output has been written */
 	bool is_running; /* a request was not answered yet */
 	bool is_held;
-	char *again; /* answer to send once more; NULL: none */
+	bool is_mute; /* nothing is answered any more */
+	char *again;  /* answer to send once more; NULL: none */
 	enum flood flood;
 };
 
@@ -288,10 +290,22 @@
 	return true;
 }
 
+/* Returns whether the request gets no answer as raw_set_mute() says. */
+static bool is_muted(struct raw_connection *connection, const char *path)
+{
+	struct raw_target *target = connection->target;
+
+	if (strstr(path, "/mute") && target->mute_count > 0) {
+		target->mute_count--;
+		connection->is_mute = true;
+	}
+	return connection->is_mute;
+}
+
 static void answer_path(struct raw_connection *connection, const char *head,
 			const char *path, size_t body_size)
 {
-	if (answer_flood(connection, path) ||
+	if (is_muted(connection, path) || answer_flood(connection, path) ||
 	    answer_again(connection, head, path) ||
 	    answer_reply(connection, head, path))
 		return;
@@ -493,6 +507,11 @@
 	target->is_reply_last = is_last;
 }
 
+void raw_set_mute(struct raw_target *target, uint32_t count)
+{
+	target->mute_count = count;
+}
+
 void raw_set_flood(struct raw_target *target, const char *start,
 		   const char *part)
 {
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -8,6 +8,8 @@
  *   /longcut   200 with 10 of 100000 bytes, then closes the connection
  *   /chunkcut  a chunked answer that ends in the middle of a chunk
  *   /never     no answer
+ *   /mute      no answer so many times as raw_set_mute() says, and nothing
+ *              more on that connection; also below /once/
  *   /held      no answer until raw_answer_held_requests()
  *   /shed      503 with Loom-Not-Run
  *   /fail      500
@@ -45,6 +47,9 @@
  */
 void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last);
 
+/* The next count requests to "/mute" are not answered. */
+void raw_set_mute(struct raw_target *target, uint32_t count);
+
 /* Sets the answer to "/endless": start, and then part again and again. */
 void raw_set_flood(struct raw_target *target, const char *start,
 		   const char *part);
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -64,6 +64,7 @@
 	thread->target_url = g_strdup(command->announce.url);
 	thread->target_service = g_strdup(command->announce.service);
 	set_target_limits(thread);
+	tr_clear_silence(&thread->silence);
 	adm_announce_target(thread->gate, command->announce.service,
 			    command->announce.version,
 			    tmr_get_now_ms(thread->timers));
@@ -253,6 +254,7 @@
 	thread->gate = adm_new_gate(thread->events);
 	if (options->overload.is_enabled)
 		adm_use_classes(thread->gate);
+	thread->silence.silence_ms = options->overload.silence_ms;
 	thread->running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	thread->budgets =
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -16,6 +16,7 @@
 #include "loom/load_report.h"
 #include "loom/mailbox.h"
 #include "loom/returns.h"
+#include "silence.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
 
@@ -50,6 +51,7 @@
 	struct cnt_counter *reports_rejected;
 	struct cnt_counter *early_refusals;
 	struct cnt_counter *calls_away;
+	struct cnt_counter *unanswered;
 	struct cnt_counter *promises_made;
 	struct cnt_counter *promises_kept;
 	struct cnt_counter *promises_broken;
@@ -113,6 +115,7 @@
 	/* Set by the control thread. */
 	_Atomic(struct rt_table *) pending_table;
 	struct adm_gate *gate;
+	struct tr_silence silence; /* of the local target */
 	uint64_t large_bytes; /* large answers that the target is to send */
 	GHashTable
 		*running; /* request id to its struct tr_call at the target */
