--- a/src/routing/returns.c
+++ b/src/routing/returns.c
@@ -121,16 +121,16 @@
 static bool drop_old_records(struct rt_returns *returns, uint64_t now_ms)
 {
 	struct record *oldest = g_queue_peek_head(&returns->order);
-	bool is_dropped = false;
+	bool is_dropped;
 
 	while (oldest && oldest->deadline_ms <= now_ms) {
 		remove_record(returns, oldest);
 		oldest = g_queue_peek_head(&returns->order);
 	}
-	if (rt_count_returns(returns) >= RECORDS_MAX) {
-		is_dropped = oldest->is_promised;
-		remove_record(returns, oldest);
-	}
+	if (!oldest || rt_count_returns(returns) < RECORDS_MAX)
+		return false;
+	is_dropped = oldest->is_promised;
+	remove_record(returns, oldest);
 	return is_dropped;
 }
 
