--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -51,7 +51,7 @@
 {
 	uint64_t from_ms = hx_get_received_ms(call->exchange);
 	uint64_t timeout_ms = call->route->timeout_ms;
-	uint64_t given_ms;
+	uint64_t given_ms = 0;
 
 	if (tr_read_number(call->exchange, get_names(call)->deadline,
 			   UINT32_MAX, &given_ms) &&
@@ -76,6 +76,8 @@
 		    call->gateway_route))
 		call->objective_ms =
 			from_ms + call->gateway_route->objective_ms;
+	if (tr_is_controlled(call))
+		tr_recognize_return(call, (uint32_t)given_ms);
 }
 
 static void make_headers(struct tr_call *call)
@@ -291,6 +293,10 @@
 	call->request.is_bulky = is_bulky(call);
 	if (tr_is_controlled(call))
 		tr_set_placement(call);
+	if (tr_is_returned_in_vain(call)) {
+		tr_refuse_return(call);
+		return;
+	}
 	rt_credit_budget(tr_get_budget(call->thread, call->service->name),
 			 call->class == RT_CLASS_NESTED &&
 				 tr_is_controlled(call),
@@ -430,8 +436,11 @@
 	bool is_not_run = call->answer.is_not_run;
 	enum rt_outcome outcome =
 		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
+	bool is_unanswered = g_strcmp0(reason, TR_REASON_UNANSWERED) == 0;
 
-	tr_report_entry_end(call, outcome);
+	/* The target answers other calls. */
+	tr_report_entry_end(call,
+			    is_unanswered ? RT_OUTCOME_CANCELLED : outcome);
 	tr_count_sample(call,
 			is_not_run ? MV_OUTCOME_REFUSED : MV_OUTCOME_FAILED);
 	/* Never reset: an earlier attempt may have run if this one did not. */
@@ -502,9 +511,12 @@
 	tr_report_entry_end(call, answer->is_whole ? RT_OUTCOME_ANSWERED
 						   : RT_OUTCOME_FAILED);
 	tr_count_sample(call, get_outcome(answer));
-	if (answer->is_broken)
+	if (answer->is_broken) {
+		tr_record_returned_failure(call);
 		tr_log_call(call, "relay", "answer incomplete");
-	else
+	} else {
+		tr_record_returned_answer(call);
 		tr_log_late_answer(call);
+	}
 	tr_end_relayed_answer(call);
 }
