Ignore answers without a run time in the mean of a route

Cause (review): an answer without the header of its run time counted as a run of 0 us and pulled the mean of its route down; calls then looked as if they could still end in time. Change: 0 is not recorded. Result: run times in test_routing, 2 of its checks failed before.

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -199,7 +199,7 @@
 void rt_record_answer_size(struct rt_answer_sizes *sizes, const char *route,
 			   uint64_t bytes);
 
-/* Records how long a target ran a call of the route. */
+/* Records how long a target ran a call of the route; 0: not known. */
 void rt_record_run_time(struct rt_answer_sizes *sizes, const char *route,
 			uint32_t run_us);
 
--- a/src/routing/answer_size.c
+++ b/src/routing/answer_size.c
@@ -83,8 +83,11 @@
 void rt_record_run_time(struct rt_answer_sizes *sizes, const char *route,
 			uint32_t run_us)
 {
-	struct means *means = get_means(sizes, route);
+	struct means *means;
 
+	if (run_us == 0)
+		return;
+	means = get_means(sizes, route);
 	means->run_us = means->run_us
 				? (uint32_t)move_mean(means->run_us, run_us)
 				: run_us;
--- a/src/routing/tests/test_routing.c
+++ b/src/routing/tests/test_routing.c
@@ -261,6 +261,23 @@
 	talloc_free(sizes);
 }
 
+/* An answer without its run time must not make a route's calls look short. */
+static void test_run_times(void)
+{
+	struct rt_answer_sizes *sizes = rt_new_answer_sizes(NULL);
+
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 0);
+	rt_record_run_time(sizes, "r", 0);
+	rt_record_run_time(sizes, "r", 180000);
+	for (int i = 0; i < 20; i++)
+		rt_record_run_time(sizes, "r", 0);
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 180000);
+	rt_record_run_time(sizes, "r", 100000);
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "r"), 170000);
+	CU_ASSERT_EQUAL(rt_get_run_time_us(sizes, "other"), 0);
+	talloc_free(sizes);
+}
+
 static void check_return(const struct rt_load *load, uint32_t least_ms,
 			 uint32_t most_ms)
 {
@@ -483,6 +500,7 @@
 	{ "failure domains taken out", test_domains },
 	{ "bulky", test_bulky },
 	{ "answer sizes", test_answer_sizes },
+	{ "run times", test_run_times },
 	{ "return of refused callers", test_return_of_refused },
 	{ "versions of a move", test_versions },
 	{ "a limit on the share", test_limits },
