Count a target as silent only when a report is due

Cause (review): a target whose load does not change reports every 500 ms, but after reports every 50 ms it counted as silent 250 ms after the last one. After a quiet moment all calls left the failure domain, whatever that costs. Answers of the target did not count as a sign of life, and a restarted target was silent because of the reports of its former process. Change: the time until a target is silent begins with the first call that it has neither reported nor answered since; reports and answers with a load end it. A restart clears it. The limits (250 ms, four gaps, 2 s) stay.

--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -27,8 +27,7 @@
 #define REPORT_HALF_LIFE_MS 250U
 /* A wait changes within the time that calls run. */
 #define WAITS_LIFE_MS 1000U
-/* A node reports for this long after a call, at least twice a second. */
-#define REPORTED_AFTER_CALL_MS 1000U
+/* A node that gets calls reports at least twice a second. */
 #define REPORT_GAP_MAX_MS 600U
 /* Reports that are late by so many mean gaps have stopped. */
 #define SILENT_GAPS 4U
@@ -84,6 +83,9 @@
 static void clear_report(struct rt_target_state *state)
 {
 	state->is_reported = false;
+	state->sent_report_ms = 0;
+	state->report_gap_ms = 0;
+	state->unreported_ms = 0;
 	state->refused_until_ms = 0;
 	clear_failures(state);
 }
@@ -264,7 +266,8 @@
 void rt_record_own_start(struct rt_target_state *state, uint64_t now_ms)
 {
 	state->own_in_flight++;
-	state->started_ms = now_ms;
+	if (state->unreported_ms == 0)
+		state->unreported_ms = now_ms;
 	state->starts_ms[state->start_count++ % RT_STARTS_KEPT] = now_ms;
 }
 
@@ -296,6 +299,7 @@
 	record_report_gap(state, now_ms);
 	state->is_sent_report = true;
 	state->sent_report_ms = now_ms;
+	state->unreported_ms = 0;
 }
 
 /* A failure that the target's node reported shows that the node is reached. */
@@ -316,6 +320,7 @@
 		      uint64_t now_ms)
 {
 	if (load) {
+		state->unreported_ms = 0;
 		if (!is_superseded(state, load))
 			apply_load_report(state, load, state->own_in_flight,
 					  now_ms);
@@ -435,11 +440,12 @@
 
 bool rt_is_target_silent(const struct rt_target_state *state, uint64_t now_ms)
 {
+	/* A call changes the load, which is reported soon. */
 	uint64_t due_ms =
-		state->sent_report_ms +
+		state->unreported_ms +
 		MAX(SILENT_MIN_MS, state->report_gap_ms * SILENT_GAPS);
 
-	return state->report_gap_ms > 0 && now_ms > due_ms &&
-	       state->started_ms + REPORTED_AFTER_CALL_MS > due_ms &&
+	return state->report_gap_ms > 0 && state->unreported_ms > 0 &&
+	       now_ms > due_ms &&
 	       now_ms < state->sent_report_ms + SILENT_MAX_MS;
 }
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -27,7 +27,8 @@
 	bool is_sent_report;	 /* the report came without a call */
 	uint64_t sent_report_ms; /* last report without a call; 0: none */
 	uint32_t report_gap_ms;	 /* mean time between two such reports */
-	uint64_t started_ms;	 /* last start of a call of this thread */
+	/* First start of a call since the last report or answer; 0: none. */
+	uint64_t unreported_ms;
 	/* When the last calls from this thread were started. */
 	uint64_t starts_ms[RT_STARTS_KEPT];
 	uint32_t start_count;
