Probe a failure domain that is cut off with one call at a time

Cause (review): when the time of a cut-off ended, all calls went there until the first one had failed after the 200 ms of a connect. A probe that failed at the target that had failed last did not extend the time. Two targets that failed in turns counted as three.

--- a/src/routing/domain_state.h
+++ b/src/routing/domain_state.h
@@ -18,6 +18,12 @@
 /* Records that a call to a target of the domain was answered or refused. */
 void rt_record_domain_heard(struct rt_domain_state *domain);
 
+/*
+ * Records the start of a call to a target of the domain. After a time without
+ * calls the first one is the probe.
+ */
+void rt_record_domain_start(struct rt_domain_state *domain, uint64_t now_ms);
+
 /* Records that the node of a target of the domain could not be reached. */
 void rt_record_domain_failure(struct rt_domain_state *domain,
 			      const char *address, uint64_t now_ms);
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -268,6 +268,8 @@
 	state->own_in_flight++;
 	if (state->unreported_ms == 0)
 		state->unreported_ms = now_ms;
+	if (state->domain)
+		rt_record_domain_start(state->domain, now_ms);
 	state->starts_ms[state->start_count++ % RT_STARTS_KEPT] = now_ms;
 }
 
