Draw once whether a call that looks too late is sent

Cause (review): after a refusal for want of room the choice was made a second time for starting targets, and during a move for each version, each with a draw of its own: one in 8 of these calls was sent, and one in 5 or 6 during a move, in place of one in 16, at two to four times the cost. Change: one draw for each choice; no second pass after such a refusal, which is also the one that is reported when the old version has no target. The search ends at the first target in time.

--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -39,6 +39,11 @@
  * capacity.
  */
 #define FAILURE_PERMILLE_MAX 900U
+/*
+ * One of so many calls that have no chance by the reports is sent all the same,
+ * so that stale reports are corrected.
+ */
+#define TRIAL_PERIOD 16U
 
 /* splitmix64: a short generator, uniform enough for load balancing. */
 uint64_t rt_draw_random(struct rt_chooser *chooser, uint64_t bound)
@@ -473,15 +478,19 @@
 	const struct doc_move *move = request->service->move;
 	bool is_in_turns = move && version == move->to && move->turn_count > 1;
 	const struct rt_target *target;
+	enum rt_refusal first;
 
 	/* A target that failed recently is not tried with its full load. */
 	target = choose_in_version(chooser, table, request, version,
 				   is_in_turns ? GRADE_BUSY : min_grade, now_ms,
 				   refusal);
+	first = *refusal;
 	version = rt_get_fallback_version(request->service, version);
 	if (!target && version)
 		target = choose_in_version(chooser, table, request, version,
 					   min_grade, now_ms, refusal);
+	if (!target && first == RT_REFUSAL_NO_ROOM)
+		*refusal = first;
 	return target;
 }
 
@@ -502,6 +511,9 @@
 	}
 	sync_table(chooser, table);
 	chooser->chosen_ms = now_ms;
+	/* Drawn once, also when the call may go to either version of a move. */
+	chooser->is_trial = request->is_placed &&
+			    rt_draw_random(chooser, TRIAL_PERIOD) == 0;
 	version = choose_version(chooser, table, request);
 	target = choose_in_versions(chooser, table, request, version,
 				    GRADE_EJECTED, now_ms, refusal);
@@ -509,7 +521,7 @@
 	 * Only starting targets are left, and their gates queue or refuse the
 	 * excess.
 	 */
-	if (!target)
+	if (!target && *refusal != RT_REFUSAL_NO_ROOM)
 		target = choose_in_versions(chooser, table, request, version,
 					    GRADE_STARTING_FULL, now_ms,
 					    refusal);
--- a/src/routing/chooser_internal.h
+++ b/src/routing/chooser_internal.h
@@ -28,6 +28,7 @@
 	enum rt_policy policy;
 	uint64_t random;
 	uint64_t chosen_ms; /* time of the last choice */
+	bool is_trial;	    /* the call is sent even if it looks too late */
 	struct rt_state_set *states;
 	struct rt_exposures *exposures;
 	struct rt_crossings *crossings;
--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -13,10 +13,10 @@
  */
 #include "placement.h"
 
-/* One of so many calls that have no chance by the reports is sent all the same.
+/*
+ * Higher failure shares are clamped: the target may be the only one with free
+ * capacity.
  */
-#define TRIAL_PERIOD 16U
-/* Expected run time of a call when neither route nor target are known. */
 #define FAILURE_PERMILLE_MAX 900U
 
 /* The part of a group that lies in, or outside, the own failure domain. */
@@ -160,14 +160,17 @@
 	return best;
 }
 
-/* Returns the best time on both sides, 0 when a target is not known. */
-static uint64_t find_best_time_us(const struct rt_chooser *chooser,
-				  const struct rt_table *table,
-				  const struct rt_group *group,
-				  const struct rt_request *request,
-				  enum rt_grade min_grade, uint64_t now_ms)
+/*
+ * Returns whether a usable target may answer in time. A target at home that has
+ * not told its waits may; one elsewhere counts only when it has.
+ */
+static bool may_end_in_time(const struct rt_chooser *chooser,
+			    const struct rt_table *table,
+			    const struct rt_group *group,
+			    const struct rt_request *request,
+			    enum rt_grade min_grade, uint64_t now_ms)
 {
-	uint64_t best_us = UINT64_MAX;
+	bool is_any_known = false;
 
 	for (uint32_t i = 0; i < group->count; i++) {
 		const struct rt_target_state *state =
@@ -180,31 +183,16 @@
 			continue;
 		if (!rt_has_waits(state, now_ms)) {
 			if (is_home)
-				return 0;
+				return true;
 			continue;
 		}
 		time_us = estimate_time_us(state, request, now_ms) +
 			  (is_home ? 0 : request->crossing_us);
-		best_us = MIN(best_us, time_us);
+		if (now_ms + time_us / 1000 < request->latest_end_ms)
+			return true;
+		is_any_known = true;
 	}
-	return best_us == UINT64_MAX ? 0 : best_us;
-}
-
-static bool is_too_late(struct rt_chooser *chooser,
-			const struct rt_table *table,
-			const struct rt_group *group,
-			const struct rt_request *request,
-			enum rt_grade min_grade, uint64_t now_ms)
-{
-	uint64_t best_us;
-
-	if (request->latest_end_ms == 0)
-		return false;
-	best_us = find_best_time_us(chooser, table, group, request, min_grade,
-				    now_ms);
-	return best_us > 0 &&
-	       now_ms + best_us / 1000 >= request->latest_end_ms &&
-	       rt_draw_random(chooser, TRIAL_PERIOD) > 0;
+	return !is_any_known;
 }
 
 /*
@@ -231,7 +219,9 @@
 	struct choice near;
 	struct choice far;
 
-	if (is_too_late(chooser, table, group, request, min_grade, now_ms)) {
+	if (request->latest_end_ms > 0 && !chooser->is_trial &&
+	    !may_end_in_time(chooser, table, group, request, min_grade,
+			     now_ms)) {
 		*refusal = RT_REFUSAL_NO_ROOM;
 		return -1;
 	}
