Keep the parts of the retry budget for calls that may have run, too

Cause (review): the parts of first nested and fresh calls bounded all retries but not those of calls that may have run, which have a smaller budget of their own. First nested calls took half of it from later ones. Change: the part applies to both budgets.

--- a/src/routing/retry.c
+++ b/src/routing/retry.c
@@ -76,7 +76,7 @@
 {
 	struct rt_slice *slice = get_slice(budget, retry->now_ms);
 	struct rt_slice sum = { 0 };
-	uint32_t share_permille = budget->share_permille;
+	uint32_t part_permille = 1000;
 
 	for (uint32_t i = 0; i < SLICE_COUNT; i++) {
 		sum.first_attempts += budget->slices[i].first_attempts;
@@ -85,12 +85,14 @@
 		sum.repeats += budget->slices[i].repeats;
 	}
 	if (sum.nested > 0 && retry->share_permille > 0)
-		share_permille = share_permille * retry->share_permille / 1000;
-	if (!is_below_ratio(sum.retries, sum.first_attempts, share_permille))
+		part_permille = retry->share_permille;
+	if (!is_below_ratio(sum.retries, sum.first_attempts,
+			    budget->share_permille * part_permille / 1000))
 		return false;
 	if (!retry->is_not_run &&
 	    !is_below_ratio(sum.repeats, sum.first_attempts,
-			    get_repeat_share_permille(budget, retry->depth)))
+			    get_repeat_share_permille(budget, retry->depth) *
+				    part_permille / 1000))
 		return false;
 	slice->retries++;
 	if (!retry->is_not_run)
