Ask targets of other failure domains for load reports

Targets report to the nodes that call them, so a target of another domain without a report counted as having no wait. The answer is one report. Asks and answers take their tokens from the bucket of the reports and leave half of its burst to them; an ask is as long as a report. Calls leave for targets with known waits only, while home has a usable target. Answers to asks between two processes: test_load_service, one process with two services; not tried between nodes.

--- a/include/loom/load_report.h
+++ b/include/loom/load_report.h
@@ -45,7 +45,10 @@
 struct load_counters {
 	struct cnt_counter *sent;
 	struct cnt_counter *received;
-	struct cnt_counter *unsent; /* the kernel did not take them */
+	struct cnt_counter *asks_sent;
+	struct cnt_counter *asks_answered;
+	struct cnt_counter *unanswered; /* asks, to leave room for reports */
+	struct cnt_counter *unsent;	/* the kernel did not take them */
 	struct cnt_counter *malformed;
 	struct cnt_counter *other_version;
 	struct cnt_counter *outdated; /* duplicated or overtaken by a newer */
@@ -77,6 +80,13 @@
 void load_record_call(struct load_service *service, struct in_addr address,
 		      uint16_t port);
 
+/*
+ * Asks the node of the target that routing tables have under address for one
+ * report. Sends nothing when too many datagrams were sent of late. No effect if
+ * service or address is NULL.
+ */
+void load_send_ask(struct load_service *service, const char *address);
+
 /*
  * Notes that the load of the local target may have changed. Sends nothing
  * itself, so it may be called anywhere. No effect if service is NULL.
--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -138,13 +138,18 @@
 	bool is_bulky;	     /* its body or its answer exceeds RT_BULKY_BYTES */
 	/*
 	 * The target is chosen by the expected end of the call; the members up
-	 * to crossing_us are read only then.
+	 * to is_known_only are read only then.
 	 */
 	bool is_placed;
 	enum rt_class class;
 	uint32_t run_us;	/* expected run time; 0: not known */
 	uint64_t latest_end_ms; /* no use of an answer after that; 0: none */
 	uint32_t crossing_us;	/* wait preferred to leaving the own domain */
+	/*
+	 * While there is a target at home, the call leaves only for targets
+	 * that have told their waits, and rt_take_ask() says whom to ask.
+	 */
+	bool is_known_only;
 	const char *tried[RT_TRIED_MAX]; /* addresses to exclude */
 	uint32_t tried_count;
 	/* Failure domains that a tried target reported as taken out. */
@@ -182,6 +187,12 @@
 					 uint64_t now_ms,
 					 enum rt_refusal *refusal);
 
+/*
+ * Returns the address of a target whose node is to be asked for a load report
+ * (borrowed until the next choice), or NULL. Call it after a choice.
+ */
+const char *rt_take_ask(struct rt_chooser *chooser);
+
 enum rt_outcome {
 	RT_OUTCOME_ANSWERED, /* complete answer of the target, any status */
 	RT_OUTCOME_REFUSED,  /* refused by the node of the target, "not run" */
--- a/src/load/codec.c
+++ b/src/load/codec.c
@@ -4,7 +4,8 @@
  * Offset and size in bytes: 0 version (1), 1 flags (1), 2 hop port (2), 4
  * instance (4), 8 sequence (4), 12 limit (4), 16 calls in flight (4), 20 mean
  * latency in microseconds (4), 24 failure permille (2), 26 zero (2), 28 the
- * waits of the classes in microseconds (4 each). XDR would round each of the
+ * waits of the classes in microseconds (4 each). All but the version and the
+ * flags of an ask are zero. XDR would round each of the
  * short numbers up to four bytes and has no use for a layout without variable
  * parts.
  */
@@ -17,7 +18,8 @@
 #define FLAG_PHASE_MASK 0x03U
 #define FLAG_UNREACHABLE 0x04U
 #define FLAG_WAITS 0x08U
-#define FLAG_MASK 0x0fU
+#define FLAG_MASK 0x0fU /* of a report */
+#define FLAG_ASK 0x10U
 
 #define FAILURE_PERMILLE_MAX 1000U
 
@@ -78,6 +80,21 @@
 		put_32(buffer + 28 + 4 * i, load->wait_us[i]);
 }
 
+void load_encode_ask(uint8_t buffer[LOAD_REPORT_SIZE])
+{
+	memset(buffer, 0, LOAD_REPORT_SIZE);
+	buffer[0] = LOAD_REPORT_VERSION;
+	buffer[1] = FLAG_ASK;
+}
+
+static bool is_ask(const uint8_t *buffer)
+{
+	uint8_t ask[LOAD_REPORT_SIZE];
+
+	load_encode_ask(ask);
+	return memcmp(buffer, ask, LOAD_REPORT_SIZE) == 0;
+}
+
 static bool is_valid(const uint8_t *buffer, const struct load_report *report)
 {
 	return (buffer[1] & ~FLAG_MASK) == 0 &&
@@ -98,6 +115,8 @@
 		return LOAD_DECODE_OTHER_VERSION;
 	if (size != LOAD_REPORT_SIZE)
 		return LOAD_DECODE_MALFORMED;
+	if (is_ask(buffer))
+		return LOAD_DECODE_ASK;
 	report->hop_port = get_16(buffer + 2);
 	report->instance = get_32(buffer + 4);
 	report->sequence = get_32(buffer + 8);
--- a/src/load/codec.h
+++ b/src/load/codec.h
@@ -19,6 +19,7 @@
 
 enum load_decode_result {
 	LOAD_DECODE_OK,
+	LOAD_DECODE_ASK, /* asks for one report; there are no values */
 	LOAD_DECODE_OTHER_VERSION,
 	LOAD_DECODE_MALFORMED, /* wrong size or a value out of range */
 };
@@ -26,6 +27,12 @@
 void load_encode_report(const struct load_report *report,
 			uint8_t buffer[LOAD_REPORT_SIZE]);
 
+/*
+ * Encodes an ask for one report. It is as long as the report, so that an ask
+ * with a false address of its sender multiplies nothing.
+ */
+void load_encode_ask(uint8_t buffer[LOAD_REPORT_SIZE]);
+
 /* Decodes a datagram of an untrusted sender; *report is set if it is valid. */
 enum load_decode_result load_decode_report(const uint8_t *buffer, size_t size,
 					   struct load_report *report);
--- a/src/load/load_service.c
+++ b/src/load/load_service.c
@@ -72,6 +72,15 @@
 	counters->received =
 		open_counter(registry, "loom_load_reports_received_total", NULL,
 			     "Datagrams received on the load port.");
+	counters->asks_sent =
+		open_counter(registry, "loom_load_asks_total", "side=\"sent\"",
+			     "Asks for a load report.");
+	counters->asks_answered =
+		open_counter(registry, "loom_load_asks_total",
+			     "side=\"answered\"", "Asks for a load report.");
+	counters->unanswered =
+		open_counter(registry, "loom_load_asks_total",
+			     "side=\"unanswered\"", "Asks for a load report.");
 	counters->unsent = open_drop_counter(registry, "reason=\"unsent\"");
 	counters->malformed =
 		open_drop_counter(registry, "reason=\"malformed\"");
@@ -225,6 +234,38 @@
 			    (uint64_t)check.age_ms * 1000);
 }
 
+/* Returns whether the kernel took the datagram; none is sent again. */
+static bool send_bytes(struct load_service *service,
+		       const struct sockaddr_in *to,
+		       const uint8_t bytes[LOAD_REPORT_SIZE])
+{
+	if (sendto(service->socket, bytes, LOAD_REPORT_SIZE, 0,
+		   (const struct sockaddr *)to,
+		   sizeof(*to)) == LOAD_REPORT_SIZE)
+		return true;
+	count_drops(service, service->counters->unsent, "unsent", 1);
+	return false;
+}
+
+static void answer_ask(struct load_service *service,
+		       const struct sockaddr_in *from)
+{
+	struct load_report report = { .instance = service->instance,
+				      .hop_port = service->options.hop_port };
+	uint8_t bytes[LOAD_REPORT_SIZE];
+
+	if (!load_take_spare(service->schedule, get_now_ms(service))) {
+		cnt_add(service->counters->unanswered, 1);
+		return;
+	}
+	update_load(service, &report.load);
+	report.sequence = ++service->sequence;
+	load_encode_report(&report, bytes);
+	if (send_bytes(service, from, bytes))
+		cnt_add(service->counters->asks_answered, 1);
+	arm_alarm(service);
+}
+
 static void handle_datagram(struct load_service *service,
 			    const struct slot *slot, size_t size)
 {
@@ -235,6 +276,9 @@
 	case LOAD_DECODE_OK:
 		handle_report(service, slot->from.sin_addr, &report);
 		break;
+	case LOAD_DECODE_ASK:
+		answer_ask(service, &slot->from);
+		break;
 	case LOAD_DECODE_OTHER_VERSION:
 		count_drops(service, service->counters->other_version,
 			    "version", 1);
@@ -352,6 +396,29 @@
 	arm_alarm(service);
 }
 
+void load_send_ask(struct load_service *service, const char *address)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	uint8_t bytes[LOAD_REPORT_SIZE];
+	char host[INET_ADDRSTRLEN];
+	size_t length;
+
+	if (!service || !address)
+		return;
+	length = strcspn(address, ":");
+	if (length >= sizeof(host))
+		return;
+	memcpy(host, address, length);
+	host[length] = '\0';
+	if (inet_pton(AF_INET, host, &to.sin_addr) != 1 ||
+	    !load_take_spare(service->schedule, get_now_ms(service)))
+		return;
+	to.sin_port = htons(service->options.load_port);
+	load_encode_ask(bytes);
+	if (send_bytes(service, &to, bytes))
+		cnt_add(service->counters->asks_sent, 1);
+}
+
 void load_mark_changed(struct load_service *service)
 {
 	struct rt_load load;
--- a/src/load/schedule.c
+++ b/src/load/schedule.c
@@ -33,6 +33,8 @@
  */
 #define RATE_PER_S 150U
 #define BURST 50U
+/* Asks and their answers leave so many tokens to reports. */
+#define RESERVED_TOKENS 25U
 /* One wake-up serves all receivers that became due within this time. */
 #define BATCH_GAP_MS 20U
 /* The same for a change between room and full. */
@@ -226,6 +228,15 @@
 	return count;
 }
 
+bool load_take_spare(struct load_schedule *schedule, uint64_t now_ms)
+{
+	refill(schedule, now_ms);
+	if (schedule->millitokens < (RESERVED_TOKENS + 1) * 1000)
+		return false;
+	schedule->millitokens -= 1000;
+	return true;
+}
+
 /* Returns when a queue has something to send or to drop. */
 static uint64_t get_queue_ms(const struct load_schedule *schedule,
 			     GQueue *queue, uint32_t batch_gap_ms)
--- a/src/load/schedule.h
+++ b/src/load/schedule.h
@@ -43,6 +43,12 @@
 uint32_t load_take_due(struct load_schedule *schedule, struct load_peer *peers,
 		       uint32_t max, uint64_t now_ms);
 
+/*
+ * Takes the right to send one datagram that is not due, an ask or the answer to
+ * one. Returns false when that would delay reports.
+ */
+bool load_take_spare(struct load_schedule *schedule, uint64_t now_ms);
+
 /*
  * Returns when load_take_due() has something to do unless something happens
  * before, or LOAD_NEVER_MS.
--- a/src/load/tests/test_load_codec.c
+++ b/src/load/tests/test_load_codec.c
@@ -34,6 +34,22 @@
 	CU_ASSERT_EQUAL(memcmp(buffer, expected, sizeof(expected)), 0);
 }
 
+/* An ask that is not exactly one is malformed, so that its layout can grow. */
+static void test_ask(void)
+{
+	uint8_t buffer[LOAD_REPORT_SIZE];
+	struct load_report report;
+
+	load_encode_ask(buffer);
+	CU_ASSERT_EQUAL(load_decode_report(buffer, sizeof(buffer), &report),
+			LOAD_DECODE_ASK);
+	CU_ASSERT_EQUAL(load_decode_report(buffer, sizeof(buffer) - 1, &report),
+			LOAD_DECODE_MALFORMED);
+	buffer[LOAD_REPORT_SIZE - 1] = 1;
+	CU_ASSERT_EQUAL(load_decode_report(buffer, sizeof(buffer), &report),
+			LOAD_DECODE_MALFORMED);
+}
+
 static void check_round_trip(const struct load_report *report)
 {
 	uint8_t buffer[LOAD_REPORT_SIZE];
@@ -153,6 +169,7 @@
 static const CU_TestInfo tests[] = {
 	{ "layout", test_layout },
 	{ "round trip", test_round_trip },
+	{ "ask", test_ask },
 	{ "malformed", test_malformed },
 	{ "mutations", test_mutations },
 	CU_TEST_INFO_NULL,
--- a/src/load/tests/test_load_schedule.c
+++ b/src/load/tests/test_load_schedule.c
@@ -183,6 +183,16 @@
 	g_free(got);
 }
 
+/* "spare COUNT": datagrams that are not due */
+static void take_spare(struct state *state, uint32_t count, GString *output)
+{
+	uint32_t taken = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		taken += load_take_spare(state->schedule, state->now_ms);
+	g_string_append_printf(output, "%u allowed\n", taken);
+}
+
 static bool run_schedule_step(int count, char **words, GString *output,
 			      void *data)
 {
@@ -200,6 +210,8 @@
 		count_until(state, parse_number(words[1]), output);
 	else if (strcmp(words[0], "flood") == 0)
 		run_flood(state, words, output);
+	else if (strcmp(words[0], "spare") == 0)
+		take_spare(state, parse_number(words[1]), output);
 	else if (strcmp(words[0], "receivers") == 0)
 		g_string_append_printf(output, "%u\n",
 				       load_count_receivers(state->schedule));
--- a/src/load/tests/test_load_service.c
+++ b/src/load/tests/test_load_service.c
@@ -215,6 +215,43 @@
 	talloc_free(pair);
 }
 
+/* Runs the loop, without calls, until node 0 has heard a report. */
+static void run_until_heard(struct pair *pair)
+{
+	bool is_over = false;
+	struct tmr_subscription *limit = tmr_subscribe_once(
+		pair, pair->timers, RUN_TIMEOUT_MS, set_flag, &is_over);
+
+	while (pair->nodes[0].heard_count == 0 && !is_over)
+		tevent_loop_once(pair->events);
+	CU_ASSERT_FALSE(is_over);
+	if (!is_over)
+		talloc_free(limit);
+}
+
+/* A node that sent no call learnt no load, or an ask brought more than one. */
+static void test_ask(void)
+{
+	struct pair *pair = new_pair();
+	struct node *entry = &pair->nodes[0];
+	struct node *target = &pair->nodes[1];
+
+	target->own.in_flight = 5;
+	load_send_ask(entry->service, "no address");
+	load_send_ask(entry->service, target->target);
+	run_until_heard(pair);
+	CU_ASSERT_EQUAL(entry->heard.in_flight, 5);
+	CU_ASSERT_STRING_EQUAL(entry->heard_from, target->target);
+	CU_ASSERT_EQUAL(cnt_get_value(entry->load_counters.asks_sent), 1);
+	CU_ASSERT_EQUAL(cnt_get_value(target->load_counters.asks_answered), 1);
+	CU_ASSERT_EQUAL(cnt_get_value(target->load_counters.sent), 0);
+	/* As many as are sent at once do not empty what reports need. */
+	for (int i = 0; i < 100; i++)
+		load_send_ask(entry->service, target->target);
+	CU_ASSERT(cnt_get_value(entry->load_counters.asks_sent) <= 26);
+	talloc_free(pair);
+}
+
 static bool is_unknown_counted(struct pair *pair)
 {
 	return cnt_get_value(pair->nodes[0].load_counters.unknown) > 0;
@@ -290,6 +327,8 @@
 	/* Without a service nothing is recorded. */
 	load_record_call(NULL, (struct in_addr){ 0 }, LOAD_PORT);
 	load_mark_changed(NULL);
+	load_send_ask(NULL, pair->nodes[1].target);
+	load_send_ask(pair->nodes[0].service, NULL);
 	talloc_free(pair);
 }
 
@@ -297,6 +336,7 @@
 	{ "changes", test_changes },
 	{ "restart", test_restart },
 	{ "receiver gone", test_receiver_gone },
+	{ "ask", test_ask },
 	{ "unknown target", test_unknown_target },
 	{ "malformed", test_malformed },
 	{ "port in use", test_port_in_use },
--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -511,6 +511,7 @@
 	}
 	sync_table(chooser, table);
 	chooser->chosen_ms = now_ms;
+	chooser->asked = NULL;
 	/* Drawn once, also when the call may go to either version of a move. */
 	chooser->is_trial = request->is_placed &&
 			    rt_draw_random(chooser, TRIAL_PERIOD) == 0;
@@ -531,6 +532,14 @@
 	return target;
 }
 
+const char *rt_take_ask(struct rt_chooser *chooser)
+{
+	const char *asked = chooser->asked;
+
+	chooser->asked = NULL;
+	return asked;
+}
+
 void rt_record_arrival(struct rt_chooser *chooser,
 		       const struct doc_service *service)
 {
--- a/src/routing/chooser_internal.h
+++ b/src/routing/chooser_internal.h
@@ -28,6 +28,8 @@
 	enum rt_policy policy;
 	uint64_t random;
 	uint64_t chosen_ms; /* time of the last choice */
+	const char *asked;  /* by the last choice; borrowed from its state */
+	uint64_t asked_ms;  /* time of the last ask; 0: none */
 	bool is_trial;	    /* the call is sent even if it looks too late */
 	struct rt_state_set *states;
 	struct rt_exposures *exposures;
--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -12,6 +12,7 @@
  * asking one, except for a few that find out whether that is still so.
  */
 #include "placement.h"
+#include "asks.h"
 
 /*
  * Higher failure shares are clamped: the target may be the only one with free
@@ -24,7 +25,8 @@
 	const struct rt_group *group;
 	bool is_home;
 	enum rt_grade min_grade;
-	bool has_cut_off; /* includes domains that are probably cut off */
+	bool is_known_only; /* targets that have told their waits */
+	bool has_cut_off;   /* includes domains that are probably cut off */
 };
 
 struct choice {
@@ -89,6 +91,8 @@
 
 	return is_home == side->is_home &&
 	       chooser->grades[index] >= side->min_grade &&
+	       (!side->is_known_only ||
+		rt_has_waits(get_state(chooser, side->group, index), now_ms)) &&
 	       (side->has_cut_off ||
 		!rt_is_target_silent(get_state(chooser, side->group, index),
 				     now_ms)) &&
@@ -214,11 +218,17 @@
 		      const struct rt_request *request, enum rt_grade min_grade,
 		      uint64_t now_ms, enum rt_refusal *refusal)
 {
-	struct side home = { group, true, min_grade, false };
-	struct side away = { group, false, min_grade, false };
+	struct side home = { .group = group,
+			     .is_home = true,
+			     .min_grade = min_grade };
+	struct side away = { .group = group,
+			     .min_grade = min_grade,
+			     .is_known_only = request->is_known_only };
 	struct choice near;
 	struct choice far;
 
+	if (request->is_known_only)
+		rt_choose_ask(chooser, table, group, now_ms);
 	if (request->latest_end_ms > 0 && !chooser->is_trial &&
 	    !may_end_in_time(chooser, table, group, request, min_grade,
 			     now_ms)) {
@@ -226,6 +236,8 @@
 		return -1;
 	}
 	near = choose_on_side(chooser, table, &home, request, now_ms);
+	/* Without a target at home the others need not be known. */
+	away.is_known_only &= near.index >= 0;
 	far = choose_on_side(chooser, table, &away, request, now_ms);
 	if (near.index < 0 && far.index < 0) {
 		home.has_cut_off = true;
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -26,6 +26,7 @@
 	uint64_t reported_ms;
 	bool is_sent_report;	 /* the report came without a call */
 	uint64_t sent_report_ms; /* last report without a call; 0: none */
+	uint64_t asked_ms;	 /* last ask for a report; 0: none */
 	uint32_t report_gap_ms;	 /* mean time between two such reports */
 	/* First start of a call since the last report or answer; 0: none. */
 	uint64_t unreported_ms;
--- a/src/routing/tests/test_placement.c
+++ b/src/routing/tests/test_placement.c
@@ -145,6 +145,8 @@
 			request->run_us = value * 1000;
 		else if (strcmp(pair[0], "crossing") == 0)
 			request->crossing_us = value * 1000;
+		else if (strcmp(pair[0], "known") == 0)
+			request->is_known_only = value;
 		else if (strcmp(pair[0], "class") == 0)
 			request->class = (enum rt_class)value;
 		else
@@ -215,6 +217,16 @@
 	state->request.tried_count = 0;
 }
 
+/* "ask": a choice, and whom to ask for a report then */
+static void choose_and_ask(struct state *state, GString *output)
+{
+	const char *chosen = choose(state);
+	const char *asked = rt_take_ask(state->chooser);
+
+	g_string_append_printf(output, "%s, ask %s\n", chosen,
+			       asked ? asked : "nobody");
+}
+
 /* "end ADDRESS OUTCOME [LOAD]" */
 static void end_call(struct state *state, char **words, int count)
 {
@@ -260,6 +272,8 @@
 	else if (strcmp(words[0], "many") == 0 ||
 		 strcmp(words[0], "domains") == 0)
 		print_choices(state, words, output);
+	else if (strcmp(words[0], "ask") == 0)
+		choose_and_ask(state, output);
 	else if (strcmp(words[0], "start") == 0)
 		rt_record_start(state->chooser, words[1]);
 	else if (strcmp(words[0], "end") == 0)
@@ -315,6 +329,12 @@
 	run_script("cut_off");
 }
 
+/* Guards against calls to targets of other domains whose load is unknown. */
+static void test_asks(void)
+{
+	run_script("asks");
+}
+
 /* Guards against a share that grows although calls find no room. */
 static void test_share(void)
 {
@@ -334,6 +354,7 @@
 	{ "failure domain cut off", test_cut_off },
 	{ "share of calls that leave", test_share },
 	{ "phases", test_phases },
+	{ "asks for reports", test_asks },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/traffic/classify.c
+++ b/src/traffic/classify.c
@@ -67,6 +67,7 @@
 	if (call->gateway_route && call->gateway_route->has_large_answers)
 		bytes = MAX(bytes, (uint64_t)LARGE_ANSWER_BYTES);
 	call->request.is_placed = true;
+	call->request.is_known_only = thread->load != NULL;
 	call->request.class = call->class;
 	call->request.run_us =
 		rt_get_run_time_us(thread->answer_sizes, call->route->name);
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -119,6 +119,7 @@
 	call->chosen =
 		rt_choose_target(thread->chooser, call->table, &call->request,
 				 tmr_get_now_ms(thread->timers), refusal);
+	load_send_ask(thread->load, rt_take_ask(thread->chooser));
 	return call->chosen != NULL;
 }
 
