Simulate overload of failure domains with the bench model

Change: calls of the model may be placed by their expected end, gates give slots by class, targets send load reports and answer asks, the first domain may have a load of its own and targets may differ in speed. bench_domains prints who leaves, how many and what becomes of them for a domain beside room, little room, all domains full, large answers, a crowd, uneven targets, a failed domain and reports that stop.

--- a/src/routing/bench/model.c
+++ b/src/routing/bench/model.c
@@ -28,6 +28,7 @@
 
 #define LOCAL_ONE_WAY_US 100U /* one-way latency within a failure domain */
 #define DEADLINE_US 250000U
+#define KIND "orders"
 #define WARM_UP_CALLS_PER_SLOT 40U
 #define GREY_TARGET 0U
 #define SHED_US 500U	      /* time that a target takes to shed a call */
@@ -56,7 +57,10 @@
 
 static uint64_t get_deadline_us(const struct model_call *call)
 {
-	return call->started_us + DEADLINE_US;
+	const struct model_case *setup = call->model->setup;
+
+	return call->started_us +
+	       (setup->is_placed ? setup->timeout_us : DEADLINE_US);
 }
 
 static uint64_t get_one_way_us(const struct model_call *call)
@@ -98,16 +102,23 @@
 {
 	struct model_result *result = &call->model->result;
 	uint32_t taken_us = (uint32_t)(now_us - call->started_us);
+	bool is_first;
 
 	if (call->started_us < model_get_warm_up_us(call->model))
 		goto out;
 	result->calls++;
+	is_first = model_get_domain(call->model, call->entry) == 0;
+	result->first_domain_calls += is_first;
 	if (!is_run) {
 		result->refused++;
 		g_array_append_val(call->model->refusals_us, taken_us);
 		goto out;
 	}
-	if (taken_us <= DEADLINE_US) {
+	if (taken_us <= call->model->setup->objective_us) {
+		result->in_objective++;
+		result->first_domain_in_objective += is_first;
+	}
+	if (now_us <= get_deadline_us(call)) {
 		result->good++;
 	} else {
 		result->late++;
@@ -137,12 +148,33 @@
 			       &retry) == RT_RETRY_YES;
 }
 
+static bool has_left(const struct model_call *call)
+{
+	return call->model->setup->is_placed &&
+	       model_get_domain(call->model, call->entry) !=
+		       model_get_domain(call->model, call->target);
+}
+
+static void record_leaving(const struct model_call *call, uint64_t now_us)
+{
+	struct model *model = call->model;
+
+	if (!has_left(call))
+		return;
+	rt_record_leaving(model->entries[call->entry].chooser, "orders",
+			  call->outcome, now_us / 1000);
+	if (call->started_us >= model_get_warm_up_us(model))
+		model->result.away_refused +=
+			call->outcome == RT_OUTCOME_REFUSED;
+}
+
 static void receive_answer(uint64_t now_us, void *data)
 {
 	struct model_call *call = data;
 	struct model *model = call->model;
 	const char *address = model->targets[call->target].address;
 
+	record_leaving(call, now_us);
 	rt_record_end(model->entries[call->entry].chooser, address,
 		      call->outcome, &call->load, get_transit_us(call, now_us),
 		      now_us / 1000);
@@ -207,6 +239,11 @@
 		warm_up(model, target);
 		target->running--;
 	}
+	if (model->setup->is_placed)
+		adm_record_run(target->gate, KIND,
+			       (uint32_t)(now_us - call->admitted_us),
+			       (uint32_t)(now_us - call->admitted_us),
+			       now_us / 1000);
 	if (model->setup->has_gate)
 		adm_finish(target->gate, ADM_OUTCOME_GOOD,
 			   now_us / 1000 - (now_us - call->admitted_us) / 1000,
@@ -247,6 +284,7 @@
 {
 	struct model *model = call->model;
 	struct model_target *target = &model->targets[call->target];
+	uint32_t mean_us;
 	uint64_t service_us;
 
 	call->admitted_us = now_us;
@@ -256,9 +294,13 @@
 		event_add(model->events, now_us + SHED_US, end_shed, call);
 		return;
 	}
+	mean_us = model->setup->is_placed
+			  ? (uint32_t)(model->setup->service_us *
+				       target->speed_factor)
+			  : MODEL_SERVICE_US;
 	service_us =
-		(uint64_t)g_rand_int_range(model->random, MODEL_SERVICE_US / 2,
-					   MODEL_SERVICE_US * 3 / 2) *
+		(uint64_t)g_rand_int_range(model->random, (gint32)mean_us / 2,
+					   (gint32)mean_us * 3 / 2) *
 		target->slow_factor;
 	if (target->running > target->concurrency_max)
 		service_us =
@@ -291,6 +333,7 @@
 	const char *address = call->model->targets[call->target].address;
 
 	call->outcome = RT_OUTCOME_FAILED;
+	record_leaving(call, now_us);
 	rt_record_end(entry->chooser, address, call->outcome, NULL,
 		      (uint32_t)(now_us - call->sent_us), now_us / 1000);
 	if (!may_retry(call, now_us)) {
@@ -307,6 +350,12 @@
 	struct model *model = call->model;
 	struct model_target *target = &model->targets[call->target];
 	enum adm_refusal refusal;
+	struct adm_call asked = {
+		.service = "orders",
+		.version = "v1",
+		.ticket = call,
+		.deadline_ms = get_deadline_us(call) / 1000,
+	};
 
 	call->reached_us = now_us;
 	if (model_has_failed(model, call->target)) {
@@ -318,13 +367,13 @@
 		start_service(call, now_us);
 		return;
 	}
-	switch (adm_admit(target->gate,
-			  &(struct adm_call){
-				  .service = "orders",
-				  .version = "v1",
-				  .ticket = call,
-				  .deadline_ms = get_deadline_us(call) / 1000 },
-			  now_us / 1000, &refusal)) {
+	target->called_us[call->entry] = now_us;
+	if (model->setup->is_placed) {
+		asked.objective_ms = call->request.latest_end_ms;
+		asked.class = call->request.class;
+		asked.kind = KIND;
+	}
+	switch (adm_admit(target->gate, &asked, now_us / 1000, &refusal)) {
 	case ADM_VERDICT_RUN:
 		start_service(call, now_us);
 		break;
@@ -356,6 +405,23 @@
 	return target->link_free_us;
 }
 
+static void count_attempt(const struct model_call *call, uint64_t now_us)
+{
+	struct model_result *result = &call->model->result;
+	uint64_t warm_up_us = model_get_warm_up_us(call->model);
+	uint64_t second;
+
+	if (call->started_us < warm_up_us)
+		return;
+	result->attempts++;
+	second = (now_us - warm_up_us) / G_USEC_PER_SEC;
+	if (!has_left(call))
+		return;
+	result->away++;
+	if (second < MODEL_SECONDS_MAX)
+		result->away_per_s[second]++;
+}
+
 static void send_attempt(struct model_call *call, uint64_t now_us)
 {
 	struct model *model = call->model;
@@ -365,13 +431,18 @@
 
 	target = rt_choose_target(entry->chooser, entry->table, &call->request,
 				  now_us / 1000, &refusal);
+	model_send_ask(model, call->entry, rt_take_ask(entry->chooser), now_us);
 	if (!target) {
+		if (refusal == RT_REFUSAL_NO_ROOM &&
+		    call->started_us >= model_get_warm_up_us(model))
+			model->result.early++;
 		finish_call(call, now_us, false);
 		return;
 	}
 	call->attempt_count++;
 	call->target = (uint32_t)strtoul(target->address + 1, NULL, 10);
 	call->sent_us = now_us;
+	count_attempt(call, now_us);
 	rt_record_start(entry->chooser, target->address);
 	event_add(model->events, get_arrival_us(call, now_us), arrive_at_target,
 		  call);
@@ -397,9 +468,21 @@
 /* Chooses a random entry; if it has failed, the next one that has not. */
 static uint32_t choose_entry(struct model *model)
 {
+	uint32_t domains = model->setup->domain_count;
 	uint32_t entry = (uint32_t)g_rand_int_range(
 		model->random, 0, (gint32)model->setup->target_count);
-
+	uint32_t first = model->setup->first_domain_permille;
+
+	if (first > 0) {
+		entry -= entry % domains;
+		if (g_rand_double(model->random) *
+			    (first +
+			     (domains - 1) * model->setup->load_permille) >=
+		    first)
+			entry += 1 +
+				 (uint32_t)g_rand_int_range(
+					 model->random, 0, (gint32)domains - 1);
+	}
 	while (model_has_failed(model, entry))
 		entry = (entry + 1) % model->setup->target_count;
 	return entry;
@@ -420,7 +503,17 @@
 			(uint32_t)g_rand_int_range(model->random, 0, 1000) <
 			model->setup->large_body_permille;
 	call->request.is_bulky = call->has_large_body;
-	rt_credit_budget(model->entries[call->entry].budget, false, now_us / 1000);
+	if (model->setup->is_placed) {
+		call->request.is_placed = true;
+		call->request.class = RT_CLASS_RANK_1;
+		call->request.run_us = model->setup->service_us;
+		call->request.is_known_only = model->setup->is_known_only;
+		call->request.crossing_us = model->setup->crossing_us;
+		call->request.latest_end_ms =
+			(now_us + model->setup->objective_us) / 1000;
+	}
+	rt_credit_budget(model->entries[call->entry].budget, false,
+			 now_us / 1000);
 	send_attempt(call, now_us);
 	gap_us = -log(1 - g_rand_double(model->random)) *
 		 get_gap_us(model, now_us);
--- a/src/routing/bench/model.h
+++ b/src/routing/bench/model.h
@@ -9,7 +9,9 @@
 #include "loom/admission.h"
 #include "loom/routing.h"
 
-#define MODEL_TARGET_MAX 16U
+#define MODEL_TARGET_MAX 24U
+
+#define MODEL_SECONDS_MAX 120U
 
 /* Fault that is injected at the end of the warm-up. */
 enum model_fault {
@@ -41,7 +43,22 @@
 	uint32_t link_bytes_per_ms;   /* link into each vm; 0: unlimited */
 	uint32_t crowd_permille; /* load in the middle third; 0: no crowd */
 	uint32_t load_permille;	 /* share of the healthy targets' capacity */
-	uint32_t warm_up_s;	 /* excluded from the result */
+	/*
+	 * Calls are placed by their expected end, and gates give slots by
+	 * class; the members up to reports_stop_s are read only then.
+	 */
+	bool is_placed;
+	uint32_t service_us; /* mean work of a call */
+	uint32_t timeout_us; /* deadline of a call */
+	uint32_t objective_us;
+	uint32_t crossing_us; /* wait preferred to leaving the domain */
+	bool is_known_only; /* calls leave for targets with known waits only */
+	/* Load of the first domain in place of load_permille; 0: the same. */
+	uint32_t first_domain_permille;
+	uint32_t report_ms;	  /* gap of sent load reports; 0: none */
+	uint32_t reports_stop_s;  /* the first domain gets none from then on */
+	uint32_t spread_permille; /* slowest target, fastest: its inverse */
+	uint32_t warm_up_s;	  /* excluded from the result */
 	uint32_t measured_s;
 	uint64_t seed;
 };
@@ -64,6 +81,14 @@
 	uint32_t waiting_max;	 /* longest queue of any gate */
 	uint64_t grey_calls;	 /* calls that reached the grey target */
 	uint64_t shed_calls;	 /* grey calls that were shed */
+	uint64_t in_objective;
+	uint64_t early; /* refused by the entry without asking a target */
+	uint64_t attempts;
+	uint64_t first_domain_calls; /* of entries of the first domain */
+	uint64_t first_domain_in_objective;
+	uint64_t away; /* attempts that left the domain of their entry */
+	uint64_t away_refused;
+	uint32_t away_per_s[MODEL_SECONDS_MAX]; /* since the warm-up */
 };
 
 /* Runs a simulation to its end. */
--- a/src/routing/bench/model_run.c
+++ b/src/routing/bench/model_run.c
@@ -1,4 +1,5 @@
 /* Set-up and summary of a simulation run: targets, tables, faults, results. */
+#include <math.h>
 #include "model_state.h"
 
 #define SLOW_FACTOR 5U
@@ -24,6 +25,21 @@
 	model->service = doc_find_service(model->snapshot, "orders");
 }
 
+/*
+ * The targets of a domain, in order, take from 1000 / spread_permille to
+ * spread_permille / 1000 times the mean.
+ */
+static double get_speed_factor(const struct model_case *setup, uint32_t index)
+{
+	uint32_t last = setup->target_count / setup->domain_count - 1;
+	uint32_t rank = index / setup->domain_count;
+	double place = last ? (double)rank / last : 0;
+
+	if (setup->spread_permille == 0)
+		return 1;
+	return pow(setup->spread_permille / 1000.0, 2 * place - 1);
+}
+
 static void build_targets(struct model *model)
 {
 	const struct model_case *setup = model->setup;
@@ -34,6 +50,9 @@
 		struct model_target *target = &model->targets[i];
 
 		target->gate = adm_new_gate(model);
+		if (setup->is_placed)
+			adm_use_classes(target->gate);
+		target->speed_factor = get_speed_factor(setup, i);
 		adm_set_limits(target->gate, &limits);
 		adm_announce_target(target->gate, "orders", "v1", 0);
 		/* An adaptive limit would stop calls to a target that sheds. */
@@ -149,7 +168,18 @@
 		targets -= targets / setup->domain_count;
 	else if (setup->fault != MODEL_FAULT_NONE)
 		targets -= 2 - 1.0 / SLOW_FACTOR;
-	return targets * setup->slots * G_USEC_PER_SEC / MODEL_SERVICE_US;
+	return targets * setup->slots * G_USEC_PER_SEC /
+	       (setup->is_placed ? setup->service_us : MODEL_SERVICE_US);
+}
+
+/* Returns the load of all domains in thousandths. */
+static double get_load(const struct model_case *setup)
+{
+	double extra = (double)setup->first_domain_permille -
+		       (double)setup->load_permille;
+
+	return setup->load_permille +
+	       (setup->first_domain_permille ? extra / setup->domain_count : 0);
 }
 
 static void summarize(struct model *model)
@@ -196,7 +226,7 @@
 		g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	model->refusals_us = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	model->arrival_gap_us = G_USEC_PER_SEC * 1000.0 /
-				(get_capacity(setup) * setup->load_permille);
+				(get_capacity(setup) * get_load(setup));
 	model->arrival_end_us = model_get_warm_up_us(model) +
 				(uint64_t)setup->measured_s * G_USEC_PER_SEC;
 	build_snapshot(model);
@@ -205,6 +235,8 @@
 		build_entry(model, i);
 	event_add(model->events, model_get_warm_up_us(model), inject_fault,
 		  model);
+	if (setup->report_ms > 0)
+		event_add(model->events, 0, model_send_reports, model);
 	model_begin(model);
 	event_run(model->events);
 	summarize(model);
--- a/src/routing/bench/model_state.h
+++ b/src/routing/bench/model_state.h
@@ -18,6 +18,9 @@
 	uint32_t slow_factor;
 	uint64_t served;
 	uint64_t link_free_us; /* when the link has sent all queued bytes */
+	/* When each entry called or asked last; 0: never. */
+	uint64_t called_us[MODEL_TARGET_MAX];
+	double speed_factor; /* on the mean work of placed calls */
 };
 
 struct model_entry {
@@ -51,6 +54,17 @@
 /* Returns whether the failure domain of a vm has failed. */
 bool model_has_failed(const struct model *model, uint32_t index);
 
+/* Sends the loads of all targets, and schedules the next time
+ * (model_reports.c). */
+void model_send_reports(uint64_t now_us, void *data);
+
+/*
+ * Asks the target of an address for a load report for the entry
+ * (model_reports.c). No effect if address is NULL.
+ */
+void model_send_ask(struct model *model, uint32_t entry, const char *address,
+		    uint64_t now_us);
+
 /* Schedules the arrival of the first call (in model.c). */
 void model_begin(struct model *model);
 
