Keep sums of reported loads in range

Cause (review): a report of 4,294,967,295 calls in flight and one own call gave a sum of 0, and the target looked idle. The wait times the factor of failures could exceed 64 bits. Change: the load and the wait end at 32 bits.

--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -368,15 +368,16 @@
 uint32_t rt_estimate_load(const struct rt_target_state *state, uint64_t now_ms)
 {
 	uint64_t age_ms = now_ms - state->reported_ms;
+	uint64_t load = state->own_in_flight;
 
 	if (!is_report_fresh(state, now_ms) ||
 	    is_report_forgotten(state, now_ms))
 		return state->own_in_flight;
 	if (state->is_sent_report)
 		age_ms -= MIN(age_ms, SENT_REPORT_HOLD_MS);
-	return state->own_in_flight + decay_by_half(state->others_in_flight,
-						    age_ms,
-						    REPORT_HALF_LIFE_MS);
+	load += decay_by_half(state->others_in_flight, age_ms,
+			      REPORT_HALF_LIFE_MS);
+	return (uint32_t)MIN(load, UINT32_MAX);
 }
 
 uint32_t rt_estimate_latency_us(const struct rt_target_state *state,
@@ -432,8 +433,9 @@
 
 	if (load >= limit)
 		wait_us = (load - limit + 1) * latency_us / limit;
+	/* So that sums of times that are multiplied stay in range. */
 	if (!rt_has_waits(state, now_ms))
-		return wait_us;
+		return MIN(wait_us, UINT32_MAX);
 	/* Calls of a higher class don't wait behind all that are there. */
 	if (load < limit)
 		return 0;
--- a/src/routing/tests/test_placement.c
+++ b/src/routing/tests/test_placement.c
@@ -341,6 +341,12 @@
 	run_script("share");
 }
 
+/* Guards against sums that overflow. */
+static void test_absurd_reports(void)
+{
+	run_script("absurd_reports");
+}
+
 /* Guards against calls to targets that leave, start or are taken out. */
 static void test_phases(void)
 {
@@ -355,6 +361,7 @@
 	{ "share of calls that leave", test_share },
 	{ "phases", test_phases },
 	{ "asks for reports", test_asks },
+	{ "absurd reports", test_absurd_reports },
 	CU_TEST_INFO_NULL,
 };
 
