Test asks for load reports between nodes

Cause: that an entry node asks and a node answers was tested by parts only. In the script load_reports the shell-like reading of the lines took the quotes out of the labels, so its checks of dropped reports read counters that do not exist and were always 0.

--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -79,6 +79,7 @@
 	options.call_port = MESH_CALL_PORT;
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
+	options.overload.is_enabled = mesh->is_controlled;
 	options.overload.link_kbit_s = mesh->link_kbit_s;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -47,8 +47,9 @@
 	const char *step; /* test step, for the message of a timeout */
 	uint64_t sequence;
 	bool is_domain_out;
-	bool has_reports; /* nodes send each other load reports */
-	bool has_stamps;  /* targets name the request in each answer */
+	bool has_reports;   /* nodes send each other load reports */
+	bool is_controlled; /* nodes control overload */
+	bool has_stamps;    /* targets name the request in each answer */
 	const struct mesh_node *stale; /* gets no new tables; NULL: none */
 	uint32_t slots;
 	uint32_t queue_length;
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -208,6 +208,8 @@
 		mesh->has_stamps = true;
 	} else if (strcmp(words[0], "reports") == 0) {
 		mesh->has_reports = true;
+	} else if (strcmp(words[0], "overload-control") == 0) {
+		mesh->is_controlled = true;
 	} else if (strcmp(words[0], "publish") == 0) {
 		mesh_publish(mesh);
 	} else if (strcmp(words[0], "limits") == 0) {
@@ -333,6 +335,7 @@
 struct counter_wait {
 	struct mesh_node *node;
 	const char *name;
+	const char *labels; /* NULL: none */
 	int64_t wanted;
 };
 
@@ -340,16 +343,20 @@
 {
 	const struct counter_wait *wait = data;
 
-	return mesh_get_counter(wait->node, wait->name, NULL) >= wait->wanted;
+	return mesh_get_counter(wait->node, wait->name, wait->labels) >=
+	       wait->wanted;
 }
 
-/* "wait-counter NODE NAME VALUE": until the counter is at least VALUE. */
-static void wait_for_counter(struct state *state, char **words)
+/*
+ * "wait-counter NODE NAME VALUE [LABELS]": until the counter is at least VALUE.
+ */
+static void wait_for_counter(struct state *state, int count, char **words)
 {
 	struct counter_wait wait = {
 		.node = mesh_get_node(state->mesh, words[1]),
 		.name = words[2],
 		.wanted = atoi(words[3]),
+		.labels = count > 4 ? words[4] : NULL,
 	};
 
 	mesh_run_until(state->mesh, is_counted, &wait);
@@ -371,7 +378,7 @@
 		return true;
 	}
 	if (strcmp(words[0], "wait-counter") == 0) {
-		wait_for_counter(state, words);
+		wait_for_counter(state, count, words);
 		return true;
 	}
 	if (strcmp(words[0], "print") == 0) {
@@ -555,6 +562,12 @@
 }
 
 /* Reports went nowhere, or to a node that did not know their target. */
+/* Guards against an entry that knows no wait outside its failure domain. */
+static void test_load_asks(void)
+{
+	run_script("load_asks");
+}
+
 static void test_load_reports(void)
 {
 	run_script("load_reports");
@@ -589,6 +602,7 @@
 	{ "restarted_target", test_restarted_target },
 	{ "hostile callers", test_hostile_callers },
 	{ "load_reports", test_load_reports },
+	{ "load_asks", test_load_asks },
 	CU_TEST_INFO_NULL,
 };
 
