--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -95,7 +95,6 @@
 	options.call_port = MESH_CALL_PORT;
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
-	options.overload.is_enabled = mesh->is_controlled;
 	options.overload.link_kbit_s = mesh->link_kbit_s;
 	options.overload.is_enabled = mesh->is_controlled;
 	options.overload.silence_ms = mesh->silence_ms;
@@ -200,7 +199,7 @@
 
 void mesh_publish(struct mesh *mesh)
 {
-	struct doc_snapshot *snapshot = mesh->is_controlled
+	struct doc_snapshot *snapshot = mesh->has_gateway
 						? build_gateway_snapshot(mesh)
 						: build_snapshot(mesh);
 	struct rt_target targets[MESH_NODES_MAX];
@@ -215,7 +214,7 @@
 			.address = node->hop_address,
 			.failure_domain = node->failure_domain,
 			.service = "shop",
-			.version = mesh->is_controlled ? DOC_VERSION_ANY
+			.version = mesh->has_gateway ? DOC_VERSION_ANY
 						       : node->version,
 			.release = node->version,
 			.phase = node->phase,
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -57,7 +57,7 @@
 	uint32_t header_timeout_ms;
 	uint32_t connections_max;
 	uint32_t link_kbit_s; /* of nodes added from now on; 0: unknown */
-	/* Overload control, with a gateway document; see mesh_add_node(). */
+	bool has_gateway; /* configured by a gateway document */
 	uint32_t silence_ms;
 };
 
--- a/src/traffic/tests/test_overload.c
+++ b/src/traffic/tests/test_overload.c
@@ -146,6 +146,7 @@
 	struct state state = { .mesh = mesh_new() };
 
 	state.mesh->is_controlled = true;
+	state.mesh->has_gateway = true;
 	state.callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_caller);
 	scr_run("unanswered", run_step, &state);
@@ -225,6 +226,7 @@
 	struct raw_caller *caller;
 
 	mesh->is_controlled = true;
+	mesh->has_gateway = true;
 	node = mesh_add_node(mesh, "t", "a");
 	mesh_add_target(mesh, node, "v1");
 	mesh_tell_slots(mesh, node, 1);
