--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -59,6 +59,7 @@
 	wait_for 15 curl -sf "http://$platform/stats"
 }
 
+# Where set, node_files is the number of descriptors that a node may open.
 start_node() { # start_node N FAILURE_DOMAIN [MORE_SETTINGS]
 	cat >"$work/$1.json" <<EOF
 {"address":"$base.$1","failure_domain":"$2","call_port":8080,
@@ -66,7 +67,10 @@
  "drain_linger_ms":1500,"platform_url":"http://$node_platform",
  "seeds":["$base.1:7946","$base.2:7946"]${3:+,$3}}
 EOF
-	"$bin/loomnode" --settings "$work/$1.json" >>"$work/node$1.log" &
+	(
+		ulimit -n "${node_files:-$(ulimit -n)}"
+		exec "$bin/loomnode" --settings "$work/$1.json"
+	) >>"$work/node$1.log" &
 	node_pid[$1]=$!
 }
 
