Test JSON of many values at the administration port

One body of 4 MB, which the port takes in, makes the parser allocate 40 to 270 bytes for each value. Measured before the parser is bounded: highest RSS 227 MB after three such bodies, one after the other.

--- a/tests/process/untrusted_callers.sh
+++ b/tests/process/untrusted_callers.sh
@@ -76,8 +76,34 @@
 	stop_pair
 }
 
+# Bodies within the limit of the administration port whose values take much more
+# memory than their text.
+run_json() {
+	local body
+	[ -z "$only" ] || [ "$only" = json ] || return 0
+	echo "== JSON of many values at the administration port"
+	start_pair
+	for body in "$(values 2000000 0)" "$(values 1300000 '[]')" \
+		"$(values 400000 '{"a":{}}')"; do
+		for path in /moves/report /spread/manifest /spread/bundle /target; do
+			printf '%s' "$body" | curl -s -m 20 -o /dev/null \
+				--data-binary @- "http://$base.1:8082$path" || true
+		done
+	done
+	wait_for 30 serves 1
+	check_nodes 9000
+	stop_pair
+}
+
+values() { # values COUNT VALUE: a report that is an array of equal values
+	printf '{"reports":['
+	yes "$2," | head -n "$1" | tr -d '\n'
+	printf '0]}'
+}
+
 start_platform
 apply_shop
+run_json
 run_crowd short-body 1 8080 1500
 run_crowd hop-body 2 8081 1500
 run_crowd announced 1 8080 1500
