Bound the memory of JSON from other processes

A body of 4 MB at the administration port made jansson allocate up to 270 bytes for each value, 227 MB in all.

--- a/include/loom/reader.h
+++ b/include/loom/reader.h
@@ -53,6 +53,16 @@
 
 struct rd_object;
 
+/* Returns about how many bytes the values of a JSON text take when parsed. */
+size_t rd_estimate_tree_bytes(const char *text, size_t size);
+
+/*
+ * Parses a JSON text from another process, like json_loadb(); a text whose
+ * values would take too much memory is an error.
+ */
+json_t *rd_load_json(const char *text, size_t size, size_t flags,
+		     json_error_t *error);
+
 /*
  * Parses a JSON text of at most max_bytes. Rejects duplicate fields and a value
  * other than an object or array. Returns a new reference, or NULL after adding
--- a/src/base/reader.c
+++ b/src/base/reader.c
@@ -41,7 +41,7 @@
 				 max_bytes);
 		return NULL;
 	}
-	json = json_loadb(text, size, JSON_REJECT_DUPLICATES, &error);
+	json = rd_load_json(text, size, JSON_REJECT_DUPLICATES, &error);
 	if (!json)
 		prob_add_problem(list, file, "", "line %d, column %d: %s",
 				 error.line, error.column, error.text);
--- a/src/base/tests/test_reader.c
+++ b/src/base/tests/test_reader.c
@@ -76,9 +76,40 @@
 	talloc_free(list);
 }
 
+static json_t *load_repeated(const char *value, size_t count)
+{
+	GString *text = g_string_new("[");
+	json_t *json;
+
+	for (size_t i = 0; i < count; i++)
+		g_string_append_printf(text, "%s,", value);
+	g_string_append(text, "0]");
+	json = rd_load_json(text->str, text->len, 0, NULL);
+	g_string_free(text, TRUE);
+	return json;
+}
+
+/* One body of 4 MB made a node allocate 227 MB. */
+static void test_texts_of_many_values_are_rejected(void)
+{
+	json_t *json = load_repeated("1", 500000);
+
+	CU_ASSERT_EQUAL(json_array_size(json), 500001);
+	json_decref(json);
+	CU_ASSERT_PTR_NULL(load_repeated("1", 600000));
+	CU_ASSERT_PTR_NULL(load_repeated("[]", 200000));
+	CU_ASSERT_PTR_NULL(load_repeated("{\"a\":{}}", 60000));
+	/* What a string holds is no value. */
+	json = load_repeated("\"{\\\",,,,,,,,[[[[\"", 200000);
+	CU_ASSERT_EQUAL(json_array_size(json), 200001);
+	json_decref(json);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "reader runs its script", test_reader_script },
 	{ "stored problems are limited", test_stored_problems_are_limited },
+	{ "texts of many values are rejected",
+	  test_texts_of_many_values_are_rejected },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -169,7 +169,7 @@
 		return;
 	}
 	body = web_get_body(request, &size);
-	json = json_loadb(body, size, 0, NULL);
+	json = rd_load_json(body, size, 0, NULL);
 	answer = nd_apply_reports(node, json);
 	json_decref(json);
 	web_reply_json(request, MHD_HTTP_OK, answer);
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -21,6 +21,7 @@
 #include "internal.h"
 #include "loom/error.h"
 #include "loom/log.h"
+#include "loom/reader.h"
 #include "watchers.h"
 
 /*
@@ -253,7 +254,8 @@
 	if (answer->error)
 		log_write_error(LOG_LEVEL_WARNING, "node", answer->error);
 	else if (answer->status == MHD_HTTP_OK)
-		changes = json_loadb(answer->body, answer->body_size, 0, NULL);
+		changes =
+			rd_load_json(answer->body, answer->body_size, 0, NULL);
 	if (changes)
 		is_valid = nd_apply_changes(node, poll->peer, poll->base,
 					    changes, &is_peer_synced);
--- a/src/release/service.c
+++ b/src/release/service.c
@@ -14,6 +14,7 @@
 #include "controller.h"
 #include "loom/error.h"
 #include "loom/log.h"
+#include "loom/reader.h"
 #include "members.h"
 #include "reports.h"
 
@@ -359,7 +360,7 @@
 	json_t *reports;
 	size_t size;
 	const char *body = web_get_body(request, &size);
-	json_t *value = json_loadb(body, size, JSON_REJECT_DUPLICATES, NULL);
+	json_t *value = rd_load_json(body, size, JSON_REJECT_DUPLICATES, NULL);
 	bool is_forwarded = json_is_true(json_object_get(value, "forwarded"));
 	size_t index;
 	json_t *report;
--- a/src/spread/puller.c
+++ b/src/spread/puller.c
@@ -17,6 +17,7 @@
 #include <string.h>
 #include "loom/error.h"
 #include "loom/log.h"
+#include "loom/reader.h"
 
 #define REQUEST_TIMEOUT_MS 3000U
 #define BACKOFF_BASE_MS 100U
@@ -220,8 +221,8 @@
 	release_request(pull);
 	is_valid = check_answer(pull, "pull documents", answer, &error);
 	if (is_valid) {
-		bundle = json_loadb(answer->body, answer->body_size,
-				    JSON_REJECT_DUPLICATES, NULL);
+		bundle = rd_load_json(answer->body, answer->body_size,
+				      JSON_REJECT_DUPLICATES, NULL);
 		is_valid = add_documents(pull, bundle, &error);
 	}
 	json_decref(bundle);
