Bound the bodies that the administration port holds

Each connection could hold a body of 4 MB, and one that was too long was read without end. An announced length above the limit is now refused with 413 before the body is read, a body that grows beyond it is dropped and its connection closed after as many further bytes, and all bodies together are held to twice the limit; those of up to 16 kB, such as announcements, are always taken in. The port takes at most an eighth of the descriptors of the process.

--- a/include/loom/http.h
+++ b/include/loom/http.h
@@ -131,6 +131,7 @@
 	const char *address; /* IPv4 address */
 	uint16_t port;	     /* 0: chosen by the kernel */
 	size_t body_bytes_max;
+	uint32_t connections_max; /* 0: 1000 */
 	web_request_fn fn;
 	void *data;
 };
--- a/src/http/web_server.c
+++ b/src/http/web_server.c
@@ -12,15 +12,22 @@
 #include <assert.h>
 #include <netinet/in.h>
 #include <string.h>
+#include <sys/resource.h>
 #include "loom/error.h"
 
+#define CONNECTIONS_MAX_DEFAULT 1000U
 #define WEB_IDLE_TIMEOUT_S 60U
+/* All bodies together, in multiples of the longest allowed one. */
+#define BODIES_MAX 2U
+/* Bodies up to this size are taken in also when that is exceeded. */
+#define SHORT_BODY_BYTES 16384U
 
 struct web_server {
 	struct MHD_Daemon *daemon;
 	struct hs_loop *loop;
 	struct web_options options;
 	GHashTable *suspended; /* set of struct web_request */
+	size_t body_bytes;     /* of all requests */
 };
 
 struct web_request {
@@ -29,7 +36,8 @@
 	char *method;
 	char *path;
 	GString *body;
-	bool is_too_long;
+	uint32_t refusal;     /* status instead of the handler's; 0: none */
+	size_t dropped_bytes; /* of the body of a refused request */
 	bool is_handled;
 	bool is_suspended;
 	bool is_aborted;
@@ -54,26 +62,64 @@
 	return request;
 }
 
-static void collect_body(struct web_request *request, const char *part,
+static void drop_body(struct web_request *request)
+{
+	request->server->body_bytes -= request->body->len;
+	g_string_free(request->body, TRUE);
+	request->body = g_string_new(NULL);
+}
+
+/* Returns the status to refuse a longer body with, 0: it is taken in. */
+static uint32_t check_body(const struct web_request *request, size_t size)
+{
+	const struct web_server *server = request->server;
+	size_t body_bytes_max = server->options.body_bytes_max;
+
+	if (request->body->len + size > body_bytes_max)
+		return MHD_HTTP_CONTENT_TOO_LARGE;
+	if (request->body->len + size > SHORT_BODY_BYTES &&
+	    server->body_bytes + size > BODIES_MAX * body_bytes_max)
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	return 0;
+}
+
+/* Returns false when the connection has to be closed. */
+static bool collect_body(struct web_request *request, const char *part,
 			 size_t size)
 {
-	if (request->body->len + size > request->server->options.body_bytes_max)
-		request->is_too_long = true;
-	else
-		g_string_append_len(request->body, part, (gssize)size);
+	if (request->refusal == 0) {
+		request->refusal = check_body(request, size);
+		if (request->refusal == 0) {
+			request->server->body_bytes += size;
+			g_string_append_len(request->body, part, (gssize)size);
+			return true;
+		}
+		drop_body(request);
+	}
+	request->dropped_bytes += size;
+	return request->dropped_bytes <=
+	       request->server->options.body_bytes_max;
+}
+
+static void refuse_request(struct web_request *request)
+{
+	bool is_too_long = request->refusal == MHD_HTTP_CONTENT_TOO_LARGE;
+
+	request->is_handled = true;
+	web_reply_error(request, request->refusal,
+			is_too_long ? "body too long" : "too many bodies");
 }
 
 static void handle_request(struct web_request *request)
 {
-	static const char too_long[] = "{\"error\":\"body too long\"}";
 	struct web_server *server = request->server;
 
+	if (request->refusal != 0) {
+		refuse_request(request);
+		return;
+	}
 	request->is_handled = true;
-	if (request->is_too_long)
-		web_reply(request, MHD_HTTP_CONTENT_TOO_LARGE,
-			  "application/json", too_long, sizeof(too_long) - 1);
-	else
-		server->options.fn(request, server->options.data);
+	server->options.fn(request, server->options.data);
 	if (request->reply || request->is_aborted)
 		return;
 	request->is_suspended = true;
@@ -81,6 +127,35 @@
 	MHD_suspend_connection(request->connection);
 }
 
+static bool is_announced_too_long(const struct web_request *request)
+{
+	const char *length =
+		web_get_header(request, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	return length && g_ascii_strtoull(length, NULL, 10) >
+				 request->server->options.body_bytes_max;
+}
+
+/*
+ * The head is complete. A reply at this time makes libmicrohttpd close the
+ * connection after it, without reading the body.
+ */
+static enum MHD_Result open_request(struct web_server *server,
+				    struct MHD_Connection *connection,
+				    const char *path, const char *method,
+				    void **state)
+{
+	struct web_request *request =
+		make_request(server, connection, path, method);
+
+	*state = request;
+	if (!is_announced_too_long(request))
+		return MHD_YES;
+	request->refusal = MHD_HTTP_CONTENT_TOO_LARGE;
+	refuse_request(request);
+	return MHD_queue_response(connection, request->status, request->reply);
+}
+
 static enum MHD_Result handle_access(void *data,
 				     struct MHD_Connection *connection,
 				     const char *path, const char *method,
@@ -89,14 +164,13 @@
 {
 	struct web_request *request = *state;
 
-	if (!request) {
-		*state = make_request(data, connection, path, method);
-		return MHD_YES;
-	}
+	if (!request)
+		return open_request(data, connection, path, method, state);
 	if (*upload_size > 0) {
-		collect_body(request, upload, *upload_size);
+		bool is_kept = collect_body(request, upload, *upload_size);
+
 		*upload_size = 0;
-		return MHD_YES;
+		return is_kept ? MHD_YES : MHD_NO;
 	}
 	if (!request->is_handled)
 		handle_request(request);
@@ -119,6 +193,7 @@
 	if (request->reply)
 		MHD_destroy_response(request->reply);
 	curl_slist_free_all(request->headers);
+	drop_body(request);
 	g_string_free(request->body, TRUE);
 	talloc_free(request);
 	*state = NULL;
@@ -153,6 +228,19 @@
 	hs_wake(request->server->loop);
 }
 
+/* One descriptor of eight at most. */
+static unsigned int get_connections_max(const struct web_options *options)
+{
+	struct rlimit files;
+	unsigned int max = options->connections_max > 0
+				   ? options->connections_max
+				   : CONNECTIONS_MAX_DEFAULT;
+
+	if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur / 8 < max)
+		max = (unsigned int)(files.rlim_cur / 8);
+	return MAX(max, 1);
+}
+
 struct web_server *web_new_server(TALLOC_CTX *ctx,
 				  struct tevent_context *events,
 				  const struct web_options *options,
@@ -169,6 +257,7 @@
 		NULL, handle_access, server, MHD_OPTION_SOCK_ADDR, &address,
 		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server,
 		MHD_OPTION_CONNECTION_TIMEOUT, WEB_IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_LIMIT, get_connections_max(options),
 		MHD_OPTION_END);
 	if (!server->daemon) {
 		err_set(error, ERR_UNAVAILABLE, "open server", options->address,
