Bound the memory that a node holds for callers and targets

The buffers of a connection were bounded, their product with the number of connections was not: bodies that lack their last byte, endless chunks, answers that nobody reads, and copies of very many header lines. A byte account for each thread now counts heads, bodies, answers and transfers, up to a quarter of memory_mb (160 MB where unknown). From half of it on, streams hold 16 kB and pipelined requests wait; then long bodies are refused and stalled callers closed; then all requests are refused, and the largest connections that wait for their callers are closed; at the limit any.

A request body is freed when the answer has ended, and an aborted answer no longer waits for a slow reader. A head has at most 200 lines. A node refuses bodies above the service's limit also on the hop port. Connections beyond "connections" replace a stalled caller or are closed, where none is idle.

--- a/include/loom/exchange.h
+++ b/include/loom/exchange.h
@@ -18,6 +18,7 @@
 #include <glib.h>
 #include <talloc.h>
 #include <tevent.h>
+#include "loom/byte_account.h"
 #include "loom/counter.h"
 #include "loom/timer.h"
 
@@ -56,12 +57,18 @@
 struct hx_options {
 	const char *address; /* IPv4 address */
 	uint16_t port;
-	uint32_t connections_max; /* a further one evicts the longest idle */
+	/* A further one evicts the longest idle or stalled, or is closed. */
+	uint32_t connections_max;
 	uint32_t head_bytes_max;
 	const struct hx_handler *handler;
 	void *data;
 	struct cnt_counter
 		*closed_early; /* slow or idle connections; or NULL */
+	struct cnt_counter
+		*evicted; /* closed for memory or descriptors; or NULL */
+	/* Counts the memory of all exchanges; borrowed. Servers of one thread
+	 * may share it. */
+	struct acc_account *account;
 };
 
 /*
@@ -103,6 +110,9 @@
 /* Returns when the bytes that completed the head were read. */
 uint64_t hx_get_received_ms(const struct hx_exchange *exchange);
 
+/* Reports the bytes that the handler holds for the exchange. */
+void hx_set_handler_bytes(struct hx_exchange *exchange, size_t bytes);
+
 /* Stop and continue the receipt of the request body. */
 void hx_pause_body(struct hx_exchange *exchange);
 void hx_resume_body(struct hx_exchange *exchange);
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -89,7 +89,8 @@
 	const struct tr_header_names *names;
 	const char *caller_service; /* value of names->caller; may be "" */
 	uint32_t thread_count;
-	uint32_t connections_max;   /* per thread; evicts the longest idle */
+	uint32_t connections_max;      /* per thread; evicts the longest idle */
+	uint32_t peer_connections_max; /* per thread, to nodes; 0: no limit */
 	uint32_t idle_timeout_ms;   /* longest wait for a whole request line */
 	uint32_t header_timeout_ms; /* from request line to last header */
 	uint32_t header_bytes_max;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -19,11 +19,13 @@
 
 	exchange->connection = connection;
 	hx_open_head(&exchange->head);
+	hx_update_exchange_bytes(exchange);
 	return exchange;
 }
 
 void hx_free_exchange(struct hx_exchange *exchange)
 {
+	hx_give_exchange_bytes(exchange);
 	hx_close_head(&exchange->head);
 	if (exchange->output)
 		g_byte_array_unref(exchange->output);
@@ -74,6 +76,12 @@
 	return exchange->received_ms;
 }
 
+void hx_set_handler_bytes(struct hx_exchange *exchange, size_t bytes)
+{
+	exchange->handler_bytes = bytes;
+	hx_update_exchange_bytes(exchange);
+}
+
 void hx_pause_body(struct hx_exchange *exchange)
 {
 	exchange->is_body_paused = true;
@@ -93,6 +101,9 @@
 	if (!exchange->output)
 		exchange->output = g_byte_array_sized_new(OUTPUT_BYTES);
 	g_byte_array_append(exchange->output, bytes, (guint)size);
+	exchange->output_peak =
+		MAX(exchange->output_peak, (size_t)exchange->output->len);
+	hx_update_exchange_bytes(exchange);
 }
 
 static void append_text(struct hx_exchange *exchange, const char *text)
@@ -258,6 +269,16 @@
 	hx_mark_dirty(exchange->connection);
 }
 
+void hx_drop_output(struct hx_exchange *exchange)
+{
+	if (exchange->output)
+		g_byte_array_unref(exchange->output);
+	exchange->output = NULL;
+	exchange->sent_size = 0;
+	exchange->output_peak = 0;
+	hx_update_exchange_bytes(exchange);
+}
+
 size_t hx_get_unsent_size(const struct hx_exchange *exchange)
 {
 	return exchange->output ? exchange->output->len - exchange->sent_size
--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -21,6 +21,8 @@
 #define LINGER_MS 2000U
 /* Bytes read in vain, after an answer, before a connection is closed. */
 #define DISCARD_BYTES_MAX (1024U * 1024U)
+/* Of an answer, what stays allocated when all bytes so far were sent. */
+#define OUTPUT_KEPT_BYTES 16384U
 /* Bounds on what one connection does before the others have their turn. */
 #define RECEIVES_PER_ROUND_MAX 4U
 #define ROUNDS_PER_TURN_MAX 4U
@@ -40,6 +42,7 @@
 	connection->active_ms = tmr_get_now_ms(server->timers);
 	hx_open_parser(&connection->parser, server->options.head_bytes_max);
 	g_queue_init(&connection->exchanges);
+	hx_update_connection_bytes(connection);
 	return connection;
 }
 
@@ -123,6 +126,7 @@
 	g_queue_unlink(&server->connections, &connection->link);
 	if (connection->input)
 		g_byte_array_unref(connection->input);
+	hx_give_connection_bytes(connection);
 	g_free(connection);
 }
 
@@ -185,6 +189,7 @@
 
 	exchange->received_ms = connection->received_ms;
 	connection->parser.head = NULL;
+	hx_update_exchange_bytes(exchange);
 	/* After an answer that closes the connection nothing is begun. */
 	if (!connection->is_last &&
 	    (is_first ||
@@ -250,6 +255,8 @@
 {
 	switch (event->kind) {
 	case HX_EVENT_NONE:
+		if (connection->receiving)
+			hx_update_exchange_bytes(connection->receiving);
 		break;
 	case HX_EVENT_START:
 		open_exchange(connection);
@@ -309,6 +316,7 @@
 		connection->input = g_byte_array_new();
 	g_byte_array_append(connection->input, (const guint8 *)bytes,
 			    (guint)size);
+	hx_update_connection_bytes(connection);
 }
 
 static void parse_kept_input(struct hx_connection *connection)
@@ -325,6 +333,7 @@
 	}
 	g_byte_array_unref(input);
 	connection->input = NULL;
+	hx_update_connection_bytes(connection);
 }
 
 /* Returns the number of bytes received into the scratch buffer, 0: none. */
@@ -388,6 +397,12 @@
 static void remove_sent_bytes(struct hx_exchange *exchange, size_t size)
 {
 	exchange->sent_size += size;
+	/* What was allocated for a peak is not kept. */
+	if (exchange->sent_size == exchange->output->len &&
+	    exchange->output_peak > OUTPUT_KEPT_BYTES) {
+		hx_drop_output(exchange);
+		return;
+	}
 	/* A long answer may always have a part that is unsent. */
 	if (exchange->sent_size * 2 < exchange->output->len)
 		return;
@@ -460,7 +475,10 @@
 			begin_exchange(first);
 			hx_mark_dirty(connection);
 		}
-		if (!send_output(first) || !end_sent_exchange(first))
+		/* An aborted answer does not wait for a slow reader. */
+		if (!send_output(first) && !first->is_aborted)
+			return;
+		if (!end_sent_exchange(first))
 			return;
 		/* There may be room for a further request. */
 		hx_mark_dirty(connection);
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -50,7 +50,10 @@
 	bool is_aborted;
 	bool closes; /* the answer is the last one of the connection */
 	GByteArray *output;
-	size_t sent_size; /* leading bytes of output that were sent */
+	size_t sent_size;   /* leading bytes of output that were sent */
+	size_t output_peak; /* most bytes in output since it was made */
+	size_t handler_bytes;
+	size_t held_bytes; /* share of the server's account */
 };
 
 struct hx_connection {
@@ -62,6 +65,8 @@
 	GQueue exchanges;  /* struct hx_exchange */
 	/* The exchange whose request is being received, or NULL. */
 	struct hx_exchange *receiving;
+	size_t held_bytes;	  /* of the connection with its exchanges */
+	size_t own_bytes;	  /* of the connection without them */
 	uint64_t active_ms;	  /* of the last progress; see is_overdue() */
 	uint64_t head_ms;	  /* when the head in progress began */
 	uint64_t received_ms;	  /* when bytes were last received */
@@ -88,6 +93,7 @@
 	bool is_draining;
 	GQueue connections; /* struct hx_connection, longest idle first */
 	GQueue dirty;	    /* struct hx_connection */
+	size_t held_bytes;  /* of all connections */
 	char *scratch;	    /* receive buffer */
 };
 
@@ -97,6 +103,8 @@
 /* Answers a request that cannot be served and closes the connection. */
 void hx_reject(struct hx_exchange *exchange, uint32_t status,
 	       const char *reason);
+/* Frees the bytes of the answer that are still to be sent. */
+void hx_drop_output(struct hx_exchange *exchange);
 /* Appends the interim answer "100 Continue". */
 void hx_send_continue(struct hx_exchange *exchange);
 
@@ -119,6 +127,26 @@
 bool hx_is_overdue(const struct hx_connection *connection, uint64_t now_ms,
 		   uint32_t idle_timeout_ms, uint32_t head_timeout_ms);
 
+/* exchange_memory.c: keeps the account and closes connections. */
+/* Reports to the account what an exchange or a connection holds now. */
+void hx_update_exchange_bytes(struct hx_exchange *exchange);
+void hx_update_connection_bytes(struct hx_connection *connection);
+/* Gives back the share of an exchange or a connection that is freed. */
+void hx_give_exchange_bytes(struct hx_exchange *exchange);
+void hx_give_connection_bytes(struct hx_connection *connection);
+/*
+ * Frees the connections with the largest shares while memory is critical; must
+ * not be called while a connection is advanced.
+ */
+void hx_relieve_memory(struct hx_server *server);
+/* Closes the connections of stalled callers while memory is full. */
+void hx_close_stalled(struct hx_server *server);
+/*
+ * Closes the longest idle connection, or else the one whose caller has stalled
+ * for longest. Returns false when there is none.
+ */
+bool hx_evict_connection(struct hx_server *server);
+
 /* exchange_server.c: schedules the advance of dirty connections. */
 void hx_schedule_advance(struct hx_server *server);
 
--- a/src/http/exchange_server.c
+++ b/src/http/exchange_server.c
@@ -33,6 +33,7 @@
 		if (!hx_advance_connection(connection))
 			hx_free_connection(connection);
 	}
+	hx_relieve_memory(server);
 	server->is_advancing = false;
 	if (server->dirty.length > 0)
 		hx_schedule_advance(server);
@@ -49,20 +50,6 @@
 		trn_schedule_task(server->wake);
 }
 
-static void close_longest_idle(struct hx_server *server)
-{
-	for (GList *link = server->connections.head; link; link = link->next) {
-		struct hx_connection *connection = link->data;
-
-		if (connection->socket < 0 || !hx_is_idle(connection))
-			continue;
-		if (server->options.closed_early)
-			cnt_add(server->options.closed_early, 1);
-		hx_close_connection(connection);
-		return;
-	}
-}
-
 static void set_listening(struct hx_server *server, bool is_listening)
 {
 	struct epoll_event event = { .events = EPOLLIN };
@@ -77,14 +64,18 @@
 
 static void open_connection(struct hx_server *server, int socket)
 {
-	struct hx_connection *connection = hx_new_connection(server, socket);
 	struct epoll_event event = { .events = EPOLLIN | EPOLLOUT | EPOLLRDHUP |
-					       EPOLLET,
-				     .data.ptr = connection };
+					       EPOLLET };
+	struct hx_connection *connection;
 	int one = 1;
 
-	if (server->connections.length >= server->options.connections_max)
-		close_longest_idle(server);
+	if (server->connections.length >= server->options.connections_max &&
+	    !hx_evict_connection(server)) {
+		close(socket);
+		return;
+	}
+	connection = hx_new_connection(server, socket);
+	event.data.ptr = connection;
 	g_queue_push_tail_link(&server->connections, &connection->link);
 	setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	if (epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, socket, &event) < 0)
@@ -104,7 +95,7 @@
 		if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
 		    errno == ENOMEM) {
 			/* The next sweep listens again. */
-			close_longest_idle(server);
+			hx_evict_connection(server);
 			set_listening(server, false);
 		}
 		if (errno != ECONNABORTED && errno != EINTR)
@@ -231,6 +222,7 @@
 			cnt_add(server->options.closed_early, 1);
 		hx_close_connection(connection);
 	}
+	hx_close_stalled(server);
 	set_listening(server, true);
 }
 
--- a/src/http/tests/test_request_parser.c
+++ b/src/http/tests/test_request_parser.c
@@ -172,11 +172,50 @@
 	hx_close_head(&head);
 }
 
+/* Returns the last event of a request with that many short header lines. */
+static struct hx_event parse_lines(uint32_t count)
+{
+	GString *text = g_string_new("GET /a HTTP/1.1\r\nHost: h\r\n");
+	struct hx_event event = { .kind = HX_EVENT_NONE };
+	struct hx_parser parser;
+	struct hx_head head;
+	size_t done = 0;
+	size_t taken;
+
+	for (uint32_t i = 1; i < count; i++)
+		g_string_append(text, "a:\r\n");
+	g_string_append(text, "\r\n");
+	hx_open_head(&head);
+	hx_open_parser(&parser, HEAD_BYTES_MAX);
+	parser.head = &head;
+	while (done < text->len && event.kind != HX_EVENT_ERROR &&
+	       event.kind != HX_EVENT_HEAD) {
+		event = hx_parse(&parser, text->str + done, text->len - done,
+				 &taken);
+		done += taken;
+	}
+	hx_close_head(&head);
+	g_string_free(text, TRUE);
+	return event;
+}
+
+/* 60 callers with heads of 4000 lines made a node hold 315 MB. */
+static void test_many_header_lines(void)
+{
+	struct hx_event event = parse_lines(HX_HEADERS_MAX);
+
+	CU_ASSERT_EQUAL(event.kind, HX_EVENT_HEAD);
+	event = parse_lines(HX_HEADERS_MAX + 1);
+	CU_ASSERT_EQUAL(event.kind, HX_EVENT_ERROR);
+	CU_ASSERT_EQUAL(event.error.status, 431);
+}
+
 int main(void)
 {
 	static const CU_TestInfo tests[] = {
 		{ "mutated requests", test_mutated_requests },
 		{ "a head without end", test_endless_head },
+		{ "many header lines", test_many_header_lines },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -321,8 +321,10 @@
  */
 static size_t get_unsent_max(const struct tr_call *call)
 {
-	return call->role == TR_ROLE_HOP ? TR_HOP_STREAM_BYTES_MAX
-					 : TR_STREAM_BYTES_MAX;
+	return acc_get_stream_max(&call->thread->account,
+				  call->role == TR_ROLE_HOP
+					  ? TR_HOP_STREAM_BYTES_MAX
+					  : TR_STREAM_BYTES_MAX);
 }
 
 /* Returns false when the answer must not be used any further. */
@@ -340,6 +342,7 @@
 		return answer->body_bytes <= DROPPED_BODY_BYTES_MAX ||
 		       reject_answer(call, "refusal without end");
 	tr_append_buffer(&answer->body, part, size, 0);
+	tr_update_held_bytes(call);
 	if (tr_get_buffer_size(&answer->body) > TR_BUFFERED_ANSWER_BYTES_MAX)
 		tr_relay_answer(call);
 	return true;
@@ -388,6 +391,7 @@
 	if (call->stage == TR_STAGE_RELAYING &&
 	    hx_get_unsent_size(call->exchange) >= get_unsent_max(call)) {
 		answer->is_paused = true;
+		tr_update_held_bytes(call);
 		return CURL_WRITEFUNC_PAUSE;
 	}
 	if (answer->framing.is_chunked)
@@ -468,6 +472,9 @@
 	add_headers(call);
 	hx_add_answer_body(call->exchange, tr_get_buffer_bytes(body),
 			   tr_get_buffer_size(body));
+	tr_reset_buffer(body);
+	g_ptr_array_set_size(call->answer.headers, 0);
+	tr_update_held_bytes(call);
 	cnt_add(call->thread->service->counters.answers[call->role], 1);
 	call->stage = TR_STAGE_RELAYING;
 }
@@ -486,6 +493,7 @@
 void tr_end_relayed_answer(struct tr_call *call)
 {
 	call->stage = TR_STAGE_ENDED;
+	tr_release_upload(call);
 	if (call->answer.is_broken)
 		hx_abort_answer(call->exchange);
 	else
--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -22,6 +22,7 @@
 	size_t moved = tr_read_buffer(&upload->buffer, target, size * count);
 
 	if (moved > 0) {
+		tr_update_held_bytes(call);
 		hx_resume_body(call->exchange);
 		return moved;
 	}
@@ -69,6 +70,16 @@
 	(void)is_started;
 }
 
+/* Returns the handle of an attempt that is no longer in a loop. */
+static void leave_handle(struct tr_call *call)
+{
+	tr_return_handle(call->thread, call->easy);
+	call->easy = NULL;
+	curl_slist_free_all(call->headers);
+	call->headers = NULL;
+	tr_update_held_bytes(call);
+}
+
 static void handle_done(CURL *easy, CURLcode code, void *data)
 {
 	struct tr_call *call = data;
@@ -82,8 +93,7 @@
 		add_transfer(call);
 		return;
 	}
-	tr_return_handle(call->thread, easy);
-	call->easy = NULL;
+	leave_handle(call);
 	code = tr_check_answer_end(call, code);
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
@@ -113,6 +123,8 @@
 	curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
 	curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_upload);
 	curl_easy_setopt(easy, CURLOPT_READDATA, call);
+	curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE,
+			 (long)TR_UPLOAD_BUFFER_BYTES);
 	if (call->upload.content_length >= 0)
 		curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
 				 (curl_off_t)call->upload.content_length);
@@ -166,6 +178,8 @@
 	call->easy = tr_take_handle(call->thread);
 	call->loop = loop;
 	set_options(call, base_url);
+	tr_measure_transfer(call);
+	tr_update_held_bytes(call);
 	add_transfer(call);
 }
 
@@ -174,8 +188,7 @@
 	if (!call->easy)
 		return;
 	hc_remove_transfer(call->loop, call->easy);
-	tr_return_handle(call->thread, call->easy);
-	call->easy = NULL;
+	leave_handle(call);
 }
 
 void tr_continue_attempt(struct tr_call *call)
--- a/src/traffic/buffer.h
+++ b/src/traffic/buffer.h
@@ -11,12 +11,16 @@
 struct tr_buffer {
 	GByteArray *bytes;
 	size_t offset;	    /* offset of the first unread byte */
+	size_t peak;	    /* most bytes since it was opened or reset */
 	bool is_rewindable; /* read bytes are kept for tr_rewind_buffer() */
 };
 
 void tr_open_buffer(struct tr_buffer *buffer, bool is_rewindable);
 void tr_close_buffer(struct tr_buffer *buffer);
 
+/* Frees the bytes; the buffer is empty then and cannot be rewound. */
+void tr_reset_buffer(struct tr_buffer *buffer);
+
 /*
  * Appends bytes. A buffer that exceeds rewindable_bytes_max can no longer be
  * rewound.
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -92,7 +92,9 @@
 
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
-		return tr_is_repeatable_request(call);
+		return acc_get_level(&call->thread->account) ==
+			       ACC_LEVEL_ROOM &&
+		       tr_is_repeatable_request(call);
 	case TR_ROLE_HOP:
 		return false;
 	}
@@ -131,16 +133,16 @@
 	call->upload.is_whole = !call->upload.has_body;
 }
 
-static void begin_call(struct hx_exchange *exchange, void *data)
+static bool may_begin(const struct tr_call *call)
 {
-	struct tr_call *call = hx_get_state(exchange);
-	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
+	const struct tr_upload *upload = &call->upload;
 
-	call->begun_ms = now_ms;
-	call->method = hx_get_method(exchange);
-	call->uri = hx_get_target(exchange);
-	read_body_headers(call);
-	cnt_add(call->thread->service->counters.calls[call->role], 1);
+	return acc_may_begin(&call->thread->account,
+			     upload->has_body ? upload->content_length : 0);
+}
+
+static void start_call(struct tr_call *call)
+{
 	switch (call->role) {
 	case TR_ROLE_ENTRY:
 		tr_route_call(call);
@@ -149,6 +151,23 @@
 		tr_admit_call(call);
 		break;
 	}
+}
+
+static void begin_call(struct hx_exchange *exchange, void *data)
+{
+	struct tr_call *call = hx_get_state(exchange);
+	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
+
+	call->begun_ms = now_ms;
+	call->method = hx_get_method(exchange);
+	call->uri = hx_get_target(exchange);
+	read_body_headers(call);
+	cnt_add(call->thread->service->counters.calls[call->role], 1);
+	if (may_begin(call))
+		start_call(call);
+	else
+		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "memory",
+			       true);
 	if (call->deadline_ms == 0 || call->stage == TR_STAGE_ENDED)
 		return;
 	call->deadline = tmr_subscribe_once(
@@ -159,6 +178,13 @@
 		handle_deadline, call);
 }
 
+bool tr_is_body_over_limit(const struct tr_call *call)
+{
+	return call->service &&
+	       call->upload.content_length >
+		       (int64_t)call->service->limits.request_body_bytes;
+}
+
 static bool is_body_too_long(const struct tr_call *call)
 {
 	return call->service &&
@@ -180,8 +206,11 @@
 		return;
 	}
 	tr_append_buffer(&upload->buffer, bytes, size, TR_REPLAY_BYTES_MAX);
+	tr_update_held_bytes(call);
 	tr_continue_attempt(call);
-	if (tr_get_buffer_size(&upload->buffer) >= TR_STREAM_BYTES_MAX &&
+	if (tr_get_buffer_size(&upload->buffer) >=
+		    acc_get_stream_max(&call->thread->account,
+				       TR_STREAM_BYTES_MAX) &&
 	    call->stage != TR_STAGE_COLLECTING)
 		hx_pause_body(exchange);
 }
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -17,6 +17,7 @@
 #define TR_REPLAY_BYTES_MAX 65536U	/* request body kept for a retry */
 #define TR_STREAM_BYTES_MAX 65536U	/* unread bytes in one direction */
 #define TR_HOP_STREAM_BYTES_MAX 524288U /* the same of an answer on its way */
+#define TR_UPLOAD_BUFFER_BYTES 16384U	/* of a transfer; curl's minimum */
 #define TR_BUFFERED_ANSWER_BYTES_MAX 32768U /* answer buffered until whole */
 
 enum tr_stage {
@@ -89,8 +90,9 @@
 	uint32_t priority;     /* 0 is the highest */
 	struct tmr_subscription *deadline;
 
-	CURL *easy;	      /* the running attempt, or NULL */
-	struct hc_loop *loop; /* loop of the attempt */
+	CURL *easy;	       /* the running attempt, or NULL */
+	size_t transfer_bytes; /* held by the attempt, without bodies */
+	struct hc_loop *loop;  /* loop of the attempt */
 	struct curl_slist *headers;
 	const struct rt_target *chosen; /* entry: borrowed from table */
 	uint64_t attempt_us;
@@ -118,12 +120,22 @@
  */
 bool tr_is_body_short(const struct tr_call *call);
 
+/* Returns whether the announced length is above the service's limit. */
+bool tr_is_body_over_limit(const struct tr_call *call);
+
 /*
  * On the hop side, adds the headers that report to the entry node the load of
  * the target and the time that the call took here.
  */
 void tr_add_hop_headers(struct tr_call *call);
 
+/* memory.c: stores what a transfer with call->headers holds. */
+void tr_measure_transfer(struct tr_call *call);
+/* Reports to the account what the call holds now. */
+void tr_update_held_bytes(struct tr_call *call);
+/* Frees the request body of a call whose answer has ended. */
+void tr_release_upload(struct tr_call *call);
+
 /* Returns the time in microseconds on the monotonic clock. */
 uint64_t tr_get_now_us(void);
 
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -253,8 +253,7 @@
 		tr_refuse_call(call, MHD_HTTP_LOOP_DETECTED, "too_deep", true);
 		return;
 	}
-	if (call->upload.content_length >
-	    (int64_t)call->service->limits.request_body_bytes) {
+	if (tr_is_body_over_limit(call)) {
 		tr_refuse_call(call, MHD_HTTP_CONTENT_TOO_LARGE,
 			       "body_too_large", true);
 		return;
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -139,6 +139,14 @@
 			       true);
 		return;
 	}
+	call->table = rt_ref_table(call->thread->table);
+	call->service = doc_find_service(rt_get_snapshot(call->table),
+					 call->service_name);
+	if (tr_is_body_over_limit(call)) {
+		tr_refuse_call(call, MHD_HTTP_CONTENT_TOO_LARGE,
+			       "body_too_large", true);
+		return;
+	}
 	if (tr_is_body_short(call))
 		call->stage = TR_STAGE_COLLECTING;
 	else
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -79,4 +79,5 @@
 	tr_log_call(call, is_not_run ? "refuse" : "fail", reason);
 	cnt_add(call->thread->service->counters.refusals[call->role], 1);
 	call->stage = TR_STAGE_ENDED;
+	tr_release_upload(call);
 }
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -64,6 +64,9 @@
 	counters->connections_closed =
 		open_counter(registry, "loom_connections_closed_total",
 			     "Slow or idle connections closed.");
+	counters->connections_evicted =
+		open_counter(registry, "loom_connections_evicted_total",
+			     "Connections closed for memory or descriptors.");
 	counters->foreign =
 		open_counter(registry, "loom_foreign_answers_total",
 			     "Answers that belong to no request or another.");
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -161,6 +161,8 @@
 		.handler = &tr_call_handler,
 		.data = listener,
 		.closed_early = thread->service->counters.connections_closed,
+		.evicted = thread->service->counters.connections_evicted,
+		.account = &thread->account,
 	};
 
 	listener->thread = thread;
@@ -195,6 +197,9 @@
 			  CACHED_CONNECTIONS_MAX);
 	curl_multi_setopt(hc_get_multi(thread->target_loop),
 			  CURLMOPT_MAXCONNECTS, CACHED_CONNECTIONS_MAX);
+	curl_multi_setopt(hc_get_multi(thread->peer_loop),
+			  CURLMOPT_MAX_TOTAL_CONNECTIONS,
+			  (long)thread->service->options.peer_connections_max);
 	return true;
 }
 
@@ -209,6 +214,9 @@
 					 thread->random_state);
 	thread->answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->gate = adm_new_gate(thread->events);
+	acc_open(&thread->account,
+		 acc_get_thread_limit(options->overload.memory_mb,
+				      options->thread_count));
 	thread->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	tr_open_thread_samples(thread);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -44,6 +44,7 @@
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
+	struct cnt_counter *connections_evicted;
 	struct cnt_counter *foreign;
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
@@ -89,7 +90,9 @@
 	struct tr_listener hop;	     /* first thread only */
 	struct hc_loop *peer_loop;   /* connections to other nodes */
 	struct hc_loop *target_loop; /* connections to the local target */
-	GQueue free_handles;	     /* CURL handles for reuse */
+	/* What callers and targets make the thread hold. */
+	struct acc_account account;
+	GQueue free_handles; /* CURL handles for reuse */
 	struct rt_chooser *chooser;
 	struct rt_answer_sizes *answer_sizes;
 	GHashTable *budgets; /* service name to struct rt_budget */
