Divide the descriptors of a node among callers and nodes

With more callers than descriptors, a node could neither accept nor connect, and answered nothing for as long as the callers held their connections. The soft limit is raised to the hard one, and callers, calling nodes and called nodes get equal shares of it, less a reserve, as far as "connections" exceeds that.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,12 +7,15 @@
 #include "node.h"
 
 #include <string.h>
+#include "descriptors.h"
 #include "internal.h"
 #include "loom/burn.h"
 #include "loom/error.h"
 #include "loom/log.h"
 
 #define ADMIN_BODY_BYTES_MAX (4U * 1024U * 1024U)
+/* libmicrohttpd allocates 32 kB for each. */
+#define ADMIN_CONNECTIONS_MAX 512U
 /*
  * A changed gateway has to be in force within 2 s, also right after an outage
  * of the store, so each of these is a fraction of that.
@@ -203,6 +206,7 @@
 	options.hop_port = settings->hop_port;
 	options.thread_count = settings->traffic_threads;
 	options.connections_max = settings->connections;
+	nd_limit_connections(&options, nd_raise_file_limit());
 	options.idle_timeout_ms = settings->idle_timeout_ms;
 	options.header_timeout_ms = settings->header_timeout_ms;
 	options.caller_service = settings->service;
@@ -278,6 +282,7 @@
 		.address = node->settings->address,
 		.port = node->settings->admin_port,
 		.body_bytes_max = ADMIN_BODY_BYTES_MAX,
+		.connections_max = ADMIN_CONNECTIONS_MAX,
 		.fn = nd_handle_admin,
 		.data = node,
 	};
