Test descriptors of callers that hang up after a refusal

A caller whose body is refused by its announced length, and that then hangs up, leaves its descriptor with the node until the idle timeout of 60 s. Measured: 643 descriptors after 600 such callers; the bound is 500.

--- a/tests/fakes/crowd.c
+++ b/tests/fakes/crowd.c
@@ -16,6 +16,7 @@
  *   answers     16 requests for answers of 500 kB, which are not read
  *   headers     the same, each with as many header lines as a head may hold
  *   pipelined   a request for an answer of 500 kB and a body behind it
+ *   leave       a head that announces a body of 8 GB; hangs up when answered
  *   hop-body    short-body with the headers of a call between nodes
  */
 #include <arpa/inet.h>
@@ -46,8 +47,9 @@
 #define RECEIVE_BYTES 4096
 
 struct plan {
-	GString *start; /* sent once */
-	GString *part;	/* sent again and again; empty: nothing */
+	GString *start;	 /* sent once */
+	GString *part;	 /* sent again and again; empty: nothing */
+	bool is_leaving; /* hangs up when an answer arrives */
 };
 
 struct caller {
@@ -99,6 +101,11 @@
 				       "%sContent-Length: 8000000000\r\n\r\n",
 				       post_head);
 		fill_part(plan, "b");
+	} else if (strcmp(mode, "leave") == 0) {
+		g_string_append_printf(plan->start,
+				       "%sContent-Length: 8000000000\r\n\r\n",
+				       post_head);
+		plan->is_leaving = true;
 	} else if (strcmp(mode, "chunk") == 0) {
 		g_string_append_printf(
 			plan->start,
@@ -181,13 +188,13 @@
 
 	if (entry->revents & POLLOUT)
 		count = send_part(plan, caller, entry->fd);
-	if (count < 0 || (entry->revents & (POLLERR | POLLHUP))) {
+	if (count < 0 || (entry->revents & (POLLERR | POLLHUP | POLLIN))) {
 		close(entry->fd);
 		entry->fd = -1;
 		return true;
 	}
 	if (is_done(plan, caller))
-		entry->events = 0;
+		entry->events = plan->is_leaving ? POLLIN : 0;
 	return count > 0;
 }
 
@@ -249,7 +256,7 @@
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	int count = argc == 5 ? atoi(argv[4]) : 0;
 	struct rlimit limit;
-	struct plan plan;
+	struct plan plan = { 0 };
 
 	if (count < 1 || count > COUNT_MAX || !make_plan(&plan, argv[1]) ||
 	    inet_pton(AF_INET, argv[2], &address.sin_addr) != 1) {
--- a/tests/process/untrusted_callers.sh
+++ b/tests/process/untrusted_callers.sh
@@ -118,6 +118,8 @@
 # open: each at most the setting.
 run_crowd head 1 8080 600 '"connections":200' 500
 run_crowd short-body 1 8080 600 '"connections":200' 500
+# Callers that hang up keep no descriptors; the default is 4096 connections.
+run_crowd leave 1 8080 600 '"connections":4096' 500
 # More callers than the process may have descriptors.
 node_files=300
 run_crowd head 1 8080 600
