Close a connection that hangs up behind an early answer

When a caller hung up before its request was complete, and the answer had been sent already, the connection stayed open until the idle timeout.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -454,8 +454,12 @@
 		hx_close_connection(connection);
 		return false;
 	}
-	if (!exchange->is_received && !closes)
+	if (!exchange->is_received && !closes) {
+		/* The rest of the request will not come. */
+		if (connection->is_hung_up)
+			hx_close_connection(connection);
 		return false;
+	}
 	end_exchange(exchange, HX_END_ANSWERED);
 	if (!closes)
 		return true;
