Relay an early failure while the upload is paused

When a target or node answered with an error while the caller was slow to send its upload, libcurl stopped sending, but did not end the transfer as long as the upload was paused: the caller got 504 at the route's timeout in place of the answer. The transfer is now continued when the head says that it failed.

The tests cut_uploads and cut_second_attempts send part of an answer or status 000 during and after uploads, over one node and two, to HTTP/1.0 and 1.1 callers, in a first and a second attempt.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -253,6 +253,13 @@
 		return true;
 	}
 	answer->head_us = tr_get_now_us();
+	/*
+	 * curl stops sending then, but while an upload is paused it would not
+	 * end the transfer.
+	 */
+	if (answer->status >= MHD_HTTP_MULTIPLE_CHOICES &&
+	    call->upload.is_paused)
+		tr_continue_attempt(call);
 	if (tr_is_from_target(call)) {
 		discard_untrusted_headers(answer);
 		if (!belongs_to_request(call)) {
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -19,6 +19,10 @@
 	"\"repeatable\":false},"
 	"{\"name\":\"any\",\"path\":\"/any\",\"timeout_ms\":%u,"
 	"\"repeatable\":true},"
+	"{\"name\":\"early\",\"path\":\"/early/any\",\"timeout_ms\":%u,"
+	"\"repeatable\":true},"
+	"{\"name\":\"reply\",\"path\":\"/reply/any\",\"timeout_ms\":%u,"
+	"\"repeatable\":true},"
 	"{\"name\":\"hasty\",\"path\":\"/never\",\"timeout_ms\":200}],"
 	"\"limits\":{\"slots\":%u,\"connections\":32,\"queue_length\":%u,"
 	"\"request_body_bytes\":8388608}}";
@@ -79,6 +83,7 @@
 	options.call_port = MESH_CALL_PORT;
 	options.hop_port = MESH_HOP_PORT;
 	options.seed = mesh->node_count;
+	options.overload.memory_mb = mesh->memory_mb;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
 	if (mesh->header_timeout_ms)
@@ -126,6 +131,7 @@
 	struct doc_manifest *manifest = doc_new_manifest(mesh);
 	struct doc_problem_list *problems = doc_new_problem_list(mesh);
 	char *text = g_strdup_printf(document, ROUTE_TIMEOUT_MS,
+				     ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS,
 				     ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS,
 				     mesh->slots, mesh->queue_length);
 	struct doc_service *service;
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -4,8 +4,8 @@
  * Each node has its own loopback address, derived from the process id so that
  * concurrent test runs do not interfere. The document of service "shop" has the
  * routes / (only safe methods may be repeated), /once (never repeated), /any
- * (always repeatable) and /never (timeout of 200 ms); see mesh.c for its
- * limits.
+ * , /early/any and /reply/any (always repeatable) and /never (timeout of 200
+ * ms); see mesh.c for its limits.
  */
 #ifndef MESH_H
 #define MESH_H
@@ -52,6 +52,7 @@
 	uint32_t queue_length;
 	uint32_t header_timeout_ms;
 	uint32_t connections_max;
+	uint32_t memory_mb;
 };
 
 /* Returns a new, empty mesh. */
--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -161,3 +161,57 @@
 				close && close < body ? " (close)\n" : "\n");
 	}
 }
+
+bool raw_run_step(struct raw_caller *caller, char **words, GString *output)
+{
+	char *text;
+
+	if (strcmp(words[0], "send") == 0) {
+		text = g_strcompress(words[2]);
+		raw_send(caller, text, strlen(text));
+		g_free(text);
+	} else if (strcmp(words[0], "flood") == 0) {
+		text = g_strcompress(words[2]);
+		raw_flood(caller, text);
+		g_free(text);
+	} else if (strcmp(words[0], "send-bytes") == 0) {
+		text = g_strnfill((gsize)atoi(words[2]), 'h');
+		raw_send(caller, text, strlen(text));
+		g_free(text);
+	} else if (strcmp(words[0], "received") == 0) {
+		text = g_strescape(caller->input->str, NULL);
+		g_string_append_printf(output, "%s\n", text);
+		g_free(text);
+	} else if (strcmp(words[0], "read") == 0) {
+		raw_set_reading(caller, strcmp(words[2], "on") == 0);
+	} else if (strcmp(words[0], "answers") == 0) {
+		raw_list_answers(caller, output);
+	} else if (strcmp(words[0], "has") == 0) {
+		g_string_append(output, strstr(caller->input->str, words[2])
+						? "yes\n"
+						: "no\n");
+	} else {
+		return false;
+	}
+	return true;
+}
+
+void raw_open_crowd(TALLOC_CTX *ctx, struct tevent_context *events,
+		    const char *address, uint16_t port, char **words,
+		    GHashTable *callers)
+{
+	char *text = g_strcompress(words[4]);
+	char *body = g_strnfill((gsize)atoi(words[5]), 'h');
+
+	for (int i = 0; i < atoi(words[3]); i++) {
+		struct raw_caller *caller =
+			raw_new_caller(ctx, events, address, port, 0);
+
+		raw_send(caller, text, strlen(text));
+		raw_send(caller, body, strlen(body));
+		g_hash_table_replace(
+			callers, g_strdup_printf("%s%d", words[1], i), caller);
+	}
+	g_free(body);
+	g_free(text);
+}
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -48,4 +48,20 @@
 /* Appends a line with status and body of each of these answers. */
 void raw_list_answers(const struct raw_caller *caller, GString *output);
 
+/*
+ * Runs the script step "crowd NAME NODE COUNT TEXT BYTES": opens COUNT callers,
+ * each of which sends the escaped text and so many bytes, and inserts them into
+ * callers as NAME0, NAME1 and so on.
+ */
+void raw_open_crowd(TALLOC_CTX *ctx, struct tevent_context *events,
+		    const char *address, uint16_t port, char **words,
+		    GHashTable *callers);
+
+/*
+ * Runs a script step on the caller: "send", "send-bytes", "flood", "read",
+ * "received", "answers" or "has", the caller's name, and an argument. Returns
+ * false when the step is another one.
+ */
+bool raw_run_step(struct raw_caller *caller, char **words, GString *output);
+
 #endif
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -10,13 +10,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <glib.h>
 
 #define READ_BYTES 65536
 #define FLOOD_BYTES 65536 /* kept ready to be written */
-#define LONG_BYTES 61440  /* 0xf000; longer than a node buffers */
+#define RESET_WAIT_MS 1000
+#define LONG_BYTES 61440 /* 0xf000; longer than a node buffers */
 
 struct raw_target {
 	struct tevent_context *events;
@@ -28,7 +31,7 @@
 	uint32_t disconnect_count;
 	uint32_t reset_count;
 	char *reply; /* bytes of the answer to "/reply"; NULL: none */
-	bool is_reply_last;
+	enum raw_end reply_end;
 	char *flood_start; /* of the answer to "/endless"; NULL: none */
 	char *flood_part;  /* is sent again and again after that */
 };
@@ -50,8 +53,10 @@
 	struct tevent_fd *fde;
 	GString *input;
 	GString *output;
-	bool is_closing; /* when the output has been written */
-	bool is_running; /* a request was not answered yet */
+	bool is_closing;   /* when the output has been written */
+	bool is_resetting; /* the same, with a TCP reset */
+	bool is_early;	   /* answered; the rest of the request is not read */
+	bool is_running;   /* a request was not answered yet */
 	bool is_held;
 	char *again; /* answer to send once more; NULL: none */
 	enum flood flood;
@@ -109,6 +114,21 @@
 	}
 }
 
+/* Waits until the peer's kernel has what was sent, then resets on close. */
+static void prepare_reset(const struct raw_connection *connection)
+{
+	static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	int unsent = 1;
+
+	for (int i = 0; i < RESET_WAIT_MS && unsent > 0; i++) {
+		if (ioctl(connection->socket, SIOCOUTQ, &unsent) != 0)
+			break;
+		g_usleep(1000);
+	}
+	setsockopt(connection->socket, SOL_SOCKET, SO_LINGER, &reset,
+		   sizeof(reset));
+}
+
 static void write_output(struct raw_connection *connection)
 {
 	GString *output = connection->output;
@@ -123,6 +143,8 @@
 		return;
 	}
 	TEVENT_FD_NOT_WRITEABLE(connection->fde);
+	if (connection->is_resetting)
+		prepare_reset(connection);
 	if (connection->is_closing)
 		talloc_free(connection);
 }
@@ -272,7 +294,8 @@
 	char *filler;
 	char *bytes;
 
-	if (!g_str_has_prefix(path, "/reply"))
+	if (!g_str_has_prefix(path, "/reply") &&
+	    !g_str_has_prefix(path, "/early"))
 		return false;
 	id = get_header(head, "Loom-Request-Id");
 	filler = g_strnfill(LONG_BYTES, 'b');
@@ -281,7 +304,9 @@
 	bytes = replace_all(bytes, "#", filler);
 	end_request(connection);
 	g_string_append(connection->output, bytes);
-	connection->is_closing = connection->target->is_reply_last;
+	connection->is_closing = connection->target->reply_end != RAW_END_KEEP;
+	connection->is_resetting =
+		connection->target->reply_end == RAW_END_RESET;
 	g_free(bytes);
 	g_free(filler);
 	g_free(id);
@@ -368,12 +393,33 @@
 	target->peak_count = MAX(target->peak_count, target->running_count);
 }
 
+/* Returns whether the request is answered before it is complete. */
+static bool answer_early(struct raw_connection *connection)
+{
+	const char *input = connection->input->str;
+	const char *path = strchr(input, ' ');
+	const char *end = strstr(input, "\r\n\r\n");
+
+	if (connection->is_early)
+		return true;
+	if (!end || !path || !g_str_has_prefix(path + 1, "/early"))
+		return false;
+	connection->is_early = true;
+	begin_request(connection);
+	answer_reply(connection, input, path + 1);
+	tevent_fd_set_flags(connection->fde, 0);
+	write_output(connection);
+	return true;
+}
+
 static void handle_requests(struct raw_connection *connection)
 {
 	size_t head_size;
 	size_t body_size;
 	size_t size;
 
+	if (answer_early(connection))
+		return;
 	while ((size = get_request_size(connection->input, &head_size,
 					&body_size)) > 0) {
 		char *head = g_strndup(connection->input->str, head_size);
@@ -486,11 +532,12 @@
 	}
 }
 
-void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last)
+void raw_set_reply(struct raw_target *target, const char *bytes,
+		   enum raw_end end)
 {
 	g_free(target->reply);
 	target->reply = g_strdup(bytes);
-	target->is_reply_last = is_last;
+	target->reply_end = end;
 }
 
 void raw_set_flood(struct raw_target *target, const char *start,
--- a/src/traffic/tests/raw_target.h
+++ b/src/traffic/tests/raw_target.h
@@ -17,6 +17,8 @@
  *   /twice     200 with the request's id, two times in a row
  *   /again     the same, the second copy by raw_answer_held_requests()
  *   /reply     the bytes of raw_set_reply()
+ *   /early     the same, when the head of the request has arrived; the rest of
+ *              the request is not read
  *   /endless   those of raw_set_flood(), until the connection is closed
  *   /flood/headers, /flood/line, /flood/chunk, /flood/garbage and
  *   /never/flood/body  bytes without end until the connection is closed
@@ -39,11 +41,19 @@
 /* Answers all waiting calls to /held. */
 void raw_answer_held_requests(struct raw_target *target);
 
+/* What a target does with the connection after an answer. */
+enum raw_end {
+	RAW_END_KEEP,
+	RAW_END_CLOSE,
+	RAW_END_RESET, /* a TCP reset when the answer has been received */
+};
+
 /*
- * Sets the answer to /reply; "@" stands for the request's id and "#" for 61440
- * bytes. is_last: the target then closes the connection.
+ * Sets the answer to /reply and /early; "@" stands for the request's id and "#"
+ * for 61440 bytes.
  */
-void raw_set_reply(struct raw_target *target, const char *bytes, bool is_last);
+void raw_set_reply(struct raw_target *target, const char *bytes,
+		   enum raw_end end);
 
 /* Sets the answer to "/endless": start, and then part again and again. */
 void raw_set_flood(struct raw_target *target, const char *start,
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -62,6 +62,7 @@
 	struct test_call *call = &state->calls[state->call_count++];
 
 	g_assert(state->call_count <= CALLS_MAX);
+	*call = (struct test_call){ 0 };
 	g_strlcpy(call->name, name, sizeof(call->name));
 	call->result = g_string_new(NULL);
 	return call;
@@ -187,11 +188,16 @@
 	g_free(part_bytes);
 }
 
-static void set_reply(struct mesh_node *node, const char *escaped, bool is_last)
+/* end: "", "close" or "reset" */
+static void set_reply(struct mesh_node *node, const char *escaped,
+		      const char *end)
 {
 	char *bytes = g_strcompress(escaped);
 
-	raw_set_reply(node->target, bytes, is_last);
+	raw_set_reply(node->target, bytes,
+		      strcmp(end, "reset") == 0	  ? RAW_END_RESET
+		      : strcmp(end, "close") == 0 ? RAW_END_CLOSE
+						  : RAW_END_KEEP);
 	g_free(bytes);
 }
 
@@ -214,6 +220,8 @@
 	} else if (strcmp(words[0], "bounds") == 0) {
 		mesh->header_timeout_ms = (uint32_t)atoi(words[1]);
 		mesh->connections_max = (uint32_t)atoi(words[2]);
+	} else if (strcmp(words[0], "memory") == 0) {
+		mesh->memory_mb = (uint32_t)atoi(words[1]);
 	} else if (strcmp(words[0], "domain") == 0) {
 		mesh->is_domain_out = strcmp(words[1], "out") == 0;
 		mesh_publish(mesh);
@@ -244,7 +252,7 @@
 		set_flood(mesh_get_node(mesh, words[1]), words[2], words[3]);
 	} else if (strcmp(words[0], "reply") == 0) {
 		set_reply(mesh_get_node(mesh, words[1]), words[2],
-			  count > 3 && strcmp(words[3], "close") == 0);
+			  count > 3 ? words[3] : "");
 	} else {
 		return false;
 	}
@@ -255,8 +263,13 @@
 			 GString *output)
 {
 	struct raw_caller *caller;
-	char *text;
 
+	if (strcmp(words[0], "crowd") == 0) {
+		raw_open_crowd(state->mesh, state->mesh->events,
+			       mesh_get_node(state->mesh, words[2])->address,
+			       MESH_CALL_PORT, words, state->callers);
+		return true;
+	}
 	if (strcmp(words[0], "connect") == 0) {
 		struct mesh_node *node = mesh_get_node(state->mesh, words[2]);
 
@@ -271,34 +284,17 @@
 		return true;
 	}
 	caller = g_hash_table_lookup(state->callers, words[1]);
-	if (strcmp(words[0], "send") == 0) {
-		text = g_strcompress(words[2]);
-		raw_send(caller, text, strlen(text));
-		g_free(text);
-	} else if (strcmp(words[0], "flood") == 0) {
-		text = g_strcompress(words[2]);
-		raw_flood(caller, text);
-		g_free(text);
-	} else if (strcmp(words[0], "send-bytes") == 0) {
-		text = g_strnfill((gsize)atoi(words[2]), 'h');
-		raw_send(caller, text, strlen(text));
-		g_free(text);
-	} else if (strcmp(words[0], "received") == 0) {
-		text = g_strescape(caller->input->str, NULL);
-		g_string_append_printf(output, "%s\n", text);
-		g_free(text);
-	} else if (strcmp(words[0], "read") == 0) {
-		raw_set_reading(caller, strcmp(words[2], "on") == 0);
-	} else if (strcmp(words[0], "answers") == 0) {
-		raw_list_answers(caller, output);
-	} else if (strcmp(words[0], "has") == 0) {
-		g_string_append(output, strstr(caller->input->str, words[2])
-						? "yes\n"
-						: "no\n");
+	if (strcmp(words[0], "send-until-closed") == 0) {
+		while (!caller->is_closed) {
+			raw_send(caller, "hhhhhhhh", 8);
+			mesh_run_for(state->mesh, 10);
+		}
+	} else if (strcmp(words[0], "hang-up") == 0 && *words[1] == '*') {
+		g_hash_table_remove_all(state->callers);
 	} else if (strcmp(words[0], "hang-up") == 0) {
 		g_hash_table_remove(state->callers, words[1]);
 	} else {
-		return false;
+		return caller && raw_run_step(caller, words, output);
 	}
 	return true;
 }
@@ -326,12 +322,39 @@
 	return true;
 }
 
+static void free_caller(gpointer data)
+{
+	talloc_free(data);
+}
+
+static void open_mesh(struct state *state)
+{
+	state->mesh = mesh_new();
+	state->callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_caller);
+}
+
+static void close_mesh(struct state *state)
+{
+	for (size_t i = 0; i < state->call_count; i++)
+		cancel_call(&state->calls[i]);
+	g_hash_table_destroy(state->callers);
+	mesh_free(state->mesh);
+	for (size_t i = 0; i < state->call_count; i++)
+		g_string_free(state->calls[i].result, TRUE);
+	state->call_count = 0;
+}
+
 static bool run_step(int count, char **words, GString *output, void *data)
 {
 	struct state *state = data;
 	struct wait wait = { 0 };
 	char *step = g_strjoinv(" ", words);
 
+	if (strcmp(words[0], "restart") == 0) {
+		close_mesh(state);
+		open_mesh(state);
+	}
 	state->mesh->step = talloc_strdup(state->mesh, step);
 	g_free(step);
 	if (strcmp(words[0], "wait") == 0) {
@@ -355,29 +378,19 @@
 				count > 3 ? words[3] : NULL));
 		return true;
 	}
-	return run_mesh_step(state, count, words) ||
+	return strcmp(words[0], "restart") == 0 ||
+	       run_mesh_step(state, count, words) ||
 	       run_call_step(state, count, words, output) ||
 	       run_raw_step(state, count, words, output);
 }
 
-static void free_caller(gpointer data)
-{
-	talloc_free(data);
-}
-
 static void run_script(const char *name)
 {
-	struct state state = { .mesh = mesh_new() };
+	struct state state = { 0 };
 
-	state.callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      free_caller);
+	open_mesh(&state);
 	scr_run(name, run_step, &state);
-	for (size_t i = 0; i < state.call_count; i++)
-		cancel_call(&state.calls[i]);
-	g_hash_table_destroy(state.callers);
-	mesh_free(state.mesh);
-	for (size_t i = 0; i < state.call_count; i++)
-		g_string_free(state.calls[i].result, TRUE);
+	close_mesh(&state);
 }
 
 static void test_relay(void)
@@ -516,6 +529,19 @@
 	run_script("restarted_target");
 }
 
+/* Partial answers to uploads must not reach the caller as whole ones. */
+static void test_cut_uploads(void)
+{
+	run_script("cut_uploads");
+	run_script("cut_second_attempts");
+}
+
+/* Callers together held more memory than the machine has. */
+static void test_memory(void)
+{
+	run_script("memory");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -542,6 +568,8 @@
 	{ "slow_download", test_slow_download },
 	{ "second_copy", test_second_copy },
 	{ "restarted_target", test_restarted_target },
+	{ "cut uploads", test_cut_uploads },
+	{ "memory", test_memory },
 	{ "hostile callers", test_hostile_callers },
 	CU_TEST_INFO_NULL,
 };
