--- a/src/http/exchange_memory.c
+++ b/src/http/exchange_memory.c
@@ -75,6 +75,7 @@
 					  bool is_any_allowed)
 {
 	struct hx_connection *largest = NULL;
+	size_t largest_bytes = 0;
 
 	/* Of equal ones the last, which was active most recently. */
 	for (GList *link = server->connections.head; link; link = link->next) {
@@ -82,8 +83,10 @@
 
 		if (!is_any_allowed && !is_waiting_for_caller(connection))
 			continue;
-		if (!largest || connection->held_bytes >= largest->held_bytes)
-			largest = connection;
+		if (connection->held_bytes < largest_bytes)
+			continue;
+		largest = connection;
+		largest_bytes = connection->held_bytes;
 	}
 	return largest;
 }
