Test 3000 callers that send endless chunks of one byte

Measured: an ordinary request is not answered within 30 s. The node, a busy thread, parses what the refused callers still send, 1 MB of content each.

--- a/tests/process/untrusted_callers.sh
+++ b/tests/process/untrusted_callers.sh
@@ -109,6 +109,7 @@
 run_crowd announced 1 8080 1500
 run_crowd chunk 1 8080 1500
 run_crowd chunks 1 8080 400
+run_crowd chunks 1 8080 3000
 run_crowd answers 1 8080 240
 run_crowd headers 1 8080 60
 run_crowd pipelined 1 8080 1500
