Close the connection behind a refusal whose body may be long

Where the rest of a refused request is chunked or longer than 1 MB, the answer now says Connection: close, and the rest is dropped without being parsed, for at most 2 s. A shorter rest is still read, so that the connection stays usable.

--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -169,6 +169,21 @@
 	return false;
 }
 
+/*
+ * Returns whether the rest of the request body, which nobody wants when the
+ * request has failed, may be longer than is worth reading for the next request.
+ */
+static bool is_rest_long(const struct hx_exchange *exchange)
+{
+	const struct hx_connection *connection = exchange->connection;
+	const http_parser *http = &connection->parser.http;
+
+	if (connection->receiving != exchange || !exchange->head.has_body)
+		return false;
+	return (http->flags & F_CHUNKED) ||
+	       http->content_length > HX_DISCARD_BYTES_MAX;
+}
+
 static bool should_close(const struct hx_exchange *exchange)
 {
 	const struct hx_connection *connection = exchange->connection;
@@ -177,6 +192,9 @@
 	    exchange->phase == HX_PHASE_FAILED ||
 	    exchange->framing == HX_FRAMING_UNTIL_CLOSE)
 		return true;
+	if (exchange->status >= HTTP_STATUS_BAD_REQUEST &&
+	    is_rest_long(exchange))
+		return true;
 	return connection->server->is_draining && is_last_begun(exchange);
 }
 
--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -19,8 +19,6 @@
  * long: a close with unread bytes would reset it and destroy the answer.
  */
 #define LINGER_MS 2000U
-/* Bytes read in vain, after an answer, before a connection is closed. */
-#define DISCARD_BYTES_MAX (1024U * 1024U)
 /* Of an answer, what stays allocated when all bytes so far were sent. */
 #define OUTPUT_KEPT_BYTES 16384U
 /* Bounds on what one connection does before the others have their turn. */
@@ -213,7 +211,7 @@
 		return;
 	}
 	connection->discarded_bytes += event->body.size;
-	if (connection->discarded_bytes > DISCARD_BYTES_MAX)
+	if (connection->discarded_bytes > HX_DISCARD_BYTES_MAX)
 		hx_close_connection(connection);
 }
 
@@ -379,10 +377,10 @@
 static void discard_input(struct hx_connection *connection)
 {
 	while (connection->socket >= 0 && connection->is_readable &&
-	       connection->discarded_bytes <= DISCARD_BYTES_MAX)
+	       connection->discarded_bytes <= HX_DISCARD_BYTES_MAX)
 		connection->discarded_bytes += receive_bytes(connection);
 	if (connection->is_hung_up ||
-	    connection->discarded_bytes > DISCARD_BYTES_MAX)
+	    connection->discarded_bytes > HX_DISCARD_BYTES_MAX)
 		hx_close_connection(connection);
 }
 
