--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -20,12 +20,14 @@
 	exchange->connection = connection;
 	exchange->flow.data = exchange;
 	hx_open_head(&exchange->head);
+	hx_update_exchange_bytes(exchange);
 	return exchange;
 }
 
 void hx_free_exchange(struct hx_exchange *exchange)
 {
 	hx_leave_pacing(exchange);
+	hx_give_exchange_bytes(exchange);
 	hx_close_head(&exchange->head);
 	if (exchange->output)
 		g_byte_array_unref(exchange->output);
@@ -89,6 +91,12 @@
 	return exchange->received_ms;
 }
 
+void hx_set_handler_bytes(struct hx_exchange *exchange, size_t bytes)
+{
+	exchange->handler_bytes = bytes;
+	hx_update_exchange_bytes(exchange);
+}
+
 void hx_pause_body(struct hx_exchange *exchange)
 {
 	exchange->is_body_paused = true;
@@ -108,6 +116,9 @@
 	if (!exchange->output)
 		exchange->output = g_byte_array_sized_new(OUTPUT_BYTES);
 	g_byte_array_append(exchange->output, bytes, (guint)size);
+	exchange->output_peak =
+		MAX(exchange->output_peak, (size_t)exchange->output->len);
+	hx_update_exchange_bytes(exchange);
 }
 
 static void append_text(struct hx_exchange *exchange, const char *text)
@@ -176,6 +187,21 @@
 	return false;
 }
 
+/*
+ * Returns whether the rest of the request body, which nobody wants when the
+ * request has failed, may be longer than is worth reading for the next request.
+ */
+static bool is_rest_long(const struct hx_exchange *exchange)
+{
+	const struct hx_connection *connection = exchange->connection;
+	const http_parser *http = &connection->parser.http;
+
+	if (connection->receiving != exchange || !exchange->head.has_body)
+		return false;
+	return (http->flags & F_CHUNKED) ||
+	       http->content_length > HX_DISCARD_BYTES_MAX;
+}
+
 static bool should_close(const struct hx_exchange *exchange)
 {
 	const struct hx_connection *connection = exchange->connection;
@@ -184,6 +210,9 @@
 	    exchange->phase == HX_PHASE_FAILED ||
 	    exchange->framing == HX_FRAMING_UNTIL_CLOSE)
 		return true;
+	if (exchange->status >= HTTP_STATUS_BAD_REQUEST &&
+	    is_rest_long(exchange))
+		return true;
 	return connection->server->is_draining && is_last_begun(exchange);
 }
 
@@ -287,6 +316,16 @@
 	hx_mark_dirty(exchange->connection);
 }
 
+void hx_drop_output(struct hx_exchange *exchange)
+{
+	if (exchange->output)
+		g_byte_array_unref(exchange->output);
+	exchange->output = NULL;
+	exchange->sent_size = 0;
+	exchange->output_peak = 0;
+	hx_update_exchange_bytes(exchange);
+}
+
 size_t hx_get_unsent_size(const struct hx_exchange *exchange)
 {
 	return exchange->output ? exchange->output->len - exchange->sent_size
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -17,6 +17,9 @@
 /* Requests of one connection that run at the same time. */
 #define HX_PIPELINE_MAX 16U
 
+/* Bytes read in vain, after an answer, before a connection is closed. */
+#define HX_DISCARD_BYTES_MAX (1024U * 1024U)
+
 #define HX_SCRATCH_BYTES 32768U /* most bytes received at once */
 
 enum hx_phase {
@@ -58,6 +61,9 @@
 	size_t head_left;
 	uint64_t deadline_ms; /* 0: none */
 	struct pace_flow flow;
+	size_t output_peak; /* most bytes in output since it was made */
+	size_t handler_bytes;
+	size_t held_bytes; /* share of the server's account */
 };
 
 struct hx_connection {
@@ -70,6 +76,8 @@
 	GQueue exchanges;  /* struct hx_exchange */
 	/* The exchange whose request is being received, or NULL. */
 	struct hx_exchange *receiving;
+	size_t held_bytes;	  /* of the connection with its exchanges */
+	size_t own_bytes;	  /* of the connection without them */
 	uint64_t active_ms;	  /* of the last progress; see is_overdue() */
 	uint64_t head_ms;	  /* when the head in progress began */
 	uint64_t received_ms;	  /* when bytes were last received */
@@ -96,6 +104,7 @@
 	bool is_draining;
 	GQueue connections; /* struct hx_connection, longest idle first */
 	GQueue dirty;	    /* struct hx_connection */
+	size_t held_bytes;  /* of all connections */
 	char *scratch;	    /* receive buffer */
 };
 
@@ -105,6 +114,8 @@
 /* Answers a request that cannot be served and closes the connection. */
 void hx_reject(struct hx_exchange *exchange, uint32_t status,
 	       const char *reason);
+/* Frees the bytes of the answer that are still to be sent. */
+void hx_drop_output(struct hx_exchange *exchange);
 /* Appends the interim answer "100 Continue". */
 void hx_send_continue(struct hx_exchange *exchange);
 
@@ -136,6 +147,25 @@
 void hx_record_sent(struct hx_exchange *exchange, size_t size);
 /* The exchange has nothing to send for now, or its peer does not read. */
 void hx_leave_pacing(struct hx_exchange *exchange);
+/* exchange_memory.c: keeps the account and closes connections. */
+/* Reports to the account what an exchange or a connection holds now. */
+void hx_update_exchange_bytes(struct hx_exchange *exchange);
+void hx_update_connection_bytes(struct hx_connection *connection);
+/* Gives back the share of an exchange or a connection that is freed. */
+void hx_give_exchange_bytes(struct hx_exchange *exchange);
+void hx_give_connection_bytes(struct hx_connection *connection);
+/*
+ * Frees the connections with the largest shares while memory is critical; must
+ * not be called while a connection is advanced.
+ */
+void hx_relieve_memory(struct hx_server *server);
+/* Closes the connections of stalled callers while memory is full. */
+void hx_close_stalled(struct hx_server *server);
+/*
+ * Closes the longest idle connection, or else the one whose caller has stalled
+ * for longest. Returns false when there is none.
+ */
+bool hx_evict_connection(struct hx_server *server);
 
 /* exchange_server.c: schedules the advance of dirty connections. */
 void hx_schedule_advance(struct hx_server *server);
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -19,6 +19,10 @@
 	"\"repeatable\":false},"
 	"{\"name\":\"any\",\"path\":\"/any\",\"timeout_ms\":%u,"
 	"\"repeatable\":true},"
+	"{\"name\":\"early\",\"path\":\"/early/any\",\"timeout_ms\":%u,"
+	"\"repeatable\":true},"
+	"{\"name\":\"reply\",\"path\":\"/reply/any\",\"timeout_ms\":%u,"
+	"\"repeatable\":true},"
 	"{\"name\":\"hasty\",\"path\":\"/never\",\"timeout_ms\":200}],"
 	"\"limits\":{\"slots\":%u,\"connections\":32,\"queue_length\":%u,"
 	"\"request_body_bytes\":8388608}}";
@@ -99,6 +103,7 @@
 	options.overload.is_enabled = mesh->is_controlled;
 	options.overload.silence_ms = mesh->silence_ms;
 	options.overload.crossing_ms_per_kb = CROSSING_MS_PER_KB;
+	options.overload.memory_mb = mesh->memory_mb;
 	if (mesh->has_stamps)
 		options.names = &stamped_names;
 	if (mesh->has_reports)
@@ -167,6 +172,7 @@
 	struct doc_manifest *manifest = doc_new_manifest(mesh);
 	struct doc_problem_list *problems = doc_new_problem_list(mesh);
 	char *text = g_strdup_printf(document, ROUTE_TIMEOUT_MS,
+				     ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS,
 				     ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS,
 				     mesh->slots, mesh->queue_length);
 	struct doc_service *service;
@@ -215,7 +221,7 @@
 			.failure_domain = node->failure_domain,
 			.service = "shop",
 			.version = mesh->has_gateway ? DOC_VERSION_ANY
-						       : node->version,
+						     : node->version,
 			.release = node->version,
 			.phase = node->phase,
 			.distance_us = 1000,
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -4,9 +4,9 @@
  * Each node has its own loopback address, derived from the process id so that
  * concurrent test runs do not interfere. The document of service "shop" has the
  * routes / (only safe methods may be repeated), /once (never repeated), /any
- * (always repeatable) and /never (timeout of 200 ms); see mesh.c for its
- * limits. With overload control a gateway document takes its place, with the
- * routes / (always repeatable) and /once/ (never).
+ * , /early/any and /reply/any (always repeatable) and /never (timeout of 200
+ * ms); see mesh.c for its limits. With overload control a gateway document
+ * takes its place, with the routes / (always repeatable) and /once/ (never).
  */
 #ifndef MESH_H
 #define MESH_H
@@ -57,8 +57,9 @@
 	uint32_t header_timeout_ms;
 	uint32_t connections_max;
 	uint32_t link_kbit_s; /* of nodes added from now on; 0: unknown */
-	bool has_gateway; /* configured by a gateway document */
+	bool has_gateway;     /* configured by a gateway document */
 	uint32_t silence_ms;
+	uint32_t memory_mb;
 };
 
 /* Returns a new, empty mesh. */
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -47,6 +47,7 @@
 	struct cnt_counter *retries;
 	struct cnt_counter *repeats_stopped;
 	struct cnt_counter *connections_closed;
+	struct cnt_counter *connections_evicted;
 	struct cnt_counter *foreign;
 	struct cnt_counter *reports_rejected;
 	struct cnt_counter *early_refusals;
@@ -105,7 +106,9 @@
 	struct hx_pacing *pacing;    /* of both servers; NULL: off */
 	struct hc_loop *peer_loop;   /* connections to other nodes */
 	struct hc_loop *target_loop; /* connections to the local target */
-	GQueue free_handles;	     /* CURL handles for reuse */
+	/* What callers and targets make the thread hold. */
+	struct acc_account account;
+	GQueue free_handles; /* CURL handles for reuse */
 	struct rt_chooser *chooser;
 	struct rt_answer_sizes *answer_sizes;	  /* of calls of callers */
 	struct rt_answer_sizes *hop_answer_sizes; /* of the local target */
@@ -117,7 +120,7 @@
 	struct adm_gate *gate;
 	struct tmr_alarm *waiting_alarm; /* set to waiting_due_ms */
 	uint64_t waiting_due_ms;	 /* UINT64_MAX: the alarm is not set */
-	struct tr_silence silence; /* of the local target */
+	struct tr_silence silence;	 /* of the local target */
 	uint64_t large_bytes; /* large answers that the target is to send */
 	GHashTable
 		*running; /* request id to its struct tr_call at the target */
