Keep the margin of run times out of the waits of others, and tell the wait for the link

Cause: the margin for calls that run longer than the mean counted as work ahead of others (review); entry nodes asked three gates one after the other where the first one had refused for want of time; downloads were sent to nodes whose link was full until each of these had refused them. Change: the margin counts for the call itself only, is 100 %, and does not apply to a queue of an eighth of the slots; after a refusal only targets that leave more time are asked; answers tell the wait of a large answer for the link (Loom-Link-Wait-Us).

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -106,6 +106,8 @@
 	bool is_unreachable; /* its node cannot connect to it for now */
 	bool has_waits;
 	uint32_t wait_us[RT_CLASS_COUNT]; /* expected waits, by class */
+	/* Wait of a further large answer for the link of its node. */
+	uint32_t link_wait_us;
 	/* When the head of its answer arrived here; 0: just now. */
 	uint64_t received_ms;
 };
@@ -143,6 +145,7 @@
 	bool is_placed;
 	enum rt_class class;
 	uint32_t run_us;	/* expected run time; 0: not known */
+	bool has_large_answer;	/* waits for the link of the target's node */
 	uint64_t latest_end_ms; /* no use of an answer after that; 0: none */
 	uint32_t crossing_us;	/* wait preferred to leaving the own domain */
 	/*
--- a/src/admission/classes.c
+++ b/src/admission/classes.c
@@ -19,11 +19,16 @@
 /* A refusal has to reach the entry node before the call's deadline. */
 #define REFUSAL_MARGIN_MS 20U
 /*
- * Calls of one kind run for different times, so a call that waits is expected
- * to run longer than the mean by this. Without it most of the calls that waited
- * longest were answered just after their objective.
+ * Calls of one kind run for different times, so a call that waits needs more
+ * than the mean by this. Without it most of the calls that waited longest were
+ * answered just after their objective.
  */
-#define RUN_MARGIN_PERCENT 50U
+#define RUN_MARGIN_PERCENT 100U
+/*
+ * A queue of this part of the slots keeps them from being idle between two
+ * calls, so it is filled without the margin.
+ */
+#define SHORT_QUEUE_DIVISOR 8U
 
 void adm_init_classes(TALLOC_CTX *ctx, struct adm_classes *classes)
 {
@@ -77,6 +82,13 @@
 	return (uint32_t)MIN(expected_us, UINT32_MAX);
 }
 
+static bool is_queue_short(const struct adm_classes *classes,
+			   const struct adm_occupancy *occupancy)
+{
+	return adm_count_entries(&classes->schedule) <
+	       MAX(occupancy->limit / SHORT_QUEUE_DIVISOR, 1U);
+}
+
 static enum adm_refusal add_call(struct adm_classes *classes,
 				 const struct adm_occupancy *occupancy,
 				 const struct adm_call *call, uint64_t now_ms)
@@ -93,9 +105,11 @@
 	uint64_t wait_us = estimate_wait_us(classes, occupancy, call->class,
 					    call->deadline_ms, now_ms);
 
-	if (call->class != RT_CLASS_NESTED)
-		entry.run_us = add_margin(entry.run_us);
-	if (now_ms + (wait_us + entry.run_us + call->send_us) / 1000 >=
+	entry.need_us = entry.run_us;
+	if (call->class != RT_CLASS_NESTED &&
+	    !is_queue_short(classes, occupancy))
+		entry.need_us = add_margin(entry.run_us);
+	if (now_ms + (wait_us + entry.need_us + call->send_us) / 1000 >=
 	    entry.latest_end_ms)
 		return ADM_REFUSAL_DEADLINE;
 	if (adm_count_entries(&classes->schedule) >= occupancy->queue_length &&
--- a/src/admission/schedule.c
+++ b/src/admission/schedule.c
@@ -24,7 +24,7 @@
 static uint64_t get_late_ms(const struct adm_entry *entry)
 {
 	return entry->latest_end_ms -
-	       MIN(entry->latest_end_ms, entry->run_us / 1000);
+	       MIN(entry->latest_end_ms, entry->need_us / 1000);
 }
 
 static bool is_late(const struct adm_entry *entry, uint64_t now_ms)
--- a/src/admission/schedule.h
+++ b/src/admission/schedule.h
@@ -19,7 +19,8 @@
 	uint64_t deadline_ms;
 	uint64_t latest_end_ms; /* its answer is useless after that */
 	uint64_t arrived_ms;
-	uint32_t run_us; /* expected */
+	uint32_t run_us;  /* expected */
+	uint32_t need_us; /* time to leave it from its start until its end */
 };
 
 void adm_init_schedule(struct adm_schedule *schedule);
--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -68,6 +68,8 @@
 	uint64_t time_us = rt_estimate_wait_us(state, request->class, now_ms) +
 			   run_us + rt_estimate_transit_us(state, now_ms);
 
+	if (request->has_large_answer)
+		time_us += rt_estimate_link_wait_us(state, now_ms);
 	/* Among targets with room, those that run calls faster come first. */
 	if (run_us < latency_us)
 		time_us += (latency_us - run_us) / 4;
@@ -192,6 +194,11 @@
 		}
 		time_us = estimate_time_us(state, request, now_ms) +
 			  (is_home ? 0 : request->crossing_us);
+		/* Its gate wants more time, as the one that refused before. */
+		if (request->tried_count > 0 &&
+		    request->class != RT_CLASS_NESTED &&
+		    chooser->grades[i] < GRADE_READY)
+			time_us += request->run_us;
 		if (now_ms + time_us / 1000 < request->latest_end_ms)
 			return true;
 		is_any_known = true;
@@ -252,6 +259,10 @@
 	}
 	if (near.index < 0 || far.index < 0)
 		return near.index < 0 ? far.index : near.index;
+	/*
+	 * Also to a target without a free slot: calls of a domain that is
+	 * short of room are served about as often as those of the others.
+	 */
 	if (far.time_us < near.time_us &&
 	    rt_may_cross(chooser->crossings, request->service->name,
 			 rt_draw_random(chooser, UINT32_MAX), now_ms))
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -332,6 +332,11 @@
 		raise_transit(state, transit_us, now_ms);
 	}
 	record_domain(state, outcome, load, now_ms);
+	/* Load reports do not tell it, so it stays until the next answer. */
+	if (load) {
+		state->link_wait_us = load->link_wait_us;
+		state->link_wait_ms = now_ms;
+	}
 	switch (outcome) {
 	case RT_OUTCOME_ANSWERED:
 		clear_failures(state);
@@ -453,3 +458,11 @@
 	       now_ms > due_ms &&
 	       now_ms < state->sent_report_ms + SILENT_MAX_MS;
 }
+
+uint64_t rt_estimate_link_wait_us(const struct rt_target_state *state,
+				  uint64_t now_ms)
+{
+	uint64_t age_us = (now_ms - state->link_wait_ms) * 1000;
+
+	return state->link_wait_us - MIN(age_us, state->link_wait_us);
+}
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -23,6 +23,8 @@
 	enum rt_phase phase;
 	bool has_waits;
 	uint32_t wait_us[RT_CLASS_COUNT];
+	uint32_t link_wait_us;
+	uint64_t link_wait_ms; /* when it was told */
 	uint64_t reported_ms;
 	bool is_sent_report;	 /* the report came without a call */
 	uint64_t sent_report_ms; /* last report without a call; 0: none */
@@ -108,6 +110,13 @@
 uint64_t rt_estimate_wait_us(const struct rt_target_state *state,
 			     enum rt_class class, uint64_t now_ms);
 
+/*
+ * Returns how long a large answer is expected to wait for the link of the
+ * target's node. What was told gets shorter as time passes.
+ */
+uint64_t rt_estimate_link_wait_us(const struct rt_target_state *state,
+				  uint64_t now_ms);
+
 /* Returns the expected latency of the target, or 0 if it is unknown. */
 uint32_t rt_estimate_latency_us(const struct rt_target_state *state,
 				uint64_t now_ms);
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -216,6 +216,8 @@
 void tr_process_waiting_calls(struct tr_thread *thread);
 /* The same, when adm_get_due_ms() has come; data is the struct tr_thread. */
 void tr_handle_waiting_alarm(void *data);
+/* Fills load with that of the local target and the link of this node. */
+void tr_get_local_load(struct tr_thread *thread, struct rt_load *load);
 /* Entry: admits the call to the local target without a request to a node. */
 void tr_admit_local_call(struct tr_call *call);
 /* Entry: handles the end of the transfer to the local target. */
--- a/src/traffic/classify.c
+++ b/src/traffic/classify.c
@@ -79,6 +79,7 @@
 	call->request.is_placed = true;
 	call->request.is_known_only = thread->load != NULL;
 	call->request.class = call->class;
+	call->request.has_large_answer = bytes >= RT_BULKY_BYTES;
 	call->request.run_us =
 		rt_get_run_time_us(thread->answer_sizes, call->route->name);
 	/* A late call is sent to an idle target, whose gate decides. */
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -156,6 +156,8 @@
 		load->in_flight = (uint32_t)number;
 	else if (strcasecmp(name, TR_HEADER_LATENCY) == 0)
 		load->latency_us = (uint32_t)number;
+	else if (strcasecmp(name, TR_HEADER_LINK_WAIT) == 0)
+		load->link_wait_us = (uint32_t)number;
 	else if (strcasecmp(name, TR_HEADER_FAILURES) == 0)
 		load->failure_permille = (uint32_t)number;
 	else
@@ -193,6 +195,8 @@
 			     rt_get_phase_name(load->phase));
 	if (load->has_waits)
 		add_waits(exchange, load);
+	if (load->link_wait_us > 0)
+		add_number(exchange, TR_HEADER_LINK_WAIT, load->link_wait_us);
 	if (load->is_unreachable)
 		hx_add_answer_header(exchange, TR_HEADER_UNREACHABLE, "true");
 }
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -17,6 +17,7 @@
 #define TR_HEADER_PRIORITY "Loom-Priority"
 #define TR_HEADER_CLASS "Loom-Class"
 #define TR_HEADER_WAITS "Loom-Wait-Us"
+#define TR_HEADER_LINK_WAIT "Loom-Link-Wait-Us"
 #define TR_HEADER_DEPTH "Loom-Depth"
 #define TR_HEADER_REQUEST_ID "Loom-Request-Id"
 #define TR_HEADER_SERVICE "Loom-Service"
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -146,10 +146,18 @@
 	call->caller = copy_header(call, TR_HEADER_CALLER);
 }
 
+void tr_get_local_load(struct tr_thread *thread, struct rt_load *load)
+{
+	adm_get_load(thread->gate, load);
+	load->link_wait_us = (uint32_t)MIN(
+		hx_get_backlog_us(thread->pacing, 0, 1 + thread->large_bytes),
+		UINT32_MAX);
+}
+
 /* Stores the load of the gate as if an answer had carried it. */
 static void copy_gate_load(struct tr_call *call)
 {
-	adm_get_load(call->thread->gate, &call->answer.load);
+	tr_get_local_load(call->thread, &call->answer.load);
 	call->answer.has_load = true;
 }
 
--- a/src/traffic/reply.c
+++ b/src/traffic/reply.c
@@ -57,11 +57,11 @@
 
 void tr_add_hop_headers(struct tr_call *call)
 {
-	struct rt_load load;
+	struct rt_load load = { 0 };
 
 	if (call->role != TR_ROLE_HOP)
 		return;
-	adm_get_load(call->thread->gate, &load);
+	tr_get_local_load(call->thread, &load);
 	tr_add_load(call->exchange, &load);
 	add_duration(call, TR_HEADER_SPENT,
 		     (tmr_get_now_ms(call->thread->timers) - call->begun_ms) *
