Give asks for load reports a rate of their own

Asks took only tokens that reports had left. A target with more than seven callers uses all of them, so on a deployment of 84 nodes no ask was ever sent, no target elsewhere was known, and no call left its failure domain however full that was. Reports now have 125 and asks and their answers 25 datagrams a second.

--- a/src/load/schedule.c
+++ b/src/load/schedule.c
@@ -26,15 +26,19 @@
 /* The same when nothing has changed; shows that the sender lives. */
 #define UNCHANGED_GAP_MS 500U
 /*
- * The sum of burst and rate bounds the datagrams of any one second to 200. The
- * rate keeps the traffic of a node with its membership messages (2.7 kB/s)
+ * The sums of burst and rate bound the datagrams of any one second to 200. The
+ * rates keep the traffic of a node with its membership messages (2.7 kB/s)
  * below 15 kB/s: 150 datagrams of 76 bytes with IP and UDP headers are 11.4
  * kB/s.
+ *
+ * Asks and their answers have tokens of their own. A target with more than
+ * seven callers always has reports to send, so that nothing of one common
+ * bucket was ever left for asks, and no call left its failure domain.
  */
-#define RATE_PER_S 150U
-#define BURST 50U
-/* Asks and their answers leave so many tokens to reports. */
-#define RESERVED_TOKENS 25U
+#define REPORTS_PER_S 125U
+#define REPORTS_BURST 40U
+#define ASKS_PER_S 25U
+#define ASKS_BURST 10U
 /* One wake-up serves all receivers that became due within this time. */
 #define BATCH_GAP_MS 20U
 /* The same for a change between room and full. */
@@ -42,6 +46,13 @@
 /* A batch begins with this many tokens at least, for fewer wake-ups. */
 #define BATCH_TOKENS 3U
 
+struct bucket {
+	uint64_t rate_per_s;
+	uint64_t burst;
+	uint64_t millitokens;
+	uint64_t refilled_ms;
+};
+
 struct receiver {
 	struct load_peer peer;
 	gint64 key;
@@ -58,11 +69,38 @@
 	uint64_t change; /* number of changes of the load */
 	GHashTable *by_peer;
 	GQueue queues[2]; /* indexed by what the receiver was told: is full */
-	uint64_t millitokens;
-	uint64_t refilled_ms;
-	uint64_t batch_ms; /* last batch */
+	struct bucket reports;
+	struct bucket asks; /* and their answers */
+	uint64_t batch_ms;  /* last batch */
 };
 
+static void set_up_bucket(struct bucket *bucket, uint64_t rate_per_s,
+			  uint64_t burst, uint64_t now_ms)
+{
+	bucket->rate_per_s = rate_per_s;
+	bucket->burst = burst;
+	bucket->millitokens = burst * 1000;
+	bucket->refilled_ms = now_ms;
+}
+
+static void refill(struct bucket *bucket, uint64_t now_ms)
+{
+	uint64_t elapsed_ms = now_ms - bucket->refilled_ms;
+
+	bucket->millitokens =
+		MIN(bucket->millitokens + elapsed_ms * bucket->rate_per_s,
+		    bucket->burst * 1000);
+	bucket->refilled_ms = now_ms;
+}
+
+static bool take_token(struct bucket *bucket)
+{
+	if (bucket->millitokens < 1000)
+		return false;
+	bucket->millitokens -= 1000;
+	return true;
+}
+
 static void free_receiver(gpointer data)
 {
 	struct receiver *receiver = data;
@@ -85,8 +123,8 @@
 						  NULL, free_receiver);
 	g_queue_init(&schedule->queues[0]);
 	g_queue_init(&schedule->queues[1]);
-	schedule->millitokens = BURST * 1000;
-	schedule->refilled_ms = now_ms;
+	set_up_bucket(&schedule->reports, REPORTS_PER_S, REPORTS_BURST, now_ms);
+	set_up_bucket(&schedule->asks, ASKS_PER_S, ASKS_BURST, now_ms);
 	talloc_set_destructor(schedule, destroy_schedule);
 	return schedule;
 }
@@ -201,26 +239,16 @@
 	return NULL;
 }
 
-static void refill(struct load_schedule *schedule, uint64_t now_ms)
-{
-	uint64_t elapsed_ms = now_ms - schedule->refilled_ms;
-
-	schedule->millitokens = MIN(
-		schedule->millitokens + elapsed_ms * RATE_PER_S, BURST * 1000);
-	schedule->refilled_ms = now_ms;
-}
-
 uint32_t load_take_due(struct load_schedule *schedule, struct load_peer *peers,
 		       uint32_t max, uint64_t now_ms)
 {
 	uint32_t count = 0;
 	struct receiver *receiver;
 
-	refill(schedule, now_ms);
-	while (count < max && schedule->millitokens >= 1000 &&
-	       (receiver = get_due(schedule, now_ms))) {
+	refill(&schedule->reports, now_ms);
+	while (count < max && (receiver = get_due(schedule, now_ms)) &&
+	       take_token(&schedule->reports)) {
 		peers[count++] = receiver->peer;
-		schedule->millitokens -= 1000;
 		set_told(schedule, receiver, now_ms);
 	}
 	if (count > 0)
@@ -230,11 +258,8 @@
 
 bool load_take_spare(struct load_schedule *schedule, uint64_t now_ms)
 {
-	refill(schedule, now_ms);
-	if (schedule->millitokens < (RESERVED_TOKENS + 1) * 1000)
-		return false;
-	schedule->millitokens -= 1000;
-	return true;
+	refill(&schedule->asks, now_ms);
+	return take_token(&schedule->asks);
 }
 
 /* Returns when a queue has something to send or to drop. */
@@ -251,22 +276,24 @@
 
 uint64_t load_get_next_ms(struct load_schedule *schedule, uint64_t now_ms)
 {
+	const struct bucket *reports = &schedule->reports;
 	uint64_t urgent_ms;
 	uint64_t other_ms;
 	uint64_t next_ms;
 
-	refill(schedule, now_ms);
+	refill(&schedule->reports, now_ms);
 	urgent_ms = get_queue_ms(schedule, get_urgent_queue(schedule),
 				 URGENT_BATCH_GAP_MS);
 	other_ms = get_queue_ms(schedule, get_informed_queue(schedule),
 				BATCH_GAP_MS);
 	next_ms = MIN(urgent_ms, other_ms);
 	if (next_ms == LOAD_NEVER_MS ||
-	    schedule->millitokens >= BATCH_TOKENS * 1000)
+	    reports->millitokens >= BATCH_TOKENS * 1000)
 		return next_ms;
-	return MAX(next_ms, now_ms + (BATCH_TOKENS * 1000 -
-				      schedule->millitokens + RATE_PER_S - 1) /
-					     RATE_PER_S);
+	return MAX(next_ms,
+		   now_ms + (BATCH_TOKENS * 1000 - reports->millitokens +
+			     reports->rate_per_s - 1) /
+				    reports->rate_per_s);
 }
 
 uint32_t load_count_receivers(const struct load_schedule *schedule)
--- a/src/load/schedule.h
+++ b/src/load/schedule.h
@@ -45,7 +45,7 @@
 
 /*
  * Takes the right to send one datagram that is not due, an ask or the answer to
- * one. Returns false when that would delay reports.
+ * one, for which there is a rate of its own.
  */
 bool load_take_spare(struct load_schedule *schedule, uint64_t now_ms);
 
