--- a/src/http/tests/test_request_parser.c
+++ b/src/http/tests/test_request_parser.c
@@ -200,8 +200,8 @@
 }
 
 /*
- * Only the bytes of a head are bounded: a request with as many lines as they can
- * hold must not be refused.
+ * Only the bytes of a head are bounded: a request with as many lines as they
+ * can hold must not be refused.
  */
 static void test_many_header_lines(void)
 {
--- a/src/node/changes.c
+++ b/src/node/changes.c
@@ -15,7 +15,7 @@
  *
  * The answer has the content encoding gzip when the request accepts it and the
  * delta is large. Only the parts that are newer are present. is_fit is true
- *when the answering node follows the store and has its current state.
+ * when the answering node follows the store and has its current state.
  *
  * Invariant: the cached text of a delta leads from its base to its sequence.
  */
