Give load reports what asks do not use

With a rate of their own, asks took 25 of 150 datagrams a second from reports, also where no node asks. test_load_age failed for it: the model's loads were older (138 instead of 125 ms in the mean), and its expected output was not updated with.

Unused tokens of asks now go to reports.

--- a/src/load/schedule.c
+++ b/src/load/schedule.c
@@ -33,7 +33,8 @@
  *
  * Asks and their answers have tokens of their own. A target with more than
  * seven callers always has reports to send, so that nothing of one common
- * bucket was ever left for asks, and no call left its failure domain.
+ * bucket was ever left for asks, and no call left its failure domain. What
+ * asks do not use goes to reports.
  */
 #define REPORTS_PER_S 125U
 #define REPORTS_BURST 40U
@@ -83,14 +84,21 @@
 	bucket->refilled_ms = now_ms;
 }
 
-static void refill(struct bucket *bucket, uint64_t now_ms)
+/* Returns the millitokens that did not fit into the bucket. */
+static uint64_t add_millitokens(struct bucket *bucket, uint64_t millitokens)
+{
+	uint64_t sum = bucket->millitokens + millitokens;
+
+	bucket->millitokens = MIN(sum, bucket->burst * 1000);
+	return sum - bucket->millitokens;
+}
+
+static uint64_t refill_bucket(struct bucket *bucket, uint64_t now_ms)
 {
 	uint64_t elapsed_ms = now_ms - bucket->refilled_ms;
 
-	bucket->millitokens =
-		MIN(bucket->millitokens + elapsed_ms * bucket->rate_per_s,
-		    bucket->burst * 1000);
 	bucket->refilled_ms = now_ms;
+	return add_millitokens(bucket, elapsed_ms * bucket->rate_per_s);
 }
 
 static bool take_token(struct bucket *bucket)
@@ -129,6 +137,15 @@
 	return schedule;
 }
 
+/* Reports get what asks leave unused. */
+static void refill(struct load_schedule *schedule, uint64_t now_ms)
+{
+	uint64_t unused = refill_bucket(&schedule->asks, now_ms);
+
+	refill_bucket(&schedule->reports, now_ms);
+	add_millitokens(&schedule->reports, unused);
+}
+
 static bool is_full(const struct rt_load *load)
 {
 	return load->is_unreachable || load->phase == RT_PHASE_LEAVING ||
@@ -245,7 +262,7 @@
 	uint32_t count = 0;
 	struct receiver *receiver;
 
-	refill(&schedule->reports, now_ms);
+	refill(schedule, now_ms);
 	while (count < max && (receiver = get_due(schedule, now_ms)) &&
 	       take_token(&schedule->reports)) {
 		peers[count++] = receiver->peer;
@@ -258,7 +275,7 @@
 
 bool load_take_spare(struct load_schedule *schedule, uint64_t now_ms)
 {
-	refill(&schedule->asks, now_ms);
+	refill(schedule, now_ms);
 	return take_token(&schedule->asks);
 }
 
@@ -281,7 +298,7 @@
 	uint64_t other_ms;
 	uint64_t next_ms;
 
-	refill(&schedule->reports, now_ms);
+	refill(schedule, now_ms);
 	urgent_ms = get_queue_ms(schedule, get_urgent_queue(schedule),
 				 URGENT_BATCH_GAP_MS);
 	other_ms = get_queue_ms(schedule, get_informed_queue(schedule),
