--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -15,7 +15,7 @@
 #include "loom/traffic.h"
 #include "encoding.h"
 #include "node.h"
-#include "poll.h"
+#include "relay_poll.h"
 #include "reversion.h"
 #include "revision.h"
 
--- a/src/node/relay.c
+++ b/src/node/relay.c
@@ -22,7 +22,7 @@
 #include "loom/error.h"
 #include "loom/log.h"
 #include "loom/reader.h"
-#include "poll.h"
+#include "relay_poll.h"
 #include "watchers.h"
 
 /*
--- a/src/node/poll.c
+++ b/src/node/relay_poll.c
@@ -4,7 +4,7 @@
  * Time runs on the timers of the node: curl's own limit would not tell an
  * answer that is slow from one that has stopped.
  */
-#include "poll.h"
+#include "relay_poll.h"
 
 #include <inttypes.h>
 #include "internal.h"
--- a/src/node/poll.h
+++ b/src/node/relay_poll.h
@@ -2,8 +2,8 @@
  * Request of one node for the changes of another, which is given up when the
  * answer makes no progress.
  */
-#ifndef ND_POLL_H
-#define ND_POLL_H
+#ifndef ND_RELAY_POLL_H
+#define ND_RELAY_POLL_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/node/tests/relay_fixture.h
+++ b/src/node/tests/relay_fixture.h
@@ -12,7 +12,7 @@
 #include <unistd.h>
 #include "internal.h"
 #include "loom/error.h"
-#include "poll.h"
+#include "relay_poll.h"
 #include "script.h"
 
 #define LOOP_TURNS_MAX 100000U
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -51,6 +51,17 @@
 			     "earlier than told.");
 }
 
+static void open_connection_counters(struct tr_counters *counters,
+				     struct cnt_registry *registry)
+{
+	counters->connections_closed =
+		open_counter(registry, "loom_connections_closed_total",
+			     "Slow or idle connections closed.");
+	counters->connections_evicted =
+		open_counter(registry, "loom_connections_evicted_total",
+			     "Connections closed for memory or descriptors.");
+}
+
 static void open_counters(struct tr_counters *counters,
 			  struct cnt_registry *registry)
 {
@@ -82,12 +93,7 @@
 	counters->repeats_stopped =
 		open_counter(registry, "loom_repeats_stopped_total",
 			     "Second sends by the HTTP library stopped.");
-	counters->connections_closed =
-		open_counter(registry, "loom_connections_closed_total",
-			     "Slow or idle connections closed.");
-	counters->connections_evicted =
-		open_counter(registry, "loom_connections_evicted_total",
-			     "Connections closed for memory or descriptors.");
+	open_connection_counters(counters, registry);
 	counters->foreign =
 		open_counter(registry, "loom_foreign_answers_total",
 			     "Answers that belong to no request or another.");
