Don't take answers that wait for the link for stalled callers

Cause: is_waiting_for_caller() counts a connection with unsent bytes as one whose caller does not read. An answer that waits for its turn on the link has unsent bytes, too.

Change: hx_is_waiting_for_link(), which hx_is_overdue() had inline, is also asked before a connection counts as waiting for its caller. After the deadline, and once its peer does not read, it counts as before.

Result: the three new cases of test_exchange_pacing ("waiting answer is not stalled", "is not evicted", "survives critical memory") failed before and pass. All cases now check that the account is empty at the end. test_http, test_pacer, test_byte_account, test_request_parser and test_traffic pass.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -143,8 +143,7 @@
 		return now_ms >= connection->active_ms + LINGER_MS;
 	if (first && first->phase == HX_PHASE_HEAD)
 		return now_ms >= connection->head_ms + head_timeout_ms;
-	/* The peer cannot read what waits for its turn on the link. */
-	if (first && first->flow.is_waiting && now_ms < first->deadline_ms)
+	if (first && hx_is_waiting_for_link(first, now_ms))
 		return false;
 	/* An answer that the peer does not read, or a body that stalls. */
 	if (!first || first->is_ended)
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -147,6 +147,13 @@
 void hx_record_sent(struct hx_exchange *exchange, size_t size);
 /* The exchange has nothing to send for now, or its peer does not read. */
 void hx_leave_pacing(struct hx_exchange *exchange);
+/*
+ * Returns whether the answer waits for its turn on the link, so that its peer
+ * cannot read it; false after its deadline.
+ */
+bool hx_is_waiting_for_link(const struct hx_exchange *exchange,
+			    uint64_t now_ms);
+
 /* exchange_memory.c: keeps the account and closes connections. */
 /* Reports to the account what an exchange or a connection holds now. */
 void hx_update_exchange_bytes(struct hx_exchange *exchange);
--- a/src/http/exchange_memory.c
+++ b/src/http/exchange_memory.c
@@ -65,6 +65,9 @@
 		return true;
 	if (!first)
 		return false;
+	if (hx_is_waiting_for_link(first,
+				   tmr_get_now_ms(connection->server->timers)))
+		return false;
 	if (hx_get_unsent_size(first) > 0)
 		return true;
 	return receiving && receiving->phase != HX_PHASE_HELD &&
--- a/src/http/exchange_pacing.c
+++ b/src/http/exchange_pacing.c
@@ -165,3 +165,8 @@
 	pace_remove_flow(pacing->pacer, &exchange->flow);
 	schedule_next(pacing);
 }
+
+bool hx_is_waiting_for_link(const struct hx_exchange *exchange, uint64_t now_ms)
+{
+	return exchange->flow.is_waiting && now_ms < exchange->deadline_ms;
+}
--- a/src/http/tests/test_exchange_pacing.c
+++ b/src/http/tests/test_exchange_pacing.c
@@ -23,6 +23,7 @@
 #define RECEIVE_BUFFER_BYTES 4096
 #define SLOW_KBIT_S 1000
 #define FAST_KBIT_S 400000
+#define CONNECTIONS_MAX 16
 
 struct fixture;
 
@@ -139,13 +140,14 @@
 	fixture->pacing = hx_new_pacing(fixture, fixture->timers, &options);
 }
 
-static struct fixture *open_fixture(uint64_t link_kbit_s)
+static struct fixture *open_small_fixture(uint64_t link_kbit_s,
+					  uint32_t connections_max)
 {
 	struct fixture *fixture = talloc_zero(NULL, struct fixture);
 	uint32_t id = (uint32_t)getpid();
 	struct hx_options options = {
 		.address = fixture->address,
-		.connections_max = 16,
+		.connections_max = connections_max,
 		.head_bytes_max = 4096,
 		.handler = &handler,
 		.data = fixture,
@@ -175,6 +177,11 @@
 	return fixture;
 }
 
+static struct fixture *open_fixture(uint64_t link_kbit_s)
+{
+	return open_small_fixture(link_kbit_s, CONNECTIONS_MAX);
+}
+
 static void close_caller(struct caller *caller)
 {
 	TALLOC_FREE(caller->fde);
@@ -188,6 +195,8 @@
 	TALLOC_FREE(fixture->servers[0]);
 	TALLOC_FREE(fixture->servers[1]);
 	CU_ASSERT_EQUAL(fixture->open_count, 0);
+	/* Each connection and exchange has given back what it held. */
+	CU_ASSERT_EQUAL(fixture->account.held_bytes, 0);
 	for (size_t i = 0; i < fixture->caller_count; i++) {
 		close_caller(&fixture->callers[i]);
 		g_string_free(fixture->callers[i].received, TRUE);
@@ -213,19 +222,21 @@
 	g_free(bytes);
 }
 
-/* Sends a request to one of the servers; its answer closes the connection. */
-static struct caller *send_request(struct fixture *fixture, char name,
-				   uint16_t server, const char *target)
+static void send_text(const struct caller *caller, const char *text)
+{
+	CU_ASSERT_EQUAL(send(caller->socket, text, strlen(text), MSG_NOSIGNAL),
+			(ssize_t)strlen(text));
+}
+
+/* Connects to one of the servers. */
+static struct caller *open_caller(struct fixture *fixture, char name,
+				  uint16_t server)
 {
 	struct caller *caller = &fixture->callers[fixture->caller_count++];
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons(PORT + server),
 	};
-	char *request = talloc_asprintf(
-		fixture,
-		"GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
-		target);
 	int size = RECEIVE_BUFFER_BYTES;
 
 	inet_pton(AF_INET, fixture->address, &address.sin_addr);
@@ -237,14 +248,25 @@
 	CU_ASSERT_EQUAL(connect(caller->socket, (struct sockaddr *)&address,
 				sizeof(address)),
 			0);
-	CU_ASSERT_EQUAL(
-		send(caller->socket, request, strlen(request), MSG_NOSIGNAL),
-		(ssize_t)strlen(request));
 	caller->fde = tevent_add_fd(fixture->events, fixture, caller->socket,
 				    TEVENT_FD_READ, receive_answer, caller);
 	return caller;
 }
 
+/* Sends a request to one of the servers; its answer closes the connection. */
+static struct caller *send_request(struct fixture *fixture, char name,
+				   uint16_t server, const char *target)
+{
+	struct caller *caller = open_caller(fixture, name, server);
+	char *request = talloc_asprintf(
+		fixture,
+		"GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		target);
+
+	send_text(caller, request);
+	return caller;
+}
+
 /* Runs the loop until the caller has received this many bytes. */
 static void run_until_received(struct fixture *fixture,
 			       const struct caller *caller, size_t size)
@@ -394,6 +416,85 @@
 	close_fixture(fixture);
 }
 
+/*
+ * Guards against an answer that waits for its turn on the link and counts as
+ * one whose caller has stalled: while memory is full, the sweep closed its
+ * connection.
+ */
+static void test_waiting_answer_is_not_stalled(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	size_t taken = fixture->account.bytes_max / 4 * 3;
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/300000/60000");
+	struct caller *second;
+
+	run_until_received(fixture, first, 1);
+	second = send_request(fixture, 'b', 0, "/length/60000/60000");
+	run_until_received(fixture, second, 1);
+	/* The link takes more than a second for these. */
+	run_until_received(fixture, first, 200000);
+	acc_take(&fixture->account, taken);
+	hx_sweep(fixture->servers[0], 60000, 60000);
+	acc_give(&fixture->account, taken);
+	run_until_ended(fixture, 2);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "ab");
+	CU_ASSERT_TRUE(second->received->len > 60000);
+	CU_ASSERT_EQUAL(fixture->lost_count, 0);
+	close_fixture(fixture);
+}
+
+/*
+ * Guards against a connection that is closed for a new one because its answer
+ * waits for the link, while another caller has stalled.
+ */
+static void test_waiting_answer_is_not_evicted(void)
+{
+	struct fixture *fixture = open_small_fixture(SLOW_KBIT_S, 3);
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/60000/60000");
+	struct caller *second;
+
+	run_until_received(fixture, first, 1);
+	second = send_request(fixture, 'b', 0, "/length/30000/60000");
+	run_until_received(fixture, second, 1);
+	send_text(open_caller(fixture, 's', 0), "GET /length/1/1 HTTP/1.1\r\n");
+	run_until_open(fixture, 3);
+	send_request(fixture, 'n', 0, "/length/10/60000");
+	run_until_ended(fixture, 4);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "snab");
+	CU_ASSERT_TRUE(second->received->len > 30000);
+	CU_ASSERT_EQUAL(fixture->lost_count, 1);
+	close_fixture(fixture);
+}
+
+/*
+ * Guards against the same when memory is critical: the caller that has stalled
+ * is closed, not the larger one whose answer waits for the link.
+ */
+static void test_waiting_answer_survives_critical_memory(void)
+{
+	struct fixture *fixture = open_fixture(SLOW_KBIT_S);
+	size_t usual_max = fixture->account.bytes_max;
+	struct caller *first =
+		send_request(fixture, 'a', 0, "/length/60000/60000");
+	struct caller *stalled;
+
+	run_until_received(fixture, first, 1);
+	stalled = open_caller(fixture, 's', 0);
+	send_text(stalled, "GET /length/1/1 HTTP/1.1\r\n");
+	run_until_open(fixture, 2);
+	/* Critical, but not over the limit. */
+	fixture->account.bytes_max = fixture->account.held_bytes / 15 * 16;
+	send_text(stalled, "X: y\r\n");
+	run_until_ended(fixture, 1);
+	fixture->account.bytes_max = usual_max;
+	run_until_ended(fixture, 2);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "sa");
+	CU_ASSERT_TRUE(first->received->len > 60000);
+	close_fixture(fixture);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "short answer overtakes large", test_short_answer_overtakes_large },
 	{ "large answers end by deadline", test_large_answers_end_by_deadline },
@@ -402,6 +503,10 @@
 	{ "server ends with waiting answers",
 	  test_server_ends_with_waiting_answers },
 	{ "no pacing without a speed", test_no_pacing_without_a_speed },
+	{ "waiting answer is not stalled", test_waiting_answer_is_not_stalled },
+	{ "waiting answer is not evicted", test_waiting_answer_is_not_evicted },
+	{ "waiting answer survives critical memory",
+	  test_waiting_answer_survives_critical_memory },
 	CU_TEST_INFO_NULL,
 };
 
