Count a new request as progress of its connection

Cause: active_ms, from which a stalled caller is told, was not set when the head of a request arrived. A caller that kept its connection and sent a new request counted as stalled since its last answer until the first byte of the new body came, so it was closed before callers that had stalled earlier.

Change: the head of a request with nothing before it sets active_ms.

Result: "new request is not stalled" of test_exchange_pacing failed before ("kn" in place of "sn") and passes.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -190,6 +190,9 @@
 	exchange->received_ms = connection->received_ms;
 	connection->parser.head = NULL;
 	hx_update_exchange_bytes(exchange);
+	/* Behind an answer that is not read, a request is no progress. */
+	if (is_first)
+		connection->active_ms = get_now_ms(connection);
 	/* After an answer that closes the connection nothing is begun. */
 	if (!connection->is_last &&
 	    (is_first ||
--- a/src/http/tests/test_exchange_pacing.c
+++ b/src/http/tests/test_exchange_pacing.c
@@ -67,7 +67,10 @@
 	return false;
 }
 
-/* The target is "/FRAMING/SIZE/DEADLINE"; the deadline is in ms. */
+/*
+ * The target is "/FRAMING/SIZE/DEADLINE"; the deadline is in ms. A request for
+ * "/never" gets no answer.
+ */
 static void answer(struct hx_exchange *exchange, void *data)
 {
 	struct fixture *fixture = data;
@@ -76,6 +79,8 @@
 	unsigned int deadline_ms;
 	char *body;
 
+	if (strcmp(hx_get_target(exchange), "/never") == 0)
+		return;
 	if (sscanf(hx_get_target(exchange), "/%7[a-z]/%u/%u", framing, &size,
 		   &deadline_ms) != 3) {
 		CU_FAIL("invalid request");
@@ -283,6 +288,15 @@
 	CU_ASSERT_EQUAL(fixture->ends->len, count);
 }
 
+/* Runs the loop until the clock of the servers has moved on. */
+static void run_for_a_tick(struct fixture *fixture)
+{
+	uint64_t from_ms = tmr_get_now_ms(fixture->timers);
+
+	while (tmr_get_now_ms(fixture->timers) <= from_ms + 1)
+		tevent_loop_once(fixture->events);
+}
+
 static void run_until_open(struct fixture *fixture, uint32_t count)
 {
 	for (int i = 0; i < TURNS_MAX && fixture->open_count != count; i++)
@@ -495,6 +509,32 @@
 	close_fixture(fixture);
 }
 
+/*
+ * Guards against a caller that counts as stalled since its last request because
+ * no byte of the body of its new one has arrived.
+ */
+static void test_new_request_is_not_stalled(void)
+{
+	struct fixture *fixture = open_small_fixture(0, 2);
+	struct caller *kept = open_caller(fixture, 'k', 0);
+	struct caller *stalled;
+
+	send_text(kept, "GET /length/10/60000 HTTP/1.1\r\nHost: a\r\n\r\n");
+	run_until_received(fixture, kept, 10);
+	stalled = open_caller(fixture, 's', 0);
+	send_text(stalled, "GET /length/10/60000 HTTP/1.1\r\n");
+	run_until_open(fixture, 1);
+	run_for_a_tick(fixture);
+	send_text(
+		kept,
+		"PUT /never HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n");
+	run_until_open(fixture, 2);
+	send_request(fixture, 'n', 0, "/length/10/60000");
+	run_until_ended(fixture, 2);
+	CU_ASSERT_STRING_EQUAL(fixture->ends->str, "sn");
+	close_fixture(fixture);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "short answer overtakes large", test_short_answer_overtakes_large },
 	{ "large answers end by deadline", test_large_answers_end_by_deadline },
@@ -507,6 +547,7 @@
 	{ "waiting answer is not evicted", test_waiting_answer_is_not_evicted },
 	{ "waiting answer survives critical memory",
 	  test_waiting_answer_survives_critical_memory },
+	{ "new request is not stalled", test_new_request_is_not_stalled },
 	CU_TEST_INFO_NULL,
 };
 
