--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -141,6 +141,14 @@
 	return count;
 }
 
+uint32_t raw_count_body_bytes(const struct raw_caller *caller)
+{
+	const char *body = strstr(caller->input->str, "\r\n\r\n");
+	const char *end = caller->input->str + caller->input->len;
+
+	return body ? (uint32_t)(end - body - 4) : 0;
+}
+
 void raw_list_answers(const struct raw_caller *caller, GString *output)
 {
 	const char *at = caller->input->str;
@@ -178,6 +186,8 @@
 		text = g_strnfill((gsize)atoi(words[2]), 'h');
 		raw_send(caller, text, strlen(text));
 		g_free(text);
+	} else if (strcmp(words[0], "shut") == 0) {
+		shutdown(caller->socket, SHUT_WR);
 	} else if (strcmp(words[0], "received") == 0) {
 		text = g_strescape(caller->input->str, NULL);
 		g_string_append_printf(output, "%s\n", text);
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -45,6 +45,9 @@
 /* Returns the number of complete answers with a Content-Length received. */
 uint32_t raw_count_answers(const struct raw_caller *caller);
 
+/* Returns how many bytes were received behind the first head. */
+uint32_t raw_count_body_bytes(const struct raw_caller *caller);
+
 /* Appends a line with status and body of each of these answers. */
 void raw_list_answers(const struct raw_caller *caller, GString *output);
 
@@ -58,9 +61,9 @@
 		    GHashTable *callers);
 
 /*
- * Runs a script step on the caller: "send", "send-bytes", "flood", "read",
- * "received", "answers" or "has", the caller's name, and an argument. Returns
- * false when the step is another one.
+ * Runs a script step on the caller: "send", "send-bytes", "shut", "flood",
+ * "read", "received", "answers" or "has", the caller's name, and an argument.
+ * Returns false when the step is another one.
  */
 bool raw_run_step(struct raw_caller *caller, char **words, GString *output);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -127,6 +127,8 @@
 {
 	if (strcmp(quantity, "answers") == 0)
 		return raw_count_answers(caller);
+	if (strcmp(quantity, "body-bytes") == 0)
+		return raw_count_body_bytes(caller);
 	if (strcmp(quantity, "closed") == 0)
 		return caller->is_closed;
 	if (strcmp(quantity, "resets") == 0)
@@ -614,6 +616,12 @@
 	run_script("memory");
 }
 
+/* A part of an answer looked whole to a caller that had closed its side. */
+static void test_early_close(void)
+{
+	run_script("early_close");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -643,6 +651,7 @@
 	{ "restarted_target", test_restarted_target },
 	{ "cut uploads", test_cut_uploads },
 	{ "memory", test_memory },
+	{ "early_close", test_early_close },
 	{ "hostile callers", test_hostile_callers },
 	{ "load_reports", test_load_reports },
 	{ "classes", test_classes },
