Count the dropped bytes of a refused body for each request

Cause: the bytes of bodies whose answers have ended were summed up over the life of a connection. After 1 MB, that is the 17th refused body of 64 kB, the connection was closed while the next body was dropped: without notice, and in one of two runs before the last refusal was sent, so that the caller of a request that must not be repeated lost it.

Change: the count starts anew with each request.

Result: new script refused_bodies of test_traffic: timeout at the 17th or 18th answer before; 18 answers on one connection now.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -178,6 +178,7 @@
 	connection->receiving = exchange;
 	connection->parser.head = &exchange->head;
 	connection->head_ms = get_now_ms(connection);
+	connection->discarded_bytes = 0;
 	options->handler->open(exchange, options->data);
 }
 
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -81,7 +81,7 @@
 	uint64_t active_ms;	  /* of the last progress; see is_overdue() */
 	uint64_t head_ms;	  /* when the head in progress began */
 	uint64_t received_ms;	  /* when bytes were last received */
-	uint64_t discarded_bytes; /* of bodies whose answers have ended */
+	uint64_t discarded_bytes; /* since the head of the last request */
 	bool is_readable;	  /* there may be bytes to receive */
 	bool is_hung_up;	  /* the peer has closed it */
 	bool is_last;		  /* no further request is read */
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -622,6 +622,12 @@
 	run_script("early_close");
 }
 
+/* A connection was closed, its answer unsent, for earlier refused bodies. */
+static void test_refused_bodies(void)
+{
+	run_script("refused_bodies");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -652,6 +658,7 @@
 	{ "cut uploads", test_cut_uploads },
 	{ "memory", test_memory },
 	{ "early_close", test_early_close },
+	{ "refused_bodies", test_refused_bodies },
 	{ "hostile callers", test_hostile_callers },
 	{ "load_reports", test_load_reports },
 	{ "classes", test_classes },
