Forget senders of load reports whose target is in no table

Cause: a sender was kept before the report's target was looked up. Datagrams with 4,096 different ports, from any host that reaches the load port, took all places for two seconds, and reports of known targets that were not yet heard were dropped as surplus.

Change: load_forget_sender() removes the sender of a report that no table knows.

Result: "crowd of strangers" of test_load_service failed before (a report of a known target was counted as surplus) and passes. test_load_schedule, test_load_codec and test_load_age pass.

--- a/src/load/load_service.c
+++ b/src/load/load_service.c
@@ -226,12 +226,14 @@
 		return;
 	}
 	if (!service->options.handle_report(check.target, &report->load, now_ms,
-					    service->options.data))
+					    service->options.data)) {
+		load_forget_sender(service->senders, from, report);
 		count_drops(service, service->counters->unknown,
 			    "unknown_target", 1);
-	else if (check.has_age)
+	} else if (check.has_age) {
 		cnt_observe(service->counters->age,
 			    (uint64_t)check.age_ms * 1000);
+	}
 }
 
 /* Returns whether the kernel took the datagram; none is sent again. */
--- a/src/load/senders.c
+++ b/src/load/senders.c
@@ -56,15 +56,19 @@
 	return senders;
 }
 
+static void drop_sender(struct load_senders *senders, struct sender *sender)
+{
+	g_queue_unlink(&senders->queue, &sender->link);
+	g_hash_table_remove(senders->by_key, &sender->key);
+}
+
 static void drop_silent(struct load_senders *senders, uint64_t now_ms)
 {
 	struct sender *head;
 
 	while ((head = g_queue_peek_head(&senders->queue)) &&
-	       now_ms >= head->heard_ms + REPORT_LIFE_MS) {
-		g_queue_unlink(&senders->queue, &head->link);
-		g_hash_table_remove(senders->by_key, &head->key);
-	}
+	       now_ms >= head->heard_ms + REPORT_LIFE_MS)
+		drop_sender(senders, head);
 }
 
 static struct sender *add_sender(struct load_senders *senders,
@@ -145,6 +149,16 @@
 	return check;
 }
 
+void load_forget_sender(struct load_senders *senders, struct in_addr address,
+			const struct load_report *report)
+{
+	gint64 key = load_get_key(address, report->hop_port);
+	struct sender *sender = g_hash_table_lookup(senders->by_key, &key);
+
+	if (sender)
+		drop_sender(senders, sender);
+}
+
 uint32_t load_count_senders(const struct load_senders *senders)
 {
 	return g_hash_table_size(senders->by_key);
--- a/src/load/senders.h
+++ b/src/load/senders.h
@@ -38,6 +38,13 @@
 				    const struct load_report *report,
 				    uint64_t now_ms);
 
+/*
+ * Forgets the sender of a report whose target is in no table, so that strangers
+ * take no place; its report is not used.
+ */
+void load_forget_sender(struct load_senders *senders, struct in_addr address,
+			const struct load_report *report);
+
 /* Returns the number of senders that are kept. */
 uint32_t load_count_senders(const struct load_senders *senders);
 
--- a/src/load/tests/test_load_service.c
+++ b/src/load/tests/test_load_service.c
@@ -13,6 +13,7 @@
 #include "codec.h"
 #include "loom/load_report.h"
 #include "script.h"
+#include "senders.h"
 
 #define LOAD_PORT 18082
 #define HOP_PORT 18081
@@ -29,7 +30,8 @@
 	struct rt_load heard;
 	char heard_from[48];
 	uint32_t heard_count;
-	bool is_stranger; /* it knows no target */
+	bool is_stranger;	  /* it knows no target */
+	const char *known_target; /* the only one; NULL: it knows all */
 };
 
 struct pair {
@@ -50,7 +52,8 @@
 {
 	struct node *node = data;
 
-	if (node->is_stranger)
+	if (node->is_stranger ||
+	    (node->known_target && strcmp(address, node->known_target) != 0))
 		return false;
 	node->heard = *load;
 	node->heard_count++;
@@ -279,6 +282,32 @@
 	close(fd);
 }
 
+/* Guards against strangers that take the places of all known targets. */
+static void test_crowd_of_strangers(void)
+{
+	struct pair *pair = new_pair();
+	struct node *entry = &pair->nodes[0];
+	const struct cnt_counter *received = entry->load_counters.received;
+	struct load_report report = { .instance = 1, .sequence = 1 };
+	uint8_t bytes[LOAD_REPORT_SIZE];
+
+	entry->known_target = pair->nodes[1].target;
+	for (uint16_t port = 1; port <= LOAD_SENDERS_MAX; port++) {
+		report.hop_port = port;
+		load_encode_report(&report, bytes);
+		send_bytes(entry, bytes, sizeof(bytes));
+		while (cnt_get_value(received) < port)
+			tevent_loop_once(pair->events);
+	}
+	pair->nodes[1].own.in_flight = 3;
+	load_mark_changed(pair->nodes[1].service);
+	run_until(pair, is_load_known);
+	CU_ASSERT_EQUAL(cnt_get_value(entry->load_counters.unknown),
+			LOAD_SENDERS_MAX);
+	CU_ASSERT_EQUAL(cnt_get_value(entry->load_counters.surplus), 0);
+	talloc_free(pair);
+}
+
 static bool is_all_counted(struct pair *pair)
 {
 	return cnt_get_value(pair->nodes[0].load_counters.received) >= 105;
@@ -338,6 +367,7 @@
 	{ "receiver gone", test_receiver_gone },
 	{ "ask", test_ask },
 	{ "unknown target", test_unknown_target },
+	{ "crowd of strangers", test_crowd_of_strangers },
 	{ "malformed", test_malformed },
 	{ "port in use", test_port_in_use },
 	CU_TEST_INFO_NULL,
