--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -143,8 +143,7 @@
 		return now_ms >= connection->active_ms + LINGER_MS;
 	if (first && first->phase == HX_PHASE_HEAD)
 		return now_ms >= connection->head_ms + head_timeout_ms;
-	/* The peer cannot read what waits for its turn on the link. */
-	if (first && first->flow.is_waiting && now_ms < first->deadline_ms)
+	if (first && hx_is_waiting_for_link(first, now_ms))
 		return false;
 	/* An answer that the peer does not read, or a body that stalls. */
 	if (!first || first->is_ended)
@@ -179,6 +178,7 @@
 	connection->receiving = exchange;
 	connection->parser.head = &exchange->head;
 	connection->head_ms = get_now_ms(connection);
+	connection->discarded_bytes = 0;
 	options->handler->open(exchange, options->data);
 }
 
@@ -191,6 +191,9 @@
 	exchange->received_ms = connection->received_ms;
 	connection->parser.head = NULL;
 	hx_update_exchange_bytes(exchange);
+	/* Behind an answer that is not read, a request is no progress. */
+	if (is_first)
+		connection->active_ms = get_now_ms(connection);
 	/* After an answer that closes the connection nothing is begun. */
 	if (!connection->is_last &&
 	    (is_first ||
@@ -518,8 +521,10 @@
 static void cancel_unanswered(struct hx_connection *connection)
 {
 	GList *link = connection->exchanges.head;
+	const struct hx_exchange *first = link ? link->data : NULL;
 
-	if (link && is_given_up(connection, link->data)) {
+	/* The close depends on the first answer; see must_reset(). */
+	if (first && (!first->is_ended || is_given_up(connection, first))) {
 		hx_close_connection(connection);
 		return;
 	}
