Judge unanswered calls by reports of more than one moment

Review of src/traffic/silence.c. A slow call was taken for an unanswered one in three cases in which the target's reports show it, or say nothing against it: - a call whose answer waits for the link or a slow reader counted as in flight, though the target has ended it, so all reports showed too few calls; - one report, 100 ms or more after the one before, that lacks a call that was just sent was enough; - a target that leaves the answered call out of its reports, and that was never seen with one call only, always showed one call too few. Calls count until the head of their answer, reports have to show too few calls over 100 ms, and the answered call is taken for left out until a report shows all calls.

--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -283,7 +283,7 @@
 			cnt_add(call->thread->service->counters.foreign, 1);
 			return false;
 		}
-		tr_record_head(&call->thread->silence, call->attempt_us);
+		tr_record_answer_head(call);
 	}
 	/* The entry side may retry after a refusal, so it does not relay it. */
 	if (tr_is_refused(answer)) {
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -98,6 +98,7 @@
 	uint64_t large_bytes; /* expected size of a large answer, counted */
 	struct tmr_subscription *deadline;
 	struct tr_sent sent; /* of the attempt at the local target */
+	bool is_awaited;     /* counts in tr_silence's in_flight */
 	struct tmr_subscription *silence_check;
 
 	CURL *easy;	       /* the running attempt, or NULL */
@@ -226,6 +227,8 @@
 /* unanswered.c: watches the answer of a call that was sent to the target. */
 void tr_watch_answer(struct tr_call *call);
 void tr_unwatch_answer(struct tr_call *call);
+/* Records that the head of the answer of the local target is complete. */
+void tr_record_answer_head(struct tr_call *call);
 
 /* attempt.c: starts the transfer to base_url with call->headers. */
 void tr_start_attempt(struct tr_call *call, struct hc_loop *loop,
--- a/src/traffic/silence.c
+++ b/src/traffic/silence.c
@@ -3,6 +3,7 @@
  */
 #include "silence.h"
 
+#include <assert.h>
 #include <glib.h>
 
 /* Calls of one kind run for different times; few exceed this multiple. */
@@ -11,7 +12,8 @@
 #define REPORT_LIFE_MS 1000U
 /*
  * A call that was just sent, or whose answer is on its way, is missing in a
- * report as well. Reports have to show too few calls for so long.
+ * report as well. Reports have to show too few calls for so long; a single one
+ * says nothing.
  */
 #define MISSING_MS 100U
 
@@ -19,14 +21,16 @@
 {
 	silence->answered_start_us = 0;
 	silence->report_ms = 0;
-	silence->all_there_ms = 0;
-	silence->is_own_call_left_out = false;
+	silence->missing_ms = 0;
+	silence->own_call = TR_OWN_CALL_UNKNOWN;
 }
 
 void tr_record_head(struct tr_silence *silence, uint64_t started_us)
 {
 	silence->answered_start_us =
 		MAX(silence->answered_start_us, started_us);
+	assert(silence->in_flight > 0);
+	silence->in_flight--;
 }
 
 void tr_record_presence(struct tr_silence *silence,
@@ -35,10 +39,17 @@
 	uint64_t present = (uint64_t)report->running + report->waiting;
 
 	if (silence->in_flight == 1 && present == 0)
-		silence->is_own_call_left_out = true;
+		silence->own_call = TR_OWN_CALL_LEFT_OUT;
+	else if (silence->own_call == TR_OWN_CALL_UNKNOWN &&
+		 present >= silence->in_flight)
+		silence->own_call = TR_OWN_CALL_COUNTED;
+	if (silence->own_call != TR_OWN_CALL_COUNTED)
+		present++;
 	silence->report_ms = now_ms;
-	if (present + silence->is_own_call_left_out >= silence->in_flight)
-		silence->all_there_ms = now_ms;
+	if (present >= silence->in_flight)
+		silence->missing_ms = 0;
+	else if (silence->missing_ms == 0)
+		silence->missing_ms = now_ms;
 }
 
 uint64_t tr_get_overdue_ms(const struct tr_silence *silence,
@@ -59,8 +70,8 @@
 	if (silence->report_ms == 0 ||
 	    now_ms >= silence->report_ms + REPORT_LIFE_MS)
 		return false;
-	return now_ms < silence->all_there_ms + MISSING_MS ||
-	       silence->all_there_ms == silence->report_ms;
+	return silence->missing_ms == 0 ||
+	       silence->report_ms < silence->missing_ms + MISSING_MS;
 }
 
 bool tr_is_unanswered(const struct tr_silence *silence,
--- a/src/traffic/silence.h
+++ b/src/traffic/silence.h
@@ -17,15 +17,22 @@
 #include <stdint.h>
 #include "loom/capacity.h"
 
+/* Whether a report counts the call whose answer it comes with. */
+enum tr_own_call {
+	TR_OWN_CALL_UNKNOWN, /* taken for left out */
+	TR_OWN_CALL_COUNTED,
+	TR_OWN_CALL_LEFT_OUT,
+};
+
 /* What is known of the target; zero-initialized. */
 struct tr_silence {
 	uint32_t silence_ms; /* 0: off */
-	uint32_t in_flight;  /* calls that were sent and have no end yet */
+	uint32_t in_flight;  /* calls that were sent and wait for an answer */
 	uint64_t answered_start_us; /* latest start of a call with an answer */
 	uint64_t report_ms;	    /* last report; 0: none */
-	uint64_t all_there_ms; /* last report that showed all calls; 0: none */
-	/* The reports do not count the call whose answer they come with. */
-	bool is_own_call_left_out;
+	/* First of the last reports that all showed too few calls; 0: none. */
+	uint64_t missing_ms;
+	enum tr_own_call own_call;
 };
 
 /* A call whose request was sent whole, and whose answer has not begun. */
@@ -38,7 +45,11 @@
 /* The target has restarted: what it answered before does not count. */
 void tr_clear_silence(struct tr_silence *silence);
 
-/* Records that the head of an answer to a call came. */
+/*
+ * Records that the head of an answer to a call came, which does not count as in
+ * flight any more: the target may have ended it long before its caller has read
+ * the answer.
+ */
 void tr_record_head(struct tr_silence *silence, uint64_t started_us);
 
 /* Records a report that came with an answer. */
--- a/src/traffic/unanswered.c
+++ b/src/traffic/unanswered.c
@@ -78,6 +78,7 @@
 	uint64_t overdue_ms;
 
 	silence->in_flight++;
+	call->is_awaited = true;
 	/* How long a caller takes to send a long body is not known. */
 	if (call->upload.has_body && !call->upload.is_whole)
 		return;
@@ -95,6 +96,16 @@
 
 void tr_unwatch_answer(struct tr_call *call)
 {
-	call->thread->silence.in_flight--;
+	if (call->is_awaited)
+		call->thread->silence.in_flight--;
+	call->is_awaited = false;
 	TALLOC_FREE(call->silence_check);
 }
+
+void tr_record_answer_head(struct tr_call *call)
+{
+	if (!call->is_awaited)
+		return;
+	call->is_awaited = false;
+	tr_record_head(&call->thread->silence, call->attempt_us);
+}
