Keep slow calls of targets that shed later ones, and test kept slots

Review of src/traffic. An answer that says that the target has shed a call (503 with its not-run header) counted as the answer to a later call, so a slow call that the target ran was ended as unanswered; such answers do not count now (script shed_later: 504 before, 200 after).

No test failed without the rule that the slot of an unanswered call stays used. Script kept_slot checks the load that the node tells with the 504, and that a call that waits starts one run time later.

--- a/src/traffic/silence.h
+++ b/src/traffic/silence.h
@@ -48,7 +48,7 @@
 /*
  * Records that the head of an answer to a call came, which does not count as in
  * flight any more: the target may have ended it long before its caller has read
- * the answer.
+ * the answer. started_us is 0 if the target has shed the call.
  */
 void tr_record_head(struct tr_silence *silence, uint64_t started_us);
 
--- a/src/traffic/tests/test_overload.c
+++ b/src/traffic/tests/test_overload.c
@@ -20,6 +20,7 @@
 struct state {
 	struct mesh *mesh;
 	GHashTable *callers; /* name to struct raw_caller */
+	uint64_t marked_ms;
 };
 
 struct wait {
@@ -84,15 +85,26 @@
 	raw_list_answers(caller, output);
 }
 
-static bool run_step(int count, char **words, GString *output, void *data)
+/* Prints the calls that the gate counted when the answer began. */
+static void print_in_flight(struct state *state, const char *name,
+			    GString *output)
+{
+	static const char header[] = "Loom-In-Flight: ";
+	struct raw_caller *caller = g_hash_table_lookup(state->callers, name);
+	const char *value;
+
+	wait_for(state->mesh, caller, NULL, 1);
+	value = strstr(caller->input->str, header);
+	g_string_append_printf(output, "%d\n",
+			       value ? atoi(value + strlen(header)) : -1);
+}
+
+/* Steps that name no node. Returns false for others. */
+static bool run_plain_step(struct state *state, int count, char **words,
+			   GString *output)
 {
-	struct state *state = data;
 	struct mesh *mesh = state->mesh;
-	struct mesh_node *node;
-	char *step = g_strjoinv(" ", words);
 
-	mesh->step = talloc_strdup(mesh, step);
-	g_free(step);
 	if (strcmp(words[0], "silence") == 0) {
 		mesh->silence_ms = (uint32_t)atoi(words[1]);
 		return true;
@@ -113,6 +125,43 @@
 		print_answer(state, words[1], output);
 		return true;
 	}
+	if (strcmp(words[0], "in-flight") == 0) {
+		print_in_flight(state, words[1], output);
+		return true;
+	}
+	if (strcmp(words[0], "pass") == 0) {
+		mesh_run_for(mesh, (uint32_t)atoi(words[1]));
+		return true;
+	}
+	if (strcmp(words[0], "mark") == 0) {
+		state->marked_ms = tmr_get_now_ms(mesh->timers);
+		return true;
+	}
+	/* A lower bound, which a busy machine does not break. */
+	if (strcmp(words[0], "passed") == 0) {
+		g_string_append(
+			output,
+			tmr_get_now_ms(mesh->timers) >=
+					state->marked_ms +
+						strtoul(words[1], NULL, 10)
+				? "yes\n"
+				: "no\n");
+		return true;
+	}
+	return false;
+}
+
+static bool run_step(int count, char **words, GString *output, void *data)
+{
+	struct state *state = data;
+	struct mesh *mesh = state->mesh;
+	struct mesh_node *node;
+	char *step = g_strjoinv(" ", words);
+
+	mesh->step = talloc_strdup(mesh, step);
+	g_free(step);
+	if (run_plain_step(state, count, words, output))
+		return true;
 	node = mesh_get_node(mesh, words[1]);
 	if (strcmp(words[0], "target") == 0)
 		mesh_add_target(mesh, node, words[2]);
@@ -120,6 +169,8 @@
 		mesh_tell_slots(mesh, node, (uint32_t)atoi(words[2]));
 	else if (strcmp(words[0], "mute") == 0)
 		raw_set_mute(node->target, (uint32_t)atoi(words[2]));
+	else if (strcmp(words[0], "release") == 0)
+		raw_answer_held_requests(node->target);
 	else if (strcmp(words[0], "requests") == 0)
 		wait_for(mesh, NULL, node, (uint32_t)atoi(words[2]));
 	else if (strcmp(words[0], "counter") == 0)
@@ -140,8 +191,7 @@
 	talloc_free(data);
 }
 
-/* Callers of calls that a target never answered waited for their deadline. */
-static void test_unanswered(void)
+static void run_script(const char *name)
 {
 	struct state state = { .mesh = mesh_new() };
 
@@ -149,11 +199,30 @@
 	state.mesh->has_gateway = true;
 	state.callers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_caller);
-	scr_run("unanswered", run_step, &state);
+	scr_run(name, run_step, &state);
 	g_hash_table_destroy(state.callers);
 	mesh_free(state.mesh);
 }
 
+/* Callers of calls that a target never answered waited for their deadline. */
+static void test_unanswered(void)
+{
+	run_script("unanswered");
+}
+
+/* The slot of an unanswered call was free while the target could still run it.
+ */
+static void test_kept_slot(void)
+{
+	run_script("kept_slot");
+}
+
+/* Slow work was cut because the target refused later calls. */
+static void test_shed_later(void)
+{
+	run_script("shed_later");
+}
+
 static uint32_t get_status(const struct raw_caller *caller)
 {
 	return (uint32_t)strtoul(caller->input->str + strlen("HTTP/1.1 "), NULL,
@@ -251,6 +320,8 @@
 
 static const CU_TestInfo tests[] = {
 	{ "unanswered", test_unanswered },
+	{ "kept slot", test_kept_slot },
+	{ "shed later", test_shed_later },
 	{ "return", test_return },
 	CU_TEST_INFO_NULL,
 };
--- a/src/traffic/unanswered.c
+++ b/src/traffic/unanswered.c
@@ -107,5 +107,7 @@
 	if (!call->is_awaited)
 		return;
 	call->is_awaited = false;
-	tr_record_head(&call->thread->silence, call->attempt_us);
+	/* A target that sheds calls may be slow with those it has. */
+	tr_record_head(&call->thread->silence,
+		       call->answer.is_not_run ? 0 : call->attempt_us);
 }
