End calls that may have run with 502 when their last attempt is refused

When the first attempt of a repeatable call was lost after it was sent and the second one was refused, or its node could not be reached, the caller got 503 with not_run false. By docs/design/hard-load.md the status 503 alone guarantees that the request has not run. Such calls end with 502 and the reason of the refusal, as a deadline already ends them with 504 instead of 503.

--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -433,6 +433,7 @@
 void tr_end_refused_attempt(struct tr_call *call)
 {
 	const char *reason = call->answer.refused;
+	uint32_t status = call->answer.status;
 	bool is_not_run = call->answer.is_not_run;
 	enum rt_outcome outcome =
 		is_not_run ? RT_OUTCOME_REFUSED : RT_OUTCOME_FAILED;
@@ -449,7 +450,10 @@
 	if (retry_call(call, outcome, is_not_run,
 		       is_not_run && call->answer.is_unsent))
 		return;
-	tr_refuse_call(call, call->answer.status, reason ? reason : "refused",
+	/* The status of a refusal tells that no attempt was run. */
+	if (is_not_run && call->is_run_possible)
+		status = MHD_HTTP_BAD_GATEWAY;
+	tr_refuse_call(call, status, reason ? reason : "refused",
 		       !call->is_run_possible);
 }
 
@@ -469,8 +473,8 @@
 	if (retry_call(call, RT_OUTCOME_FAILED, is_not_run, is_not_run))
 		return;
 	tr_refuse_call(call,
-		       is_not_run ? MHD_HTTP_SERVICE_UNAVAILABLE
-				  : MHD_HTTP_BAD_GATEWAY,
+		       call->is_run_possible ? MHD_HTTP_BAD_GATEWAY
+					     : MHD_HTTP_SERVICE_UNAVAILABLE,
 		       is_not_run ? "target_unreachable" : "connection_lost",
 		       !call->is_run_possible);
 }
--- a/src/traffic/tests/test_overload.c
+++ b/src/traffic/tests/test_overload.c
@@ -151,6 +151,18 @@
 	return false;
 }
 
+/* "/reply" gets a refusal ("shed"), or the connection is closed ("cut"). */
+static void set_reply(struct raw_target *target, const char *kind)
+{
+	if (strcmp(kind, "shed") == 0)
+		raw_set_reply(target,
+			      "HTTP/1.1 503 Busy\r\nLoom-Not-Run: true\r\n"
+			      "Content-Length: 0\r\n\r\n",
+			      RAW_END_KEEP);
+	else
+		raw_set_reply(target, "", RAW_END_CLOSE);
+}
+
 static bool run_step(int count, char **words, GString *output, void *data)
 {
 	struct state *state = data;
@@ -171,6 +183,8 @@
 		raw_set_mute(node->target, (uint32_t)atoi(words[2]));
 	else if (strcmp(words[0], "release") == 0)
 		raw_answer_held_requests(node->target);
+	else if (strcmp(words[0], "reply") == 0)
+		set_reply(node->target, words[2]);
 	else if (strcmp(words[0], "requests") == 0)
 		wait_for(mesh, NULL, node, (uint32_t)atoi(words[2]));
 	else if (strcmp(words[0], "counter") == 0)
@@ -223,6 +237,14 @@
 	run_script("shed_later");
 }
 
+/*
+ * A call that a target may have run ended in 503, the promise that it was not.
+ */
+static void test_refused_later(void)
+{
+	run_script("refused_later");
+}
+
 static uint32_t get_status(const struct raw_caller *caller)
 {
 	return (uint32_t)strtoul(caller->input->str + strlen("HTTP/1.1 "), NULL,
@@ -322,6 +344,7 @@
 	{ "unanswered", test_unanswered },
 	{ "kept slot", test_kept_slot },
 	{ "shed later", test_shed_later },
+	{ "refused later", test_refused_later },
 	{ "return", test_return },
 	CU_TEST_INFO_NULL,
 };
