Space promised times by the present rate of answers

The distance to the next promised time was fixed when a promise was made. After one answer in two seconds (a node that has started, or targets that were out) it was 32 s, and no caller got a promise for so long, whatever the rate by then. The distance is now computed when the next time is promised.

test_returns, script returns: at 61900, with 64 answers in two seconds, "told 2550 ms" before, "told 50 ms, promised" now, and the next one 500 ms later.

--- a/src/routing/returns.c
+++ b/src/routing/returns.c
@@ -49,7 +49,7 @@
 struct service {
 	uint32_t answers[SLICE_COUNT];
 	uint64_t slice_number; /* slice of the last event */
-	uint64_t free_ms;      /* the next time that can be promised */
+	uint64_t promised_ms;  /* the last time that was promised; 0: none */
 };
 
 struct rt_returns {
@@ -268,16 +268,23 @@
 static uint64_t promise_time(struct service *service, uint64_t least_ms,
 			     uint64_t most_ms, uint64_t now_ms)
 {
-	uint64_t time_ms = MAX(service->free_ms, least_ms);
+	uint64_t time_ms = least_ms;
 	uint64_t answers = 0;
 
 	move_slices(service, now_ms);
 	for (uint32_t i = 0; i < SLICE_COUNT; i++)
 		answers += service->answers[i];
-	if (answers == 0 || time_ms > most_ms)
+	if (answers == 0)
 		return 0;
-	service->free_ms = time_ms + (uint64_t)PROMISE_SHARE * SLICE_MS *
-					     SLICE_COUNT / answers;
+	/* By the present rate, not by that at the last promise. */
+	if (service->promised_ms > 0)
+		time_ms = MAX(time_ms, service->promised_ms +
+					       (uint64_t)PROMISE_SHARE *
+						       SLICE_MS * SLICE_COUNT /
+						       answers);
+	if (time_ms > most_ms)
+		return 0;
+	service->promised_ms = time_ms;
 	return time_ms;
 }
 
