--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -19,6 +19,7 @@
 #include <string.h>
 #include "chooser_internal.h"
 #include "placement.h"
+#include "target_cost.h"
 #include "version_split.h"
 
 /*
@@ -29,16 +30,6 @@
  */
 #define FAR_FACTOR 3.0
 #define FAR_BULKY_FACTOR 8.0
-/*
- * A target at its limit costs 1 + LOAD_COST_FACTOR times as much as an idle
- * one.
- */
-#define LOAD_COST_FACTOR 3.0
-/*
- * Higher failure shares are clamped: the target may be the only one with free
- * capacity.
- */
-#define FAILURE_PERMILLE_MAX 900U
 /*
  * One of so many calls that have no chance by the reports is sent all the same,
  * so that stale reports are corrected.
@@ -246,67 +237,6 @@
 	}
 }
 
-/*
- * Factor on the cost of a target that fails a share of its calls: the expected
- * number of attempts until one succeeds, squared because each attempt takes
- * both time and retry budget.
- */
-static double get_failure_factor(const struct rt_target_state *state,
-				 uint64_t now_ms)
-{
-	uint32_t permille = rt_estimate_failure_permille(state, now_ms);
-	double tries = 1000.0 / (1000 - MIN(permille, FAILURE_PERMILLE_MAX));
-
-	return tries * tries;
-}
-
-/*
- * Cost of a call: its latency, which grows with the utilization of the target,
- * plus its time in transit. The sum is multiplied by the failure factor.
- */
-static double get_cost(const struct rt_target_state *state, uint32_t latency_us,
-		       uint64_t now_ms)
-{
-	double utilization = (double)rt_estimate_load(state, now_ms) /
-			     rt_estimate_limit(state, now_ms);
-
-	return (latency_us *
-			(1 + LOAD_COST_FACTOR * utilization * utilization) +
-		rt_estimate_transit_us(state, now_ms)) *
-	       get_failure_factor(state, now_ms);
-}
-
-/*
- * Returns the higher latency of two targets, for comparing them without regard
- * to their latencies.
- */
-static uint32_t get_common_latency_us(const struct rt_target_state *a,
-				      const struct rt_target_state *b,
-				      uint64_t now_ms)
-{
-	uint32_t latency_us = MAX(rt_estimate_latency_us(a, now_ms),
-				  rt_estimate_latency_us(b, now_ms));
-
-	return MAX(latency_us, 1U);
-}
-
-/*
- * Returns whether b costs less than a. Their latencies are ignored unless both
- * are known.
- */
-static bool is_cheaper(const struct rt_target_state *a,
-		       const struct rt_target_state *b, uint64_t now_ms)
-{
-	uint32_t a_latency_us = rt_estimate_latency_us(a, now_ms);
-	uint32_t b_latency_us = rt_estimate_latency_us(b, now_ms);
-
-	if (a_latency_us == 0 || b_latency_us == 0)
-		a_latency_us = b_latency_us =
-			get_common_latency_us(a, b, now_ms);
-	return get_cost(b, b_latency_us, now_ms) <
-	       get_cost(a, a_latency_us, now_ms);
-}
-
 static uint32_t pick_two_choices(struct rt_chooser *chooser, uint64_t now_ms)
 {
 	const struct rt_candidates *candidates = &chooser->candidates;
@@ -316,11 +246,11 @@
 		return 0;
 	places[0] = draw_weighted(chooser, UINT32_MAX);
 	places[1] = draw_weighted(chooser, places[0]);
-	if (is_cheaper(get_entry_state(chooser, candidates->group,
-				       candidates->indices[places[0]]),
-		       get_entry_state(chooser, candidates->group,
-				       candidates->indices[places[1]]),
-		       now_ms))
+	if (rt_is_cheaper(get_entry_state(chooser, candidates->group,
+					  candidates->indices[places[0]]),
+			  get_entry_state(chooser, candidates->group,
+					  candidates->indices[places[1]]),
+			  now_ms))
 		return places[1];
 	return places[0];
 }
@@ -369,9 +299,9 @@
 	far = candidates->indices[pick_two_choices(chooser, now_ms)];
 	far_state = get_entry_state(chooser, group, far);
 	/* A lower latency alone does not justify the distance. */
-	latency_us = get_common_latency_us(near_state, far_state, now_ms);
-	return get_cost(far_state, latency_us, now_ms) * factor <
-			       get_cost(near_state, latency_us, now_ms)
+	latency_us = rt_get_common_latency_us(near_state, far_state, now_ms);
+	return rt_get_cost(far_state, latency_us, now_ms) * factor <
+			       rt_get_cost(near_state, latency_us, now_ms)
 		       ? far
 		       : near;
 }
