Count malformed headers of other nodes

docs/design/hard-load.md says that a header between nodes that cannot be parsed counts as absent and is counted in a metric. It was not counted. Loom-Spent-Us and Loom-Run-Us were read with strtoull, which takes the digits at the start of any text and the maximum for a number that is too large.

loom_malformed_headers_total{side} counts such headers, of requests (hop) and of answers (entry), and a log line names the last one, at most once a second in each thread. Headers of callers and targets are not counted: they are not read as those of nodes. Both durations must be decimal numbers below 2^32.

The script malformed_headers gives each of the headers a malformed value, for answers from a node that the test plays (step fake-node).

--- a/include/loom/routing.h
+++ b/include/loom/routing.h
@@ -44,6 +44,9 @@
  */
 enum rt_class rt_parse_class(const char *name, uint32_t priority);
 
+/* Returns whether nodes send this name of a class. */
+bool rt_is_class_name(const char *name);
+
 /* Returns the name of a class: "nested", "returned" or "fresh" (static). */
 const char *rt_get_class_name(enum rt_class class);
 
--- a/src/routing/names.c
+++ b/src/routing/names.c
@@ -48,6 +48,15 @@
 	return rt_get_rank_class(priority);
 }
 
+bool rt_is_class_name(const char *name)
+{
+	for (uint32_t i = 0; i < RT_CLASS_COUNT; i++) {
+		if (strcmp(name, rt_get_class_name((enum rt_class)i)) == 0)
+			return true;
+	}
+	return false;
+}
+
 const char *rt_get_class_name(enum rt_class class)
 {
 	switch (class) {
--- a/src/traffic/answer.c
+++ b/src/traffic/answer.c
@@ -72,22 +72,41 @@
 	return true;
 }
 
-static void read_internal_header(struct tr_answer *answer, const char *name,
+static void read_refusal(struct tr_answer *answer, const char *reason)
+{
+	g_free(answer->refused);
+	answer->refused = g_strdup(reason);
+	answer->is_unsent = strcmp(reason, TR_REASON_SHED) != 0;
+}
+
+/* A malformed header counts as absent: the request may have run. */
+static bool read_not_run(struct tr_answer *answer, const char *value)
+{
+	answer->is_not_run = false;
+	return tr_parse_flag(value, &answer->is_not_run);
+}
+
+static void read_internal_header(struct tr_call *call, const char *name,
 				 const char *value)
 {
-	if (strcasecmp(name, TR_HEADER_NOT_RUN) == 0) {
-		answer->is_not_run = strcasecmp(value, "true") == 0;
-	} else if (strcasecmp(name, TR_HEADER_REFUSED) == 0) {
-		g_free(answer->refused);
-		answer->refused = g_strdup(value);
-		answer->is_unsent = strcmp(value, TR_REASON_SHED) != 0;
-	} else if (strcasecmp(name, TR_HEADER_SPENT) == 0) {
-		answer->spent_us = g_ascii_strtoull(value, NULL, 10);
-	} else if (strcasecmp(name, TR_HEADER_RUN) == 0) {
-		answer->run_us = g_ascii_strtoull(value, NULL, 10);
-	} else if (tr_read_load(name, value, &answer->load)) {
+	struct tr_answer *answer = &call->answer;
+	enum tr_parse load = tr_read_load(name, value, &answer->load);
+	bool is_valid = load != TR_PARSE_MALFORMED;
+
+	if (load == TR_PARSE_VALID)
 		answer->has_load = true;
-	}
+	else if (strcasecmp(name, TR_HEADER_NOT_RUN) == 0)
+		is_valid = read_not_run(answer, value);
+	else if (strcasecmp(name, TR_HEADER_REFUSED) == 0)
+		read_refusal(answer, value);
+	else if (strcasecmp(name, TR_HEADER_SPENT) == 0)
+		is_valid =
+			tr_parse_number(value, UINT32_MAX, &answer->spent_us);
+	else if (strcasecmp(name, TR_HEADER_RUN) == 0)
+		is_valid = tr_parse_number(value, UINT32_MAX, &answer->run_us);
+	/* Internal headers of targets are not used. */
+	if (!is_valid && !tr_is_from_target(call))
+		tr_record_malformed_header(call, name);
 }
 
 static bool is_same_name(const char *name, const char *known)
@@ -151,7 +170,7 @@
 		answer->connection = g_strdup(value);
 	}
 	if (tr_is_internal(name)) {
-		read_internal_header(answer, name, value);
+		read_internal_header(call, name, value);
 		return;
 	}
 	g_ptr_array_add(answer->headers, g_strdup(name));
--- a/src/traffic/call_log.c
+++ b/src/traffic/call_log.c
@@ -8,11 +8,13 @@
  */
 #include "call_log.h"
 
+#include <arpa/inet.h>
 #include "loom/log.h"
 
 /* Limits the cost of logging on a busy node; see docs/OPERATIONS.md. */
 #define LINES_PER_SECOND 100U
 #define PERIOD_MS 1000U
+#define MALFORMED_LOG_GAP_MS 1000U
 #define NUMBER_SIZE 24
 
 static const char *get_request_id(struct tr_call *call)
@@ -124,6 +126,30 @@
 		tr_log_call(call, "answer", "answer later than the objective");
 }
 
+void tr_record_malformed_header(struct tr_call *call, const char *name)
+{
+	struct tr_thread *thread = call->thread;
+	uint64_t now_ms = tmr_get_now_ms(thread->timers);
+	bool is_entry = call->role == TR_ROLE_ENTRY;
+	struct in_addr peer = hx_get_peer_address(call->exchange);
+	char address[INET_ADDRSTRLEN];
+	char text[NUMBER_SIZE];
+
+	cnt_add(thread->service->counters.malformed_headers[call->role], 1);
+	thread->malformed_header_count++;
+	if (now_ms < thread->malformed_logged_ms + MALFORMED_LOG_GAP_MS)
+		return;
+	log_write(LOG_LEVEL_WARNING, "traffic", "read header",
+		  is_entry
+			  ? call->chosen->address
+			  : inet_ntop(AF_INET, &peer, address, sizeof(address)),
+		  "malformed headers of nodes ignored", "last_header", name,
+		  "side", is_entry ? "entry" : "hop", "count",
+		  format_number(text, thread->malformed_header_count), LOG_END);
+	thread->malformed_header_count = 0;
+	thread->malformed_logged_ms = now_ms;
+}
+
 void tr_open_call_log(struct tr_thread *thread)
 {
 	tmr_subscribe_every(thread->timers, thread->timers, PERIOD_MS,
--- a/src/traffic/call_log.h
+++ b/src/traffic/call_log.h
@@ -16,6 +16,12 @@
 /* Logs a call whose complete answer came later than its route's objective. */
 void tr_log_late_answer(struct tr_call *call);
 
+/*
+ * Counts a header of another node that cannot be parsed, and logs it at most
+ * once a second in each thread.
+ */
+void tr_record_malformed_header(struct tr_call *call, const char *name);
+
 /* Starts the timer that logs the number of suppressed lines every second. */
 void tr_open_call_log(struct tr_thread *thread);
 
--- a/src/traffic/headers.c
+++ b/src/traffic/headers.c
@@ -107,16 +107,26 @@
 	return list;
 }
 
-static bool parse_number(const char *text, uint64_t max, uint64_t *value)
+bool tr_parse_number(const char *text, uint64_t max, uint64_t *value)
 {
 	return text &&
 	       g_ascii_string_to_unsigned(text, 10, 0, max, value, NULL);
 }
 
+bool tr_parse_flag(const char *text, bool *flag)
+{
+	bool is_true = strcasecmp(text, "true") == 0;
+
+	if (!is_true && strcasecmp(text, "false") != 0)
+		return false;
+	*flag = is_true;
+	return true;
+}
+
 bool tr_read_number(const struct hx_exchange *exchange, const char *name,
 		    uint64_t max, uint64_t *value)
 {
-	return parse_number(hx_get_header(exchange, name), max, value);
+	return tr_parse_number(hx_get_header(exchange, name), max, value);
 }
 
 /* Reads one number for each class, separated by commas. */
@@ -127,7 +137,7 @@
 	bool is_valid = g_strv_length(texts) == RT_CLASS_COUNT;
 
 	for (uint32_t i = 0; is_valid && i < RT_CLASS_COUNT; i++) {
-		is_valid = parse_number(texts[i], UINT32_MAX, &number);
+		is_valid = tr_parse_number(texts[i], UINT32_MAX, &number);
 		if (is_valid)
 			load->wait_us[i] = (uint32_t)number;
 	}
@@ -136,33 +146,43 @@
 	return is_valid;
 }
 
-bool tr_read_load(const char *name, const char *value, struct rt_load *load)
+/* Returns the number that a load header sets, or NULL for any other header. */
+static uint32_t *find_load_number(const char *name, struct rt_load *load)
 {
-	uint64_t number;
+	if (strcasecmp(name, TR_HEADER_LIMIT) == 0)
+		return &load->limit;
+	if (strcasecmp(name, TR_HEADER_IN_FLIGHT) == 0)
+		return &load->in_flight;
+	if (strcasecmp(name, TR_HEADER_LATENCY) == 0)
+		return &load->latency_us;
+	if (strcasecmp(name, TR_HEADER_LINK_WAIT) == 0)
+		return &load->link_wait_us;
+	if (strcasecmp(name, TR_HEADER_FAILURES) == 0)
+		return &load->failure_permille;
+	return NULL;
+}
 
-	if (strcasecmp(name, TR_HEADER_PHASE) == 0)
-		return rt_parse_phase(value, &load->phase);
-	if (strcasecmp(name, TR_HEADER_UNREACHABLE) == 0) {
-		load->is_unreachable = strcmp(value, "true") == 0;
-		return true;
+enum tr_parse tr_read_load(const char *name, const char *value,
+			   struct rt_load *load)
+{
+	uint32_t *number = find_load_number(name, load);
+	uint64_t parsed = 0;
+	bool is_valid;
+
+	if (strcasecmp(name, TR_HEADER_PHASE) == 0) {
+		is_valid = rt_parse_phase(value, &load->phase);
+	} else if (strcasecmp(name, TR_HEADER_UNREACHABLE) == 0) {
+		is_valid = tr_parse_flag(value, &load->is_unreachable);
+	} else if (strcasecmp(name, TR_HEADER_WAITS) == 0) {
+		is_valid = read_waits(value, load);
+	} else if (number) {
+		is_valid = tr_parse_number(value, UINT32_MAX, &parsed);
+		if (is_valid)
+			*number = (uint32_t)parsed;
+	} else {
+		return TR_PARSE_OTHER;
 	}
-	if (strcasecmp(name, TR_HEADER_WAITS) == 0)
-		return read_waits(value, load);
-	if (!parse_number(value, UINT32_MAX, &number))
-		return false;
-	if (strcasecmp(name, TR_HEADER_LIMIT) == 0)
-		load->limit = (uint32_t)number;
-	else if (strcasecmp(name, TR_HEADER_IN_FLIGHT) == 0)
-		load->in_flight = (uint32_t)number;
-	else if (strcasecmp(name, TR_HEADER_LATENCY) == 0)
-		load->latency_us = (uint32_t)number;
-	else if (strcasecmp(name, TR_HEADER_LINK_WAIT) == 0)
-		load->link_wait_us = (uint32_t)number;
-	else if (strcasecmp(name, TR_HEADER_FAILURES) == 0)
-		load->failure_permille = (uint32_t)number;
-	else
-		return false;
-	return true;
+	return is_valid ? TR_PARSE_VALID : TR_PARSE_MALFORMED;
 }
 
 static void add_number(struct hx_exchange *exchange, const char *name,
--- a/src/traffic/headers.h
+++ b/src/traffic/headers.h
@@ -74,8 +74,21 @@
 bool tr_read_number(const struct hx_exchange *exchange, const char *name,
 		    uint64_t max, uint64_t *value);
 
-/* Stores a load header in load; returns false for any other header. */
-bool tr_read_load(const char *name, const char *value, struct rt_load *load);
+/* Reads a decimal number of at most max; leaves value unchanged on failure. */
+bool tr_parse_number(const char *text, uint64_t max, uint64_t *value);
+
+/* Reads "true" or "false"; leaves flag unchanged on failure. */
+bool tr_parse_flag(const char *text, bool *flag);
+
+enum tr_parse {
+	TR_PARSE_OTHER, /* not a header of this kind */
+	TR_PARSE_VALID,
+	TR_PARSE_MALFORMED, /* counts as absent */
+};
+
+/* Stores a load header in load, unless it is malformed. */
+enum tr_parse tr_read_load(const char *name, const char *value,
+			   struct rt_load *load);
 
 /* Adds all load headers to an answer. */
 void tr_add_load(struct hx_exchange *exchange, const struct rt_load *load);
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -8,6 +8,7 @@
 #include <assert.h>
 #include <string.h>
 #include "call.h"
+#include "call_log.h"
 
 static const char *get_service(const struct tr_call *call)
 {
@@ -105,13 +106,35 @@
 	return g_strdup(value ? value : "");
 }
 
+/*
+ * Reads a number that the entry node sent. value is left unchanged when the
+ * header is absent or malformed.
+ */
+static bool read_number(struct tr_call *call, const char *name, uint64_t max,
+			uint64_t *value)
+{
+	if (tr_read_number(call->exchange, name, max, value))
+		return true;
+	if (hx_get_header(call->exchange, name))
+		tr_record_malformed_header(call, name);
+	return false;
+}
+
+static void read_class(struct tr_call *call)
+{
+	const char *name = hx_get_header(call->exchange, TR_HEADER_CLASS);
+
+	call->class = rt_parse_class(name, call->priority);
+	if (name && !rt_is_class_name(name))
+		tr_record_malformed_header(call, TR_HEADER_CLASS);
+}
+
 /* The entry node of the call gets load reports if it has told a port. */
-static void record_report_port(const struct tr_call *call)
+static void record_report_port(struct tr_call *call)
 {
 	uint64_t port = 0;
 
-	tr_read_number(call->exchange, TR_HEADER_REPORT_PORT, UINT16_MAX,
-		       &port);
+	read_number(call, TR_HEADER_REPORT_PORT, UINT16_MAX, &port);
 	if (port > 0)
 		load_record_call(call->thread->load,
 				 hx_get_peer_address(call->exchange),
@@ -120,25 +143,21 @@
 
 static void read_hop_headers(struct tr_call *call)
 {
+	uint64_t now_ms = tmr_get_now_ms(call->thread->timers);
 	uint64_t timeout_ms = 0;
 	uint64_t depth = 0;
 	uint64_t objective_ms = 0;
 	uint64_t priority = 0;
 
-	tr_read_number(call->exchange, TR_HEADER_DEADLINE, UINT32_MAX,
-		       &timeout_ms);
-	tr_read_number(call->exchange, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
-	call->deadline_ms = tmr_get_now_ms(call->thread->timers) + timeout_ms;
+	read_number(call, TR_HEADER_DEADLINE, UINT32_MAX, &timeout_ms);
+	read_number(call, TR_HEADER_DEPTH, TR_DEPTH_MAX, &depth);
+	call->deadline_ms = now_ms + timeout_ms;
 	call->depth = (uint32_t)depth;
-	if (tr_read_number(call->exchange, TR_HEADER_OBJECTIVE, UINT32_MAX,
-			   &objective_ms))
-		call->objective_ms =
-			tmr_get_now_ms(call->thread->timers) + objective_ms;
-	tr_read_number(call->exchange, TR_HEADER_PRIORITY, UINT32_MAX,
-		       &priority);
+	if (read_number(call, TR_HEADER_OBJECTIVE, UINT32_MAX, &objective_ms))
+		call->objective_ms = now_ms + objective_ms;
+	read_number(call, TR_HEADER_PRIORITY, UINT32_MAX, &priority);
 	call->priority = (uint32_t)priority;
-	call->class = rt_parse_class(
-		hx_get_header(call->exchange, TR_HEADER_CLASS), call->priority);
+	read_class(call);
 	call->kind = copy_header(call, TR_HEADER_ROUTE);
 	record_report_port(call);
 	call->service_name = copy_header(call, TR_HEADER_SERVICE);
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -51,6 +51,21 @@
 			     "earlier than told.");
 }
 
+static void open_malformed_counters(struct tr_counters *counters,
+				    struct cnt_registry *registry)
+{
+	open_counter_pair(registry, counters->malformed,
+			  "loom_malformed_answers_total",
+			  "Answers dropped for their syntax or framing.");
+	open_counter_pair(registry, counters->malformed_headers,
+			  "loom_malformed_headers_total",
+			  "Headers of nodes ignored as malformed.");
+	counters->reports_rejected =
+		open_counter(registry, "loom_target_reports_rejected_total",
+			     "Load headers of targets that were malformed or "
+			     "cannot be true.");
+}
+
 static void open_counters(struct tr_counters *counters,
 			  struct cnt_registry *registry)
 {
@@ -63,9 +78,7 @@
 	open_counter_pair(registry, counters->broken,
 			  "loom_broken_answers_total",
 			  "Answers that broke off.");
-	open_counter_pair(registry, counters->malformed,
-			  "loom_malformed_answers_total",
-			  "Answers dropped for their syntax or framing.");
+	open_malformed_counters(counters, registry);
 	open_counter_pair(registry, counters->cancelled, "loom_cancelled_total",
 			  "Calls whose caller hung up.");
 	counters->durations[TR_ROLE_ENTRY] = cnt_get_histogram(
@@ -91,10 +104,6 @@
 	counters->foreign =
 		open_counter(registry, "loom_foreign_answers_total",
 			     "Answers that belong to no request or another.");
-	counters->reports_rejected =
-		open_counter(registry, "loom_target_reports_rejected_total",
-			     "Load headers of targets that were malformed or "
-			     "cannot be true.");
 	counters->early_refusals =
 		open_counter(registry, "loom_early_refusals_total",
 			     "Calls refused without asking a target, by the "
--- a/src/traffic/tests/mesh.c
+++ b/src/traffic/tests/mesh.c
@@ -77,12 +77,11 @@
 	talloc_free(mesh);
 }
 
-struct mesh_node *mesh_add_node(struct mesh *mesh, const char *name,
-				const char *failure_domain)
+/* Gives the next node of the mesh a name and an address. */
+static struct mesh_node *name_node(struct mesh *mesh, const char *name,
+				   const char *failure_domain)
 {
 	struct mesh_node *node = &mesh->nodes[mesh->node_count++];
-	struct tr_options options;
-	GError *error = NULL;
 	unsigned int pid = (unsigned int)getpid();
 
 	g_strlcpy(node->name, name, sizeof(node->name));
@@ -93,6 +92,29 @@
 	g_snprintf(node->hop_address, sizeof(node->hop_address), "%s:%u",
 		   node->address, MESH_HOP_PORT);
 	node->counters = cnt_new_registry(mesh);
+	return node;
+}
+
+struct mesh_node *mesh_add_fake_node(struct mesh *mesh, const char *name,
+				     const char *failure_domain,
+				     const char *version)
+{
+	struct mesh_node *node = name_node(mesh, name, failure_domain);
+
+	node->target = raw_new_target(mesh, mesh->events, node->address,
+				      MESH_HOP_PORT);
+	g_strlcpy(node->version, version, sizeof(node->version));
+	node->phase = RT_PHASE_SERVING;
+	return node;
+}
+
+struct mesh_node *mesh_add_node(struct mesh *mesh, const char *name,
+				const char *failure_domain)
+{
+	struct mesh_node *node = name_node(mesh, name, failure_domain);
+	struct tr_options options;
+	GError *error = NULL;
+
 	tr_set_default_options(&options);
 	options.address = node->address;
 	options.failure_domain = node->failure_domain;
@@ -231,7 +253,7 @@
 		struct mesh_node *node = &mesh->nodes[i];
 		struct rt_table *table;
 
-		if (node == mesh->stale)
+		if (node == mesh->stale || !node->traffic)
 			continue;
 		table = rt_new_table(snapshot, targets, count,
 				     node->failure_domain);
--- a/src/traffic/tests/mesh.h
+++ b/src/traffic/tests/mesh.h
@@ -33,7 +33,7 @@
 	char version[16]; /* "": no target announced */
 	enum rt_phase phase;
 	struct cnt_registry *counters;
-	struct tr_service *traffic;
+	struct tr_service *traffic; /* NULL: a fake node */
 	struct raw_target *target;
 	int64_t table_count;   /* tables passed to the node so far */
 	int64_t command_count; /* commands sent to the node so far */
@@ -72,6 +72,14 @@
 struct mesh_node *mesh_add_node(struct mesh *mesh, const char *name,
 				const char *failure_domain);
 
+/*
+ * Adds a node (borrowed) whose hop port is a raw-socket target: it answers
+ * calls of other nodes with the load headers that a test gives.
+ */
+struct mesh_node *mesh_add_fake_node(struct mesh *mesh, const char *name,
+				     const char *failure_domain,
+				     const char *version);
+
 /* Returns the node with this name (borrowed); aborts if there is none. */
 struct mesh_node *mesh_get_node(struct mesh *mesh, const char *name);
 
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -173,6 +173,12 @@
 	ts_run_script("cut_second_attempts");
 }
 
+/* Nodes ignored malformed headers of other nodes without counting them. */
+static void test_malformed_headers(void)
+{
+	ts_run_script("malformed_headers");
+}
+
 /* Callers together held more memory than the machine has. */
 static void test_memory(void)
 {
@@ -190,6 +196,7 @@
 	{ "at most once", test_at_most_once },
 	{ "broken answers", test_broken_answers },
 	{ "malformed answers", test_malformed_answers },
+	{ "malformed headers", test_malformed_headers },
 	{ "late refusal", test_late_refusal },
 	{ "retry budget", test_retry_budget },
 	{ "given up", test_given_up },
--- a/src/traffic/tests/traffic_steps.c
+++ b/src/traffic/tests/traffic_steps.c
@@ -202,23 +202,15 @@
 	g_free(bytes);
 }
 
-/* Runs the steps that change the mesh. */
-static bool run_mesh_step(struct state *state, int count, char **words)
+/* Runs the steps that set what nodes are added with. */
+static bool run_setting_step(struct mesh *mesh, char **words)
 {
-	struct mesh *mesh = state->mesh;
-
-	if (strcmp(words[0], "node") == 0) {
-		mesh_add_node(mesh, words[1], words[2]);
-	} else if (strcmp(words[0], "target") == 0) {
-		mesh_add_target(mesh, mesh_get_node(mesh, words[1]), words[2]);
-	} else if (strcmp(words[0], "stamps") == 0) {
+	if (strcmp(words[0], "stamps") == 0) {
 		mesh->has_stamps = true;
 	} else if (strcmp(words[0], "reports") == 0) {
 		mesh->has_reports = true;
 	} else if (strcmp(words[0], "control") == 0) {
 		mesh->is_controlled = true;
-	} else if (strcmp(words[0], "publish") == 0) {
-		mesh_publish(mesh);
 	} else if (strcmp(words[0], "limits") == 0) {
 		mesh->slots = (uint32_t)atoi(words[1]);
 		mesh->queue_length = (uint32_t)atoi(words[2]);
@@ -229,6 +221,27 @@
 		mesh->link_kbit_s = (uint32_t)atoi(words[1]);
 	} else if (strcmp(words[0], "memory") == 0) {
 		mesh->memory_mb = (uint32_t)atoi(words[1]);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+/* Runs the steps that change the mesh. */
+static bool run_mesh_step(struct state *state, int count, char **words)
+{
+	struct mesh *mesh = state->mesh;
+
+	if (run_setting_step(mesh, words))
+		return true;
+	if (strcmp(words[0], "node") == 0) {
+		mesh_add_node(mesh, words[1], words[2]);
+	} else if (strcmp(words[0], "fake-node") == 0) {
+		mesh_add_fake_node(mesh, words[1], words[2], words[3]);
+	} else if (strcmp(words[0], "target") == 0) {
+		mesh_add_target(mesh, mesh_get_node(mesh, words[1]), words[2]);
+	} else if (strcmp(words[0], "publish") == 0) {
+		mesh_publish(mesh);
 	} else if (strcmp(words[0], "domain") == 0) {
 		mesh->is_domain_out = strcmp(words[1], "out") == 0;
 		mesh_publish(mesh);
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -42,6 +42,7 @@
 	struct cnt_counter *refusals[2];
 	struct cnt_counter *broken[2];
 	struct cnt_counter *malformed[2];
+	struct cnt_counter *malformed_headers[2];
 	struct cnt_counter *cancelled[2];
 	struct cnt_counter *local_calls;
 	struct cnt_counter *retries;
@@ -135,8 +136,10 @@
 	uint64_t random_state;
 	GHashTable *samples; /* samples of the current slot; see samples.c */
 	uint64_t sample_slot;
+	uint64_t malformed_logged_ms;
 	uint32_t log_line_count; /* call log lines in this second */
 	uint32_t suppressed_line_count;
+	uint32_t malformed_header_count; /* since the last log line of them */
 	_Atomic uint32_t call_count;
 };
 
