--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -521,10 +521,13 @@
 static void cancel_unanswered(struct hx_connection *connection)
 {
 	GList *link = connection->exchanges.head;
-	const struct hx_exchange *first = link ? link->data : NULL;
+	const struct hx_exchange *first;
 
+	if (!link)
+		return;
+	first = link->data;
 	/* The close depends on the first answer; see must_reset(). */
-	if (first && (!first->is_ended || is_given_up(connection, first))) {
+	if (!first->is_ended || is_given_up(connection, first)) {
 		hx_close_connection(connection);
 		return;
 	}
