Resume a long upload only when less than its bound is unread

Cause: receive_upload() pauses the body of a request when 64 kB (16 kB while memory is scarce) are unread, but each read of curl, 16 kB at most, resumed it, and then up to 32 kB were received. What a node held of a body grew by up to 16 kB with each read. One upload of 8 MB to a node of 16 MB took all 4 MB of the account, and its connection was closed for memory.

Change: tr_is_upload_full() decides both about the pause and the resumption.

--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -23,7 +23,8 @@
 
 	if (moved > 0) {
 		tr_update_held_bytes(call);
-		hx_resume_body(call->exchange);
+		if (!tr_is_upload_full(call))
+			hx_resume_body(call->exchange);
 		return moved;
 	}
 	if (upload->is_whole)
--- a/src/traffic/call.c
+++ b/src/traffic/call.c
@@ -212,10 +212,7 @@
 	tr_append_buffer(&upload->buffer, bytes, size, TR_REPLAY_BYTES_MAX);
 	tr_update_held_bytes(call);
 	tr_continue_attempt(call);
-	if (tr_get_buffer_size(&upload->buffer) >=
-		    acc_get_stream_max(&call->thread->account,
-				       TR_STREAM_BYTES_MAX) &&
-	    call->stage != TR_STAGE_COLLECTING)
+	if (tr_is_upload_full(call) && call->stage != TR_STAGE_COLLECTING)
 		hx_pause_body(exchange);
 }
 
--- a/src/traffic/call.h
+++ b/src/traffic/call.h
@@ -143,6 +143,8 @@
 void tr_measure_transfer(struct tr_call *call);
 /* Reports to the account what the call holds now. */
 void tr_update_held_bytes(struct tr_call *call);
+/* Returns whether no more of the request body may be received for now. */
+bool tr_is_upload_full(const struct tr_call *call);
 /* Frees the request body of a call whose answer has ended. */
 void tr_release_upload(struct tr_call *call);
 
--- a/src/traffic/memory.c
+++ b/src/traffic/memory.c
@@ -35,6 +35,12 @@
 	hx_set_handler_bytes(call->exchange, bytes);
 }
 
+bool tr_is_upload_full(const struct tr_call *call)
+{
+	return tr_get_buffer_size(&call->upload.buffer) >=
+	       acc_get_stream_max(&call->thread->account, TR_STREAM_BYTES_MAX);
+}
+
 void tr_release_upload(struct tr_call *call)
 {
 	tr_reset_buffer(&call->upload.buffer);
--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -628,6 +628,12 @@
 	run_script("refused_bodies");
 }
 
+/* The part of a body that a node held grew with the body. */
+static void test_long_upload(void)
+{
+	run_script("long_upload");
+}
+
 static const CU_TestInfo tests[] = {
 	{ "relay", test_relay },
 	{ "local target", test_local_target },
@@ -656,6 +662,7 @@
 	{ "second_copy", test_second_copy },
 	{ "restarted_target", test_restarted_target },
 	{ "cut uploads", test_cut_uploads },
+	{ "long_upload", test_long_upload },
 	{ "memory", test_memory },
 	{ "early_close", test_early_close },
 	{ "refused_bodies", test_refused_bodies },
