Make the fakes of test_traffic deterministic

test_traffic failed now and then on a busy machine. Three causes lay in the fakes. A killed target closed its connections one by one and its listener last, so that a node that noticed the first could still send a call on an idle connection, or connect (pipeline_once, 'has q not_run'; local_target after 'kill t'): found by reading, not reproduced. A raw caller dropped what the kernel did not take at once, so that its request never became whole (early_refusal, 'wait p answers 2'; cut_uploads, 'wait r40 closed 1'). A reset that a send reported was not seen by the read that followed (cut_uploads, 'print r17 resets').

A killed target closes its listener, then the idle connections, and the others last; it waits until the peer's kernel has the end of each. A raw caller keeps what is unsent and sends it when it can, and notes a reset in either direction. prepare_reset() waited a second in vain for a connection that the peer had already closed; it ends then.

--- a/src/traffic/tests/raw_caller.c
+++ b/src/traffic/tests/raw_caller.c
@@ -20,6 +20,7 @@
 	TALLOC_FREE(caller->fde);
 	close(caller->socket);
 	g_string_free(caller->input, TRUE);
+	g_string_free(caller->unsent, TRUE);
 	if (caller->flood)
 		g_string_free(caller->flood, TRUE);
 	return 0;
@@ -37,17 +38,39 @@
 			(caller->flood_sent + (size_t)count) % flood->len;
 }
 
-static void read_input(struct tevent_context *events, struct tevent_fd *fde,
-		       uint16_t flags, void *data)
+static void update_flags(struct raw_caller *caller)
+{
+	uint16_t flags = caller->is_reading ? TEVENT_FD_READ : 0;
+
+	if (caller->flood || caller->unsent->len > 0)
+		flags |= TEVENT_FD_WRITE;
+	if (caller->fde)
+		tevent_fd_set_flags(caller->fde, flags);
+}
+
+static void send_unsent(struct raw_caller *caller)
+{
+	GString *unsent = caller->unsent;
+	ssize_t count = send(caller->socket, unsent->str, unsent->len,
+			     MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	/* The error is reported once, and not by a later read. */
+	if (count < 0 && errno == ECONNRESET)
+		caller->is_reset = true;
+	if (count < 0 && errno != EAGAIN) {
+		caller->has_send_error = true;
+		count = (ssize_t)unsent->len;
+	}
+	if (count > 0)
+		g_string_erase(unsent, 0, count);
+	update_flags(caller);
+}
+
+static void read_input(struct raw_caller *caller)
 {
-	struct raw_caller *caller = data;
 	char part[READ_BYTES];
 	ssize_t count;
 
-	if (flags & TEVENT_FD_WRITE)
-		send_flood(caller);
-	if (!(flags & TEVENT_FD_READ))
-		return;
 	count = read(caller->socket, part, sizeof(part));
 	if (count > 0 && caller->flood)
 		return;
@@ -58,10 +81,23 @@
 	if (count < 0 && errno == EAGAIN)
 		return;
 	caller->is_closed = true;
-	caller->is_reset = count < 0;
+	caller->is_reset |= count < 0;
 	TALLOC_FREE(caller->fde);
 }
 
+static void handle_socket(struct tevent_context *events, struct tevent_fd *fde,
+			  uint16_t flags, void *data)
+{
+	struct raw_caller *caller = data;
+
+	if (caller->flood && (flags & TEVENT_FD_WRITE))
+		send_flood(caller);
+	if (flags & TEVENT_FD_READ)
+		read_input(caller);
+	if (caller->fde && caller->unsent->len > 0)
+		send_unsent(caller);
+}
+
 struct raw_caller *raw_new_caller(TALLOC_CTX *ctx,
 				  struct tevent_context *events,
 				  const char *address, uint16_t port,
@@ -73,6 +109,7 @@
 
 	inet_pton(AF_INET, address, &other.sin_addr);
 	caller->input = g_string_new(NULL);
+	caller->unsent = g_string_new(NULL);
 	caller->is_reading = true;
 	caller->socket = socket(AF_INET, SOCK_STREAM, 0);
 	if (receive_bytes > 0)
@@ -84,14 +121,24 @@
 	}
 	fcntl(caller->socket, F_SETFL, O_NONBLOCK);
 	caller->fde = tevent_add_fd(events, caller, caller->socket,
-				    TEVENT_FD_READ, read_input, caller);
+				    TEVENT_FD_READ, handle_socket, caller);
 	talloc_set_destructor(caller, destroy_caller);
 	return caller;
 }
 
-bool raw_send(struct raw_caller *caller, const char *bytes, size_t size)
+void raw_send(struct raw_caller *caller, const char *bytes, size_t size)
+{
+	if (caller->is_closed)
+		return;
+	g_string_append_len(caller->unsent, bytes, (gssize)size);
+	send_unsent(caller);
+}
+
+uint32_t raw_send_rest(struct raw_caller *caller)
 {
-	return send(caller->socket, bytes, size, MSG_NOSIGNAL) == (ssize_t)size;
+	if (caller->unsent->len > 0)
+		send_unsent(caller);
+	return (uint32_t)caller->unsent->len;
 }
 
 void raw_flood(struct raw_caller *caller, const char *part)
@@ -99,15 +146,13 @@
 	caller->flood = g_string_new(NULL);
 	while (caller->flood->len < READ_BYTES)
 		g_string_append(caller->flood, part);
-	tevent_fd_set_flags(caller->fde, TEVENT_FD_READ | TEVENT_FD_WRITE);
+	update_flags(caller);
 }
 
 void raw_set_reading(struct raw_caller *caller, bool is_reading)
 {
 	caller->is_reading = is_reading;
-	if (!caller->fde)
-		return;
-	tevent_fd_set_flags(caller->fde, is_reading ? TEVENT_FD_READ : 0);
+	update_flags(caller);
 }
 
 /*
--- a/src/traffic/tests/raw_caller.h
+++ b/src/traffic/tests/raw_caller.h
@@ -17,6 +17,8 @@
 	bool is_closed; /* the peer closed the connection */
 	bool is_reset;	/* by a TCP reset */
 	bool is_reading;
+	bool has_send_error;
+	GString *unsent;   /* bytes that the kernel has not taken yet */
 	GString *flood;	   /* sent again and again; NULL: none */
 	size_t flood_sent; /* bytes of it */
 };
@@ -30,8 +32,12 @@
 				  const char *address, uint16_t port,
 				  int receive_bytes);
 
-/* Sends bytes; returns false when the connection is closed or backed up. */
-bool raw_send(struct raw_caller *caller, const char *bytes, size_t size);
+/* Sends bytes as fast as the peer takes them, until it closes the connection.
+ */
+void raw_send(struct raw_caller *caller, const char *bytes, size_t size);
+
+/* Tries to send the rest; returns the number of bytes that are still unsent. */
+uint32_t raw_send_rest(struct raw_caller *caller);
 
 /*
  * Sends part again and again until the connection is closed, and drops what it
--- a/src/traffic/tests/raw_target.c
+++ b/src/traffic/tests/raw_target.c
@@ -8,13 +8,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <netinet/tcp.h>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define READ_BYTES 65536
-#define RESET_WAIT_MS 1000
+#define PEER_WAIT_MS 1000
 
 static int destroy_connection(struct raw_connection *connection)
 {
@@ -31,10 +32,58 @@
 	return 0;
 }
 
+/* What is unsent when a peer resets a connection stays so. */
+static bool is_closed(int socket)
+{
+	struct tcp_info info = { 0 };
+	socklen_t size = sizeof(info);
+
+	return getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+	       info.tcpi_state == TCP_CLOSE;
+}
+
+/* Waits until the peer's kernel has all that was sent. */
+static void wait_for_peer(const struct raw_connection *connection)
+{
+	int unsent = 1;
+
+	for (int i = 0; i < PEER_WAIT_MS; i++) {
+		if (ioctl(connection->socket, SIOCOUTQ, &unsent) != 0 ||
+		    unsent == 0 || is_closed(connection->socket))
+			return;
+		g_usleep(1000);
+	}
+}
+
+/*
+ * Closes the connections that are idle or those that are not. A peer that has
+ * received the end of an idle connection does not use it again.
+ */
+static void close_connections(struct raw_target *target, bool is_running)
+{
+	GList *link = target->connections.head;
+
+	while (link) {
+		struct raw_connection *connection = link->data;
+
+		link = link->next;
+		if (connection->is_running != is_running)
+			continue;
+		shutdown(connection->socket, SHUT_WR);
+		wait_for_peer(connection);
+		talloc_free(connection);
+	}
+}
+
+/*
+ * As when the process of a target ends: a node that notices the end of a
+ * request must find neither the listener nor an idle connection open.
+ */
 static int destroy_target(struct raw_target *target)
 {
-	while (target->connections.head)
-		talloc_free(target->connections.head->data);
+	TALLOC_FREE(target->fde);
+	close_connections(target, false);
+	close_connections(target, true);
 	g_free(target->reply);
 	g_free(target->flood_start);
 	g_free(target->flood_part);
@@ -45,13 +94,8 @@
 static void prepare_reset(const struct raw_connection *connection)
 {
 	static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-	int unsent = 1;
 
-	for (int i = 0; i < RESET_WAIT_MS && unsent > 0; i++) {
-		if (ioctl(connection->socket, SIOCOUTQ, &unsent) != 0)
-			break;
-		g_usleep(1000);
-	}
+	wait_for_peer(connection);
 	setsockopt(connection->socket, SOL_SOCKET, SO_LINGER, &reset,
 		   sizeof(reset));
 }
@@ -207,7 +251,6 @@
 	struct raw_target *target = talloc_zero(ctx, struct raw_target);
 	struct sockaddr_in bound = { .sin_family = AF_INET,
 				     .sin_port = htons(port) };
-	struct tevent_fd *fde;
 	int on = 1;
 
 	target->events = events;
@@ -220,9 +263,9 @@
 		perror("raw target");
 		abort();
 	}
-	fde = tevent_add_fd(events, target, target->socket, TEVENT_FD_READ,
-			    accept_connection, target);
-	tevent_fd_set_auto_close(fde);
+	target->fde = tevent_add_fd(events, target, target->socket,
+				    TEVENT_FD_READ, accept_connection, target);
+	tevent_fd_set_auto_close(target->fde);
 	talloc_set_destructor(target, destroy_target);
 	return target;
 }
--- a/src/traffic/tests/raw_target_internal.h
+++ b/src/traffic/tests/raw_target_internal.h
@@ -8,6 +8,7 @@
 struct raw_target {
 	struct tevent_context *events;
 	int socket;
+	struct tevent_fd *fde; /* closes the socket when it is freed */
 	GQueue connections;
 	uint32_t request_count;
 	uint32_t running_count;
--- a/src/traffic/tests/traffic_steps.c
+++ b/src/traffic/tests/traffic_steps.c
@@ -123,7 +123,7 @@
 	g_error("no call %s", name);
 }
 
-static uint32_t get_caller_value(const struct raw_caller *caller,
+static uint32_t get_caller_value(struct raw_caller *caller,
 				 const char *quantity)
 {
 	if (strcmp(quantity, "answers") == 0)
@@ -132,6 +132,10 @@
 		return caller->is_closed;
 	if (strcmp(quantity, "resets") == 0)
 		return caller->is_reset;
+	if (strcmp(quantity, "unsent") == 0)
+		return raw_send_rest(caller);
+	if (strcmp(quantity, "send-errors") == 0)
+		return caller->has_send_error;
 	g_error("a caller has no %s", quantity);
 }
 
