Do not reset a connection whose caller still writes

After an answer that closes the connection, a node read at most 1 MB of the rest of the request and then closed the socket. The kernel resets a connection that is closed with unread bytes, and a caller that was writing at that moment lost the answer, also a refusal that promises that the request has not run. In test_traffic this was 'error unknown_outcome' instead of 413 or 502 (refusals, PUT or POST of more than 1 MB; cut_uploads).

Such a connection is read until the caller closes it, for 2 s at most as before; no more than four reads in a row, so that other connections have their turn.

--- a/src/http/exchange_connection.c
+++ b/src/http/exchange_connection.c
@@ -16,7 +16,8 @@
 
 /*
  * A connection that closes reads and drops what the peer still sends for this
- * long: a close with unread bytes would reset it and destroy the answer.
+ * long: a close with unread bytes would reset it and destroy the answer. Only
+ * the time is limited, since a peer may write much before it reads the answer.
  */
 #define LINGER_MS 2000U
 /* Of an answer, what stays allocated when all bytes so far were sent. */
@@ -379,11 +380,15 @@
 
 static void discard_input(struct hx_connection *connection)
 {
-	while (connection->socket >= 0 && connection->is_readable &&
-	       connection->discarded_bytes <= HX_DISCARD_BYTES_MAX)
-		connection->discarded_bytes += receive_bytes(connection);
-	if (connection->is_hung_up ||
-	    connection->discarded_bytes > HX_DISCARD_BYTES_MAX)
+	for (uint32_t i = 0; connection->socket >= 0 && connection->is_readable;
+	     i++) {
+		if (i == RECEIVES_PER_ROUND_MAX) {
+			hx_mark_dirty(connection);
+			break;
+		}
+		receive_bytes(connection);
+	}
+	if (connection->is_hung_up)
 		hx_close_connection(connection);
 }
 
--- a/src/http/exchange_internal.h
+++ b/src/http/exchange_internal.h
@@ -17,7 +17,7 @@
 /* Requests of one connection that run at the same time. */
 #define HX_PIPELINE_MAX 16U
 
-/* Bytes read in vain, after an answer, before a connection is closed. */
+/* Bytes read in vain, after an answer, to keep a connection open. */
 #define HX_DISCARD_BYTES_MAX (1024U * 1024U)
 
 #define HX_SCRATCH_BYTES 32768U /* most bytes received at once */
