--- a/src/traffic/tests/test_traffic.c
+++ b/src/traffic/tests/test_traffic.c
@@ -200,7 +200,7 @@
 /* The part of a body that a node held grew with the body. */
 static void test_long_upload(void)
 {
-	run_script("long_upload");
+	ts_run_script("long_upload");
 }
 
 static const CU_TestInfo tests[] = {
