Explain where a request would go, from the code that calls use

An operator could not ask why a call goes to one target and not to another.

Collecting the candidates (rt_plan_version, rt_plan_placement) is now apart from drawing one of them, the grade of a target follows from an obstacle that has a name (grade.c), and shares of calls that leave, exposures and the share of a move can be read without a change. rt_explain_route() runs the same plan on a copy of the chooser's states. The order of the random draws stays.

--- a/src/routing/chooser.c
+++ b/src/routing/chooser.c
@@ -18,6 +18,7 @@
 #include <assert.h>
 #include <string.h>
 #include "chooser_internal.h"
+#include "grade.h"
 #include "placement.h"
 #include "version_split.h"
 
@@ -39,12 +40,6 @@
  * capacity.
  */
 #define FAILURE_PERMILLE_MAX 900U
-/*
- * One of so many calls that have no chance by the reports is sent all the same,
- * so that stale reports are corrected.
- */
-#define TRIAL_PERIOD 16U
-
 /* splitmix64: a short generator, uniform enough for load balancing. */
 uint64_t rt_draw_random(struct rt_chooser *chooser, uint64_t bound)
 {
@@ -56,65 +51,6 @@
 	return value % bound;
 }
 
-static bool is_tried(const struct rt_request *request, const char *address)
-{
-	for (uint32_t i = 0; i < request->tried_count; i++) {
-		if (strcmp(request->tried[i], address) == 0)
-			return true;
-	}
-	return false;
-}
-
-/*
- * The table may be older than a target's report that its failure domain is
- * taken out.
- */
-static bool is_domain_out(const struct rt_request *request,
-			  const struct rt_entry *entry)
-{
-	for (uint32_t i = 0; i < request->out_domain_count; i++) {
-		if (strcmp(request->out_domains[i],
-			   entry->target.failure_domain) == 0)
-			return true;
-	}
-	return entry->is_domain_out;
-}
-
-static enum rt_grade grade_by_load(const struct rt_target_state *state,
-				   uint64_t now_ms)
-{
-	uint32_t limit = rt_estimate_limit(state, now_ms);
-
-	if (now_ms < state->ejected_until_ms)
-		return GRADE_EJECTED;
-	if (now_ms < state->refused_until_ms)
-		return GRADE_BUSY;
-	return rt_estimate_load(state, now_ms) >= limit ? GRADE_BUSY
-							: GRADE_READY;
-}
-
-static enum rt_grade grade_entry(const struct rt_chooser *chooser,
-				 const struct rt_entry *entry,
-				 const struct rt_target_state *state,
-				 const struct rt_request *request,
-				 uint64_t now_ms)
-{
-	enum rt_phase phase = rt_estimate_phase(state, now_ms);
-
-	if (phase == RT_PHASE_LEAVING || entry->is_out_of_turn ||
-	    is_tried(request, entry->target.address))
-		return GRADE_UNUSABLE;
-	if (is_domain_out(request, entry))
-		return GRADE_DOMAIN_OUT;
-	/* The baseline policies ignore the load. */
-	if (chooser->policy != RT_POLICY_TWO_CHOICES)
-		return GRADE_READY;
-	if (phase == RT_PHASE_STARTING &&
-	    state->own_in_flight >= rt_estimate_limit(state, now_ms))
-		return GRADE_STARTING_FULL;
-	return grade_by_load(state, now_ms);
-}
-
 static const struct rt_target_state *
 get_entry_state(const struct rt_chooser *chooser, const struct rt_group *group,
 		uint32_t index)
@@ -131,18 +67,26 @@
 	enum rt_grade best = GRADE_UNUSABLE;
 
 	for (uint32_t i = 0; i < group->count; i++) {
-		chooser->grades[i] = grade_entry(
+		chooser->grades[i] = rt_get_grade(rt_find_obstacle(
 			chooser, &table->entries[group->first + i],
-			get_entry_state(chooser, group, i), request, now_ms);
+			get_entry_state(chooser, group, i), request, now_ms));
 		best = MAX(best, chooser->grades[i]);
 	}
 	return best;
 }
 
-static void add_candidate(struct rt_chooser *chooser, uint32_t index,
+void rt_clear_candidates(struct rt_candidates *candidates,
+			 const struct rt_group *group)
+{
+	candidates->group = group;
+	candidates->count = 0;
+	candidates->limit_sum = 0;
+}
+
+static void add_candidate(const struct rt_chooser *chooser,
+			  struct rt_candidates *candidates, uint32_t index,
 			  uint64_t now_ms)
 {
-	struct rt_candidates *candidates = &chooser->candidates;
 	uint32_t limit = rt_estimate_limit(
 		get_entry_state(chooser, candidates->group, index), now_ms);
 
@@ -151,14 +95,6 @@
 	candidates->limit_sum += limit;
 }
 
-static void clear_candidates(struct rt_chooser *chooser,
-			     const struct rt_group *group)
-{
-	chooser->candidates.group = group;
-	chooser->candidates.count = 0;
-	chooser->candidates.limit_sum = 0;
-}
-
 /*
  * Returns the best grade of the nearest tier that has a ready or busy entry, or
  * best when there is no such tier.
@@ -196,7 +132,6 @@
 {
 	uint32_t tier = UINT32_MAX;
 
-	clear_candidates(chooser, group);
 	for (uint32_t i = 0; i < group->count; i++) {
 		if (chooser->grades[i] != grade)
 			continue;
@@ -204,7 +139,7 @@
 			tier = table->entries[group->first + i].tier;
 		if (table->entries[group->first + i].tier > tier)
 			break;
-		add_candidate(chooser, i, now_ms);
+		add_candidate(chooser, &chooser->near, i, now_ms);
 	}
 }
 
@@ -214,11 +149,10 @@
 			    const struct rt_group *group, uint32_t tier,
 			    uint64_t now_ms)
 {
-	clear_candidates(chooser, group);
 	for (uint32_t i = 0; i < group->count; i++) {
 		if (chooser->grades[i] == GRADE_READY &&
 		    table->entries[group->first + i].tier > tier)
-			add_candidate(chooser, i, now_ms);
+			add_candidate(chooser, &chooser->far, i, now_ms);
 	}
 }
 
@@ -226,9 +160,10 @@
  * Draws a candidate at random, weighted by its limit. The candidate at position
  * except is left out.
  */
-static uint32_t draw_weighted(struct rt_chooser *chooser, uint32_t except)
+static uint32_t draw_weighted(struct rt_chooser *chooser,
+			      const struct rt_candidates *candidates,
+			      uint32_t except)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
 	uint64_t sum = candidates->limit_sum;
 	uint64_t value;
 	uint32_t place = 0;
@@ -307,15 +242,16 @@
 	       get_cost(a, a_latency_us, now_ms);
 }
 
-static uint32_t pick_two_choices(struct rt_chooser *chooser, uint64_t now_ms)
+static uint32_t pick_two_choices(struct rt_chooser *chooser,
+				 const struct rt_candidates *candidates,
+				 uint64_t now_ms)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
 	uint32_t places[2];
 
 	if (candidates->count == 1)
 		return 0;
-	places[0] = draw_weighted(chooser, UINT32_MAX);
-	places[1] = draw_weighted(chooser, places[0]);
+	places[0] = draw_weighted(chooser, candidates, UINT32_MAX);
+	places[1] = draw_weighted(chooser, candidates, places[0]);
 	if (is_cheaper(get_entry_state(chooser, candidates->group,
 				       candidates->indices[places[0]]),
 		       get_entry_state(chooser, candidates->group,
@@ -328,13 +264,13 @@
 static uint32_t pick_by_policy(struct rt_chooser *chooser,
 			       const struct rt_table *table, uint64_t now_ms)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
+	const struct rt_candidates *candidates = &chooser->near;
 	uint32_t *cursor;
 
 	assert(candidates->count > 0);
 	switch (chooser->policy) {
 	case RT_POLICY_TWO_CHOICES:
-		return pick_two_choices(chooser, now_ms);
+		return pick_two_choices(chooser, candidates, now_ms);
 	case RT_POLICY_ROUND_ROBIN:
 		cursor = &chooser->cursors[candidates->group - table->groups];
 		return (*cursor)++ % candidates->count;
@@ -349,12 +285,11 @@
  * near.
  */
 static uint32_t choose_farther(struct rt_chooser *chooser,
-			       const struct rt_table *table,
 			       const struct rt_group *group,
 			       const struct rt_request *request, uint32_t near,
 			       uint64_t now_ms)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
+	const struct rt_candidates *candidates = &chooser->far;
 	double factor = request->is_bulky ? FAR_BULKY_FACTOR : FAR_FACTOR;
 	const struct rt_target_state *near_state =
 		get_entry_state(chooser, group, near);
@@ -362,11 +297,10 @@
 	uint32_t latency_us;
 	uint32_t far;
 
-	collect_farther(chooser, table, group,
-			table->entries[group->first + near].tier, now_ms);
 	if (candidates->count == 0)
 		return near;
-	far = candidates->indices[pick_two_choices(chooser, now_ms)];
+	far = candidates
+		      ->indices[pick_two_choices(chooser, candidates, now_ms)];
 	far_state = get_entry_state(chooser, group, far);
 	/* A lower latency alone does not justify the distance. */
 	latency_us = get_common_latency_us(near_state, far_state, now_ms);
@@ -376,57 +310,98 @@
 		       : near;
 }
 
-static const struct rt_target *
-choose_in_version(struct rt_chooser *chooser, const struct rt_table *table,
-		  const struct rt_request *request, const char *version,
-		  enum rt_grade min_grade, uint64_t now_ms,
-		  enum rt_refusal *refusal)
+/* Collects the candidates of a call that is not placed. */
+static void plan_by_load(struct rt_chooser *chooser,
+			 const struct rt_table *table,
+			 const struct rt_group *group,
+			 const struct rt_request *request, enum rt_grade grade,
+			 uint64_t now_ms)
+{
+	const struct rt_candidates *near = &chooser->near;
+	bool is_near = grade == GRADE_READY;
+
+	if (request->is_bulky && grade >= GRADE_BUSY) {
+		grade = get_nearest_grade(chooser, table, group, grade);
+		is_near = true;
+	}
+	collect_candidates(chooser, table, group, grade, is_near, now_ms);
+	if (!is_near || chooser->policy != RT_POLICY_TWO_CHOICES)
+		return;
+	/* The near candidates are all of one tier. */
+	collect_farther(chooser, table, group,
+			table->entries[group->first + near->indices[0]].tier,
+			now_ms);
+}
+
+bool rt_plan_version(struct rt_chooser *chooser, const struct rt_table *table,
+		     const struct rt_request *request, const char *version,
+		     enum rt_grade min_grade, uint64_t now_ms,
+		     enum rt_refusal *refusal)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
 	const struct rt_group *group;
 	enum rt_grade grade;
-	bool is_near;
-	uint32_t index;
-	int64_t placed;
 
 	*refusal = RT_REFUSAL_NO_TARGET;
 	group = rt_find_group(table, request->service->name, version);
 	if (!group)
-		return NULL;
+		return false;
+	rt_clear_candidates(&chooser->near, group);
+	rt_clear_candidates(&chooser->far, group);
 	grade = grade_group(chooser, table, group, request, now_ms);
 	if (grade == GRADE_DOMAIN_OUT)
 		*refusal = RT_REFUSAL_DOMAINS_OUT;
 	if (grade < min_grade)
-		return NULL;
+		return false;
+	*refusal = RT_REFUSAL_NONE;
+	if (request->is_placed)
+		*refusal = rt_plan_placement(chooser, table, group, request,
+					     MIN(grade, GRADE_BUSY), now_ms);
+	else
+		plan_by_load(chooser, table, group, request, grade, now_ms);
+	return *refusal == RT_REFUSAL_NONE;
+}
+
+/* Sets chooser->chosen when it returns true. */
+static bool choose_in_version(struct rt_chooser *chooser,
+			      const struct rt_table *table,
+			      const struct rt_request *request,
+			      const char *version, enum rt_grade min_grade,
+			      uint64_t now_ms, enum rt_refusal *refusal)
+{
+	const struct rt_candidates *near = &chooser->near;
+	const struct rt_group *group;
+	int64_t index;
+
+	if (!rt_plan_version(chooser, table, request, version, min_grade,
+			     now_ms, refusal))
+		return false;
+	group = near->group;
 	if (request->is_placed) {
-		placed = rt_place_call(chooser, table, group, request,
-				       MIN(grade, GRADE_BUSY), now_ms, refusal);
-		return placed < 0
-			       ? NULL
-			       : &table->entries[group->first + (size_t)placed]
-					  .target;
-	}
-	is_near = grade == GRADE_READY;
-	if (request->is_bulky && grade >= GRADE_BUSY) {
-		grade = get_nearest_grade(chooser, table, group, grade);
-		is_near = true;
-	}
-	collect_candidates(chooser, table, group, grade, is_near, now_ms);
-	index = candidates->indices[pick_by_policy(chooser, table, now_ms)];
-	if (is_near && chooser->policy == RT_POLICY_TWO_CHOICES)
-		index = choose_farther(chooser, table, group, request, index,
+		index = rt_place_call(chooser, table, request, now_ms, refusal);
+	} else {
+		index = near->indices[pick_by_policy(chooser, table, now_ms)];
+		index = choose_farther(chooser, group, request, (uint32_t)index,
 				       now_ms);
-	*refusal = RT_REFUSAL_NONE;
-	return &table->entries[group->first + index].target;
+	}
+	if (index < 0)
+		return false;
+	chooser->chosen = &table->entries[group->first + (size_t)index].target;
+	return true;
 }
 
-static void sync_table(struct rt_chooser *chooser, const struct rt_table *table)
+static void size_candidates(struct rt_chooser *chooser,
+			    struct rt_candidates *candidates, size_t size)
+{
+	talloc_free(candidates->indices);
+	candidates->indices = talloc_array(chooser, uint32_t, size);
+	talloc_free(candidates->limits);
+	candidates->limits = talloc_array(chooser, uint32_t, size);
+}
+
+void rt_size_chooser(struct rt_chooser *chooser, const struct rt_table *table)
 {
-	struct rt_candidates *candidates = &chooser->candidates;
 	size_t largest = 1;
 
-	if (!rt_sync_state_set(chooser->states, table))
-		return;
 	for (size_t i = 0; i < table->group_count; i++)
 		largest = MAX(largest, table->groups[i].count);
 	talloc_free(chooser->cursors);
@@ -434,10 +409,14 @@
 		talloc_zero_array(chooser, uint32_t, table->group_count);
 	talloc_free(chooser->grades);
 	chooser->grades = talloc_array(chooser, enum rt_grade, largest);
-	talloc_free(candidates->indices);
-	candidates->indices = talloc_array(chooser, uint32_t, largest);
-	talloc_free(candidates->limits);
-	candidates->limits = talloc_array(chooser, uint32_t, largest);
+	size_candidates(chooser, &chooser->near, largest);
+	size_candidates(chooser, &chooser->far, largest);
+}
+
+static void sync_table(struct rt_chooser *chooser, const struct rt_table *table)
+{
+	if (rt_sync_state_set(chooser->states, table))
+		rt_size_chooser(chooser, table);
 }
 
 struct rt_chooser *rt_new_chooser(TALLOC_CTX *ctx, enum rt_policy policy,
@@ -469,29 +448,45 @@
 }
 
 /* Tries the version of the request, then the fallback version of the move. */
-static const struct rt_target *
-choose_in_versions(struct rt_chooser *chooser, const struct rt_table *table,
-		   const struct rt_request *request, const char *version,
-		   enum rt_grade min_grade, uint64_t now_ms,
-		   enum rt_refusal *refusal)
+static bool try_pass(struct rt_chooser *chooser, const struct rt_table *table,
+		     const struct rt_request *request, const char *version,
+		     enum rt_grade min_grade, rt_try_fn try_version,
+		     uint64_t now_ms, enum rt_refusal *refusal)
 {
 	const struct doc_move *move = request->service->move;
 	bool is_in_turns = move && version == move->to && move->turn_count > 1;
-	const struct rt_target *target;
 	enum rt_refusal first;
 
 	/* A target that failed recently is not tried with its full load. */
-	target = choose_in_version(chooser, table, request, version,
-				   is_in_turns ? GRADE_BUSY : min_grade, now_ms,
-				   refusal);
+	if (try_version(chooser, table, request, version,
+			is_in_turns ? GRADE_BUSY : min_grade, now_ms, refusal))
+		return true;
 	first = *refusal;
 	version = rt_get_fallback_version(request->service, version);
-	if (!target && version)
-		target = choose_in_version(chooser, table, request, version,
-					   min_grade, now_ms, refusal);
-	if (!target && first == RT_REFUSAL_NO_ROOM)
+	if (version && try_version(chooser, table, request, version, min_grade,
+				   now_ms, refusal))
+		return true;
+	if (first == RT_REFUSAL_NO_ROOM)
 		*refusal = first;
-	return target;
+	return false;
+}
+
+bool rt_try_versions(struct rt_chooser *chooser, const struct rt_table *table,
+		     const struct rt_request *request, const char *version,
+		     rt_try_fn try_version, uint64_t now_ms,
+		     enum rt_refusal *refusal)
+{
+	if (try_pass(chooser, table, request, version, GRADE_EJECTED,
+		     try_version, now_ms, refusal))
+		return true;
+	if (*refusal == RT_REFUSAL_NO_ROOM)
+		return false;
+	/*
+	 * Only starting targets are left, and their gates queue or refuse the
+	 * excess.
+	 */
+	return try_pass(chooser, table, request, version, GRADE_STARTING_FULL,
+			try_version, now_ms, refusal);
 }
 
 const struct rt_target *rt_choose_target(struct rt_chooser *chooser,
@@ -514,19 +509,13 @@
 	chooser->asked = NULL;
 	/* Drawn once, also when the call may go to either version of a move. */
 	chooser->is_trial = request->is_placed &&
-			    rt_draw_random(chooser, TRIAL_PERIOD) == 0;
+			    rt_draw_random(chooser, RT_TRIAL_PERIOD) == 0;
 	version = choose_version(chooser, table, request);
-	target = choose_in_versions(chooser, table, request, version,
-				    GRADE_EJECTED, now_ms, refusal);
-	/*
-	 * Only starting targets are left, and their gates queue or refuse the
-	 * excess.
-	 */
-	if (!target && *refusal != RT_REFUSAL_NO_ROOM)
-		target = choose_in_versions(chooser, table, request, version,
-					    GRADE_STARTING_FULL, now_ms,
-					    refusal);
-	if (target && request->service->move &&
+	if (!rt_try_versions(chooser, table, request, version,
+			     choose_in_version, now_ms, refusal))
+		return NULL;
+	target = chooser->chosen;
+	if (request->service->move &&
 	    strcmp(target->version, request->service->move->to) == 0)
 		rt_spend_exposure(chooser->exposures, request->service);
 	return target;
--- a/src/routing/crossing.c
+++ b/src/routing/crossing.c
@@ -42,12 +42,32 @@
 	share->updated_ms = now_ms;
 }
 
+/* Returns a share with what it has recovered until now. */
+static struct share evaluate_share(const struct rt_crossings *crossings,
+				   const char *service, uint64_t now_ms)
+{
+	const struct share *stored =
+		g_hash_table_lookup(crossings->shares, service);
+	struct share share = { .permille = PERMILLE_ALL, .updated_ms = now_ms };
+	uint64_t elapsed_ms;
+	uint64_t recovered;
+
+	if (stored)
+		share = *stored;
+	elapsed_ms = now_ms - share.updated_ms;
+	recovered = elapsed_ms * RECOVERY_PERMILLE_PER_S / 1000;
+	/* What is less than a thousandth counts the next time. */
+	elapsed_ms -= recovered * 1000 / RECOVERY_PERMILLE_PER_S;
+	if (recovered > 0)
+		set_permille(&share, share.permille + recovered,
+			     now_ms - elapsed_ms);
+	return share;
+}
+
 static struct share *get_share(struct rt_crossings *crossings,
 			       const char *service, uint64_t now_ms)
 {
 	struct share *share = g_hash_table_lookup(crossings->shares, service);
-	uint64_t elapsed_ms;
-	uint64_t recovered;
 
 	if (!share) {
 		if (g_hash_table_size(crossings->shares) >= SERVICES_MAX)
@@ -57,13 +77,7 @@
 		g_hash_table_insert(crossings->shares, g_strdup(service),
 				    share);
 	}
-	elapsed_ms = now_ms - share->updated_ms;
-	recovered = elapsed_ms * RECOVERY_PERMILLE_PER_S / 1000;
-	/* What is less than a thousandth counts the next time. */
-	elapsed_ms -= recovered * 1000 / RECOVERY_PERMILLE_PER_S;
-	if (recovered > 0)
-		set_permille(share, share->permille + recovered,
-			     now_ms - elapsed_ms);
+	*share = evaluate_share(crossings, service, now_ms);
 	return share;
 }
 
@@ -95,8 +109,8 @@
 		set_permille(share, share->permille * 2 / 3, now_ms);
 }
 
-uint32_t rt_get_crossing_permille(struct rt_crossings *crossings,
+uint32_t rt_get_crossing_permille(const struct rt_crossings *crossings,
 				  const char *service, uint64_t now_ms)
 {
-	return get_share(crossings, service, now_ms)->permille;
+	return evaluate_share(crossings, service, now_ms).permille;
 }
--- a/src/routing/crossing.h
+++ b/src/routing/crossing.h
@@ -22,8 +22,11 @@
 void rt_record_crossing(struct rt_crossings *crossings, const char *service,
 			bool has_found_room, uint64_t now_ms);
 
-/* Returns the share of the calls that may leave, in thousandths. */
-uint32_t rt_get_crossing_permille(struct rt_crossings *crossings,
+/*
+ * Returns the share of the calls that may leave, in thousandths. Changes
+ * nothing.
+ */
+uint32_t rt_get_crossing_permille(const struct rt_crossings *crossings,
 				  const char *service, uint64_t now_ms);
 
 #endif
--- a/src/routing/domain_state.c
+++ b/src/routing/domain_state.c
@@ -86,6 +86,12 @@
 	return domain;
 }
 
+struct rt_domain_state *rt_find_domain_state(const struct rt_domain_set *set,
+					     const char *name)
+{
+	return g_hash_table_lookup(set->states, name);
+}
+
 void rt_record_domain_heard(struct rt_domain_state *domain)
 {
 	clear_failed(domain);
--- a/src/routing/domain_state.h
+++ b/src/routing/domain_state.h
@@ -15,6 +15,10 @@
 struct rt_domain_state *rt_get_domain_state(struct rt_domain_set *set,
 					    const char *name);
 
+/* Returns the state of a failure domain (borrowed), or NULL. */
+struct rt_domain_state *rt_find_domain_state(const struct rt_domain_set *set,
+					     const char *name);
+
 /* Records that a call to a target of the domain was answered or refused. */
 void rt_record_domain_heard(struct rt_domain_state *domain);
 
--- a/src/routing/exposure.c
+++ b/src/routing/exposure.c
@@ -63,7 +63,7 @@
 }
 
 /* Returns the exposure of the service's move (borrowed), or NULL. */
-static struct exposure *find_exposure(struct rt_exposures *exposures,
+static struct exposure *find_exposure(const struct rt_exposures *exposures,
 				      const struct doc_service *service)
 {
 	struct exposure *exposure =
@@ -75,6 +75,27 @@
 	return exposure;
 }
 
+static uint64_t get_first_credit(const struct rt_exposures *exposures,
+				 const struct doc_move *move)
+{
+	return XXH3_64bits_withSeed(&move->id, sizeof(move->id),
+				    exposures->seed) %
+	       DOC_SHARE_ALL_PERMILLE;
+}
+
+bool rt_has_exposure_left(const struct rt_exposures *exposures,
+			  const struct doc_service *service)
+{
+	const struct exposure *exposure;
+
+	if (!is_bounded(service))
+		return true;
+	exposure = find_exposure(exposures, service);
+	return (exposure ? exposure->credit
+			 : get_first_credit(exposures, service->move)) >=
+	       DOC_SHARE_ALL_PERMILLE;
+}
+
 bool rt_is_exposure_left(struct rt_exposures *exposures,
 			 const struct doc_service *service)
 {
@@ -87,15 +108,11 @@
 		exposure = g_new0(struct exposure, 1);
 		exposure->move_id = service->move->id;
 		exposure->to = g_strdup(service->move->to);
-		exposure->credit =
-			XXH3_64bits_withSeed(&service->move->id,
-					     sizeof(service->move->id),
-					     exposures->seed) %
-			DOC_SHARE_ALL_PERMILLE;
+		exposure->credit = get_first_credit(exposures, service->move);
 		g_hash_table_replace(exposures->by_service,
 				     g_strdup(service->name), exposure);
 	}
-	return exposure->credit >= DOC_SHARE_ALL_PERMILLE;
+	return rt_has_exposure_left(exposures, service);
 }
 
 void rt_spend_exposure(struct rt_exposures *exposures,
--- a/src/routing/names.c
+++ b/src/routing/names.c
@@ -1,5 +1,5 @@
 /* Names of the routing enumerations, as used in headers, logs and counters. */
-#include "loom/routing.h"
+#include "loom/explain.h"
 
 #include <string.h>
 
@@ -103,3 +103,68 @@
 	}
 	return "unknown";
 }
+
+const char *rt_get_obstacle_name(enum rt_obstacle obstacle)
+{
+	switch (obstacle) {
+	case RT_OBSTACLE_NONE:
+		return "none";
+	case RT_OBSTACLE_VERSION:
+		return "version";
+	case RT_OBSTACLE_LEAVING:
+		return "leaving";
+	case RT_OBSTACLE_OUT_OF_TURN:
+		return "out_of_turn";
+	case RT_OBSTACLE_TRIED:
+		return "tried";
+	case RT_OBSTACLE_DOMAIN_OUT:
+		return "domain_out";
+	case RT_OBSTACLE_STARTING:
+		return "starting";
+	case RT_OBSTACLE_EJECTED:
+		return "ejected";
+	case RT_OBSTACLE_REFUSED:
+		return "refused";
+	case RT_OBSTACLE_FULL:
+		return "full";
+	case RT_OBSTACLE_SILENT:
+		return "silent";
+	case RT_OBSTACLE_CUT_OFF:
+		return "cut_off";
+	case RT_OBSTACLE_LOAD_UNKNOWN:
+		return "load_unknown";
+	case RT_OBSTACLE_TOO_LATE:
+		return "too_late";
+	case RT_OBSTACLE_OTHERS_PREFERRED:
+		return "others_preferred";
+	}
+	return "unknown";
+}
+
+const char *rt_get_part_name(enum rt_part part)
+{
+	switch (part) {
+	case RT_PART_NONE:
+		return "none";
+	case RT_PART_NEAR:
+		return "near";
+	case RT_PART_FAR:
+		return "far";
+	}
+	return "unknown";
+}
+
+const char *rt_get_rule_name(enum rt_rule rule)
+{
+	switch (rule) {
+	case RT_RULE_LOWER_COST:
+		return "lower_cost";
+	case RT_RULE_EARLIER_END:
+		return "earlier_end";
+	case RT_RULE_ROUND_ROBIN:
+		return "round_robin";
+	case RT_RULE_RANDOM:
+		return "random";
+	}
+	return "unknown";
+}
--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -85,32 +85,47 @@
 	return state->domain && rt_is_domain_cut_off(state->domain, now_ms);
 }
 
+enum rt_obstacle rt_find_path_obstacle(const struct rt_chooser *chooser,
+				       const struct rt_table *table,
+				       const struct rt_group *group,
+				       uint32_t index, bool is_known_only,
+				       uint64_t now_ms)
+{
+	const struct rt_target_state *state = get_state(chooser, group, index);
+
+	if (is_known_only && !rt_has_waits(state, now_ms))
+		return RT_OBSTACLE_LOAD_UNKNOWN;
+	if (rt_is_target_silent(state, now_ms))
+		return RT_OBSTACLE_SILENT;
+	if (table->entries[group->first + index].tier > 0 &&
+	    is_cut_off(chooser, group, index, now_ms))
+		return RT_OBSTACLE_CUT_OFF;
+	return RT_OBSTACLE_NONE;
+}
+
 static bool is_on_side(const struct rt_chooser *chooser,
 		       const struct rt_table *table, const struct side *side,
 		       uint32_t index, uint64_t now_ms)
 {
 	bool is_home = table->entries[side->group->first + index].tier == 0;
+	enum rt_obstacle obstacle;
 
-	return is_home == side->is_home &&
-	       chooser->grades[index] >= side->min_grade &&
-	       (!side->is_known_only ||
-		rt_has_waits(get_state(chooser, side->group, index), now_ms)) &&
-	       (side->has_cut_off ||
-		!rt_is_target_silent(get_state(chooser, side->group, index),
-				     now_ms)) &&
-	       (is_home || side->has_cut_off ||
-		!is_cut_off(chooser, side->group, index, now_ms));
+	if (is_home != side->is_home ||
+	    chooser->grades[index] < side->min_grade)
+		return false;
+	obstacle = rt_find_path_obstacle(chooser, table, side->group, index,
+					 side->is_known_only, now_ms);
+	return obstacle == RT_OBSTACLE_NONE ||
+	       (side->has_cut_off && obstacle != RT_OBSTACLE_LOAD_UNKNOWN);
 }
 
 /* Collects the entries of a side with their weights; returns whether any. */
-static bool collect(struct rt_chooser *chooser, const struct rt_table *table,
-		    const struct side *side, bool must_be_free, uint64_t now_ms)
+static bool collect(const struct rt_chooser *chooser,
+		    const struct rt_table *table, const struct side *side,
+		    struct rt_candidates *candidates, bool must_be_free,
+		    uint64_t now_ms)
 {
-	struct rt_candidates *candidates = &chooser->candidates;
-
-	candidates->group = side->group;
-	candidates->count = 0;
-	candidates->limit_sum = 0;
+	rt_clear_candidates(candidates, side->group);
 	for (uint32_t i = 0; i < side->group->count; i++) {
 		const struct rt_target_state *state =
 			get_state(chooser, side->group, i);
@@ -128,9 +143,18 @@
 	return candidates->count > 0;
 }
 
-static uint32_t draw(struct rt_chooser *chooser)
+/* Collects the entries with a free slot or, if there are none, all. */
+static void collect_side(const struct rt_chooser *chooser,
+			 const struct rt_table *table, const struct side *side,
+			 struct rt_candidates *candidates, uint64_t now_ms)
+{
+	if (!collect(chooser, table, side, candidates, true, now_ms))
+		collect(chooser, table, side, candidates, false, now_ms);
+}
+
+static uint32_t draw(struct rt_chooser *chooser,
+		     const struct rt_candidates *candidates)
 {
-	const struct rt_candidates *candidates = &chooser->candidates;
 	uint64_t value = rt_draw_random(chooser, candidates->limit_sum);
 	uint32_t place = 0;
 
@@ -139,21 +163,19 @@
 	return candidates->indices[place];
 }
 
-static struct choice choose_on_side(struct rt_chooser *chooser,
-				    const struct rt_table *table,
-				    const struct side *side,
-				    const struct rt_request *request,
-				    uint64_t now_ms)
+static struct choice choose_candidate(struct rt_chooser *chooser,
+				      const struct rt_candidates *candidates,
+				      const struct rt_request *request,
+				      uint64_t now_ms)
 {
 	struct choice best = { .index = -1, .time_us = 0 };
 
-	if (!collect(chooser, table, side, true, now_ms) &&
-	    !collect(chooser, table, side, false, now_ms))
+	if (candidates->count == 0)
 		return best;
 	for (uint32_t i = 0; i < 2; i++) {
-		uint32_t index = draw(chooser);
+		uint32_t index = draw(chooser, candidates);
 		const struct rt_target_state *state =
-			get_state(chooser, side->group, index);
+			get_state(chooser, candidates->group, index);
 		uint64_t time_us = estimate_time_us(state, request, now_ms);
 
 		if (best.index >= 0 && time_us >= best.time_us)
@@ -161,11 +183,22 @@
 		best.index = index;
 		best.time_us = time_us;
 	}
-	if (!side->is_home)
-		best.time_us += request->crossing_us;
 	return best;
 }
 
+uint64_t rt_estimate_end_us(const struct rt_chooser *chooser,
+			    const struct rt_table *table,
+			    const struct rt_group *group,
+			    const struct rt_request *request, uint32_t index,
+			    uint64_t now_ms)
+{
+	bool is_home = table->entries[group->first + index].tier == 0;
+
+	return estimate_time_us(get_state(chooser, group, index), request,
+				now_ms) +
+	       (is_home ? 0 : request->crossing_us);
+}
+
 /*
  * Returns whether a usable target may answer in time. A target at home that has
  * not told its waits may; one elsewhere counts only when it has.
@@ -192,8 +225,8 @@
 				return true;
 			continue;
 		}
-		time_us = estimate_time_us(state, request, now_ms) +
-			  (is_home ? 0 : request->crossing_us);
+		time_us = rt_estimate_end_us(chooser, table, group, request, i,
+					     now_ms);
 		/* Its gate wants more time, as the one that refused before. */
 		if (request->tried_count > 0 &&
 		    request->class != RT_CLASS_NESTED &&
@@ -220,10 +253,11 @@
 	       now_ms + far->time_us / 1000 >= request->latest_end_ms;
 }
 
-int64_t rt_place_call(struct rt_chooser *chooser, const struct rt_table *table,
-		      const struct rt_group *group,
-		      const struct rt_request *request, enum rt_grade min_grade,
-		      uint64_t now_ms, enum rt_refusal *refusal)
+enum rt_refusal rt_plan_placement(struct rt_chooser *chooser,
+				  const struct rt_table *table,
+				  const struct rt_group *group,
+				  const struct rt_request *request,
+				  enum rt_grade min_grade, uint64_t now_ms)
 {
 	struct side home = { .group = group,
 			     .is_home = true,
@@ -231,29 +265,40 @@
 	struct side away = { .group = group,
 			     .min_grade = min_grade,
 			     .is_known_only = request->is_known_only };
-	struct choice near;
-	struct choice far;
+	struct rt_candidates *near = &chooser->near;
+	struct rt_candidates *far = &chooser->far;
 
 	if (request->is_known_only)
 		rt_choose_ask(chooser, table, group, now_ms);
 	if (request->latest_end_ms > 0 && !chooser->is_trial &&
-	    !may_end_in_time(chooser, table, group, request, min_grade,
-			     now_ms)) {
-		*refusal = RT_REFUSAL_NO_ROOM;
-		return -1;
-	}
-	near = choose_on_side(chooser, table, &home, request, now_ms);
+	    !may_end_in_time(chooser, table, group, request, min_grade, now_ms))
+		return RT_REFUSAL_NO_ROOM;
+	collect_side(chooser, table, &home, near, now_ms);
 	/* Without a target at home the others need not be known. */
-	away.is_known_only &= near.index >= 0;
-	far = choose_on_side(chooser, table, &away, request, now_ms);
-	if (near.index < 0 && far.index < 0) {
+	away.is_known_only &= near->count > 0;
+	collect_side(chooser, table, &away, far, now_ms);
+	if (near->count == 0 && far->count == 0) {
 		home.has_cut_off = true;
 		away.has_cut_off = true;
-		near = choose_on_side(chooser, table, &home, request, now_ms);
-		far = choose_on_side(chooser, table, &away, request, now_ms);
+		collect_side(chooser, table, &home, near, now_ms);
+		collect_side(chooser, table, &away, far, now_ms);
 	}
+	return RT_REFUSAL_NONE;
+}
+
+int64_t rt_place_call(struct rt_chooser *chooser, const struct rt_table *table,
+		      const struct rt_request *request, uint64_t now_ms,
+		      enum rt_refusal *refusal)
+{
+	struct choice near =
+		choose_candidate(chooser, &chooser->near, request, now_ms);
+	struct choice far =
+		choose_candidate(chooser, &chooser->far, request, now_ms);
+
+	far.time_us += request->crossing_us;
 	if (near.index < 0 && far.index >= 0 &&
-	    is_crossing_too_dear(table, group, request, &far, now_ms)) {
+	    is_crossing_too_dear(table, chooser->far.group, request, &far,
+				 now_ms)) {
 		*refusal = RT_REFUSAL_NO_ROOM;
 		return -1;
 	}
--- a/src/routing/target_state.c
+++ b/src/routing/target_state.c
@@ -199,6 +199,15 @@
 	state->ejected_until_ms = now_ms + ejection_ms;
 }
 
+static void apply_announced_phase(struct rt_target_state *state,
+				  const struct rt_target *target)
+{
+	if (target->phase == RT_PHASE_STARTING &&
+	    state->announced_phase != RT_PHASE_STARTING)
+		clear_report(state);
+	state->announced_phase = target->phase;
+}
+
 struct rt_state_set *rt_new_state_set(TALLOC_CTX *ctx)
 {
 	struct rt_state_set *set = talloc_zero(ctx, struct rt_state_set);
@@ -223,10 +232,7 @@
 		struct rt_target_state *state =
 			rt_get_target_state(set, target->address);
 
-		if (target->phase == RT_PHASE_STARTING &&
-		    state->announced_phase != RT_PHASE_STARTING)
-			clear_report(state);
-		state->announced_phase = target->phase;
+		apply_announced_phase(state, target);
 		state->domain = rt_get_domain_state(set->domains,
 						    target->failure_domain);
 		state->table_serial = table->serial;
@@ -236,6 +242,33 @@
 	return true;
 }
 
+struct rt_state_set *rt_copy_state_set(TALLOC_CTX *ctx,
+				       const struct rt_state_set *set,
+				       const struct rt_table *table)
+{
+	struct rt_state_set *copy = talloc_zero(ctx, struct rt_state_set);
+
+	copy->table_serial = table->serial;
+	copy->by_entry = talloc_array(copy, struct rt_target_state *,
+				      table->entry_count);
+	for (size_t i = 0; i < table->entry_count; i++) {
+		const struct rt_target *target = &table->entries[i].target;
+		const struct rt_target_state *known =
+			rt_find_target_state(set, target->address);
+		struct rt_target_state *state =
+			talloc_zero(copy->by_entry, struct rt_target_state);
+
+		if (known)
+			*state = *known;
+		state->address = talloc_strdup(state, target->address);
+		state->domain = rt_find_domain_state(set->domains,
+						     target->failure_domain);
+		apply_announced_phase(state, target);
+		copy->by_entry[i] = state;
+	}
+	return copy;
+}
+
 struct rt_target_state *rt_get_target_state(struct rt_state_set *set,
 					    const char *address)
 {
@@ -250,7 +283,7 @@
 	return state;
 }
 
-struct rt_target_state *rt_find_target_state(struct rt_state_set *set,
+struct rt_target_state *rt_find_target_state(const struct rt_state_set *set,
 					     const char *address)
 {
 	return g_hash_table_lookup(set->by_address, address);
--- a/src/routing/target_state.h
+++ b/src/routing/target_state.h
@@ -60,6 +60,15 @@
  */
 bool rt_sync_state_set(struct rt_state_set *set, const struct rt_table *table);
 
+/*
+ * Returns a new set (owned by ctx) that holds copies of the states, updated to
+ * a table as rt_sync_state_set() would. It has by_entry only, and borrows the
+ * states of failure domains. set stays as it is.
+ */
+struct rt_state_set *rt_copy_state_set(TALLOC_CTX *ctx,
+				       const struct rt_state_set *set,
+				       const struct rt_table *table);
+
 /*
  * Returns the state of an address (borrowed). It is created if it is missing.
  */
@@ -80,7 +89,7 @@
 			   const struct rt_load *load, uint64_t now_ms);
 
 /* Returns the state of an address (borrowed), or NULL. */
-struct rt_target_state *rt_find_target_state(struct rt_state_set *set,
+struct rt_target_state *rt_find_target_state(const struct rt_state_set *set,
 					     const char *address);
 
 /* Records the end of a call; load may be NULL. transit_us as in
--- a/src/routing/tests/test_exposure.c
+++ b/src/routing/tests/test_exposure.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include "exposure.h"
 #include "fixture.h"
+#include "loom/explain.h"
 #include "script.h"
 
 #define SERVICE "orders"
@@ -164,6 +165,35 @@
 	free_fixture(fixture);
 }
 
+/*
+ * Guards against an explanation that counts as a call, or that names the new
+ * version while the bound keeps calls away from it.
+ */
+static void test_explained_choice(void)
+{
+	struct doc_move move = make_move(1);
+	struct fixture *fixture = new_moving_fixture(&move);
+	struct rt_chooser *plain =
+		rt_new_chooser(fixture, RT_POLICY_TWO_CHOICES, 1);
+	struct rt_chooser *explained =
+		rt_new_chooser(fixture, RT_POLICY_TWO_CHOICES, 1);
+	struct rt_request request = { 0 };
+
+	build_table(fixture);
+	request.service = fixture->service;
+	for (uint32_t i = 0; i < CALLS / 10; i++) {
+		struct rt_explanation *explanation = rt_explain_route(
+			fixture, explained, fixture->table, &request, i);
+		uint32_t new_calls = choose_targets(fixture, plain, 1, NULL);
+
+		CU_ASSERT_EQUAL(choose_targets(fixture, explained, 1, NULL),
+				new_calls);
+		CU_ASSERT_EQUAL(explanation->is_exposure_spent, new_calls == 0);
+		talloc_free(explanation);
+	}
+	free_fixture(fixture);
+}
+
 /* The targets of the new version are t1, t3, t5 and t7, in that order. */
 static void test_turns(void)
 {
@@ -203,6 +233,7 @@
 		  test_restarts },
 		{ "other moves", test_other_moves },
 		{ "targets within the bound", test_choice },
+		{ "explanations within the bound", test_explained_choice },
 		{ "turns of the targets", test_turns },
 		CU_TEST_INFO_NULL,
 	};
--- a/src/routing/tests/test_placement.c
+++ b/src/routing/tests/test_placement.c
@@ -1,12 +1,14 @@
 /*
  * Scripted tests of the placement of calls by their expected end: which calls
- * leave their failure domain, how many, and which are refused at once. Time is
- * virtual. The node under test is in failure domain "a".
+ * leave their failure domain, how many, and which are refused at once; and of
+ * what is told about that. Time is virtual. The node under test is in failure
+ * domain "a".
  */
 #include <inttypes.h>
 #include <stdlib.h>
 #include "chooser_internal.h"
 #include "fixture.h"
+#include "loom/explain.h"
 #include "script.h"
 
 #define NAMES_MAX 64U
@@ -17,6 +19,7 @@
 	struct rt_request request;
 	uint64_t now_ms;
 	uint64_t objective_ms; /* from the time of the choice; 0: none */
+	bool is_explaining;    /* before each choice */
 };
 
 static uint32_t parse_number(const char *text)
@@ -147,6 +150,8 @@
 			request->crossing_us = value * 1000;
 		else if (strcmp(pair[0], "known") == 0)
 			request->is_known_only = value;
+		else if (strcmp(pair[0], "placed") == 0)
+			request->is_placed = value;
 		else if (strcmp(pair[0], "class") == 0)
 			request->class = (enum rt_class)value;
 		else
@@ -158,18 +163,131 @@
 	return true;
 }
 
+/* Returns the members of the chooser and of its targets as bytes. */
+static GByteArray *copy_bytes(const struct rt_chooser *chooser)
+{
+	GByteArray *bytes = g_byte_array_new();
+	GHashTableIter iterator;
+	gpointer state;
+
+	g_byte_array_append(bytes, (const guint8 *)chooser, sizeof(*chooser));
+	g_hash_table_iter_init(&iterator, chooser->states->by_address);
+	while (g_hash_table_iter_next(&iterator, NULL, &state))
+		g_byte_array_append(bytes, state,
+				    sizeof(struct rt_target_state));
+	return bytes;
+}
+
+/* Returns a new explanation, and asserts that it has changed nothing. */
+static struct rt_explanation *explain(struct state *state)
+{
+	GByteArray *before = copy_bytes(state->chooser);
+	struct rt_explanation *explanation;
+	GByteArray *after;
+
+	state->request.latest_end_ms =
+		state->objective_ms ? state->now_ms + state->objective_ms : 0;
+	explanation = rt_explain_route(state->fixture, state->chooser,
+				       state->fixture->table, &state->request,
+				       state->now_ms);
+	after = copy_bytes(state->chooser);
+	CU_ASSERT_EQUAL(before->len, after->len);
+	CU_ASSERT(before->len == after->len &&
+		  memcmp(before->data, after->data, after->len) == 0);
+	g_byte_array_free(before, TRUE);
+	g_byte_array_free(after, TRUE);
+	return explanation;
+}
+
+/* Returns whether a version's part of an explanation allows a choice. */
+static bool is_choice_explained(const struct rt_version_view *view,
+				const struct rt_target *target,
+				enum rt_refusal refusal)
+{
+	if (!target)
+		return view->refusal == refusal;
+	/* A trial goes to any target. */
+	if (view->refusal == RT_REFUSAL_NO_ROOM)
+		return true;
+	for (size_t i = 0; i < view->target_count; i++) {
+		if (strcmp(view->targets[i].address, target->address) == 0 &&
+		    view->targets[i].part != RT_PART_NONE)
+			return true;
+	}
+	return false;
+}
+
+static void check_explanation(const struct state *state,
+			      struct rt_explanation *explanation,
+			      const struct rt_target *target,
+			      enum rt_refusal refusal)
+{
+	bool is_explained = false;
+
+	for (size_t i = 0; i < explanation->version_count; i++)
+		is_explained |= is_choice_explained(&explanation->versions[i],
+						    target, refusal);
+	/* Explanations are of first attempts; a retry may not cross as well. */
+	CU_ASSERT(is_explained || state->request.tried_count > 0);
+	talloc_free(explanation);
+}
+
 static const char *choose(struct state *state)
 {
+	struct rt_explanation *explanation = NULL;
 	const struct rt_target *target;
 	enum rt_refusal refusal;
 
+	if (state->is_explaining)
+		explanation = explain(state);
 	state->request.latest_end_ms =
 		state->objective_ms ? state->now_ms + state->objective_ms : 0;
 	target = rt_choose_target(state->chooser, state->fixture->table,
 				  &state->request, state->now_ms, &refusal);
+	if (explanation)
+		check_explanation(state, explanation, target, refusal);
 	return target ? target->address : rt_get_refusal_name(refusal);
 }
 
+static void print_view(const struct rt_version_view *view, GString *output)
+{
+	g_string_append_printf(output, "%s %u permille: %s, %s\n",
+			       view->version, view->permille,
+			       view->used ? view->used : "-",
+			       rt_get_refusal_name(view->refusal));
+	for (size_t i = 0; i < view->target_count; i++) {
+		const struct rt_target_view *target = &view->targets[i];
+
+		g_string_append_printf(
+			output, "  %s %s %s: %s %u, %s, load %u of %u",
+			target->address, target->failure_domain,
+			target->version, rt_get_part_name(target->part),
+			target->weight, rt_get_obstacle_name(target->obstacle),
+			target->load, target->limit);
+		g_string_append_printf(
+			output, ", wait %" PRIu64 ", end %" PRIu64 " ms%s\n",
+			target->wait_us / 1000, target->end_us / 1000,
+			target->has_waits ? "" : " (not told)");
+	}
+}
+
+/* "explain": what is told of the request */
+static void print_explanation(struct state *state, GString *output)
+{
+	struct rt_explanation *explanation = explain(state);
+
+	g_string_append_printf(
+		output,
+		"%s, %s, due %" PRIu64 " ms, crossing %u ms, %u permille%s\n",
+		explanation->service, rt_get_rule_name(explanation->rule),
+		explanation->due_ms, explanation->crossing_us / 1000,
+		explanation->crossing_permille,
+		explanation->is_exposure_spent ? ", exposure spent" : "");
+	for (size_t i = 0; i < explanation->version_count; i++)
+		print_view(&explanation->versions[i], output);
+	talloc_free(explanation);
+}
+
 /*
  * "many COUNT": makes choices without starting calls, and prints how often each
  * target was chosen. "domains COUNT": the same for each failure domain, by the
@@ -272,6 +390,8 @@
 	else if (strcmp(words[0], "many") == 0 ||
 		 strcmp(words[0], "domains") == 0)
 		print_choices(state, words, output);
+	else if (strcmp(words[0], "explain") == 0)
+		print_explanation(state, output);
 	else if (strcmp(words[0], "ask") == 0)
 		choose_and_ask(state, output);
 	else if (strcmp(words[0], "start") == 0)
@@ -292,9 +412,10 @@
 	return true;
 }
 
-static void run_script(const char *name)
+static void run_steps(const char *name, bool is_explaining)
 {
 	struct state state = {
+		.is_explaining = is_explaining,
 		.request = { .is_placed = true, .class = RT_CLASS_RANK_1 },
 		.now_ms = 1000,
 	};
@@ -305,6 +426,11 @@
 	free_fixture(state.fixture);
 }
 
+static void run_script(const char *name)
+{
+	run_steps(name, false);
+}
+
 /* Guards against calls that leave for too small a gain, or stay without one. */
 static void test_leaving(void)
 {
@@ -353,6 +479,29 @@
 	run_script("placement_phases");
 }
 
+/* Guards against an explanation that gives a wrong reason for a target. */
+static void test_explanation(void)
+{
+	run_script("explain");
+	run_script("explain_versions");
+}
+
+/*
+ * Guards against explanations that change the choices after them, and against
+ * rules that differ from those of the choices: the scripts give the same output
+ * with an explanation before each choice, and each choice is one of those told.
+ */
+static void test_explained_choices(void)
+{
+	static const char *const names[] = {
+		"placement", "too_late",       "silent",	   "cut_off",
+		"asks",	     "absurd_reports", "placement_phases", "share"
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		run_steps(names[i], true);
+}
+
 static const CU_TestInfo tests[] = {
 	{ "leaving the failure domain", test_leaving },
 	{ "too late everywhere", test_too_late },
@@ -362,6 +511,8 @@
 	{ "phases", test_phases },
 	{ "asks for reports", test_asks },
 	{ "absurd reports", test_absurd_reports },
+	{ "explanation", test_explanation },
+	{ "explained choices", test_explained_choices },
 	CU_TEST_INFO_NULL,
 };
 
--- a/src/routing/version_split.c
+++ b/src/routing/version_split.c
@@ -7,6 +7,7 @@
  */
 #include "version_split.h"
 
+#include <glib.h>
 #include "table.h"
 
 static uint32_t get_bucket(uint64_t split_hash)
@@ -21,36 +22,40 @@
 		doc_get_manifest(rt_get_snapshot(table)), service->name);
 }
 
-const char *rt_choose_version(const struct rt_table *table,
-			      const struct rt_request *request)
+uint32_t rt_get_move_permille(const struct rt_table *table,
+			      const struct doc_service *service)
 {
-	const struct doc_service *service = request->service;
-	const struct doc_move *move = service->move;
-	const struct doc_manifest_service *state;
-	uint32_t share_permille;
+	const struct doc_manifest_service *state = find_state(table, service);
 
-	if (!move)
-		return service->current;
-	state = find_state(table, service);
 	if (!state)
-		return move->from;
+		return 0;
 	switch (state->move_state) {
 	case DOC_MOVE_RUNNING:
 	case DOC_MOVE_SOAKING:
-		share_permille = rt_get_share_limit(table, service->name);
-		if (share_permille > state->share_permille)
-			share_permille = state->share_permille;
-		return get_bucket(request->split_hash) < share_permille
-			       ? move->to
-			       : move->from;
+		return MIN(state->share_permille,
+			   rt_get_share_limit(table, service->name));
 	case DOC_MOVE_DONE:
-		return move->to;
+		return DOC_SHARE_ALL_PERMILLE;
 	case DOC_MOVE_NONE:
 	case DOC_MOVE_WAITING:
 	case DOC_MOVE_TAKEN_BACK:
-		return move->from;
+		return 0;
 	}
-	return move->from;
+	return 0;
+}
+
+const char *rt_choose_version(const struct rt_table *table,
+			      const struct rt_request *request)
+{
+	const struct doc_service *service = request->service;
+	const struct doc_move *move = service->move;
+
+	if (!move)
+		return service->current;
+	return get_bucket(request->split_hash) <
+			       rt_get_move_permille(table, service)
+		       ? move->to
+		       : move->from;
 }
 
 const char *rt_get_fallback_version(const struct doc_service *service,
--- a/src/routing/version_split.h
+++ b/src/routing/version_split.h
@@ -4,6 +4,10 @@
 
 #include "loom/routing.h"
 
+/* Returns the share of the new version of a service that has a move. */
+uint32_t rt_get_move_permille(const struct rt_table *table,
+			      const struct doc_service *service);
+
 /*
  * Returns the version to fall back to (borrowed from service) when the chosen
  * one has no usable target, or NULL.
