Let the control thread ask a traffic thread where a request would go

The state from which targets are chosen belongs to the traffic threads, so the administration port could not read it.

A new command carries the question to the first traffic thread; the answer, a copy, returns through a mailbox of its own. An inquiry ends after 1 s without an answer, when it is cancelled and when the service is freed. What the choice of a target depends on (route, objective, size, placement) moves from entry.c and classify.c to way.c, where calls and explanations share it. The command is not counted in loom_commands_total, so that an explanation changes no metric.

--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -18,6 +18,7 @@
 #include <tevent.h>
 #include "loom/counter.h"
 #include "loom/document.h"
+#include "loom/explain.h"
 #include "loom/moves.h"
 #include "loom/routing.h"
 
@@ -165,4 +166,50 @@
 /* Returns the number of calls in progress in all threads. */
 uint32_t tr_get_call_count(const struct tr_service *service);
 
+/* A request of which an operator asks where it would go. */
+struct tr_question {
+	const char *host; /* without a port */
+	const char *method;
+	const char *path;
+	const char *class; /* as in rt_parse_class(); NULL: fresh */
+	uint32_t body_bytes;
+};
+
+/* What becomes of the calls of one share of a route. */
+struct tr_share_view {
+	const char *service;
+	uint32_t weight;
+	struct rt_explanation *routing; /* NULL: the service is not known */
+};
+
+/* What the first traffic thread would do with a request now. */
+struct tr_explanation {
+	const char *route; /* name; NULL: none matches */
+	uint32_t timeout_ms;
+	uint32_t objective_ms; /* 0: none */
+	const char *class;     /* NULL: without overload control */
+	/* The request is refused before a target is chosen; 0 and NULL: not. */
+	uint32_t status;
+	const char *reason;
+	struct tr_share_view *shares;
+	size_t share_count;
+	uint32_t weight_sum;
+};
+
+/* explanation is borrowed; NULL: the thread did not answer in time. */
+typedef void (*tr_explain_fn)(const struct tr_explanation *explanation,
+			      void *data);
+
+struct tr_inquiry;
+
+/*
+ * Asks the first traffic thread where a request would go; nothing is sent, and
+ * no choice is recorded. question is copied. Returns a new inquiry, which is
+ * freed after fn has run on the control thread: with the answer, after 1 s
+ * without one, or when the service is freed. talloc_free() cancels it.
+ */
+struct tr_inquiry *tr_explain_request(struct tr_service *service,
+				      const struct tr_question *question,
+				      tr_explain_fn fn, void *data);
+
 #endif
--- a/src/traffic/classify.c
+++ b/src/traffic/classify.c
@@ -4,11 +4,8 @@
  */
 #include <string.h>
 #include "call.h"
+#include "way.h"
 
-/* Bytes of the heads of a request and its answer between two nodes. */
-#define HEAD_BYTES 1200U
-/* Size of the answers of a route that has large ones, until it is known. */
-#define LARGE_ANSWER_BYTES 65536U
 /*
  * Parts of the retry budget, in thousandths. A nested call that fails wastes
  * the work of the call that waits for it, and more of it when other nested
@@ -66,29 +63,17 @@
 
 void tr_set_placement(struct tr_call *call)
 {
-	const struct tr_thread *thread = call->thread;
-	const struct tr_overload_options *overload =
-		&thread->service->options.overload;
-	uint64_t bytes = HEAD_BYTES + rt_get_answer_size(thread->answer_sizes,
-							 call->route->name);
+	struct tr_way way = { .service = call->service,
+			      .route = call->route,
+			      .gateway_route = call->gateway_route };
 
-	if (call->upload.content_length > 0)
-		bytes += (uint64_t)call->upload.content_length;
-	if (call->gateway_route && call->gateway_route->has_large_answers)
-		bytes = MAX(bytes, (uint64_t)LARGE_ANSWER_BYTES);
-	call->request.is_placed = true;
-	call->request.is_known_only = thread->load != NULL;
-	call->request.class = call->class;
-	call->request.has_large_answer = bytes >= RT_BULKY_BYTES;
-	call->request.run_us =
-		rt_get_run_time_us(thread->answer_sizes, call->route->name);
+	tr_place_request(call->thread, &way, call->class,
+			 call->upload.content_length, &call->request);
 	/* A late call is sent to an idle target, whose gate decides. */
 	call->request.latest_end_ms =
 		call->class == RT_CLASS_NESTED || call->returned.is_late
 			? call->deadline_ms
 			: tr_get_due_ms(call);
-	call->request.crossing_us =
-		(uint32_t)MIN(bytes * overload->crossing_ms_per_kb, UINT32_MAX);
 }
 
 uint32_t tr_get_budget_permille(const struct tr_call *call)
--- a/src/traffic/entry.c
+++ b/src/traffic/entry.c
@@ -12,9 +12,7 @@
 #include "call_log.h"
 #include "loom/error.h"
 #include "samples.h"
-
-/* Time between a call's deadline and the end of a node that drains. */
-#define DRAIN_MARGIN_MS 100U
+#include "way.h"
 
 static const struct tr_header_names *get_names(const struct tr_call *call)
 {
@@ -64,16 +62,8 @@
 		tr_set_class(call);
 	if (!call->gateway_route)
 		return;
-	/*
-	 * Without overload control only calls of the lowest priority are
-	 * refused because they would miss their objective. When a call made by
-	 * a target fails, the work that its caller has already done is wasted,
-	 * too.
-	 */
-	if (tr_is_controlled(call) ||
-	    doc_has_lowest_priority(
-		    doc_get_gateway(rt_get_snapshot(call->table)),
-		    call->gateway_route))
+	if (tr_has_objective(call->thread, rt_get_snapshot(call->table),
+			     call->gateway_route))
 		call->objective_ms =
 			from_ms + call->gateway_route->objective_ms;
 	if (tr_is_controlled(call))
@@ -155,36 +145,18 @@
 	g_free(base_url);
 }
 
-/* Where a table sends a request; members are NULL when it has no way. */
-struct way {
-	const struct doc_service *service;
-	const struct doc_route *route;
-	const struct doc_gateway_route *gateway_route; /* NULL: no gateway */
-};
-
-static struct way find_way(struct tr_call *call, struct doc_snapshot *snapshot)
+static struct tr_way find_way(struct tr_call *call,
+			      struct doc_snapshot *snapshot)
 {
-	const struct doc_gateway *gateway = doc_get_gateway(snapshot);
-	const char *path = hx_get_target(call->exchange);
 	char *host = get_host_name(call);
-	struct way way = { 0 };
-
-	if (!gateway) {
-		way.service = doc_find_service(snapshot, host);
-		if (way.service)
-			way.route = doc_find_route(
-				way.service, hx_get_method(call->exchange),
-				path);
-		goto done;
-	}
-	way.gateway_route = doc_find_gateway_route(gateway, host, path);
-	if (!way.gateway_route)
-		goto done;
-	way.service = doc_find_service(
-		snapshot,
-		doc_choose_share(way.gateway_route, get_split_hash(call)));
-	way.route = &way.gateway_route->route;
-done:
+	struct tr_way way =
+		tr_find_way(snapshot, host, hx_get_method(call->exchange),
+			    hx_get_target(call->exchange));
+
+	if (way.gateway_route)
+		way.service = doc_find_service(
+			snapshot, doc_choose_share(way.gateway_route,
+						   get_split_hash(call)));
 	g_free(host);
 	return way;
 }
@@ -192,7 +164,7 @@
 bool tr_is_repeatable_request(struct tr_call *call)
 {
 	struct rt_table *table = call->thread->table;
-	struct way way;
+	struct tr_way way;
 
 	/* Without a table the request is refused at once. */
 	if (!table)
@@ -204,7 +176,7 @@
 
 static bool find_route(struct tr_call *call)
 {
-	struct way way = find_way(call, rt_get_snapshot(call->table));
+	struct tr_way way = find_way(call, rt_get_snapshot(call->table));
 
 	call->service = way.service;
 	call->route = way.route;
@@ -233,26 +205,6 @@
 		       rt_get_refusal_name(refusal), true);
 }
 
-static bool is_bulky(const struct tr_call *call)
-{
-	const struct tr_upload *upload = &call->upload;
-
-	if (upload->has_body && (upload->content_length < 0 ||
-				 upload->content_length > RT_BULKY_BYTES))
-		return true;
-	return rt_is_answer_large(call->thread->answer_sizes,
-				  call->route->name);
-}
-
-/* Returns whether the call could be cut when a node that drains ends. */
-static bool may_outlast_drain(const struct tr_call *call)
-{
-	uint64_t drain_end_ms = call->thread->drain_end_ms;
-
-	return drain_end_ms > 0 &&
-	       call->deadline_ms + DRAIN_MARGIN_MS > drain_end_ms;
-}
-
 void tr_route_call(struct tr_call *call)
 {
 	uint64_t depth = 0;
@@ -283,14 +235,16 @@
 	call->depth = (uint32_t)depth;
 	call->caller = g_strdup(call->thread->service->options.caller_service);
 	set_deadline(call);
-	if (may_outlast_drain(call)) {
+	if (tr_may_outlast_drain(call->thread, call->deadline_ms)) {
 		tr_refuse_call(call, MHD_HTTP_SERVICE_UNAVAILABLE, "draining",
 			       true);
 		return;
 	}
 	call->request.service = call->service;
 	call->request.split_hash = get_split_hash(call);
-	call->request.is_bulky = is_bulky(call);
+	call->request.is_bulky =
+		tr_is_bulky(call->thread, call->route, call->upload.has_body,
+			    call->upload.content_length);
 	if (tr_is_controlled(call))
 		tr_set_placement(call);
 	if (tr_is_returned_in_vain(call)) {
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -2,6 +2,7 @@
  * Public functions of src/traffic, called by the control thread only.
  */
 #include <assert.h>
+#include "explain.h"
 #include "headers.h"
 #include "loom/error.h"
 #include "samples.h"
@@ -178,6 +179,7 @@
 	for (uint32_t i = 0; i < service->options.thread_count; i++)
 		tr_join_thread(&service->threads[i]);
 	tr_close_samples(service);
+	tr_close_inquiries(service);
 	return 0;
 }
 
@@ -229,7 +231,8 @@
 	if (options->overload.is_enabled)
 		open_gate_waits(&service->counters, counters);
 	talloc_set_destructor(service, destroy_service);
-	if (!tr_open_samples(service, events, error))
+	if (!tr_open_samples(service, events, error) ||
+	    !tr_open_inquiries(service, events, error))
 		goto out_free;
 	for (uint32_t i = 0; i < options->thread_count; i++) {
 		struct tr_thread *thread = &service->threads[i];
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -13,6 +13,7 @@
 #include <string.h>
 #include "call.h"
 #include "call_log.h"
+#include "explain.h"
 #include "loom/error.h"
 #include "samples.h"
 
@@ -106,6 +107,10 @@
 	case TR_COMMAND_REFUSE_CALLERS:
 		thread->is_refusing = true;
 		break;
+	case TR_COMMAND_EXPLAIN:
+		tr_answer_question(thread, command->explain.inquiry,
+				   command->explain.question);
+		break;
 	case TR_COMMAND_STOP:
 		thread->is_stopped = true;
 		break;
@@ -121,6 +126,8 @@
 		g_free(command->announce.version);
 		g_free(command->announce.instance);
 		g_free(command->announce.url);
+	} else if (command->kind == TR_COMMAND_EXPLAIN) {
+		tr_free_question(command->explain.question);
 	}
 	g_free(command);
 }
@@ -133,7 +140,9 @@
 	apply_table(thread);
 	while ((command = mbx_take(thread->commands))) {
 		run_command(thread, command);
-		cnt_add(thread->service->counters.commands, 1);
+		/* An explanation leaves no trace. */
+		cnt_add(thread->service->counters.commands,
+			command->kind != TR_COMMAND_EXPLAIN);
 		free_command(command);
 	}
 	/* When a command or table has closed the gate, empty its queue. */
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -70,6 +70,7 @@
 	TR_COMMAND_LIMIT_HINT,
 	TR_COMMAND_BEGIN_DRAIN,
 	TR_COMMAND_REFUSE_CALLERS,
+	TR_COMMAND_EXPLAIN,
 	TR_COMMAND_STOP,
 };
 
@@ -89,6 +90,10 @@
 		} heartbeat;
 		uint32_t hinted_limit;
 		uint64_t drain_end_ms;
+		struct {
+			uint64_t inquiry;
+			struct tr_question *question;
+		} explain;
 	};
 };
 
@@ -149,6 +154,11 @@
 	struct tr_counters counters;
 	struct tr_thread *threads;
 	struct mbx_mailbox *batches; /* samples for the control thread */
+	/* Of the control thread; see explain.c. */
+	struct tevent_context *events;
+	GHashTable *inquiries;	     /* id to its struct tr_inquiry */
+	uint64_t inquiry_count;	     /* the id of the last one */
+	struct mbx_mailbox *answers; /* explanations for the inquiries */
 };
 
 /*
