Add loomctl explain-route

Operators had no command that says where a request would go and why.

Errors of a node's page now also show what the node says.

--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -102,7 +102,8 @@
 
 /*
  * Reads a JSON page of a node's administration port and waits; node is
- * "ADDRESS:ADMIN_PORT". Returns a new reference, or NULL with *error set.
+ * "ADDRESS:ADMIN_PORT". Returns a new reference, or NULL with *error set:
+ * ERR_INVALID_ARGUMENT when the node rejects the request (400).
  */
 json_t *ctl_fetch_page(struct ctl_context *context, const char *node,
 		       const char *path, GError **error);
@@ -158,6 +159,13 @@
 enum ctl_exit ctl_explain_request(const char *id, const char *const *files,
 				  int file_count);
 
+/*
+ * Prints where a request would go from a node, and why. operands: service (the
+ * Host header), method, path and optionally class and bytes of the body.
+ */
+enum ctl_exit ctl_explain_route(struct ctl_context *context,
+				const char *const *operands, int operand_count);
+
 /* loomburn: reports the burn of service-level objectives over all nodes. */
 enum ctl_exit ctl_report_burn(struct ctl_context *context);
 
--- a/src/ctl/fetch.c
+++ b/src/ctl/fetch.c
@@ -16,6 +16,23 @@
 	bool is_done;
 };
 
+/* Sets an error with what the node says in {"error"}, if anything. */
+static void set_status_error(struct fetch *fetch,
+			     const struct hc_answer *answer)
+{
+	json_t *page = json_loadb(answer->body, answer->body_size, 0, NULL);
+	const char *said = json_string_value(json_object_get(page, "error"));
+	char *message = g_strchomp(g_strdup(said ? said : ""));
+
+	err_set(&fetch->error,
+		answer->status == MHD_HTTP_BAD_REQUEST ? ERR_INVALID_ARGUMENT
+						       : ERR_UNAVAILABLE,
+		"read page", fetch->node, "got status %u, wanted 200%s%s",
+		answer->status, *message ? ": " : "", message);
+	g_free(message);
+	json_decref(page);
+}
+
 static void handle_answer(const struct hc_answer *answer, void *data)
 {
 	struct fetch *fetch = data;
@@ -27,9 +44,7 @@
 		return;
 	}
 	if (answer->status != MHD_HTTP_OK) {
-		err_set(&fetch->error, ERR_UNAVAILABLE, "read page",
-			fetch->node, "got status %u, wanted 200",
-			answer->status);
+		set_status_error(fetch, answer);
 		return;
 	}
 	fetch->page = json_loadb(answer->body, answer->body_size, 0, &problem);
--- a/src/ctl/tests/test_ctl.c
+++ b/src/ctl/tests/test_ctl.c
@@ -25,7 +25,9 @@
 	struct web_server *node;
 	char *members; /* body of the node's page /members */
 	char *burn;    /* body of the node's page /burn */
-	char **race;   /* pending write by another writer, see begin_race() */
+	char *route;   /* body of the node's page /explain-route */
+	uint32_t route_status;
+	char **race; /* pending write by another writer, see begin_race() */
 };
 
 /* A standard stream that is redirected to a temporary file. */
@@ -64,11 +66,22 @@
 static void reply_page(struct web_request *request, void *data)
 {
 	const struct fixture *fixture = data;
+	bool is_route = strcmp(web_get_path(request), "/explain-route") == 0;
 	const char *page = strcmp(web_get_path(request), "/burn") == 0
 				   ? fixture->burn
 				   : fixture->members;
-
-	web_reply(request, MHD_HTTP_OK, "application/json", page, strlen(page));
+	const char *class;
+
+	if (is_route) {
+		page = fixture->route;
+		class = web_get_query(request, "class");
+		printf("asked: %s %s %s, %s\n",
+		       web_get_query(request, "service"),
+		       web_get_query(request, "method"),
+		       web_get_query(request, "path"), class ? class : "-");
+	}
+	web_reply(request, is_route ? fixture->route_status : MHD_HTTP_OK,
+		  "application/json", page, strlen(page));
 }
 
 static void open_fixture(struct fixture *fixture)
@@ -84,7 +97,8 @@
 	struct plat_options options;
 
 	*fixture = (struct fixture){ .members = g_strdup("{}"),
-				     .burn = g_strdup("{}") };
+				     .burn = g_strdup("{}"),
+				     .route = g_strdup("{}") };
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	context->ctx = talloc_new(NULL);
 	context->events = tevent_context_init(context->ctx);
@@ -115,6 +129,7 @@
 	curl_global_cleanup();
 	g_free(fixture->members);
 	g_free(fixture->burn);
+	g_free(fixture->route);
 }
 
 /*
@@ -167,6 +182,8 @@
 		*result = ctl_print_nodes(context);
 	else if (strcmp(words[0], "report-burn") == 0)
 		*result = ctl_report_burn(context);
+	else if (strcmp(words[0], "explain-route") == 0)
+		*result = ctl_explain_route(context, operands, operand_count);
 	else if (strcmp(words[0], "watch") == 0)
 		*result = ctl_watch_status(context, operands[0]);
 	else
@@ -279,6 +296,11 @@
 	} else if (strcmp(words[0], "burn") == 0 && word_count == 2) {
 		g_free(fixture->burn);
 		fixture->burn = g_strdup(words[1]);
+	} else if (strcmp(words[0], "route") == 0 && word_count == 3) {
+		fixture->route_status =
+			(uint32_t)g_ascii_strtoull(words[1], NULL, 10);
+		g_free(fixture->route);
+		fixture->route = g_strdup(words[2]);
 	} else if (strcmp(words[0], "members") == 0 && word_count == 2) {
 		g_free(fixture->members);
 		fixture->members = g_strdup(words[1]);
@@ -317,6 +339,12 @@
 	run_script("burn");
 }
 
+/* Guards against an answer of a node that is printed wrongly, or in part. */
+static void test_explain_route(void)
+{
+	run_script("explain_route");
+}
+
 static void test_watch(void)
 {
 	run_script("watch");
@@ -348,6 +376,7 @@
 		{ "get, nodes and watch", test_read },
 		{ "burn report", test_burn },
 		{ "watch of a change", test_watch },
+		{ "explain-route", test_explain_route },
 		CU_TEST_INFO_NULL,
 	};
 
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -10,9 +10,11 @@
  *   GET  /burn     history of call counts; ?service=NAME gives one service
  *   POST /moves/report  call counts that nodes send to a move's lease holder
  *   GET  /configuration/changes  long poll of other nodes, see relay.c
+ *   GET  /explain-route  where a request would go, see explain_route.c
  */
 #include <string.h>
 #include <stdlib.h>
+#include "explain_route.h"
 #include "internal.h"
 #include "loom/problem.h"
 #include "loom/reader.h"
@@ -24,8 +26,8 @@
 static const struct rd_range phase_range = { 1, 16 };
 static const struct rd_range instance_range = { 1, 128 };
 
-static void reply_problems(struct web_request *request,
-			   const struct prob_list *list)
+void nd_reply_problems(struct web_request *request,
+		       const struct prob_list *list)
 {
 	GString *text = g_string_new(NULL);
 
@@ -76,7 +78,7 @@
 	if (object)
 		read_announcement(node, object, list);
 	if (prob_get_count(list) > 0)
-		reply_problems(request, list);
+		nd_reply_problems(request, list);
 	else
 		web_reply_json(request, MHD_HTTP_OK,
 			       json_pack("{s:b}", "ok", 1));
@@ -202,6 +204,7 @@
 	{ "GET", "/burn", handle_burn },
 	{ "POST", "/moves/report", handle_report },
 	{ "GET", "/configuration/changes", handle_changes },
+	{ "GET", "/explain-route", nd_handle_explain_route },
 };
 
 void nd_handle_admin(struct web_request *request, void *data)
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -184,6 +184,10 @@
 /* admin.c: handles a request to the administration port. */
 void nd_handle_admin(struct web_request *request, void *data);
 
+/* admin.c: replies with status 400 and a line for each problem. */
+void nd_reply_problems(struct web_request *request,
+		       const struct prob_list *list);
+
 /*
  * burn.c: adds a sample to the call history, and returns the history as new
  * JSON.
--- a/src/programs/loomctl.c
+++ b/src/programs/loomctl.c
@@ -89,6 +89,20 @@
 				   operand_count - 1);
 }
 
+/* Operands: "SERVICE METHOD PATH [CLASS [BODY_BYTES]]". */
+static enum ctl_exit run_explain_route(struct ctl_context *context,
+				       const char *const *operands,
+				       int operand_count)
+{
+	if (operand_count < 3 || operand_count > 5) {
+		fputs("loomctl explain-route: wanted SERVICE METHOD PATH, then "
+		      "optionally CLASS and BODY_BYTES\n",
+		      stderr);
+		return CTL_EXIT_USAGE;
+	}
+	return ctl_explain_route(context, operands, operand_count);
+}
+
 /* Operands: "out NAME [NODE...]" or "in NAME [NODE...]". */
 static enum ctl_exit run_failure_domain(struct ctl_context *context,
 					const char *const *operands,
@@ -135,6 +149,11 @@
 	  "print what the nodes' logs say of a request",
 	  "loomctl explain 9c41d07be2a35f68 node1.log node2.log",
 	  OPTION_NO_PLATFORM | OPTION_MANY_OPERANDS, run_explain },
+	{ "explain-route", "SERVICE METHOD PATH",
+	  "print where a request would go from a node, and why",
+	  "loomctl explain-route catalogue GET /books --node 127.0.1.1:8082",
+	  OPTION_NO_PLATFORM | OPTION_MANY_OPERANDS | OPTION_NODE,
+	  run_explain_route },
 	{ "failure-domain", "out|in NAME [NODE...]",
 	  "take a failure domain out of service, or put it back",
 	  "loomctl failure-domain out kgl-a", OPTION_MANY_OPERANDS,
