Tell that the new version's targets are too late when the old one takes over

During a move, calls of a version without room go to its fallback version. The explanation then told the targets of the version itself as full or as "others_preferred", since only the refusal of the whole choice made a target too late. The version is now planned alone as well, and its refusal decides.

Script explain_late_version of test_placement: a2 and a3 "full" before, "too_late" after. test_placement passes with AddressSanitizer.

--- a/src/routing/explain.c
+++ b/src/routing/explain.c
@@ -22,6 +22,7 @@
 	const char *version; /* borrowed from the service, as used */
 	const char *used;    /* version of the candidates; NULL: refused */
 	enum rt_refusal refusal;
+	enum rt_refusal own_refusal; /* of version, without its fallback */
 };
 
 static struct rt_chooser *copy_chooser(TALLOC_CTX *ctx,
@@ -105,7 +106,9 @@
 					     evaluation->now_ms);
 	if (path != RT_OBSTACLE_NONE)
 		return path;
-	if (evaluation->refusal == RT_REFUSAL_NO_ROOM)
+	if (evaluation->refusal == RT_REFUSAL_NO_ROOM ||
+	    (evaluation->own_refusal == RT_REFUSAL_NO_ROOM &&
+	     strcmp(group->version, evaluation->version) == 0))
 		return RT_OBSTACLE_TOO_LATE;
 	return obstacle == RT_OBSTACLE_NONE && !is_candidate
 		       ? RT_OBSTACLE_OTHERS_PREFERRED
@@ -194,6 +197,9 @@
 
 	evaluation->version = version;
 	evaluation->used = NULL;
+	rt_plan_version(chooser, evaluation->table, evaluation->request,
+			version, GRADE_EJECTED, evaluation->now_ms,
+			&evaluation->own_refusal);
 	if (rt_try_versions(chooser, evaluation->table, evaluation->request,
 			    version, rt_plan_version, evaluation->now_ms,
 			    &evaluation->refusal))
--- a/src/routing/tests/test_placement.c
+++ b/src/routing/tests/test_placement.c
@@ -484,6 +484,7 @@
 {
 	run_script("explain");
 	run_script("explain_versions");
+	run_script("explain_late_version");
 }
 
 /*
