Explain an oversized body at a draining node as calls are refused

A call whose body is too long gets 413 before the node compares its deadline with the end of the drain; the explanation compared the deadline first and told 503. The check now follows the one of the body, for each share. The answer of a draining node therefore lists the services, without targets.

Script explain of test_explain, "explain e POST shop / fresh 8388609" after "drain-node e": 503 draining before, 413 body_too_large after. test_explain passes with AddressSanitizer.

--- a/src/traffic/explain.c
+++ b/src/traffic/explain.c
@@ -200,6 +200,11 @@
 		       "body_too_large");
 		return;
 	}
+	if (tr_may_outlast_drain(thread, tmr_get_now_ms(thread->timers) +
+						 explanation->timeout_ms)) {
+		refuse(explanation, MHD_HTTP_SERVICE_UNAVAILABLE, "draining");
+		return;
+	}
 	view->routing = explain_service(explanation->shares, thread, way,
 					question, explanation);
 }
@@ -250,11 +255,6 @@
 	if (thread->service->options.overload.is_enabled)
 		explanation->class =
 			rt_get_class_name(rt_parse_class(question->class, 0));
-	if (tr_may_outlast_drain(thread, tmr_get_now_ms(thread->timers) +
-						 explanation->timeout_ms)) {
-		refuse(explanation, MHD_HTTP_SERVICE_UNAVAILABLE, "draining");
-		return;
-	}
 	explain_shares(explanation, thread, &way, question);
 }
 
