Bound the questions that wait for a traffic thread

Nothing bounded the explanations under way: each connection to the administration port could have one, and one whose caller had hung up still took time of the thread that carries calls. A question that finds 8 waiting is now refused with 503; a cancelled one counts until the thread has answered it.

Test "many at once" of test_explain: 100 of 100 questions accepted before, 8 after, and another one after those are answered. test_explain and test_explain_route pass with AddressSanitizer.

--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -206,7 +206,8 @@
  * Asks the first traffic thread where a request would go; nothing is sent, and
  * no choice is recorded. question is copied. Returns a new inquiry, which is
  * freed after fn has run on the control thread: with the answer, after 1 s
- * without one, or when the service is freed. talloc_free() cancels it.
+ * without one, or when the service is freed. talloc_free() cancels it. Returns
+ * NULL when 8 questions wait for the thread.
  */
 struct tr_inquiry *tr_explain_request(struct tr_service *service,
 				      const struct tr_question *question,
--- a/src/node/explain_route.c
+++ b/src/node/explain_route.c
@@ -273,6 +273,12 @@
 	pending->request = request;
 	pending->inquiry = tr_explain_request(node->traffic, &question,
 					      handle_explanation, pending);
+	if (!pending->inquiry) {
+		web_reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				"too many explanations are under way");
+		talloc_free(pending);
+		goto out_free;
+	}
 	web_set_closed_fn(request, handle_closed, pending);
 out_free:
 	talloc_free(scratch);
--- a/src/traffic/explain.c
+++ b/src/traffic/explain.c
@@ -13,6 +13,11 @@
 
 /* A traffic thread that is alive reads its commands within milliseconds. */
 #define ANSWER_TIMEOUT_MS 1000U
+/*
+ * Each question copies the states of all targets on a thread that carries
+ * calls. A cancelled question counts until the thread has answered it.
+ */
+#define OPEN_QUESTIONS_MAX 8U
 
 struct tr_inquiry {
 	struct tr_service *service;
@@ -64,6 +69,7 @@
 	struct answer *answer;
 
 	while ((answer = mbx_take(service->answers))) {
+		service->open_question_count--;
 		inquiry = g_hash_table_lookup(service->inquiries,
 					      &answer->inquiry);
 		if (inquiry)
@@ -127,9 +133,14 @@
 				      const struct tr_question *question,
 				      tr_explain_fn fn, void *data)
 {
-	struct tr_inquiry *inquiry = talloc_zero(service, struct tr_inquiry);
-	struct tr_command *command = g_new0(struct tr_command, 1);
+	struct tr_inquiry *inquiry;
+	struct tr_command *command;
 
+	if (service->open_question_count >= OPEN_QUESTIONS_MAX)
+		return NULL;
+	service->open_question_count++;
+	inquiry = talloc_zero(service, struct tr_inquiry);
+	command = g_new0(struct tr_command, 1);
 	inquiry->service = service;
 	inquiry->id = ++service->inquiry_count;
 	inquiry->fn = fn;
--- a/src/traffic/tests/test_explain.c
+++ b/src/traffic/tests/test_explain.c
@@ -7,6 +7,8 @@
 #include "script.h"
 #include "thread.h"
 
+#define MANY 100U
+
 struct state {
 	struct mesh *mesh;
 	GString *output; /* of the question, while it is asked */
@@ -73,6 +75,14 @@
 	return state->answer_count > 0;
 }
 
+/* Half of those accepted in test_many() are cancelled. */
+static bool is_half_answered(void *data)
+{
+	const struct state *state = data;
+
+	return state->answer_count >= 4;
+}
+
 static bool is_failed(void *data)
 {
 	const struct state *state = data;
@@ -207,12 +217,42 @@
 	CU_ASSERT_EQUAL(state.failure_count, 1);
 }
 
+/*
+ * Guards against callers at the administration port that keep the traffic
+ * thread from its calls, also when they do not wait for the answer.
+ */
+static void test_many(void)
+{
+	struct state state = { .mesh = mesh_new() };
+	struct mesh_node *node = mesh_add_node(state.mesh, "e", "a");
+	struct tr_inquiry *inquiry;
+	uint32_t accepted = 0;
+
+	state.mesh->step = "many";
+	for (uint32_t i = 0; i < MANY; i++) {
+		inquiry = tr_explain_request(node->traffic, &question,
+					     handle_answer, &state);
+		accepted += inquiry != NULL;
+		if (i % 2 == 0)
+			talloc_free(inquiry);
+	}
+	CU_ASSERT_EQUAL(accepted, 8);
+	mesh_run_until(state.mesh, is_half_answered, &state);
+	CU_ASSERT_EQUAL(state.answer_count, 4);
+	/* Those that were answered, or cancelled, make room. */
+	state.answer_count = 0;
+	inquiry = tr_explain_request(node->traffic, &question, handle_answer,
+				     &state);
+	CU_ASSERT_PTR_NOT_NULL(inquiry);
+	if (inquiry)
+		mesh_run_until(state.mesh, is_answered, &state);
+	mesh_free(state.mesh);
+}
+
 static const CU_TestInfo tests[] = {
-	{ "documents", test_documents },
-	{ "gateway", test_gateway },
-	{ "time limit", test_time_limit },
-	{ "ends of inquiries", test_ends },
-	CU_TEST_INFO_NULL,
+	{ "documents", test_documents },   { "gateway", test_gateway },
+	{ "time limit", test_time_limit }, { "ends of inquiries", test_ends },
+	{ "many at once", test_many },	   CU_TEST_INFO_NULL,
 };
 
 int main(void)
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -159,9 +159,10 @@
 	struct mbx_mailbox *batches; /* samples for the control thread */
 	/* Of the control thread; see explain.c. */
 	struct tevent_context *events;
-	GHashTable *inquiries;	     /* id to its struct tr_inquiry */
-	uint64_t inquiry_count;	     /* the id of the last one */
-	struct mbx_mailbox *answers; /* explanations for the inquiries */
+	GHashTable *inquiries;	      /* id to its struct tr_inquiry */
+	uint64_t inquiry_count;	      /* the id of the last one */
+	uint32_t open_question_count; /* sent to the thread, not answered */
+	struct mbx_mailbox *answers;  /* explanations for the inquiries */
 };
 
 /*
