Tell the trials that go to a version without room during a move

When the old version takes the calls for which the new one has no room, one of 16 goes to the new version all the same. The explanation told trials only with a refusal, so these calls went to targets that it said get none. has_trials now tells them, in JSON as "sent_one_in" beside "used"; loomctl prints the version that gets them.

--- a/include/loom/explain.h
+++ b/include/loom/explain.h
@@ -74,6 +74,11 @@
 	const char *used;  /* this version or its fallback; NULL: refused */
 	uint32_t permille; /* share of the calls, by the split */
 	enum rt_refusal refusal; /* RT_REFUSAL_NONE: sent to a candidate */
+	/*
+	 * One call in trial_period goes to this version all the same, although
+	 * its targets are expected to answer too late.
+	 */
+	bool has_trials;
 	struct rt_target_view *targets; /* all of the service */
 	size_t target_count;
 };
@@ -86,8 +91,7 @@
 	uint32_t crossing_permille; /* share of calls that may leave */
 	uint32_t run_us;	    /* expected run time; 0: not known */
 	uint64_t due_ms; /* an answer is of use for so long; 0: no limit */
-	/* One of so many calls refused for lack of room is sent all the same.
-	 */
+	/* One of so many calls without room is sent all the same. */
 	uint32_t trial_period;
 	/* The new version has got as many calls as it may have for now. */
 	bool is_exposure_spent;
--- a/src/ctl/explain_route.c
+++ b/src/ctl/explain_route.c
@@ -92,15 +92,21 @@
 {
 	const json_t *targets = json_object_get(version, "targets");
 	json_int_t sent_one_in = get_number(version, "sent_one_in");
+	bool is_refused;
 	size_t index;
 	json_t *target;
 
 	printf("  version %s, %" JSON_INTEGER_FORMAT " of 1000 calls: ",
 	       get_text(version, "version"), get_number(version, "permille"));
-	if (!print_refused(version))
+	is_refused = print_refused(version);
+	if (!is_refused)
 		printf("sent to a target of version %s",
 		       get_text(version, "used"));
-	if (sent_one_in > 0)
+	if (sent_one_in > 0 && !is_refused)
+		printf("; one such call in %" JSON_INTEGER_FORMAT
+		       " is sent to version %s",
+		       sent_one_in, get_text(version, "version"));
+	else if (sent_one_in > 0)
 		printf("; one such call in %" JSON_INTEGER_FORMAT
 		       " is sent all the same",
 		       sent_one_in);
--- a/src/node/explain_route.c
+++ b/src/node/explain_route.c
@@ -166,11 +166,10 @@
 	object = json_pack("{s:s,s:I,s:s?,s:o}", "version", view->version,
 			   "permille", (json_int_t)view->permille, "used",
 			   view->used, "targets", targets);
-	if (view->refusal == RT_REFUSAL_NONE)
-		return object;
-	set_refused(object, MHD_HTTP_SERVICE_UNAVAILABLE,
-		    rt_get_refusal_name(view->refusal));
-	if (view->refusal == RT_REFUSAL_NO_ROOM)
+	if (view->refusal != RT_REFUSAL_NONE)
+		set_refused(object, MHD_HTTP_SERVICE_UNAVAILABLE,
+			    rt_get_refusal_name(view->refusal));
+	if (view->has_trials)
 		json_object_set_new(object, "sent_one_in",
 				    json_integer(routing->trial_period));
 	return object;
--- a/src/node/tests/test_explain_route.c
+++ b/src/node/tests/test_explain_route.c
@@ -82,7 +82,8 @@
 		  .target_count = 1 },
 		{ .version = "v2",
 		  .permille = 50,
-		  .refusal = RT_REFUSAL_NO_ROOM },
+		  .refusal = RT_REFUSAL_NO_ROOM,
+		  .has_trials = true },
 	};
 	struct rt_explanation routing = {
 		.service = "shop",
@@ -115,6 +116,10 @@
 	routing.rule = RT_RULE_LOWER_COST;
 	explanation.share_count = 1;
 	print_json(&explanation, output);
+	/* The old version takes the calls for which the new one has no room. */
+	versions[1].used = "v1";
+	versions[1].refusal = RT_REFUSAL_NONE;
+	print_json(&explanation, output);
 }
 
 static bool run_step(int count, char **words, GString *output, void *data)
--- a/src/routing/explain.c
+++ b/src/routing/explain.c
@@ -212,6 +212,8 @@
 		view->used = talloc_strdup(ctx, evaluation->used);
 	view->permille = permille;
 	view->refusal = evaluation->refusal;
+	view->has_trials = evaluation->refusal == RT_REFUSAL_NO_ROOM ||
+			   evaluation->own_refusal == RT_REFUSAL_NO_ROOM;
 	view_targets(ctx, evaluation, view);
 }
 
--- a/src/routing/tests/test_placement.c
+++ b/src/routing/tests/test_placement.c
@@ -207,7 +207,7 @@
 	if (!target)
 		return view->refusal == refusal;
 	/* A trial goes to any target. */
-	if (view->refusal == RT_REFUSAL_NO_ROOM)
+	if (view->has_trials)
 		return true;
 	for (size_t i = 0; i < view->target_count; i++) {
 		if (strcmp(view->targets[i].address, target->address) == 0 &&
@@ -251,10 +251,11 @@
 
 static void print_view(const struct rt_version_view *view, GString *output)
 {
-	g_string_append_printf(output, "%s %u permille: %s, %s\n",
+	g_string_append_printf(output, "%s %u permille: %s, %s%s\n",
 			       view->version, view->permille,
 			       view->used ? view->used : "-",
-			       rt_get_refusal_name(view->refusal));
+			       rt_get_refusal_name(view->refusal),
+			       view->has_trials ? ", trials" : "");
 	for (size_t i = 0; i < view->target_count; i++) {
 		const struct rt_target_view *target = &view->targets[i];
 
@@ -495,8 +496,9 @@
 static void test_explained_choices(void)
 {
 	static const char *const names[] = {
-		"placement", "too_late",       "silent",	   "cut_off",
-		"asks",	     "absurd_reports", "placement_phases", "share"
+		"placement",	    "too_late", "silent",
+		"cut_off",	    "asks",	"absurd_reports",
+		"placement_phases", "share",	"explain_late_version"
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
