--- a/src/node/tests/test_explain_route.c
+++ b/src/node/tests/test_explain_route.c
@@ -116,9 +116,27 @@
 	routing.rule = RT_RULE_LOWER_COST;
 	explanation.share_count = 1;
 	print_json(&explanation, output);
-	/* The old version takes the calls for which the new one has no room. */
-	versions[1].used = "v1";
-	versions[1].refusal = RT_REFUSAL_NONE;
+}
+
+/* "fallback": the old version takes calls for which the new one has no room */
+static void print_fallback(GString *output)
+{
+	struct rt_version_view version = { .version = "v2",
+					   .used = "v1",
+					   .permille = 50,
+					   .has_trials = true };
+	struct rt_explanation routing = { .service = "shop",
+					  .trial_period = 16,
+					  .versions = &version,
+					  .version_count = 1 };
+	struct tr_share_view share = { .service = "shop",
+				       .weight = 1,
+				       .routing = &routing };
+	struct tr_explanation explanation = { .route = "any",
+					      .shares = &share,
+					      .share_count = 1,
+					      .weight_sum = 1 };
+
 	print_json(&explanation, output);
 }
 
@@ -130,6 +148,8 @@
 		print_refused(output);
 	else if (strcmp(words[0], "shares") == 0)
 		print_shares(output);
+	else if (strcmp(words[0], "fallback") == 0)
+		print_fallback(output);
 	else
 		return false;
 	return true;
