Ask a real node many questions at once

process_explain_route sends 300 questions over 100 connections, then 40 whose callers hang up. It guards against statuses other than 200 and 503 and against a node that no longer answers.

--- a/tests/process/explain_route.sh
+++ b/tests/process/explain_route.sh
@@ -54,6 +54,17 @@
 is "metrics that differ" "$(diff "$work/before" "$work/after" | grep -c '^[<>]')" -eq 0
 is "calls of the target" "$(($(target_stat 1 calls) - calls))" -eq 0
 
+echo "== many questions at once"
+# Those beyond the bound get 503; callers that hang up leave nothing behind.
+url="http://$base.1:8082/explain-route?service=shop&method=GET&path=/stock"
+curl -s -Z --parallel-max 100 --parallel-immediate -o /dev/null -w '%{http_code}\n' \
+	"$url&n=[1-300]" >"$work/statuses" 2>/dev/null || true
+curl -s -m 0.001 -Z --parallel-immediate -o /dev/null "$url&n=[1-40]" 2>/dev/null || true
+sort "$work/statuses" | uniq -c
+is "questions answered" "$(grep -c 200 "$work/statuses")" -gt 0
+is "other statuses" "$(grep -c -v -e 200 -e 503 "$work/statuses")" -eq 0
+ask 0 shop GET /stock
+
 echo "== kgl-b out"
 "$bin/loomctl" failure-domain out kgl-b
 wait_for 30 shows domain_out shop GET /stock
