--- a/src/node/explain_route.c
+++ b/src/node/explain_route.c
@@ -166,11 +166,10 @@
 	object = json_pack("{s:s,s:I,s:s?,s:o}", "version", view->version,
 			   "permille", (json_int_t)view->permille, "used",
 			   view->used, "targets", targets);
-	if (view->refusal == RT_REFUSAL_NONE)
-		return object;
-	set_refused(object, MHD_HTTP_SERVICE_UNAVAILABLE,
-		    rt_get_refusal_name(view->refusal));
-	if (view->refusal == RT_REFUSAL_NO_ROOM)
+	if (view->refusal != RT_REFUSAL_NONE)
+		set_refused(object, MHD_HTTP_SERVICE_UNAVAILABLE,
+			    rt_get_refusal_name(view->refusal));
+	if (view->has_trials)
 		json_object_set_new(object, "sent_one_in",
 				    json_integer(routing->trial_period));
 	return object;
@@ -273,6 +272,12 @@
 	pending->request = request;
 	pending->inquiry = tr_explain_request(node->traffic, &question,
 					      handle_explanation, pending);
+	if (!pending->inquiry) {
+		web_reply_error(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+				"too many explanations are under way");
+		talloc_free(pending);
+		goto out_free;
+	}
 	web_set_closed_fn(request, handle_closed, pending);
 out_free:
 	talloc_free(scratch);
--- a/src/node/tests/test_explain_route.c
+++ b/src/node/tests/test_explain_route.c
@@ -82,7 +82,8 @@
 		  .target_count = 1 },
 		{ .version = "v2",
 		  .permille = 50,
-		  .refusal = RT_REFUSAL_NO_ROOM },
+		  .refusal = RT_REFUSAL_NO_ROOM,
+		  .has_trials = true },
 	};
 	struct rt_explanation routing = {
 		.service = "shop",
@@ -117,6 +118,28 @@
 	print_json(&explanation, output);
 }
 
+/* "fallback": the old version takes calls for which the new one has no room */
+static void print_fallback(GString *output)
+{
+	struct rt_version_view version = { .version = "v2",
+					   .used = "v1",
+					   .permille = 50,
+					   .has_trials = true };
+	struct rt_explanation routing = { .service = "shop",
+					  .trial_period = 16,
+					  .versions = &version,
+					  .version_count = 1 };
+	struct tr_share_view share = { .service = "shop",
+				       .weight = 1,
+				       .routing = &routing };
+	struct tr_explanation explanation = { .route = "any",
+					      .shares = &share,
+					      .share_count = 1,
+					      .weight_sum = 1 };
+
+	print_json(&explanation, output);
+}
+
 static bool run_step(int count, char **words, GString *output, void *data)
 {
 	if (strcmp(words[0], "query") == 0)
@@ -125,6 +148,8 @@
 		print_refused(output);
 	else if (strcmp(words[0], "shares") == 0)
 		print_shares(output);
+	else if (strcmp(words[0], "fallback") == 0)
+		print_fallback(output);
 	else
 		return false;
 	return true;
