Revert "Keep the limit of a request body that waits for its target"

The fault that it mends is real (one PUT held 3.8 MB), but the steps of cut_uploads that expect no reset have to be settled first.

--- a/src/traffic/attempt.c
+++ b/src/traffic/attempt.c
@@ -23,12 +23,7 @@
 
 	if (moved > 0) {
 		tr_update_held_bytes(call);
-		/* The server receives more at once than curl takes. */
-		if (tr_get_buffer_size(&upload->buffer) <
-		    acc_get_stream_max(&call->thread->account,
-				       TR_STREAM_BYTES_MAX) /
-			    2)
-			hx_resume_body(call->exchange);
+		hx_resume_body(call->exchange);
 		return moved;
 	}
 	if (upload->is_whole)
