--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -68,6 +68,7 @@
 late=$(runs_in_zone_a "$from" "$end")
 note "requests that were run in zone-a later than $((from - acked)) ms after it, until $((end - acked)) ms: $late"
 note "answers of all clients by status: $(answers)"
+for n in 1 2; do keep_requests $n "$from" "$end"; done
 keep_logs 'failure domains taken out|store was restored|adopt gateway'
 [ "$late" -gt 0 ] && { note "EVAC is broken"; finish 1; }
 note "EVAC held"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -59,6 +59,7 @@
 note "server 1 began to run later than $((from - acked)) ms after the acknowledgement: $late requests, $(awk -v f="$from" '$1 == "run" && $3 >= f && /POST/ {n++} END {print n + 0}' "$work/target1.log") of them orders"
 note "the store has: $(curl -s "$objects/loom-departures")"
 note "answers of all clients by status: $(answers)"
+keep_requests 1 "$acked" "$end"
 keep_logs 'departure|target leaves|target announced|target is gone|instance left'
 [ "$late" -gt 0 ] && { note "DRAIN is broken"; finish 1; }
 note "DRAIN held"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -53,6 +53,7 @@
 	count=$(most_in_a_second "$from" $((from + COLD_MS)))
 	note "most requests in one second while it was cold: $count (wanted at most $BOUND)"
 	note "its heartbeats: $(awk -v f="$from" '$1 == "beat" && $4 >= f {printf "%d ms ", $4 - f}' "$work/target1.log")"
+	keep_requests 1 "$from" $((from + COLD_MS))
 	[ "$count" -le "$most" ] || most=$count
 	sleep 4
 done
--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -184,3 +184,14 @@
 		grep -hE "$1" "$work/node$n.log" | sed "s/^/node $n: /" >>"$record"
 	done
 }
+
+# keep_requests N FROM TO: appends to the record what server N began to run in that time:
+# id, when it was sent, when it began to run, status and time of the answer
+keep_requests() {
+	echo "server $1 from $2 to $3: id sent run status answered" >>"$record"
+	cat "$work"/caller*.log | awk -v from="$2" -v to="$3" '
+		NR == FNR {if ($1 == "run" && $3 >= from && $3 < to) run[$2] = $3; next}
+		$1 in run {print $1, $2, run[$1], $3, $4; delete run[$1]}
+		END {for (id in run) print id, "-", run[id], "-", "-"}' \
+		"$work/target$1.log" - | sort -k 3,3n >>"$record"
+}
