Tell a new order from an old one that the store shows again

A roll-out to a version that was ordered before did not begin either.

Cause: reversion.c took each listed order of a removed name for the old one, whose removal the store had lost. It compared the name and the label only.

Change: a record keeps the last four orders of its name with the revisions of their creation and last change. A listed order is the old one only if it has the same creation, no later revision, and was known for 10 s when the era rose, so that the copy has it; else it is a new one. Nodes send these revisions to each other, domains in the field "orders" that earlier versions ignore.

--- a/src/node/changes.c
+++ b/src/node/changes.c
@@ -6,10 +6,13 @@
  *	 "gateway": delta from sequence S, or the whole gateway,
  *	 "moves": {"revision", "orders": [{"service", "to", "id", "limit_ms",
  *					   "state", "version"}]},
- *	 "domains": {"revision", "out": [...]},
+ *	 "domains": {"revision", "out": [...], "orders": [[created, revision],
+ *						      ...]},
  *	 "reverted": {"moves": ..., "domains": ...}}
  *
- * Revisions are stamps (loom/era.h). "reverted" tells, for each part that is
+ * Revisions are stamps (loom/era.h), but for those in the orders of domains,
+ * which belong to the entries of "out"; earlier versions of this program do not
+ * send these. "reverted" tells, for each part that is
  * present, on which items the store disagrees since it was restored
  * (reversion.h).
  *
@@ -113,9 +116,7 @@
 	}
 	if (own->domains > known->domains) {
 		json_object_set_new(changes, "domains",
-				    json_pack("{s:I,s:o}", "revision",
-					      (json_int_t)own->domains, "out",
-					      nd_make_domains_out(node)));
+				    nd_make_domains_out(node));
 		add_reverted(changes, "domains",
 			     node->gateway.domains_reversion, now_ms);
 	}
@@ -172,14 +173,29 @@
 	rd_close_object(moves);
 }
 
+static uint64_t read_revision(const json_t *value)
+{
+	json_int_t revision = json_integer_value(value);
+
+	return revision > 0 ? (uint64_t)revision : 0;
+}
+
+static bool read_domain(struct rd_object *domains, size_t i,
+			const json_t *order, struct nd_domain_order *domain)
+{
+	domain->created = read_revision(json_array_get(order, 0));
+	domain->revision = read_revision(json_array_get(order, 1));
+	return rd_read_text_item(domains, "out", i, &text_range, &domain->name);
+}
+
 static void apply_domains(struct nd_node *node, struct rd_object *object,
-			  const json_t *reverted)
+			  const json_t *orders, const json_t *reverted)
 {
 	struct rd_object *domains =
 		rd_open_field(object, "domains", RD_OPTIONAL);
 	struct nd_state_origin origin = { .is_from_peer = true,
 					  .reverted = reverted };
-	const char **names;
+	struct nd_domain_order *list;
 	size_t count = 0;
 	size_t used = 0;
 
@@ -188,12 +204,12 @@
 	rd_read_uint64(domains, "revision", RD_REQUIRED, &revision_range,
 		       &origin.revision);
 	rd_read_array(domains, "out", RD_REQUIRED, &domains_range, &count);
-	names = talloc_zero_array(domains, const char *, count + 1);
+	list = talloc_zero_array(domains, struct nd_domain_order, count);
 	for (size_t i = 0; i < count; i++)
-		used += rd_read_text_item(domains, "out", i, &text_range,
-					  &names[i]);
+		used += read_domain(domains, i, json_array_get(orders, i),
+				    &list[i]);
 	if (used == count)
-		nd_apply_domains_out(node, names, &origin);
+		nd_apply_domains_out(node, list, count, &origin);
 	rd_close_object(domains);
 }
 
@@ -340,7 +356,10 @@
 		goto out;
 	rd_read_bool(object, "is_fit", RD_REQUIRED, is_peer_synced);
 	apply_moves(node, object, json_object_get(reverted, "moves"));
-	apply_domains(node, object, json_object_get(reverted, "domains"));
+	apply_domains(
+		node, object,
+		json_object_get(json_object_get(changes, "domains"), "orders"),
+		json_object_get(reverted, "domains"));
 	nd_note_peer_era(node,
 			 plat_get_stamp_era(node->gateway.moves_revision.seen));
 	is_valid = !delta || apply_gateway(node, peer, delta, base);
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "merge.h"
 
 #define TICK_MS 200U
 /* Moves in progress are also evaluated between two ticks. */
@@ -103,12 +104,23 @@
 
 json_t *nd_make_domains_out(const struct nd_node *node)
 {
-	const char **name = node->gateway.domains_out;
+	const struct nd_gateway_state *state = &node->gateway;
+	const char **name = state->domains_out;
 	json_t *out = json_array();
+	json_t *orders = json_array();
 
-	for (; name && *name; name++)
+	for (; name && *name; name++) {
+		struct nd_item item = { .created = 0 };
+
+		nd_find_item(state->domains_reversion, *name, &item);
 		json_array_append_new(out, json_string(*name));
-	return out;
+		json_array_append_new(
+			orders, json_pack("[I,I]", (json_int_t)item.created,
+					  (json_int_t)item.revision));
+	}
+	return json_pack("{s:I,s:o,s:o}", "revision",
+			 (json_int_t)state->domains_revision.announced, "out",
+			 out, "orders", orders);
 }
 
 /* Returns unused memory to the system; loading a large gateway leaves much. */
@@ -145,23 +157,26 @@
 }
 
 /* Returns the names in force after a list, as a new array owned by ctx. */
-static const char **merge_names(struct nd_node *node, TALLOC_CTX *ctx,
-				const char *const *names,
-				const struct nd_state_origin *origin)
+static const char **merge_domains(struct nd_node *node, TALLOC_CTX *ctx,
+				  const struct nd_domain_order *orders,
+				  size_t count,
+				  const struct nd_state_origin *origin)
 {
 	struct nd_reversion *reversion = node->gateway.domains_reversion;
-	uint64_t now_ms = tmr_get_now_ms(node->timers);
-	uint64_t era = plat_get_stamp_era(origin->revision);
-	size_t count = g_strv_length((char **)names);
 	struct nd_item *items = talloc_array(ctx, struct nd_item, count);
 	enum nd_verdict *verdicts = talloc_array(ctx, enum nd_verdict, count);
 
 	for (size_t i = 0; i < count; i++)
-		items[i] = (struct nd_item){ .name = names[i], .label = "" };
-	if (nd_is_told(origin))
-		nd_confirm_items(reversion, era);
-	nd_merge_items(reversion, items, count, era, now_ms, verdicts);
-	nd_read_reversion(reversion, origin->reverted, now_ms);
+		items[i] = (struct nd_item){
+			.name = orders[i].name,
+			.label = "",
+			.created = orders[i].created,
+			.revision = orders[i].revision,
+		};
+	nd_merge_state(node, "domains", reversion, items, count, origin,
+		       verdicts);
+	nd_read_reversion(reversion, origin->reverted,
+			  tmr_get_now_ms(node->timers));
 	return nd_list_items(reversion, ctx);
 }
 
@@ -181,7 +196,8 @@
 	nd_build_snapshot(state);
 }
 
-void nd_apply_domains_out(struct nd_node *node, const char *const *names,
+void nd_apply_domains_out(struct nd_node *node,
+			  const struct nd_domain_order *orders, size_t count,
 			  const struct nd_state_origin *origin)
 {
 	struct nd_gateway_state *state = &node->gateway;
@@ -192,7 +208,7 @@
 			     origin->is_from_peer,
 			     tmr_get_now_ms(node->timers)))
 		goto out;
-	merged = merge_names(node, scratch, names, origin);
+	merged = merge_domains(node, scratch, orders, count, origin);
 	if (are_names_same(state->domains_out, merged))
 		goto out;
 	nd_announce_difference(&state->domains_revision);
@@ -202,10 +218,11 @@
 	nd_announce_progress(node);
 }
 
-void nd_set_domains_out(struct nd_node *node, const char *const *names,
+void nd_set_domains_out(struct nd_node *node,
+			const struct nd_domain_order *orders, size_t count,
 			uint64_t revision)
 {
 	const struct nd_state_origin origin = { .revision = revision };
 
-	nd_apply_domains_out(node, names, &origin);
+	nd_apply_domains_out(node, orders, count, &origin);
 }
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -239,7 +239,8 @@
 
 /*
  * orders.c and gateway.c: return new JSON with the move requests, or with the
- * failure domains taken out of service, as sent to other nodes.
+ * failure domains taken out of service and the announced revision of these, as
+ * sent to other nodes (changes.c).
  */
 json_t *nd_make_move_requests(const struct nd_node *node);
 json_t *nd_make_domains_out(const struct nd_node *node);
@@ -253,7 +254,8 @@
 void nd_apply_move_requests(struct nd_node *node,
 			    const struct nd_move_request *requests,
 			    size_t count, const struct nd_state_origin *origin);
-void nd_apply_domains_out(struct nd_node *node, const char *const *names,
+void nd_apply_domains_out(struct nd_node *node,
+			  const struct nd_domain_order *orders, size_t count,
 			  const struct nd_state_origin *origin);
 
 /* relay.c: initializes the relay, updates it at each tick, and frees it. */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -84,13 +84,21 @@
  */
 void nd_set_gateway(struct nd_node *node, struct doc_gateway *gateway);
 
+/* An order to take a failure domain out of service. */
+struct nd_domain_order {
+	const char *name;
+	uint64_t created;  /* revision of its creation; 0: unknown */
+	uint64_t revision; /* of its last change */
+};
+
 /*
- * Sets the failure domains that are taken out of service: NULL-terminated,
- * copied. revision is the stamp (loom/era.h) of this list; a list that is not
- * newer than the known one is ignored. In a new era, changes that the store has
- * lost stay in force.
+ * Sets the failure domains that are taken out of service; the names are copied.
+ * revision is the stamp (loom/era.h) of this list; a list that is not newer
+ * than the known one is ignored. In a new era, changes that the store has lost
+ * stay in force.
  */
-void nd_set_domains_out(struct nd_node *node, const char *const *names,
+void nd_set_domains_out(struct nd_node *node,
+			const struct nd_domain_order *orders, size_t count,
 			uint64_t revision);
 
 /*
--- a/src/node/orders.c
+++ b/src/node/orders.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include "internal.h"
 #include "loom/log.h"
+#include "merge.h"
 #include "move.h"
 #include "move_request.h"
 #include "withdrawn.h"
@@ -81,7 +82,6 @@
 			   const struct nd_move_request *requests, size_t count,
 			   const struct nd_state_origin *origin)
 {
-	uint64_t era = plat_get_stamp_era(origin->revision);
 	struct nd_reversion *reversion = node->gateway.moves_reversion;
 	struct nd_item *items = talloc_array(node, struct nd_item, count);
 	enum nd_verdict *verdicts = talloc_array(items, enum nd_verdict, count);
@@ -90,12 +90,15 @@
 	gpointer key;
 
 	for (size_t i = 0; i < count; i++)
-		items[i] = (struct nd_item){ .name = requests[i].service,
-					     .label = requests[i].to };
-	if (nd_is_told(origin))
-		nd_confirm_items(reversion, era);
-	nd_merge_items(reversion, items, count, era,
-		       tmr_get_now_ms(node->timers), verdicts);
+		items[i] = (struct nd_item){
+			.name = requests[i].service,
+			.label = requests[i].to,
+			.created = requests[i].id,
+			.revision =
+				plat_get_stamp_revision(requests[i].version),
+		};
+	nd_merge_state(node, "moves", reversion, items, count, origin,
+		       verdicts);
 	for (size_t i = 0; i < count; i++) {
 		if (verdicts[i] != ND_ITEM_REVERTED)
 			is_changed |= apply_move_request(node, &requests[i],
--- a/src/node/reversion.h
+++ b/src/node/reversion.h
@@ -9,7 +9,13 @@
  * I/O and gets the time as an argument.
  *
  * An item has a name, unique in its part, and a label that tells one item of a
- * name from the next: the version that a move goes to.
+ * name from the next: the version that a move goes to. An item that was removed
+ * or replaced and is listed again is either the old one, whose removal the
+ * store has lost, or a new order of the same name. The revision of its creation
+ * tells them apart, unless the store has given that revision out a second time,
+ * which takes an old item that the copy lacks. In doubt the item is a new
+ * order: it is in the store, so its writer can remove it, but cannot write it
+ * again.
  */
 #ifndef ND_REVERSION_H
 #define ND_REVERSION_H
@@ -21,8 +27,8 @@
 #include <talloc.h>
 
 /*
- * A change that was known for longer when the era rose is in the copy, which is
- * some seconds old; the rest is the time of the outage.
+ * A change that was known for longer when the era rose is certainly in the
+ * copy, which is some seconds old; the rest is the time of the outage.
  */
 #define ND_LOSS_MS_MAX 120000U
 /*
@@ -33,10 +39,23 @@
 
 struct nd_reversion;
 
+/*
+ * An item that was known for this long when the era rose counts as part of the
+ * copy.
+ */
+#define ND_COPY_AGE_MS_MAX 10000U
+/*
+ * Orders of a name that are remembered. The copy may be older than the last
+ * return, so that an order before the present one is listed.
+ */
+#define ND_ORDERS_MAX 4U
+
 /* An item of a state; the texts are borrowed. */
 struct nd_item {
 	const char *name;
 	const char *label;
+	uint64_t created;  /* revision of its creation; 0: unknown */
+	uint64_t revision; /* of its last change, without the era */
 };
 
 enum nd_verdict {
@@ -70,6 +89,13 @@
  */
 bool nd_is_item_present(const struct nd_reversion *reversion, const char *name);
 
+/*
+ * Sets *item to the latest order of a name, with borrowed texts. Returns false
+ * if none is in force.
+ */
+bool nd_find_item(const struct nd_reversion *reversion, const char *name,
+		  struct nd_item *item);
+
 /*
  * Returns the names of the items in force, NULL-terminated, as a new array
  * owned by ctx; the names are borrowed until the records change.
@@ -80,7 +106,9 @@
 /*
  * Returns new JSON with the items on which the store disagrees, for other
  * nodes; NULL if there are none: {"age_ms", "items": [{"name", "label",
- * "former", "is_present"}]}, former only where the label was another before.
+ * "former", "is_present", "orders": [[label, created, revision, is_in_copy],
+ * ...]}]}, former only where the label was another before, orders from the
+ * latest on. Earlier versions of this program do not send or read orders.
  */
 json_t *nd_format_reversion(const struct nd_reversion *reversion,
 			    uint64_t now_ms);
--- a/src/node/tests/test_reversion.c
+++ b/src/node/tests/test_reversion.c
@@ -2,7 +2,9 @@
  * Test of the decisions on a state of a store that has returned from an older
  * copy.
  *
- *	state MS ERA NAME=LABEL...	a state that the store shows
+ *	state MS ERA NAME=LABEL[@CREATED[.REVISION]]...
+ *					a state that the store shows; an order
+ *					has the revisions 1 if none is given
  *	tell MS				another node learns of the state
  *	confirm ERA			the next state is one of another node
  */
@@ -37,6 +39,23 @@
 	talloc_free(names);
 }
 
+/* Cuts the word into the texts of the item. */
+static struct nd_item read_item(char *word)
+{
+	char *label = strchr(word, '=');
+	char *created = strchr(word, '@');
+	char *revision = created ? strchr(created, '.') : NULL;
+	struct nd_item item = { .name = word, .label = label + 1 };
+
+	item.created = created ? strtoull(created + 1, NULL, 10) : 1;
+	item.revision =
+		revision ? strtoull(revision + 1, NULL, 10) : item.created;
+	*label = '\0';
+	if (created)
+		*created = '\0';
+	return item;
+}
+
 static void merge(struct fixture *fixture, int word_count, char **words,
 		  GString *output)
 {
@@ -44,13 +63,8 @@
 	enum nd_verdict verdicts[ITEMS_MAX];
 	size_t count = (size_t)word_count - 3;
 
-	for (size_t i = 0; i < count; i++) {
-		char *label = strchr(words[i + 3], '=');
-
-		*label = '\0';
-		fixture->items[i] = (struct nd_item){ .name = words[i + 3],
-						      .label = label + 1 };
-	}
+	for (size_t i = 0; i < count; i++)
+		fixture->items[i] = read_item(words[i + 3]);
 	fixture->era = strtoull(words[2], NULL, 10);
 	nd_merge_items(fixture->reversion, fixture->items, count, fixture->era,
 		       strtoull(words[1], NULL, 10), verdicts);
@@ -71,7 +85,7 @@
 	enum nd_verdict verdicts[ITEMS_MAX];
 
 	for (size_t i = 0; i < count; i++)
-		items[i] = (struct nd_item){ .name = names[i], .label = "1" };
+		nd_find_item(fixture->reversion, names[i], &items[i]);
 	nd_merge_items(other, items, count, fixture->era, now_ms, verdicts);
 	nd_read_reversion(other, told, now_ms);
 	json_decref(told);
@@ -114,11 +128,20 @@
 	run_script("reversion_told");
 }
 
+/* Guards against: an order of a removed name is ignored for ten minutes when it
+ * is given before the nodes list the returned store. */
+static void test_order_at_return(void)
+{
+	run_script("reversion_orders");
+	run_script("reversion_orders_told");
+}
+
 int main(void)
 {
 	static const CU_TestInfo tests[] = {
 		{ "states of an older copy", test_reversion },
 		{ "told to a node that has started", test_told },
+		{ "order at the return", test_order_at_return },
 		CU_TEST_INFO_NULL,
 	};
 
