Send the revisions of domain orders beside the domains

Cause: put them into the object "domains", whose reader takes an unknown field for a mistake. A node, of this version too, logged "changes are invalid", and left out the answering node for a while, though it had applied the state.

--- a/src/node/changes.c
+++ b/src/node/changes.c
@@ -6,14 +6,14 @@
  *	 "gateway": delta from sequence S, or the whole gateway,
  *	 "moves": {"revision", "orders": [{"service", "to", "id", "limit_ms",
  *					   "state", "version"}]},
- *	 "domains": {"revision", "out": [...], "orders": [[created, revision],
- *						      ...]},
+ *	 "domains": {"revision", "out": [...]},
+ *	 "domain_orders": [[created, revision], ...],
  *	 "reverted": {"moves": ..., "domains": ...}}
  *
- * Revisions are stamps (loom/era.h), but for those in the orders of domains,
- * which belong to the entries of "out"; earlier versions of this program do not
- * send these. "reverted" tells, for each part that is
- * present, on which items the store disagrees since it was restored
+ * Revisions are stamps (loom/era.h), but for those in domain_orders, which
+ * belong to the entries of "out". Earlier versions of this program neither send
+ * domain_orders nor accept more fields in domains. "reverted" tells, for each
+ *part that is present, on which items the store disagrees since it was restored
  * (reversion.h).
  *
  * The answer has the content encoding gzip when the request accepts it and the
@@ -116,7 +116,11 @@
 	}
 	if (own->domains > known->domains) {
 		json_object_set_new(changes, "domains",
-				    nd_make_domains_out(node));
+				    json_pack("{s:I,s:o}", "revision",
+					      (json_int_t)own->domains, "out",
+					      nd_make_domains_out(node)));
+		json_object_set_new(changes, "domain_orders",
+				    nd_make_domain_orders(node));
 		add_reverted(changes, "domains",
 			     node->gateway.domains_reversion, now_ms);
 	}
@@ -356,10 +360,8 @@
 		goto out;
 	rd_read_bool(object, "is_fit", RD_REQUIRED, is_peer_synced);
 	apply_moves(node, object, json_object_get(reverted, "moves"));
-	apply_domains(
-		node, object,
-		json_object_get(json_object_get(changes, "domains"), "orders"),
-		json_object_get(reverted, "domains"));
+	apply_domains(node, object, json_object_get(changes, "domain_orders"),
+		      json_object_get(reverted, "domains"));
 	nd_note_peer_era(node,
 			 plat_get_stamp_era(node->gateway.moves_revision.seen));
 	is_valid = !delta || apply_gateway(node, peer, delta, base);
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -104,23 +104,28 @@
 
 json_t *nd_make_domains_out(const struct nd_node *node)
 {
-	const struct nd_gateway_state *state = &node->gateway;
-	const char **name = state->domains_out;
+	const char **name = node->gateway.domains_out;
 	json_t *out = json_array();
+
+	for (; name && *name; name++)
+		json_array_append_new(out, json_string(*name));
+	return out;
+}
+
+json_t *nd_make_domain_orders(const struct nd_node *node)
+{
+	const char **name = node->gateway.domains_out;
 	json_t *orders = json_array();
 
 	for (; name && *name; name++) {
 		struct nd_item item = { .created = 0 };
 
-		nd_find_item(state->domains_reversion, *name, &item);
-		json_array_append_new(out, json_string(*name));
+		nd_find_item(node->gateway.domains_reversion, *name, &item);
 		json_array_append_new(
 			orders, json_pack("[I,I]", (json_int_t)item.created,
 					  (json_int_t)item.revision));
 	}
-	return json_pack("{s:I,s:o,s:o}", "revision",
-			 (json_int_t)state->domains_revision.announced, "out",
-			 out, "orders", orders);
+	return orders;
 }
 
 /* Returns unused memory to the system; loading a large gateway leaves much. */
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -238,12 +238,13 @@
 json_t *nd_apply_reports(struct nd_node *node, const json_t *body);
 
 /*
- * orders.c and gateway.c: return new JSON with the move requests, or with the
- * failure domains taken out of service and the announced revision of these, as
- * sent to other nodes (changes.c).
+ * orders.c and gateway.c: return new JSON with the move requests, with the
+ * failure domains taken out of service, or with the revisions of their orders,
+ * as sent to other nodes (changes.c).
  */
 json_t *nd_make_move_requests(const struct nd_node *node);
 json_t *nd_make_domains_out(const struct nd_node *node);
+json_t *nd_make_domain_orders(const struct nd_node *node);
 
 /*
  * orders.c and gateway.c: as nd_set_move_requests() and nd_set_domains_out(),
