Keep departures on other nodes while the store does not

What callers saw: a server deregistered while the store was down and got 200.

Cause: after 0.6 s a departure was acknowledged though it was only in the memory of the process. The next process took "absent" in the store for an answer, though nothing could have been written while the store was out. A departure of an earlier instance in the store counted as one of a later instance.

Change: while the store does not take a departure, up to three other nodes keep copies, of other failure domains first; a node that has started asks six. Two copies, or one after 0.6 s, are acknowledged; without any the answer is 503, so that the target announces again. A process whose first read of the store did not succeed at once does not accept a held heartbeat, but waits for a further one.

--- a/include/loom/platform.h
+++ b/include/loom/platform.h
@@ -166,9 +166,10 @@
 	const GError *error; /* NULL: the call succeeded */
 	const struct plat_object *objects;
 	size_t object_count;
-	uint64_t version;  /* version of the written or conflicting object */
-	uint64_t revision; /* store revision */
-	uint64_t era;	   /* of the answer; 0: the store has none */
+	uint64_t version;     /* version of the written or conflicting object */
+	uint64_t revision;    /* store revision */
+	uint64_t era;	      /* of the answer; 0: the store has none */
+	uint32_t retry_count; /* tries before the last one, which failed */
 };
 
 typedef void (*plat_result_fn)(const struct plat_result *result, void *data);
--- a/src/node/admin.c
+++ b/src/node/admin.c
@@ -10,12 +10,14 @@
  *   GET  /burn     history of call counts; ?service=NAME gives one service
  *   POST /moves/report  call counts that nodes send to a move's lease holder
  *   GET  /configuration/changes  long poll of other nodes, see relay.c
+ *   POST /departures, GET /departures  copies for other nodes, see replicas.h
  *   GET  /explain-route  where a request would go, see explain_route.c
  */
 #include <string.h>
 #include <stdlib.h>
 #include "explain_route.h"
 #include "internal.h"
+#include "replicas.h"
 #include "loom/problem.h"
 #include "loom/reader.h"
 
@@ -204,6 +206,8 @@
 	{ "GET", "/burn", handle_burn },
 	{ "POST", "/moves/report", handle_report },
 	{ "GET", "/configuration/changes", handle_changes },
+	{ "POST", "/departures", nd_handle_replica_put },
+	{ "GET", "/departures", nd_handle_replica_get },
 	{ "GET", "/explain-route", nd_handle_explain_route },
 };
 
--- a/src/node/departures.c
+++ b/src/node/departures.c
@@ -1,11 +1,12 @@
 /*
  * Departures of the local target, which outlive the process.
  *
- * The newest instance that has announced that it leaves is kept in the store,
- * and its announcement is acknowledged when the store has it, or after
- * ACKNOWLEDGE_MS_MAX. A node that has started reads it before it accepts a
- * target: a heartbeat that was sent before the departure may arrive at a
- * process that was started after it.
+ * The newest instance that has announced that it leaves is kept in the store.
+ * While the store does not take it, other nodes keep it (replicas.h). Its
+ * announcement is acknowledged when one of them has it; after
+ * ACKNOWLEDGE_MS_MAX without that it is refused. A node that has started reads
+ * it before it accepts a target: a heartbeat that was sent before the departure
+ * may arrive at a process that was started after it.
  *
  * Invariants: is_busy is true exactly while a call to the store is in progress
  * or due. held is set only while is_known is false. is_stored concerns the
@@ -15,14 +16,17 @@
 #include "internal.h"
 #include "loom/error.h"
 #include "loom/log.h"
+#include "replicas.h"
 
 #define KEY_PREFIX "loom-departures/"
 /* Heartbeats have to be acknowledged within a second. */
 #define ACKNOWLEDGE_MS_MAX 600U
+/* The store answers sooner unless it is out. */
+#define REPLICATE_DELAY_MS 150U
 #define RETRY_MS 1000U
 /*
- * When the store does not answer for this time, a target counts as running if
- * it has sent a further heartbeat since.
+ * When the store does not answer for this time, or has not answered at once, a
+ * target counts as running if it has sent a further heartbeat since.
  */
 #define READ_MS_MAX 1000U
 
@@ -59,27 +63,62 @@
 	return 0;
 }
 
-static void acknowledge(struct waiter *waiter)
+/* Counts an answer to an announcement that waited; kept_by is a label value. */
+static void record_answer(struct nd_node *node, const char *kept_by)
 {
-	waiter->fn(waiter->data);
+	char *labels = talloc_asprintf(node, "kept_by=\"%s\"", kept_by);
+
+	log_write(LOG_LEVEL_INFO, "node", "acknowledge departure",
+		  node->instance.id, "announcement is answered", "kept_by",
+		  kept_by, LOG_END);
+	cnt_add(cnt_get_counter(node->counters, CNT_KIND_COUNTER,
+				"loom_node_departures_answered_total", labels,
+				"Answers to announced departures, by where the "
+				"departure is kept."),
+		1);
+	talloc_free(labels);
+}
+
+static void answer(struct waiter *waiter, bool is_kept)
+{
+	waiter->fn(is_kept, waiter->data);
 	talloc_free(waiter);
 }
 
 static void handle_wait_timeout(uint64_t due_ms, void *data)
 {
 	struct waiter *waiter = data;
+	struct nd_node *node = waiter->node;
+	bool is_kept = nd_count_replicas(node->replicas) > 0;
 
 	waiter->timer = NULL;
-	log_write(LOG_LEVEL_WARNING, "node", "store departure",
-		  waiter->node->instance.id,
-		  "departure is acknowledged before the store has it", LOG_END);
-	acknowledge(waiter);
+	record_answer(node, is_kept ? "nodes" : "none");
+	answer(waiter, is_kept);
 }
 
-static void acknowledge_all(struct nd_node *node)
+static void handle_store_delay(uint64_t due_ms, void *data)
 {
-	while (node->departures.waiters.head)
-		acknowledge(node->departures.waiters.head->data);
+	struct waiter *waiter = data;
+	struct nd_node *node = waiter->node;
+
+	waiter->timer = tmr_subscribe_once(
+		waiter, node->timers, ACKNOWLEDGE_MS_MAX - REPLICATE_DELAY_MS,
+		handle_wait_timeout, waiter);
+	nd_replicate_departure(node->replicas);
+}
+
+static void acknowledge_all(struct nd_node *node, const char *kept_by)
+{
+	while (node->departures.waiters.head) {
+		record_answer(node, kept_by);
+		answer(node->departures.waiters.head->data, true);
+	}
+}
+
+void nd_handle_replica(struct nd_node *node)
+{
+	if (nd_is_replicated(node->replicas))
+		acknowledge_all(node, "nodes");
 }
 
 static void handle_retry(uint64_t due_ms, void *data)
@@ -91,6 +130,8 @@
 static void retry_later(struct nd_node *node, const GError *error)
 {
 	log_write_error(LOG_LEVEL_WARNING, "node", error);
+	node->departures.is_doubtful |= !node->departures.is_known;
+	nd_replicate_departure(node->replicas);
 	node->departures.is_busy = true;
 	tmr_subscribe_once(node, node->timers, RETRY_MS, handle_retry, node);
 }
@@ -121,7 +162,7 @@
 	departures->is_stored = true;
 	log_write(LOG_LEVEL_INFO, "node", "store departure", node->instance.id,
 		  "departure is stored", LOG_END);
-	acknowledge_all(node);
+	acknowledge_all(node, "store");
 }
 
 static void write_departure(struct nd_node *node, const char *id,
@@ -147,19 +188,23 @@
 	talloc_free(scratch);
 }
 
-/* Adopts a departure from the store, unless a later instance is known. */
-static void apply_stored(struct nd_node *node, const char *id,
-			 uint64_t started_ms)
+/* Returns whether an instance that started later than a departed one is known.
+ */
+static bool is_superseded(const struct nd_node *node, uint64_t started_ms)
+{
+	return node->instance.id && node->instance.started_ms > started_ms;
+}
+
+/* Has the target leave, unless that is known. source names who knows it. */
+static void set_left(struct nd_node *node, const char *id, uint64_t started_ms,
+		     const char *source)
 {
 	struct nd_instance *known = &node->instance;
 
-	if (known->id && known->started_ms > started_ms)
-		return;
-	node->departures.is_stored = true;
 	if (known->id && known->is_leaving && known->started_ms == started_ms)
 		return;
 	log_write(LOG_LEVEL_INFO, "node", "read departure", id,
-		  "instance left before this start", LOG_END);
+		  "instance left before this start", "source", source, LOG_END);
 	talloc_free(known->id);
 	*known = (struct nd_instance){
 		.id = talloc_strdup(node, id),
@@ -169,6 +214,28 @@
 	nd_drain_target(node);
 }
 
+/* Adopts a departure from the store, unless a later instance is known. */
+static void apply_stored(struct nd_node *node, const char *id,
+			 uint64_t started_ms)
+{
+	if (is_superseded(node, started_ms))
+		return;
+	set_left(node, id, started_ms, "store");
+	node->departures.is_stored = true;
+}
+
+void nd_adopt_departure(struct nd_node *node, const char *instance,
+			uint64_t started_ms)
+{
+	if (is_superseded(node, started_ms) ||
+	    (node->instance.is_leaving &&
+	     node->instance.started_ms == started_ms))
+		return;
+	node->departures.is_stored = false;
+	set_left(node, instance, started_ms, "node");
+	nd_store_departure(node);
+}
+
 static void read_stored(struct nd_node *node, const struct plat_object *object)
 {
 	const char *id =
@@ -194,6 +261,13 @@
 	struct nd_departures *departures = &node->departures;
 	struct nd_heartbeat *held = departures->held;
 
+	/*
+	 * The store may have been out when the target left, and a heartbeat
+	 * that was held may be from before that; nd_hold_heartbeat() waits for
+	 * a further one.
+	 */
+	if (departures->is_doubtful)
+		return;
 	departures->is_known = true;
 	departures->held = NULL;
 	if (held)
@@ -213,6 +287,8 @@
 		retry_later(node, result->error);
 		return;
 	}
+	departures->is_doubtful |=
+		!departures->is_known && result->retry_count > 0;
 	departures->version = 0;
 	departures->is_stored = false;
 	if (!is_absent && result->object_count > 0)
@@ -220,7 +296,7 @@
 	if (!departures->is_known)
 		set_known(node);
 	if (departures->is_stored)
-		acknowledge_all(node);
+		acknowledge_all(node, "store");
 	else
 		nd_store_departure(node);
 }
@@ -295,10 +371,14 @@
 		hold_heartbeat(node, heartbeat);
 		return true;
 	}
-	log_write(LOG_LEVEL_WARNING, "node", "read departure",
-		  heartbeat->instance,
-		  "heartbeat is accepted before the store has answered",
-		  LOG_END);
+	log_write(
+		LOG_LEVEL_WARNING, "node", "read departure",
+		heartbeat->instance,
+		departures->is_busy
+			? "heartbeat is accepted before the store has answered"
+			: "heartbeat is accepted, the store was out at the "
+			  "start",
+		LOG_END);
 	departures->is_known = true;
 	TALLOC_FREE(departures->held);
 	return false;
@@ -308,8 +388,9 @@
 {
 	struct waiter *waiter;
 
-	if (!node->instance.is_leaving || node->departures.is_stored) {
-		fn(data);
+	if (!node->instance.is_leaving || node->departures.is_stored ||
+	    nd_is_replicated(node->replicas)) {
+		fn(true, data);
 		return;
 	}
 	waiter = talloc_zero(node, struct waiter);
@@ -320,6 +401,6 @@
 	g_queue_push_tail_link(&node->departures.waiters, &waiter->link);
 	talloc_set_destructor(waiter, destroy_waiter);
 	waiter->timer =
-		tmr_subscribe_once(waiter, node->timers, ACKNOWLEDGE_MS_MAX,
-				   handle_wait_timeout, waiter);
+		tmr_subscribe_once(waiter, node->timers, REPLICATE_DELAY_MS,
+				   handle_store_delay, waiter);
 }
--- a/src/node/gateway.c
+++ b/src/node/gateway.c
@@ -13,6 +13,7 @@
 #include "internal.h"
 #include "loom/log.h"
 #include "merge.h"
+#include "replicas.h"
 
 #define TICK_MS 200U
 /* Moves in progress are also evaluated between two ticks. */
@@ -83,6 +84,9 @@
 		return false;
 	tmr_subscribe_every(node, node->timers, TICK_MS, handle_tick, node);
 	node->gateway.domains_reversion = nd_new_reversion(node);
+	node->replicas = nd_open_replicas(node, error);
+	if (!node->replicas)
+		return false;
 	nd_open_departures(node);
 	nd_open_restored(node);
 	return nd_open_relay(node, error);
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -49,7 +49,8 @@
 	uint32_t warm_up_ms; /* time until the target can take its full load */
 };
 
-struct nd_move; /* see moves.c */
+struct nd_move;	    /* see moves.c */
+struct nd_replicas; /* see replicas.h */
 
 /* State of a node that takes its configuration from a gateway document. */
 struct nd_gateway_state {
@@ -142,6 +143,8 @@
 /* State of the departures of the target that the store keeps. */
 struct nd_departures {
 	bool is_known;	     /* what the store had at the start */
+	bool is_doubtful;    /* not known, and a read has failed: the process
+				before may have failed to write */
 	bool is_busy;	     /* reads or writes */
 	bool is_stored;	     /* the store has that the instance leaves */
 	uint64_t version;    /* of the object in the store; 0: absent */
@@ -160,6 +163,7 @@
 	struct nd_relay relay;
 	struct nd_instance instance;
 	struct nd_departures departures;
+	struct nd_replicas *replicas; /* NULL: this node has no departures */
 	const struct nd_settings *settings;
 	struct tevent_context *events;
 	struct tmr_service *timers;
@@ -328,6 +332,16 @@
 bool nd_hold_heartbeat(struct nd_node *node,
 		       const struct nd_heartbeat *heartbeat);
 
+/*
+ * departures.c: handles a departure of the local target that another node has
+ * kept for this one.
+ */
+void nd_adopt_departure(struct nd_node *node, const char *instance,
+			uint64_t started_ms);
+
+/* departures.c: handles that another node keeps the present departure. */
+void nd_handle_replica(struct nd_node *node);
+
 /*
  * departures.c: reads the departure in the store anew, because the store may
  * have lost it or has entered an era that this node has not seen.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -176,10 +176,12 @@
 			 uint64_t started_ms);
 
 /*
- * Calls fn when an announcement of a target that it leaves may be acknowledged:
- * at once, or when the departure is stored for later processes of the node.
+ * Calls fn, at once or within a second, when it is known whether later
+ * processes of the node will know of a departure. If not, it must not be
+ * acknowledged: the target announces it again, and a later process hears of it
+ * then.
  */
-typedef void (*nd_acknowledge_fn)(void *data);
+typedef void (*nd_acknowledge_fn)(bool is_kept, void *data);
 void nd_await_departure(struct nd_node *node, nd_acknowledge_fn fn, void *data);
 
 /* Runs the event loop until a shutdown has ended. Returns the exit code. */
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -394,6 +394,7 @@
 
 void plat_queue_retry(struct plat_call *call, enum plat_call_kind kind)
 {
+	call->result.retry_count++;
 	plat_queue_try(
 		call, kind,
 		plat_choose_backoff_ms(&call->backoff, call->client->random));
