Bound the calls to a target that may have turned cold

Cause: between heartbeats a target was taken for warm; nobody asked for its health. A heartbeat of before could also end a cold that was known.

Change: the gate counts the calls of the last second that are not known to have met a warm target, and sends no more of them than a cold one bears (settings cold_rate_permille and cold_slack_calls; the health path comes from the configuration). A target that gets about that many is asked for its health; its answer confirms the calls before the question, or says how long it stays cold. No answer confirms nothing.

--- a/include/loom/admission.h
+++ b/include/loom/admission.h
@@ -49,6 +49,20 @@
  */
 void adm_use_classes(struct adm_gate *gate);
 
+/*
+ * What a cold target bears in one second: its calls per second times
+ * rate_permille / 1000, and slack_calls more.
+ */
+struct adm_cold_bound {
+	uint32_t rate_permille; /* 0: unknown, it is not asked whether it is
+				   cold */
+	uint32_t slack_calls;
+};
+
+/* Sets that bound, from the next adm_set_limits() on. */
+void adm_set_cold_bound(struct adm_gate *gate,
+			const struct adm_cold_bound *bound);
+
 /* Sets the limits of the service document, from the next decision on. */
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits);
 
@@ -68,11 +82,23 @@
 void adm_set_known_slots(struct adm_gate *gate, uint32_t slots);
 
 /*
- * Marks the target as cold until until_ms. Until then the service's
+ * Marks the target as cold until until_ms or a later time that it told before:
+ * a heartbeat may be older than that. Until then the service's
  * cold_calls_per_second bounds the rate of calls to it.
  */
 void adm_set_cold(struct adm_gate *gate, uint64_t until_ms);
 
+/*
+ * Returns whether the target has to be asked whether it is cold: soon it has
+ * got as many calls in a second as a cold one bears, all since it was last
+ * known to be warm. Calls beyond that are refused or wait.
+ */
+bool adm_is_check_due(struct adm_gate *gate, uint64_t now_ms);
+
+/* Records that the target was warm when it was asked at asked_ms, or later. */
+void adm_confirm_warm(struct adm_gate *gate, uint64_t asked_ms,
+		      uint64_t now_ms);
+
 /*
  * Refuses all calls until adm_mark_reachable(), since the target was
  * unreachable.
@@ -138,10 +164,9 @@
 
 /*
  * Returns when adm_take_expired() or adm_take_ready() may return a ticket
- * though no call starts or ends until then; UINT64_MAX: never. Always
- * UINT64_MAX before adm_use_classes().
+ * though no call starts or ends until then; UINT64_MAX: never.
  */
-uint64_t adm_get_due_ms(const struct adm_gate *gate, uint64_t now_ms);
+uint64_t adm_get_due_ms(struct adm_gate *gate, uint64_t now_ms);
 
 /* Returns why the calls that adm_take_expired() returns are refused. */
 enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate);
--- a/include/loom/document.h
+++ b/include/loom/document.h
@@ -63,6 +63,7 @@
 	uint32_t request_body_bytes;	/* size of a request body */
 	uint32_t header_bytes;		/* size of a request header */
 	uint32_t cold_calls_per_second; /* while cold; 0: unlimited */
+	const char *health_path; /* tells whether it is cold; NULL: none */
 };
 
 /*
@@ -362,6 +363,7 @@
 	const char *name;
 	uint32_t connections;		/* open connections to a target */
 	uint32_t cold_calls_per_second; /* while cold; 0: unlimited */
+	const char *health_path;	/* NULL: none */
 };
 
 /* Limits for the size and duration of a caller's requests. */
--- a/include/loom/traffic.h
+++ b/include/loom/traffic.h
@@ -16,6 +16,7 @@
 #include <glib.h>
 #include <talloc.h>
 #include <tevent.h>
+#include "loom/admission.h"
 #include "loom/counter.h"
 #include "loom/document.h"
 #include "loom/explain.h"
@@ -54,6 +55,8 @@
 	const char *not_run;  /* answer: the target did not run the request */
 	const char *stamp;    /* answer: set by a target on every 2xx answer */
 	const char *load; /* answer: load of the target, struct cap_report */
+	const char *cold; /* answer to a request for its health: how much longer
+			     the target stays cold, in ms */
 };
 
 /* The target on this vm. */
@@ -97,6 +100,7 @@
 	uint32_t header_timeout_ms; /* from request line to last header */
 	uint32_t header_bytes_max;
 	struct tr_overload_options overload;
+	struct adm_cold_bound cold_bound;
 	enum rt_policy policy;
 	uint64_t seed;
 	tr_sample_fn on_sample; /* may be NULL */
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -20,6 +20,7 @@
 #include "health.h"
 #include "limit.h"
 #include "queue.h"
+#include "warmth.h"
 
 /* Queue places for each slot that a target announced. */
 #define QUEUE_PER_SLOT 2U
@@ -28,6 +29,11 @@
  * arrive evenly.
  */
 #define COLD_BURST_DIVISOR 5U
+/*
+ * Calls that leave evenly may arrive less so, and the last ones of a second may
+ * arrive in the next one.
+ */
+#define COLD_BOUND_USE_PERMILLE 950U
 /* An answer changes the mean latency by 1/8 of the difference. */
 #define LATENCY_SHIFT 3
 
@@ -47,6 +53,8 @@
 	uint32_t cold_calls_per_second; /* 0: unlimited */
 	uint64_t cold_millitokens;	/* token bucket, in 1/1000 of a call */
 	uint64_t cold_refill_ms;	/* when the bucket was last refilled */
+	struct adm_cold_bound cold_bound;
+	struct adm_warmth warmth;
 	uint32_t queue_length;
 	uint32_t in_flight;
 	uint32_t latency_us; /* moving mean; 0: no answer yet */
@@ -141,6 +149,13 @@
 	return true;
 }
 
+/* Records that a call was given out to run. */
+static void start_run(struct adm_gate *gate, uint64_t now_ms)
+{
+	gate->in_flight++;
+	adm_record_warmth_call(&gate->warmth, now_ms);
+}
+
 static uint32_t get_service_ms(const struct adm_gate *gate)
 {
 	return gate->latency_us / 1000;
@@ -239,7 +254,7 @@
 		return verdict;
 	take_cold_token(gate, now_ms);
 	if (verdict == ADM_VERDICT_RUN)
-		gate->in_flight++;
+		start_run(gate, now_ms);
 	return verdict;
 }
 
@@ -297,9 +312,34 @@
 	cap_set_slots(gate->classes.capacity, gate->known_slots);
 }
 
+void adm_set_cold_bound(struct adm_gate *gate,
+			const struct adm_cold_bound *bound)
+{
+	gate->cold_bound = *bound;
+}
+
+/*
+ * Returns how many calls a cold target may get in one second; 0: unlimited, or
+ * the target cannot be asked whether it is cold.
+ */
+static uint32_t get_warmth_limit(const struct adm_gate *gate,
+				 const struct doc_limits *limits)
+{
+	const struct adm_cold_bound *bound = &gate->cold_bound;
+	uint64_t calls = (uint64_t)limits->cold_calls_per_second *
+				 bound->rate_permille / 1000 +
+			 bound->slack_calls;
+
+	if (limits->cold_calls_per_second == 0 || bound->rate_permille == 0 ||
+	    !limits->health_path)
+		return 0;
+	return (uint32_t)MAX(calls * COLD_BOUND_USE_PERMILLE / 1000, 1);
+}
+
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
 {
 	gate->cold_calls_per_second = limits->cold_calls_per_second;
+	adm_set_warmth_limit(&gate->warmth, get_warmth_limit(gate, limits));
 	if (gate->known_slots > 0)
 		return;
 	gate->queue_length = limits->queue_length;
@@ -320,7 +360,19 @@
 
 void adm_set_cold(struct adm_gate *gate, uint64_t until_ms)
 {
-	gate->cold_until_ms = until_ms;
+	gate->cold_until_ms = MAX(gate->cold_until_ms, until_ms);
+}
+
+bool adm_is_check_due(struct adm_gate *gate, uint64_t now_ms)
+{
+	return get_closed_refusal(gate) == ADM_REFUSAL_NONE &&
+	       now_ms >= gate->cold_until_ms &&
+	       adm_is_warmth_due(&gate->warmth, now_ms);
+}
+
+void adm_confirm_warm(struct adm_gate *gate, uint64_t asked_ms, uint64_t now_ms)
+{
+	adm_confirm_warmth(&gate->warmth, asked_ms, now_ms);
 }
 
 void adm_mark_unreachable(struct adm_gate *gate)
@@ -352,6 +404,8 @@
 	gate->is_leaving = false;
 	gate->is_down = false;
 	gate->latency_us = 0;
+	gate->cold_until_ms = 0;
+	adm_clear_warmth(&gate->warmth);
 	adm_clear_health(&gate->health);
 	if (gate->order == ORDER_CLASS)
 		cap_clear_target(gate->classes.capacity);
@@ -384,6 +438,11 @@
 	*refusal = check_open(gate, call, now_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
+	if (!adm_has_warmth_room(&gate->warmth, adm_get_waiting_count(gate),
+				 now_ms)) {
+		*refusal = ADM_REFUSAL_COLD;
+		return ADM_VERDICT_REFUSE;
+	}
 	if (gate->order == ORDER_CLASS)
 		return admit_by_class(gate, call, now_ms, refusal);
 	if (!take_cold_token(gate, now_ms)) {
@@ -391,7 +450,7 @@
 		return ADM_VERDICT_REFUSE;
 	}
 	if (adm_get_queue_length(&gate->queue) == 0 && has_room(gate, now_ms)) {
-		gate->in_flight++;
+		start_run(gate, now_ms);
 		return ADM_VERDICT_RUN;
 	}
 	*refusal = check_wait(gate, call, now_ms);
@@ -407,7 +466,8 @@
 
 	gate->now_ms = now_ms;
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE ||
-	    !has_room(gate, now_ms))
+	    !has_room(gate, now_ms) ||
+	    !adm_has_warmth_room(&gate->warmth, 0, now_ms))
 		return NULL;
 	switch (gate->order) {
 	case ORDER_PRIORITY:
@@ -419,7 +479,7 @@
 		break;
 	}
 	if (ticket)
-		gate->in_flight++;
+		start_run(gate, now_ms);
 	return ticket;
 }
 
@@ -441,20 +501,29 @@
 	return NULL;
 }
 
-uint64_t adm_get_due_ms(const struct adm_gate *gate, uint64_t now_ms)
+static uint64_t get_class_due_ms(const struct adm_gate *gate, uint64_t now_ms)
 {
-	const struct cap_target *capacity;
-	uint64_t due_ms;
+	const struct cap_target *capacity = gate->classes.capacity;
+	uint64_t due_ms = adm_get_late_ms(&gate->classes.schedule);
 
-	if (gate->order != ORDER_CLASS || adm_get_waiting_count(gate) == 0)
-		return UINT64_MAX;
-	capacity = gate->classes.capacity;
-	due_ms = adm_get_late_ms(&gate->classes.schedule);
 	if (cap_estimate_foreign(capacity, now_ms) > 0)
 		due_ms = MIN(due_ms, cap_get_foreign_end_ms(capacity));
 	return due_ms;
 }
 
+uint64_t adm_get_due_ms(struct adm_gate *gate, uint64_t now_ms)
+{
+	uint64_t due_ms = UINT64_MAX;
+	uint64_t room_ms;
+
+	if (adm_get_waiting_count(gate) == 0)
+		return due_ms;
+	if (gate->order == ORDER_CLASS)
+		due_ms = get_class_due_ms(gate, now_ms);
+	room_ms = adm_get_warmth_room_ms(&gate->warmth, now_ms);
+	return room_ms > now_ms ? MIN(due_ms, room_ms) : due_ms;
+}
+
 enum adm_refusal adm_get_waiting_refusal(const struct adm_gate *gate)
 {
 	enum adm_refusal refusal = get_closed_refusal(gate);
--- a/src/document/gateway.c
+++ b/src/document/gateway.c
@@ -2,7 +2,8 @@
  * Gateway document: routes from hosts and path prefixes to services.
  *
  *	{"gateway": NAME, "sequence": 7,
- *	 "services": [{"service", "connections", "cold_calls_per_second"}],
+ *	 "services": [{"service", "connections", "cold_calls_per_second",
+ *		       "health_path"}],
  *	 "routes": [{"name", "host", "path", "repeatable", "timeout_ms",
  *		     "objective_ms", "attempts", "priority",
  *		     "shares": [{"service", "weight"}]}],
@@ -38,6 +39,7 @@
 static const struct rd_range weight_range = { 0, 1000000 };
 static const struct rd_range connections_range = { 1, 100000 };
 static const struct rd_range cold_range = { 0, 1000000 };
+static const struct rd_range health_path_range = { 1, 255 };
 static const struct rd_range header_range = { 512, 1024 * 1024 };
 static const struct rd_range body_range = { 0, 1024U * 1024 * 1024 };
 
@@ -191,6 +193,17 @@
 		       &gateway->sequence);
 }
 
+static void read_health_path(struct rd_object *item,
+			     struct doc_gateway_service *service)
+{
+	if (rd_read_text(item, "health_path", RD_OPTIONAL, &health_path_range,
+			 &service->health_path) &&
+	    service->health_path[0] != '/')
+		rd_add_problem(item, "health_path",
+			       "got \"%s\", wanted a path such as /healthz",
+			       service->health_path);
+}
+
 void doc_read_gateway_services(struct doc_gateway *gateway,
 			       struct rd_object *object)
 {
@@ -218,6 +231,7 @@
 			       &connections_range, &service->connections);
 		rd_read_uint32(item, "cold_calls_per_second", RD_OPTIONAL,
 			       &cold_range, &service->cold_calls_per_second);
+		read_health_path(item, service);
 		rd_close_object(item);
 	}
 }
--- a/src/document/gateway_delta.c
+++ b/src/document/gateway_delta.c
@@ -92,11 +92,12 @@
 
 		json_array_append_new(
 			services,
-			json_pack("{s:s,s:I,s:I}", "service", service->name,
-				  "connections",
+			json_pack("{s:s,s:I,s:I,s:s*}", "service",
+				  service->name, "connections",
 				  (json_int_t)service->connections,
 				  "cold_calls_per_second",
-				  (json_int_t)service->cold_calls_per_second));
+				  (json_int_t)service->cold_calls_per_second,
+				  "health_path", service->health_path));
 	}
 	return services;
 }
--- a/src/document/snapshot.c
+++ b/src/document/snapshot.c
@@ -218,6 +218,7 @@
 		.request_body_bytes = gateway->limits.request_body_bytes,
 		.header_bytes = gateway->limits.header_bytes,
 		.cold_calls_per_second = entry->cold_calls_per_second,
+		.health_path = entry->health_path,
 	};
 	return service;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -221,6 +221,7 @@
 		.retry_budget_permille = settings->retry_budget_permille,
 		.silence_ms = settings->silence_ms,
 	};
+	options.cold_bound = settings->cold_bound;
 	options.seed = g_str_hash(settings->address);
 	options.on_sample = handle_sample;
 	options.data = node;
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -28,6 +28,8 @@
 static const struct rd_range crossing_range = { 0, 10000 };
 static const struct rd_range memory_range = { 16, 1048576 };
 static const struct rd_range budget_range = { 10, 1000 };
+static const struct rd_range cold_rate_range = { 1000, 100000 };
+static const struct rd_range cold_slack_range = { 0, 1000000 };
 static const struct rd_range linger_range = { 0, 600000 };
 
 static const struct nd_settings default_settings = {
@@ -230,6 +232,15 @@
 		       &settings->silence_ms);
 }
 
+static void read_cold_bound(struct rd_object *object,
+			    struct nd_settings *settings)
+{
+	rd_read_uint32(object, "cold_rate_permille", RD_OPTIONAL,
+		       &cold_rate_range, &settings->cold_bound.rate_permille);
+	rd_read_uint32(object, "cold_slack_calls", RD_OPTIONAL,
+		       &cold_slack_range, &settings->cold_bound.slack_calls);
+}
+
 static void read_source(struct rd_object *object, struct nd_settings *settings)
 {
 	const char *name = "documents";
@@ -258,6 +269,7 @@
 	read_distances(ctx, object, settings);
 	read_bounds(object, settings);
 	read_overload(object, settings);
+	read_cold_bound(object, settings);
 	read_log_level(object, settings);
 }
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -55,6 +55,7 @@
 	uint32_t memory_mb;	     /* memory of the process; 0: unknown */
 	uint32_t retry_budget_permille;
 	uint32_t silence_ms; /* see struct tr_overload_options; 0: off */
+	struct adm_cold_bound cold_bound;
 	uint32_t connections;
 	uint32_t idle_timeout_ms;
 	uint32_t header_timeout_ms;
--- a/src/traffic/hop.c
+++ b/src/traffic/hop.c
@@ -231,6 +231,7 @@
 		end_refused_admission(call, refusal);
 		break;
 	}
+	tr_check_target(thread);
 }
 
 void tr_admit_call(struct tr_call *call)
@@ -303,6 +304,7 @@
 				      adm_get_waiting_refusal(thread->gate));
 	while ((call = adm_take_ready(thread->gate, now_ms)))
 		start_admitted_call(call);
+	tr_check_target(thread);
 	set_waiting_alarm(thread, now_ms);
 	load_mark_changed(thread->load);
 }
--- a/src/traffic/service.c
+++ b/src/traffic/service.c
@@ -52,6 +52,23 @@
 			     "earlier than told.");
 }
 
+static struct cnt_counter *open_check_counter(struct cnt_registry *registry,
+					      const char *labels)
+{
+	return cnt_get_counter(registry, CNT_KIND_COUNTER,
+			       "loom_target_checks_total", labels,
+			       "Questions to the target whether it is cold.");
+}
+
+static void open_check_counters(struct tr_counters *counters,
+				struct cnt_registry *registry)
+{
+	counters->checks_warm = open_check_counter(registry, "answer=\"warm\"");
+	counters->checks_cold = open_check_counter(registry, "answer=\"cold\"");
+	counters->checks_unanswered =
+		open_check_counter(registry, "answer=\"none\"");
+}
+
 static void open_connection_counters(struct tr_counters *counters,
 				     struct cnt_registry *registry)
 {
@@ -124,6 +141,7 @@
 		open_counter(registry, "loom_unanswered_calls_total",
 			     "Calls given up because the target answered "
 			     "later ones but not them.");
+	open_check_counters(counters, registry);
 	counters->tables = open_counter(registry, "loom_tables_total",
 					"Tables taken over by a thread.");
 	load_open_counters(&counters->load, registry);
--- a/src/traffic/thread.c
+++ b/src/traffic/thread.c
@@ -21,6 +21,14 @@
 #define CACHED_CONNECTIONS_MAX 2048L
 #define SWEEP_PERIOD_MS 1000U
 
+/* One connection is for requests for the target's health. */
+static long get_call_connections(const struct doc_limits *limits)
+{
+	if (limits->health_path && limits->connections > 1)
+		return (long)limits->connections - 1;
+	return (long)limits->connections;
+}
+
 /* Applies the limits in the document of the local target's service. */
 static void set_target_limits(struct tr_thread *thread)
 {
@@ -35,7 +43,7 @@
 	adm_set_limits(thread->gate, &service->limits);
 	curl_multi_setopt(hc_get_multi(thread->target_loop),
 			  CURLMOPT_MAX_TOTAL_CONNECTIONS,
-			  (long)service->limits.connections);
+			  get_call_connections(&service->limits));
 }
 
 static void apply_table(struct tr_thread *thread)
@@ -66,6 +74,7 @@
 	thread->target_service = g_strdup(command->announce.service);
 	set_target_limits(thread);
 	tr_clear_silence(&thread->silence);
+	tr_cancel_target_check(thread);
 	adm_announce_target(thread->gate, command->announce.service,
 			    command->announce.version,
 			    tmr_get_now_ms(thread->timers));
@@ -205,6 +214,9 @@
 		hc_new_loop(thread->events, thread->events, error);
 	if (!thread->target_loop)
 		return false;
+	thread->check.loop = hc_new_loop(thread->events, thread->events, error);
+	if (!thread->check.loop)
+		return false;
 	curl_multi_setopt(hc_get_multi(thread->peer_loop), CURLMOPT_MAXCONNECTS,
 			  CACHED_CONNECTIONS_MAX);
 	curl_multi_setopt(hc_get_multi(thread->target_loop),
@@ -266,6 +278,7 @@
 	thread->hop_answer_sizes = rt_new_answer_sizes(thread->events);
 	thread->returns = rt_new_returns(thread->events);
 	thread->gate = adm_new_gate(thread->events);
+	adm_set_cold_bound(thread->gate, &options->cold_bound);
 	if (options->overload.is_enabled)
 		adm_use_classes(thread->gate);
 	thread->waiting_alarm = tmr_new_alarm(thread->events, thread->events,
--- a/src/traffic/thread.h
+++ b/src/traffic/thread.h
@@ -17,6 +17,7 @@
 #include "loom/mailbox.h"
 #include "loom/returns.h"
 #include "silence.h"
+#include "target_check.h"
 #include "loom/timer.h"
 #include "loom/traffic.h"
 
@@ -59,6 +60,9 @@
 	struct cnt_counter *promises_broken;
 	struct cnt_counter *early_returns;
 	struct cnt_histogram *gate_waits[RT_CLASS_COUNT]; /* or NULL */
+	struct cnt_counter *checks_warm;
+	struct cnt_counter *checks_cold;
+	struct cnt_counter *checks_unanswered;
 	struct cnt_counter *tables;
 	struct cnt_counter *commands;
 	struct load_counters load;
@@ -127,6 +131,7 @@
 	struct tmr_alarm *waiting_alarm; /* set to waiting_due_ms */
 	uint64_t waiting_due_ms;	 /* UINT64_MAX: the alarm is not set */
 	struct tr_silence silence;	 /* of the local target */
+	struct tr_target_check check;
 	uint64_t large_bytes; /* large answers that the target is to send */
 	GHashTable
 		*running; /* request id to its struct tr_call at the target */
