Move the rate of a cold target out of the gate

The token bucket, the time until which a target is cold and the bound on its calls are one module now, cold.c; nothing changes in what they decide: test_admission, test_classes, test_class_load and test_warmth pass with the same expected output.

--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -17,23 +17,13 @@
 #include <string.h>
 #include <glib.h>
 #include "classes.h"
+#include "cold.h"
 #include "health.h"
 #include "limit.h"
 #include "queue.h"
-#include "warmth.h"
 
 /* Queue places for each slot that a target announced. */
 #define QUEUE_PER_SLOT 2U
-/*
- * A cold target may get the calls of 1/5 second in one burst, so that its calls
- * arrive evenly.
- */
-#define COLD_BURST_DIVISOR 5U
-/*
- * Calls that leave evenly may arrive less so, and the last ones of a second may
- * arrive in the next one.
- */
-#define COLD_BOUND_USE_PERMILLE 950U
 /* An answer changes the mean latency by 1/8 of the difference. */
 #define LATENCY_SHIFT 3
 
@@ -49,12 +39,7 @@
 	bool is_domain_out;
 	bool is_down;
 	uint32_t known_slots; /* 0: the target announced none */
-	uint64_t cold_until_ms;
-	uint32_t cold_calls_per_second; /* 0: unlimited */
-	uint64_t cold_millitokens;	/* token bucket, in 1/1000 of a call */
-	uint64_t cold_refill_ms;	/* when the bucket was last refilled */
-	struct adm_cold_bound cold_bound;
-	struct adm_warmth warmth;
+	struct adm_cold cold;
 	uint32_t queue_length;
 	uint32_t in_flight;
 	uint32_t latency_us; /* moving mean; 0: no answer yet */
@@ -122,38 +107,11 @@
 	return ADM_REFUSAL_NONE;
 }
 
-/* Returns whether the target is warm or there is a token for one call. */
-static bool has_cold_token(struct adm_gate *gate, uint64_t now_ms)
-{
-	uint64_t rate = gate->cold_calls_per_second;
-	uint64_t burst = MAX(rate * 1000 / COLD_BURST_DIVISOR, 1000);
-
-	if (now_ms >= gate->cold_until_ms || rate == 0)
-		return true;
-	gate->cold_millitokens += (now_ms - gate->cold_refill_ms) * rate;
-	gate->cold_millitokens = MIN(gate->cold_millitokens, burst);
-	gate->cold_refill_ms = now_ms;
-	return gate->cold_millitokens >= 1000;
-}
-
-/*
- * Takes a token for one call. Returns false if the target is cold and its token
- * bucket is empty.
- */
-static bool take_cold_token(struct adm_gate *gate, uint64_t now_ms)
-{
-	if (!has_cold_token(gate, now_ms))
-		return false;
-	if (now_ms < gate->cold_until_ms && gate->cold_calls_per_second > 0)
-		gate->cold_millitokens -= 1000;
-	return true;
-}
-
 /* Records that a call was given out to run. */
 static void start_run(struct adm_gate *gate, uint64_t now_ms)
 {
 	gate->in_flight++;
-	adm_record_warmth_call(&gate->warmth, now_ms);
+	adm_record_warmth_call(&gate->cold.warmth, now_ms);
 }
 
 static uint32_t get_service_ms(const struct adm_gate *gate)
@@ -244,7 +202,7 @@
 	enum adm_verdict verdict;
 
 	/* A call that is refused for another reason takes no token. */
-	if (!has_cold_token(gate, now_ms)) {
+	if (!adm_has_cold_token(&gate->cold, now_ms)) {
 		*refusal = ADM_REFUSAL_COLD;
 		return ADM_VERDICT_REFUSE;
 	}
@@ -252,7 +210,7 @@
 				      refusal);
 	if (verdict == ADM_VERDICT_REFUSE)
 		return verdict;
-	take_cold_token(gate, now_ms);
+	adm_take_cold_token(&gate->cold, now_ms);
 	if (verdict == ADM_VERDICT_RUN)
 		start_run(gate, now_ms);
 	return verdict;
@@ -315,31 +273,12 @@
 void adm_set_cold_bound(struct adm_gate *gate,
 			const struct adm_cold_bound *bound)
 {
-	gate->cold_bound = *bound;
-}
-
-/*
- * Returns how many calls a cold target may get in one second; 0: unlimited, or
- * the target cannot be asked whether it is cold.
- */
-static uint32_t get_warmth_limit(const struct adm_gate *gate,
-				 const struct doc_limits *limits)
-{
-	const struct adm_cold_bound *bound = &gate->cold_bound;
-	uint64_t calls = (uint64_t)limits->cold_calls_per_second *
-				 bound->rate_permille / 1000 +
-			 bound->slack_calls;
-
-	if (limits->cold_calls_per_second == 0 || bound->rate_permille == 0 ||
-	    !limits->health_path)
-		return 0;
-	return (uint32_t)MAX(calls * COLD_BOUND_USE_PERMILLE / 1000, 1);
+	gate->cold.bound = *bound;
 }
 
 void adm_set_limits(struct adm_gate *gate, const struct doc_limits *limits)
 {
-	gate->cold_calls_per_second = limits->cold_calls_per_second;
-	adm_set_warmth_limit(&gate->warmth, get_warmth_limit(gate, limits));
+	adm_set_cold_limits(&gate->cold, limits);
 	if (gate->known_slots > 0)
 		return;
 	gate->queue_length = limits->queue_length;
@@ -360,19 +299,19 @@
 
 void adm_set_cold(struct adm_gate *gate, uint64_t until_ms)
 {
-	gate->cold_until_ms = MAX(gate->cold_until_ms, until_ms);
+	gate->cold.until_ms = MAX(gate->cold.until_ms, until_ms);
 }
 
 bool adm_is_check_due(struct adm_gate *gate, uint64_t now_ms)
 {
 	return get_closed_refusal(gate) == ADM_REFUSAL_NONE &&
-	       now_ms >= gate->cold_until_ms &&
-	       adm_is_warmth_due(&gate->warmth, now_ms);
+	       now_ms >= gate->cold.until_ms &&
+	       adm_is_warmth_due(&gate->cold.warmth, now_ms);
 }
 
 void adm_confirm_warm(struct adm_gate *gate, uint64_t asked_ms, uint64_t now_ms)
 {
-	adm_confirm_warmth(&gate->warmth, asked_ms, now_ms);
+	adm_confirm_warmth(&gate->cold.warmth, asked_ms, now_ms);
 }
 
 void adm_mark_unreachable(struct adm_gate *gate)
@@ -404,8 +343,7 @@
 	gate->is_leaving = false;
 	gate->is_down = false;
 	gate->latency_us = 0;
-	gate->cold_until_ms = 0;
-	adm_clear_warmth(&gate->warmth);
+	adm_clear_cold(&gate->cold);
 	adm_clear_health(&gate->health);
 	if (gate->order == ORDER_CLASS)
 		cap_clear_target(gate->classes.capacity);
@@ -438,14 +376,14 @@
 	*refusal = check_open(gate, call, now_ms);
 	if (*refusal != ADM_REFUSAL_NONE)
 		return ADM_VERDICT_REFUSE;
-	if (!adm_has_warmth_room(&gate->warmth, adm_get_waiting_count(gate),
-				 now_ms)) {
+	if (!adm_has_warmth_room(&gate->cold.warmth,
+				 adm_get_waiting_count(gate), now_ms)) {
 		*refusal = ADM_REFUSAL_COLD;
 		return ADM_VERDICT_REFUSE;
 	}
 	if (gate->order == ORDER_CLASS)
 		return admit_by_class(gate, call, now_ms, refusal);
-	if (!take_cold_token(gate, now_ms)) {
+	if (!adm_take_cold_token(&gate->cold, now_ms)) {
 		*refusal = ADM_REFUSAL_COLD;
 		return ADM_VERDICT_REFUSE;
 	}
@@ -467,7 +405,7 @@
 	gate->now_ms = now_ms;
 	if (get_closed_refusal(gate) != ADM_REFUSAL_NONE ||
 	    !has_room(gate, now_ms) ||
-	    !adm_has_warmth_room(&gate->warmth, 0, now_ms))
+	    !adm_has_warmth_room(&gate->cold.warmth, 0, now_ms))
 		return NULL;
 	switch (gate->order) {
 	case ORDER_PRIORITY:
@@ -520,7 +458,7 @@
 		return due_ms;
 	if (gate->order == ORDER_CLASS)
 		due_ms = get_class_due_ms(gate, now_ms);
-	room_ms = adm_get_warmth_room_ms(&gate->warmth, now_ms);
+	room_ms = adm_get_warmth_room_ms(&gate->cold.warmth, now_ms);
 	return room_ms > now_ms ? MIN(due_ms, room_ms) : due_ms;
 }
 
