--- a/src/document/tests/test_gateway.c
+++ b/src/document/tests/test_gateway.c
@@ -153,7 +153,13 @@
 static json_t *make_random_document(GRand *random, uint32_t sequence)
 {
 	json_t *routes = json_array();
+	json_t *service =
+		json_pack("{s:s,s:i}", "service", "orders", "connections",
+			  10 + g_rand_int_range(random, 0, 2));
 
+	if (g_rand_int_range(random, 0, 2) == 0)
+		json_object_set_new(service, "health_path",
+				    json_string("/healthz"));
 	for (int i = 0; i < 10; i++) {
 		json_t *route;
 		char name[8];
@@ -171,11 +177,10 @@
 		json_object_set_new(route, "path", json_sprintf("/%s/", name));
 		json_array_append_new(routes, route);
 	}
-	return json_pack("{s:s,s:i,s:[{s:s,s:i}],s:o,s:{s:i,s:i,s:i,s:i}}",
-			 "gateway", "main", "sequence", (int)sequence,
-			 "services", "service", "orders", "connections",
-			 10 + g_rand_int_range(random, 0, 2), "routes", routes,
-			 "limits", "header_bytes", 16384, "request_body_bytes",
+	return json_pack("{s:s,s:i,s:[o],s:o,s:{s:i,s:i,s:i,s:i}}", "gateway",
+			 "main", "sequence", (int)sequence, "services", service,
+			 "routes", routes, "limits", "header_bytes", 16384,
+			 "request_body_bytes",
 			 1000 + g_rand_int_range(random, 0, 2),
 			 "header_timeout_ms", 3000, "idle_timeout_ms", 15000);
 }
