--- a/src/node/tests/test_replicas.c
+++ b/src/node/tests/test_replicas.c
@@ -33,9 +33,9 @@
 	const struct mem_announcement self = { .address = words[1],
 					       .failure_domain = words[2] };
 	const struct mem_member *chosen[MEMBERS_MAX];
-	size_t count = nd_choose_replicas(fixture->members, fixture->count,
-					  &self, chosen,
-					  strtoul(words[3], NULL, 10));
+	size_t count =
+		nd_choose_replicas(fixture->members, fixture->count, &self,
+				   chosen, strtoul(words[3], NULL, 10));
 
 	for (size_t i = 0; i < count; i++)
 		g_string_append_printf(output, "%s %s\n",
