--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,6 +3,7 @@
 # because the process that knew it was killed meanwhile. See claim.txt.
 . "$(dirname "$0")/../standins-3/common.sh"
 . "$(dirname "$0")/../standins-3/leaving.sh"
+trouble=${TROUBLE:-1} # 0: without the disruption
 
 start_store
 set_store '{"era":1}'
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,6 +3,7 @@
 # though the store has its departure. See claim.txt.
 . "$(dirname "$0")/../standins-3/common.sh"
 . "$(dirname "$0")/../standins-3/leaving.sh"
+trouble=${TROUBLE:-1} # 0: without the disruption
 
 start_store
 create config main "$(config)"
--- a/review/standins-3/common.sh
+++ b/review/standins-3/common.sh
@@ -6,7 +6,6 @@
 cd "$case_dir/../.."
 loommesh=target/bin/loommesh
 standins=target/review-3/bin
-trouble=${TROUBLE:-1}
 base=127.$((20 + $$ / 200 % 80)).$((1 + $$ % 200))
 store_url=http://$base.200:9000
 objects=$store_url/-/objects
